--- a/.eslintrc.cjs
+++ b/.eslintrc.cjs
@@ -20,6 +20,11 @@
     ],
   },
   overrides: [
+    {
+      // Commands of one topic share a file; each is a declaration of options and output.
+      files: ['src/ctl/*Commands.ts'],
+      rules: { 'max-classes-per-file': 'off' },
+    },
     {
       files: ['src/common/**/*.ts'],
       rules: {
--- /dev/null
+++ b/src/bin/Program.ts
@@ -0,0 +1,57 @@
+import { readFileSync } from 'node:fs';
+import { Builtins, Cli, type CommandClass } from 'clipanion';
+import { toEgretError, ErrorKind } from '../common/Errors.js';
+
+/** Exit codes of every program. */
+export enum ExitCode {
+  Ok = 0,
+  /** Refused request, invalid settings or wrong usage. */
+  Failed = 1,
+  /** The change lost against another one. */
+  Conflict = 3,
+  /** No control host with a majority answered. */
+  Unavailable = 4,
+}
+
+/** Version of the package. */
+export function packageVersion(): string {
+  const file = new URL('../../../package.json', import.meta.url);
+  return (JSON.parse(readFileSync(file, 'utf8')) as { version: string }).version;
+}
+
+/** Runs the commands of one program and sets the exit code. */
+export async function runProgram(
+  name: string,
+  label: string,
+  commands: readonly CommandClass[],
+): Promise<void> {
+  const cli = new Cli({ binaryName: name, binaryLabel: label, binaryVersion: packageVersion() });
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  commands.forEach((command) => cli.register(command));
+  process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
+}
+
+/** Prints a failure with its remedy. */
+export function printFailure(error: unknown): void {
+  const failure = toEgretError(error, ErrorKind.BadRequest);
+  process.stderr.write(`${failure.kind}: ${failure.message}\n`);
+}
+
+/** Runs a stop once for the first of the signals that end a process. */
+export function onStopSignal(stop: () => Promise<void>): void {
+  let stopping = false;
+  const handle = () => {
+    if (stopping) return;
+    stopping = true;
+    stop().then(
+      () => process.exit(ExitCode.Ok),
+      (error: unknown) => {
+        printFailure(error);
+        process.exit(ExitCode.Failed);
+      },
+    );
+  };
+  process.on('SIGTERM', handle);
+  process.on('SIGINT', handle);
+}
--- /dev/null
+++ b/src/bin/egretctl.ts
@@ -0,0 +1,25 @@
+#!/usr/bin/env node
+import * as lists from '../ctl/ListCommands.js';
+import * as settings from '../ctl/SettingsCommands.js';
+import { ZoneInCommand, ZoneListCommand, ZoneOutCommand } from '../ctl/ZoneCommands.js';
+import { runProgram } from './Program.js';
+
+await runProgram('egretctl', 'egretcourse administration', [
+  settings.SettingsGetCommand,
+  settings.SettingsSetCommand,
+  settings.SettingsDiffCommand,
+  settings.CheckCommand,
+  settings.HashTokenCommand,
+  ZoneOutCommand,
+  ZoneInCommand,
+  ZoneListCommand,
+  lists.ServicesCommand,
+  lists.BackendsCommand,
+  lists.EntriesCommand,
+  lists.ChangesShowCommand,
+  lists.AuditCommand,
+  lists.MembersCommand,
+  lists.MemberAddCommand,
+  lists.MemberPromoteCommand,
+  lists.MemberRemoveCommand,
+]);
--- /dev/null
+++ b/src/common/Constants.ts
@@ -0,0 +1,47 @@
+/** Upper bound of the relative clock rate drift between two hosts. */
+export const MAX_CLOCK_DRIFT_RATIO = 0.01;
+
+/** Prefix of every path that the system itself answers. */
+export const API_PREFIX = '/egret/v1';
+
+/** Version of the protocol between the system's own processes. */
+export const PROTOCOL_VERSION = 1;
+
+/** Largest message between the system's own processes. */
+export const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
+
+/** Largest JSON body that an administration or announcement endpoint reads. */
+export const MAX_JSON_BODY_BYTES = 256 * 1024;
+
+/** Largest header block that a listener accepts. */
+export const MAX_HEADER_BYTES = 16 * 1024;
+
+/** Largest answer body recorded for a replay. */
+export const MAX_RECORDED_BODY_BYTES = 64 * 1024;
+
+/** How far ahead of the control leader's clock an idempotency key may be. */
+export const MAX_KEY_FUTURE_MS = 5 * 60 * 1000;
+
+/** Attempts that a non-idempotent call may make after proven not-run results. */
+export const MAX_ATTEMPTS = 4;
+
+/** Distinct deaths of backend servers after which a call is quarantined. */
+export const QUARANTINE_DEATHS = 2;
+
+/** How long a quarantined fingerprint is remembered. */
+export const QUARANTINE_MS = 10 * 60 * 1000;
+
+/** Most fingerprints that the quarantine remembers. */
+export const QUARANTINE_CAPACITY = 10_000;
+
+/** Header names of the system, in the lower case of Node's parser. */
+export enum HeaderName {
+  Outcome = 'egret-outcome',
+  RequestId = 'egret-request-id',
+  TimeoutMs = 'egret-timeout-ms',
+  Attempt = 'egret-attempt',
+  Replayed = 'egret-replayed',
+  Caller = 'egret-caller',
+  Peer = 'egret-peer',
+  IdempotencyKey = 'idempotency-key',
+}
--- /dev/null
+++ b/src/common/Enums.ts
@@ -0,0 +1,41 @@
+/** Life-cycle state that a backend server announces. */
+export enum BackendState {
+  Starting = 'starting',
+  Ready = 'ready',
+  Draining = 'draining',
+  Stopped = 'stopped',
+}
+
+/** Whether an availability zone takes new work. */
+export enum ZoneState {
+  In = 'in',
+  Out = 'out',
+}
+
+/** What the system knows about the execution of a refused call. */
+export enum Outcome {
+  NotRun = 'not-run',
+  Unknown = 'unknown',
+  InProgress = 'in-progress',
+  Quarantined = 'quarantined',
+}
+
+/** Way in which an entry host selects a backend server. */
+export enum PolicyName {
+  Leaseholder = 'leaseholder',
+  RoundRobin = 'round_robin',
+  TwoChoices = 'two_choices',
+}
+
+/** What an operator may do. */
+export enum Role {
+  Reader = 'reader',
+  Operator = 'operator',
+  Administrator = 'administrator',
+}
+
+/** Behaviour of an entry host that cannot show that its settings are current. */
+export enum WhenStale {
+  Refuse = 'refuse',
+  Serve = 'serve',
+}
--- /dev/null
+++ b/src/common/Messages.ts
@@ -0,0 +1,157 @@
+import type { EntryHost } from './Placement.js';
+import type { SettingsTree } from './SettingsSchema.js';
+import type { ErrorKind } from './Errors.js';
+
+/** Kinds of messages between an entry host and a control host. */
+export enum ControlMessageType {
+  Hello = 'hello',
+  Ping = 'ping',
+  Pong = 'pong',
+  FetchSettings = 'fetch-settings',
+  Settings = 'settings',
+  SettingsDelta = 'settings-delta',
+  EntryHosts = 'entry-hosts',
+  Claim = 'claim',
+  ClaimReply = 'claim-reply',
+  Settle = 'settle',
+  SettleReply = 'settle-reply',
+}
+
+/** First message of an entry host. */
+export interface HelloMessage {
+  readonly type: ControlMessageType.Hello;
+  readonly entryHost: EntryHost;
+}
+
+/** Asks whether newer settings may exist; also the heartbeat of the entry host. */
+export interface PingMessage {
+  readonly type: ControlMessageType.Ping;
+  readonly pingId: number;
+  /** Log index of the settings that the entry host applies. */
+  readonly appliedIndex: number;
+  /** True where the control host should push changes to this entry host. */
+  readonly subscribe: boolean;
+  readonly stopping: boolean;
+}
+
+/** Control host as entry hosts reach it. */
+export interface VoterAddress {
+  readonly id: string;
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Answer to a ping. */
+export interface PongMessage {
+  readonly type: ControlMessageType.Pong;
+  readonly pingId: number;
+  /** Log index of the newest settings change in the host's log, committed or not. */
+  readonly newestSettingsIndex: number;
+  readonly leaderId: string | null;
+  readonly membershipIndex: number;
+  readonly voters: readonly VoterAddress[];
+  /** True where this host is a voter itself. */
+  readonly isVoter: boolean;
+}
+
+export interface FetchSettingsMessage {
+  readonly type: ControlMessageType.FetchSettings;
+}
+
+/** The whole settings tree at a log index. */
+export interface SettingsMessage {
+  readonly type: ControlMessageType.Settings;
+  readonly index: number;
+  readonly revision: number;
+  readonly tree: SettingsTree;
+}
+
+/** One change of the settings tree; applies only on top of its previous index. */
+export interface SettingsDeltaMessage {
+  readonly type: ControlMessageType.SettingsDelta;
+  readonly previousIndex: number;
+  readonly index: number;
+  readonly revision: number;
+  readonly path: string;
+  readonly value: unknown;
+}
+
+/** Entry hosts with a session at the control host. */
+export interface EntryHostsMessage {
+  readonly type: ControlMessageType.EntryHosts;
+  readonly entryHosts: readonly EntryHost[];
+}
+
+/** Asks for the permission to run a non-idempotent call once. */
+export interface ClaimMessage {
+  readonly type: ControlMessageType.Claim;
+  readonly requestId: string;
+  readonly key: string;
+  readonly service: string;
+  readonly fingerprint: string;
+  readonly attemptId: string;
+  readonly holdMs: number;
+}
+
+/** Verdict of a claim, as {@link ClaimMessage} names it. */
+export enum ClaimReplyVerdict {
+  Granted = 'granted',
+  InProgress = 'in-progress',
+  Unknown = 'unknown',
+  Replay = 'replay',
+  Refused = 'refused',
+  /** The control host isn't the leader, or lost its majority; nothing is known. */
+  Unavailable = 'unavailable',
+}
+
+/** Answer recorded for a replay. */
+export interface ReplayAnswer {
+  readonly statusCode: number;
+  readonly rawHeaders: readonly string[];
+  readonly body: Uint8Array;
+}
+
+export interface ClaimReplyMessage {
+  readonly type: ControlMessageType.ClaimReply;
+  readonly requestId: string;
+  readonly verdict: ClaimReplyVerdict;
+  readonly answer: ReplayAnswer | null;
+  readonly refusal: ErrorKind | null;
+}
+
+/** What became of a claimed call. */
+export enum ClaimOutcome {
+  Answered = 'answered',
+  NotRun = 'not-run',
+  Unknown = 'unknown',
+}
+
+export interface SettleMessage {
+  readonly type: ControlMessageType.Settle;
+  readonly requestId: string;
+  readonly key: string;
+  readonly service: string;
+  readonly attemptId: string;
+  readonly outcome: ClaimOutcome;
+  readonly answer: ReplayAnswer | null;
+}
+
+export interface SettleReplyMessage {
+  readonly type: ControlMessageType.SettleReply;
+  readonly requestId: string;
+  /** False where the control host can't tell; the entry host sends the result again. */
+  readonly durable: boolean;
+}
+
+/** Messages from an entry host to a control host. */
+export type ToControlMessage =
+  HelloMessage | PingMessage | FetchSettingsMessage | ClaimMessage | SettleMessage;
+
+/** Messages from a control host to an entry host. */
+export type FromControlMessage =
+  | PongMessage
+  | SettingsMessage
+  | SettingsDeltaMessage
+  | EntryHostsMessage
+  | ClaimReplyMessage
+  | SettleReplyMessage;
--- /dev/null
+++ b/src/common/Placement.ts
@@ -0,0 +1,78 @@
+import { rankByRendezvous, rendezvousWeight } from './Rendezvous.js';
+
+/** Entry host as every other process sees it. */
+export interface EntryHost {
+  readonly id: string;
+  readonly address: string;
+  /** Port for callers and backend servers. */
+  readonly port: number;
+  /** Port for peers. */
+  readonly peerPort: number;
+  readonly adminAddress: string;
+  readonly adminPort: number;
+  readonly availabilityZone: string;
+  /** True from the start of a planned stop. */
+  readonly stopping: boolean;
+}
+
+/** Options of {@link placeLeaseholders}. */
+export interface PlacementOptions {
+  readonly service: string;
+  /** Availability zones of the service that take new work. */
+  readonly availabilityZones: readonly string[];
+  readonly entryHosts: readonly EntryHost[];
+  /** Wanted number of leaseholders. */
+  readonly leaseholders: number;
+}
+
+const MIN_LEASEHOLDERS = 2;
+
+/**
+ * Chooses the entry hosts that hold the leases of a service's backend servers: the best of each
+ * availability zone first, then the best of all until the wanted number is reached.
+ *
+ * @example
+ * placeLeaseholders({ service: 'ledger', availabilityZones: [], entryHosts: [], leaseholders: 3 });
+ */
+export function placeLeaseholders(options: PlacementOptions): EntryHost[] {
+  const ranked = rankByRendezvous(
+    options.service,
+    options.entryHosts.filter((entry) => !entry.stopping),
+  );
+  const wanted = Math.max(MIN_LEASEHOLDERS, options.leaseholders);
+  const chosen: EntryHost[] = [];
+  options.availabilityZones.forEach((availabilityZone) => {
+    const best = ranked.find((entry) => entry.availabilityZone === availabilityZone);
+    if (best && chosen.length < wanted) chosen.push(best);
+  });
+  ranked.forEach((entry) => {
+    if (chosen.length < wanted && !chosen.includes(entry)) chosen.push(entry);
+  });
+  return chosen;
+}
+
+/**
+ * Chooses the leaseholder of one backend server out of its service's leaseholders: of its own
+ * availability zone if there is one, by rendezvous hashing.
+ *
+ * @example
+ * placeBackend('10.0.0.1:80', 'yoichi', leaseholders)?.id;
+ */
+export function placeBackend(
+  backendId: string,
+  availabilityZone: string,
+  leaseholders: readonly EntryHost[],
+): EntryHost | undefined {
+  const local = leaseholders.filter((entry) => entry.availabilityZone === availabilityZone);
+  const candidates = local.length > 0 ? local : leaseholders;
+  let best: EntryHost | undefined;
+  let bestWeight = -1;
+  candidates.forEach((entry) => {
+    const weight = rendezvousWeight(backendId, entry.id);
+    if (weight > bestWeight) {
+      best = entry;
+      bestWeight = weight;
+    }
+  });
+  return best;
+}
--- /dev/null
+++ b/src/common/SettingsTree.ts
@@ -0,0 +1,247 @@
+import Result from 'true-myth/result';
+import type { z } from 'zod';
+import { ZoneState } from './Enums.js';
+import { EgretError, ErrorKind } from './Errors.js';
+import {
+  treeSchema,
+  type ServiceSettings,
+  type SettingsTree,
+  type SystemSettings,
+} from './SettingsSchema.js';
+
+/** One fault of a settings document. */
+export interface SettingsFault {
+  /** Slash-separated path of the value. */
+  readonly path: string;
+  readonly message: string;
+  readonly remedy: string;
+}
+
+/** Name of the subtree that a path belongs to: a team's name, or {@link SYSTEM_SUBTREE}. */
+export const SYSTEM_SUBTREE = 'system';
+
+const TEAMS_SEGMENT = 'teams';
+
+/** Translates a schema issue into a fault with its remedy. */
+function toFault(issue: z.core.$ZodIssue): SettingsFault {
+  const path = `/${issue.path.map(String).join('/')}`;
+  switch (issue.code) {
+    case 'unrecognized_keys':
+      return {
+        path,
+        message: `unknown key ${issue.keys.join(', ')}`,
+        remedy: 'Remove the key, or correct its spelling and unit suffix.',
+      };
+    case 'too_small':
+      return {
+        path,
+        message: issue.message,
+        remedy: `Use a value of at least ${String(issue.minimum)}.`,
+      };
+    case 'too_big':
+      return {
+        path,
+        message: issue.message,
+        remedy: `Use a value of at most ${String(issue.maximum)}.`,
+      };
+    case 'invalid_value':
+      return {
+        path,
+        message: issue.message,
+        remedy: `Use one of ${issue.values.map(String).join(', ')}.`,
+      };
+    case 'invalid_type':
+      return { path, message: issue.message, remedy: `Use a value of type ${issue.expected}.` };
+    default:
+      return { path, message: issue.message, remedy: 'Correct the value as the message says.' };
+  }
+}
+
+/**
+ * Checks a document against a schema and lists every fault.
+ *
+ * @example
+ * checkDocument(treeSchema, {}).isOk; // true
+ */
+export function checkDocument<S extends z.ZodType>(
+  schema: S,
+  document: unknown,
+): Result<z.infer<S>, SettingsFault[]> {
+  const parsed = schema.safeParse(document);
+  if (parsed.success) return Result.ok(parsed.data);
+  return Result.err(parsed.error.issues.map(toFault));
+}
+
+/** Faults that span more than one value of the tree. */
+function crossFaults(tree: SettingsTree): SettingsFault[] {
+  const faults: SettingsFault[] = [];
+  const owners = new Map<string, string>();
+  Object.entries(tree.teams).forEach(([team, settings]) => {
+    Object.entries(settings.services).forEach(([service, serviceSettings]) => {
+      const path = `/teams/${team}/services/${service}`;
+      const owner = owners.get(service);
+      if (owner) {
+        faults.push({
+          path,
+          message: `service name already used by team ${owner}`,
+          remedy: 'Choose another service name.',
+        });
+      }
+      owners.set(service, team);
+      serviceSettings.availabilityZones
+        .filter((zone) => !(zone in settings.availabilityZones))
+        .forEach((zone) => {
+          faults.push({
+            path: `${path}/availabilityZones`,
+            message: `unknown availability zone ${zone}`,
+            remedy: `Create /teams/${team}/availabilityZones/${zone} first.`,
+          });
+        });
+    });
+  });
+  if (tree.system.announcementIntervalMs * 2 > tree.system.leaseMs) {
+    faults.push({
+      path: '/system/leaseMs',
+      message: 'lease shorter than two announcement intervals',
+      remedy: 'Use a lease of at least twice announcementIntervalMs.',
+    });
+  }
+  if (tree.system.configPingIntervalMs * 2 > tree.system.configLeaseMs) {
+    faults.push({
+      path: '/system/configLeaseMs',
+      message: 'configuration lease shorter than two ping intervals',
+      remedy: 'Use a lease of at least twice configPingIntervalMs.',
+    });
+  }
+  return faults;
+}
+
+/**
+ * Checks a whole settings tree, with defaults filled in.
+ *
+ * @example
+ * checkTree({ teams: {} }).isOk; // true
+ */
+export function checkTree(document: unknown): Result<SettingsTree, SettingsFault[]> {
+  return checkDocument(treeSchema, document).andThen((tree) => {
+    const faults = crossFaults(tree);
+    return faults.length > 0 ? Result.err(faults) : Result.ok(tree);
+  });
+}
+
+/** Splits `/a/b` into its segments. */
+function segmentsOf(path: string): string[] {
+  return path.split('/').filter((segment) => segment.length > 0);
+}
+
+/**
+ * Names the subtree of a path, whose revision a change is compared with.
+ *
+ * @example
+ * subtreeOf('/teams/otaru/services/ledger').unwrapOr(''); // 'otaru'
+ */
+export function subtreeOf(path: string): Result<string, EgretError> {
+  const segments = segmentsOf(path);
+  if (segments[0] === SYSTEM_SUBTREE) return Result.ok(SYSTEM_SUBTREE);
+  if (segments[0] === TEAMS_SEGMENT && segments.length >= 2) return Result.ok(segments[1]!);
+  return Result.err(
+    new EgretError(ErrorKind.InvalidSettings, `Path ${path} is under no /system or /teams/NAME.`),
+  );
+}
+
+type Branch = Record<string, unknown>;
+
+function isBranch(value: unknown): value is Branch {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/**
+ * Reads the value at a path; undefined where there is none.
+ *
+ * @example
+ * readPath({ system: { leaseMs: 1 } }, '/system/leaseMs'); // 1
+ */
+export function readPath(tree: unknown, path: string): unknown {
+  return segmentsOf(path).reduce<unknown>(
+    (value, segment) =>
+      isBranch(value) && Object.hasOwn(value, segment) ? value[segment] : undefined,
+    tree,
+  );
+}
+
+/** Copies a branch with the value at the path replaced, or removed if null. */
+function copyWith(branch: Branch, segments: readonly string[], value: unknown): Branch {
+  const [head, ...rest] = segments;
+  if (head === undefined) return branch;
+  const copy = { ...branch };
+  if (rest.length > 0) {
+    const child = Object.hasOwn(branch, head) ? branch[head] : undefined;
+    copy[head] = copyWith(isBranch(child) ? child : {}, rest, value);
+  } else if (value === null) {
+    delete copy[head];
+  } else {
+    copy[head] = value;
+  }
+  return copy;
+}
+
+/**
+ * Returns a checked copy of the tree with one value replaced; null removes it.
+ *
+ * @example
+ * writePath(tree, '/teams/otaru/availabilityZones/yoichi', { state: 'out' }).isOk;
+ */
+export function writePath(
+  tree: SettingsTree,
+  path: string,
+  value: unknown,
+): Result<SettingsTree, EgretError> {
+  const segments = segmentsOf(path);
+  const unsafe = segments.some((segment) => segment === '__proto__' || segment === 'constructor');
+  if (unsafe || segments.length < 2) {
+    return Result.err(
+      new EgretError(ErrorKind.InvalidSettings, `Path ${path} can't be written as a whole.`),
+    );
+  }
+  return checkTree(copyWith(tree as unknown as Branch, segments, value)).mapErr(
+    (faults) =>
+      new EgretError(
+        ErrorKind.InvalidSettings,
+        faults.map((fault) => `${fault.path}: ${fault.message}. ${fault.remedy}`).join(' '),
+      ),
+  );
+}
+
+/** A service with the team that owns it. */
+export interface CatalogEntry {
+  readonly team: string;
+  readonly service: string;
+  readonly settings: ServiceSettings;
+  /** Availability zones of the service that take new work. */
+  readonly openZones: readonly string[];
+}
+
+/** Read-only index over a settings tree, rebuilt for every revision. */
+export interface Catalog {
+  readonly system: SystemSettings;
+  readonly services: ReadonlyMap<string, CatalogEntry>;
+}
+
+/**
+ * Indexes a tree by service.
+ *
+ * @example
+ * buildCatalog(tree).services.get('ledger')?.openZones;
+ */
+export function buildCatalog(tree: SettingsTree): Catalog {
+  const services = new Map<string, CatalogEntry>();
+  Object.entries(tree.teams).forEach(([team, teamSettings]) => {
+    Object.entries(teamSettings.services).forEach(([service, settings]) => {
+      const openZones = settings.availabilityZones.filter(
+        (zone) => teamSettings.availabilityZones[zone]?.state === ZoneState.In,
+      );
+      services.set(service, { team, service, settings, openZones });
+    });
+  });
+  return { system: tree.system, services };
+}
--- /dev/null
+++ b/src/control/AdminReads.ts
@@ -0,0 +1,102 @@
+import Result from 'true-myth/result';
+import { EgretError, ErrorKind } from '../common/Errors.js';
+import { buildCatalog, readPath, subtreeOf } from '../common/SettingsTree.js';
+import type { AgreedState } from './AgreedState.js';
+import type { EntrySessions } from './EntrySessions.js';
+import type { RaftNode } from './raft/RaftNode.js';
+import { AdminRequestType, type AdminRequest } from './Types.js';
+
+type RequestOf<T extends AdminRequestType> = Extract<AdminRequest, { type: T }>;
+type ReadResult = Result<unknown, EgretError>;
+
+const MAX_AUDIT_LIMIT = 1_000;
+
+/** Tells whether all configuration leases from before a change have run out. */
+export type LeaseExpired = (index: number) => boolean;
+
+/** Refuses a read of something that does not exist. */
+function missing(detail: string): ReadResult {
+  return Result.err(new EgretError(ErrorKind.NotFound, detail));
+}
+
+/** Answers administration requests that change nothing. */
+export class AdminReads {
+  constructor(
+    private readonly agreed: AgreedState,
+    private readonly sessions: EntrySessions,
+    private readonly raft: RaftNode,
+  ) {}
+
+  /** Reads the agreed state; the caller has confirmed that it is current. */
+  read(request: AdminRequest, leaseExpired: LeaseExpired): ReadResult {
+    const handler = this.handlers[request.type as keyof typeof this.handlers] as
+      ((wanted: AdminRequest, expired: LeaseExpired) => ReadResult) | undefined;
+    if (!handler) return missing(`Request ${request.type} is no read.`);
+    return handler(request, leaseExpired);
+  }
+
+  private readonly handlers = {
+    [AdminRequestType.GetSettings]: (request: RequestOf<AdminRequestType.GetSettings>) => {
+      const value = readPath(this.agreed.tree, request.path);
+      if (value === undefined) return missing(`Nothing is set at ${request.path}.`);
+      return Result.ok({
+        path: request.path,
+        revision: this.agreed.revision,
+        subtreeRevision: this.agreed.subtreeRevision(subtreeOf(request.path).unwrapOr('')),
+        value,
+      });
+    },
+    [AdminRequestType.ShowChange]: (
+      request: RequestOf<AdminRequestType.ShowChange>,
+      leaseExpired: LeaseExpired,
+    ) => {
+      const change = this.agreed.changeResult(request.changeId);
+      if (!change) return missing(`No change ${request.changeId} is known.`);
+      if (change.index === 0) return Result.ok({ change, progress: null });
+      const progress = this.sessions.inForce(change.index, leaseExpired(change.index));
+      return Result.ok({ change, progress });
+    },
+    [AdminRequestType.Audit]: (request: RequestOf<AdminRequestType.Audit>) =>
+      Result.ok({
+        records: this.agreed.auditTrail(Math.min(request.limit, MAX_AUDIT_LIMIT), request.team),
+      }),
+    [AdminRequestType.Services]: () =>
+      Result.ok({
+        services: [...buildCatalog(this.agreed.tree).services.values()].map((item) => ({
+          service: item.service,
+          team: item.team,
+          availabilityZones: item.settings.availabilityZones,
+          openZones: item.openZones,
+          policy: item.settings.policy,
+        })),
+      }),
+    [AdminRequestType.EntryHosts]: () =>
+      Result.ok({
+        revision: this.agreed.revision,
+        settingsIndex: this.agreed.settingsIndex,
+        entryHosts: this.sessions.list().map((session) => ({
+          ...session.entryHost,
+          appliedIndex: session.appliedIndex,
+          current: session.appliedIndex >= this.agreed.settingsIndex,
+        })),
+      }),
+    [AdminRequestType.Members]: () => {
+      const { state } = this.raft;
+      const withMatch = (members: typeof state.log.membership.voters) =>
+        members.map((member) => ({
+          ...member,
+          matchIndex:
+            member.id === state.id
+              ? state.log.lastIndex
+              : (state.followers.get(member.id)?.matchIndex ?? 0),
+        }));
+      return Result.ok({
+        leaderId: state.leaderId,
+        term: state.term,
+        commitIndex: state.commitIndex,
+        voters: withMatch(state.log.membership.voters),
+        learners: withMatch(state.log.membership.learners),
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/control/AgreedState.ts
@@ -0,0 +1,309 @@
+import { Packr } from 'msgpackr';
+import { ErrorKind, type EgretError } from '../common/Errors.js';
+import type { SettingsTree } from '../common/SettingsSchema.js';
+import { checkTree, readPath, subtreeOf, writePath } from '../common/SettingsTree.js';
+import { ClaimTable, type ClaimRecord, type ClaimResult } from './ClaimTable.js';
+import {
+  CommandType,
+  type BootstrapCommand,
+  type ChangeCommand,
+  type ClaimCommand,
+  type Command,
+  type MembershipCommand,
+  type RefusalCommand,
+  type SettleCommand,
+} from './Commands.js';
+
+/** Outcome of an operator's request in the audit trail. */
+export enum AuditOutcome {
+  Accepted = 'accepted',
+  Conflict = 'conflict',
+  Refused = 'refused',
+}
+
+/** One line of the audit trail. */
+export interface AuditRecord {
+  readonly atMs: number;
+  readonly actor: string;
+  readonly path: string;
+  readonly changeId: string;
+  readonly from: unknown;
+  readonly to: unknown;
+  readonly outcome: AuditOutcome;
+  /** Revision after an accepted change, current revision of the subtree otherwise. */
+  readonly revision: number;
+  readonly detail: string;
+}
+
+/** Result of a change, remembered by its change id. */
+export interface ChangeResult {
+  readonly changeId: string;
+  readonly outcome: AuditOutcome;
+  /** Revision of the change, or the current revision of the subtree on a conflict. */
+  readonly revision: number;
+  /** Log index of the change; 0 unless accepted. */
+  readonly index: number;
+  readonly path: string;
+  readonly atMs: number;
+  readonly detail: string;
+}
+
+/** Accepted change of the settings tree, as entry hosts receive it. */
+export interface SettingsDelta {
+  readonly previousIndex: number;
+  readonly index: number;
+  readonly revision: number;
+  readonly path: string;
+  readonly value: unknown;
+}
+
+/** Result of applying one command. */
+export interface ApplyResult {
+  readonly change: ChangeResult | null;
+  readonly claim: ClaimResult | null;
+  readonly settled: boolean;
+  /** Change of the settings tree, if the command made one. */
+  readonly delta: SettingsDelta | null;
+  /** True where the tree was replaced as a whole. */
+  readonly replaced: boolean;
+}
+
+/** Serialized form of the agreed state. */
+interface AgreedSnapshot {
+  readonly tree: SettingsTree;
+  readonly revision: number;
+  readonly settingsIndex: number;
+  readonly subtreeRevisions: Record<string, number>;
+  readonly clockMs: number;
+  readonly changeResults: ChangeResult[];
+  readonly audit: AuditRecord[];
+  readonly claims: ClaimRecord[];
+}
+
+const MAX_CHANGE_RESULTS = 50_000;
+const MAX_AUDIT_RECORDS = 50_000;
+
+/** Codec of snapshots; plain maps, so that other programs can read them. */
+const codec = new Packr({ useRecords: false });
+
+const NOTHING: ApplyResult = {
+  change: null,
+  claim: null,
+  settled: false,
+  delta: null,
+  replaced: false,
+};
+
+/** State machine that every control host applies committed commands to, with equal results. */
+export class AgreedState {
+  tree: SettingsTree;
+
+  /** Number of accepted changes. */
+  revision = 0;
+
+  /** Log index of the last accepted change. */
+  settingsIndex = 0;
+
+  /** Highest time stamp seen in a command, in Unix milliseconds. */
+  clockMs = 0;
+
+  claims = new ClaimTable();
+
+  private subtreeRevisions = new Map<string, number>();
+
+  private changeResults = new Map<string, ChangeResult>();
+
+  private audit: AuditRecord[] = [];
+
+  constructor() {
+    this.tree = checkTree({}).unwrapOrElse((faults) => {
+      throw new Error(faults.map((fault) => fault.message).join(' '));
+    });
+  }
+
+  /** Applies one committed command. */
+  apply(index: number, command: Command): ApplyResult {
+    if ('atMs' in command) this.clockMs = Math.max(this.clockMs, command.atMs);
+    const handler = this.handlers[command.type] as (cmd: Command, at: number) => ApplyResult;
+    return handler(command, index);
+  }
+
+  /** Revision that a change of the subtree must name as its base. */
+  subtreeRevision(subtree: string): number {
+    return this.subtreeRevisions.get(subtree) ?? 0;
+  }
+
+  /** First result of a change id. */
+  changeResult(changeId: string): ChangeResult | undefined {
+    return this.changeResults.get(changeId);
+  }
+
+  /** Latest audit records, newest first, optionally of one team. */
+  auditTrail(limit: number, subtree?: string): AuditRecord[] {
+    const prefix = subtree && `/teams/${subtree}/`;
+    const matching = prefix
+      ? this.audit.filter((record) => `${record.path}/`.startsWith(prefix))
+      : this.audit;
+    return matching.slice(-limit).reverse();
+  }
+
+  toBytes(): Uint8Array {
+    const snapshot: AgreedSnapshot = {
+      tree: this.tree,
+      revision: this.revision,
+      settingsIndex: this.settingsIndex,
+      subtreeRevisions: Object.fromEntries(this.subtreeRevisions),
+      clockMs: this.clockMs,
+      changeResults: [...this.changeResults.values()],
+      audit: this.audit,
+      claims: this.claims.toRecords(),
+    };
+    return codec.pack(snapshot);
+  }
+
+  /** Replaces the whole state by a snapshot's. */
+  restore(bytes: Uint8Array): void {
+    if (bytes.length === 0) return;
+    const snapshot = codec.unpack(bytes) as AgreedSnapshot;
+    this.tree = snapshot.tree;
+    this.revision = snapshot.revision;
+    this.settingsIndex = snapshot.settingsIndex;
+    this.subtreeRevisions = new Map(Object.entries(snapshot.subtreeRevisions));
+    this.clockMs = snapshot.clockMs;
+    this.changeResults = new Map(snapshot.changeResults.map((item) => [item.changeId, item]));
+    this.audit = snapshot.audit;
+    this.claims = new ClaimTable(snapshot.claims);
+  }
+
+  private readonly handlers = {
+    [CommandType.Noop]: (): ApplyResult => NOTHING,
+    [CommandType.Membership]: (command: MembershipCommand) => this.applyMembership(command),
+    [CommandType.Bootstrap]: (command: BootstrapCommand, index: number) =>
+      this.applyBootstrap(index, command),
+    [CommandType.Change]: (command: ChangeCommand, index: number) =>
+      this.applyChange(index, command),
+    [CommandType.Refusal]: (command: RefusalCommand) => this.applyRefusal(command),
+    [CommandType.Claim]: (command: ClaimCommand): ApplyResult => ({
+      ...NOTHING,
+      claim: this.claims.claim(command, this.clockMs, this.tree.system.claimRetentionMs),
+    }),
+    [CommandType.Settle]: (command: SettleCommand): ApplyResult => ({
+      ...NOTHING,
+      settled: this.claims.settle(command),
+    }),
+  };
+
+  private applyMembership(command: MembershipCommand): ApplyResult {
+    const ids = (members: readonly { id: string }[]) => members.map((member) => member.id);
+    this.record({
+      atMs: command.atMs,
+      actor: command.actor,
+      path: '/system/controlHosts',
+      changeId: '',
+      from: null,
+      to: { voters: ids(command.membership.voters), learners: ids(command.membership.learners) },
+      outcome: AuditOutcome.Accepted,
+      revision: this.revision,
+      detail: '',
+    });
+    return NOTHING;
+  }
+
+  private applyBootstrap(index: number, command: BootstrapCommand): ApplyResult {
+    if (this.revision > 0) return NOTHING;
+    this.tree = command.tree;
+    this.revision = 1;
+    this.settingsIndex = index;
+    this.subtreeRevisions.set('system', 1);
+    Object.keys(command.tree.teams).forEach((team) => this.subtreeRevisions.set(team, 1));
+    return { ...NOTHING, replaced: true };
+  }
+
+  private applyRefusal(command: RefusalCommand): ApplyResult {
+    this.record({
+      atMs: command.atMs,
+      actor: command.actor,
+      path: command.path,
+      changeId: '',
+      from: null,
+      to: null,
+      outcome: AuditOutcome.Refused,
+      revision: this.revision,
+      detail: command.kind,
+    });
+    return NOTHING;
+  }
+
+  private applyChange(index: number, command: ChangeCommand): ApplyResult {
+    const known = this.changeResults.get(command.changeId);
+    if (known) return { ...NOTHING, change: known };
+    const subtree = subtreeOf(command.path).unwrapOr('');
+    const current = this.subtreeRevision(subtree);
+    if (command.baseRevision !== current) {
+      const detail = `${ErrorKind.Conflict}: base revision ${command.baseRevision}, current ${current}`;
+      return this.rememberChange(command, AuditOutcome.Conflict, current, 0, detail);
+    }
+    const written = writePath(this.tree, command.path, command.value);
+    if (written.isErr) return this.refuseChange(command, current, written.error);
+    const from = readPath(this.tree, command.path) ?? null;
+    const previousIndex = this.settingsIndex;
+    this.tree = written.value;
+    this.revision += 1;
+    this.settingsIndex = index;
+    this.subtreeRevisions.set(subtree, this.revision);
+    const result = this.rememberChange(
+      command,
+      AuditOutcome.Accepted,
+      this.revision,
+      index,
+      '',
+      from,
+    );
+    const delta = {
+      previousIndex,
+      index,
+      revision: this.revision,
+      path: command.path,
+      value: command.value,
+    };
+    return { ...result, delta };
+  }
+
+  private refuseChange(command: ChangeCommand, revision: number, error: EgretError): ApplyResult {
+    return this.rememberChange(command, AuditOutcome.Refused, revision, 0, error.message);
+  }
+
+  private rememberChange(
+    command: ChangeCommand,
+    outcome: AuditOutcome,
+    revision: number,
+    index: number,
+    detail: string,
+    from: unknown = null,
+  ): ApplyResult {
+    const { changeId, path, atMs } = command;
+    const change = { changeId, outcome, revision, index, path, atMs, detail };
+    this.changeResults.set(changeId, change);
+    if (this.changeResults.size > MAX_CHANGE_RESULTS) {
+      const [oldest] = this.changeResults.keys();
+      if (oldest !== undefined) this.changeResults.delete(oldest);
+    }
+    this.record({
+      atMs,
+      actor: command.actor,
+      path,
+      changeId,
+      from,
+      to: command.value,
+      outcome,
+      revision,
+      detail,
+    });
+    return { ...NOTHING, change };
+  }
+
+  private record(record: AuditRecord): void {
+    this.audit.push(record);
+    if (this.audit.length > MAX_AUDIT_RECORDS) this.audit.splice(0, MAX_AUDIT_RECORDS / 10);
+  }
+}
--- /dev/null
+++ b/src/control/Commands.ts
@@ -0,0 +1,87 @@
+import type { ErrorKind } from '../common/Errors.js';
+import type { ClaimOutcome, ReplayAnswer } from '../common/Messages.js';
+import type { SettingsTree } from '../common/SettingsSchema.js';
+import type { Membership } from './raft/Types.js';
+
+/** Kinds of commands in the replicated log. */
+export enum CommandType {
+  Noop = 'noop',
+  Membership = 'membership',
+  Bootstrap = 'bootstrap',
+  Change = 'change',
+  Refusal = 'refusal',
+  Claim = 'claim',
+  Settle = 'settle',
+}
+
+export interface NoopCommand {
+  readonly type: CommandType.Noop;
+}
+
+export interface MembershipCommand {
+  readonly type: CommandType.Membership;
+  readonly membership: Membership;
+  readonly actor: string;
+  readonly atMs: number;
+}
+
+export interface BootstrapCommand {
+  readonly type: CommandType.Bootstrap;
+  readonly tree: SettingsTree;
+  readonly atMs: number;
+}
+
+/** Compare-and-set of one value of the settings tree. */
+export interface ChangeCommand {
+  readonly type: CommandType.Change;
+  readonly changeId: string;
+  readonly baseRevision: number;
+  readonly path: string;
+  /** New value; null removes it. */
+  readonly value: unknown;
+  readonly actor: string;
+  readonly atMs: number;
+}
+
+/** Refused request, kept for the audit trail. */
+export interface RefusalCommand {
+  readonly type: CommandType.Refusal;
+  readonly path: string;
+  readonly kind: ErrorKind;
+  readonly actor: string;
+  readonly atMs: number;
+}
+
+/** Permission to run a non-idempotent call once. */
+export interface ClaimCommand {
+  readonly type: CommandType.Claim;
+  readonly key: string;
+  readonly service: string;
+  /** Hash of method, path and body that the key must always come with. */
+  readonly fingerprint: string;
+  readonly attemptId: string;
+  readonly entryHostId: string;
+  /** After this long without a result the outcome counts as unknown. */
+  readonly holdMs: number;
+  readonly atMs: number;
+}
+
+/** Result of a claimed call. */
+export interface SettleCommand {
+  readonly type: CommandType.Settle;
+  readonly key: string;
+  readonly service: string;
+  readonly attemptId: string;
+  readonly outcome: ClaimOutcome;
+  readonly answer: ReplayAnswer | null;
+  readonly atMs: number;
+}
+
+export type Command =
+  | NoopCommand
+  | MembershipCommand
+  | BootstrapCommand
+  | ChangeCommand
+  | RefusalCommand
+  | ClaimCommand
+  | SettleCommand;
--- /dev/null
+++ b/src/control/ControlReducer.ts
@@ -0,0 +1,522 @@
+import { MAX_CLOCK_DRIFT_RATIO } from '../common/Constants.js';
+import { EgretError, ErrorKind } from '../common/Errors.js';
+import {
+  ClaimReplyVerdict,
+  ControlMessageType,
+  type ClaimMessage,
+  type FromControlMessage,
+  type PingMessage,
+  type SettleMessage,
+  type ToControlMessage,
+} from '../common/Messages.js';
+import type { SettingsTree } from '../common/SettingsSchema.js';
+import { AdminReads } from './AdminReads.js';
+import { AgreedState, type ApplyResult, type SettingsDelta } from './AgreedState.js';
+import { authenticate, authorize } from './Authorization.js';
+import { CommandType, type Command } from './Commands.js';
+import { EntrySessions } from './EntrySessions.js';
+import { isMemberRequest, planMembership, withInstanceIds } from './MembershipChange.js';
+import { RaftNode } from './raft/RaftNode.js';
+import type { RaftOptions } from './raft/RaftState.js';
+import { hasCommittedInTerm } from './raft/Replication.js';
+import { RaftEffectType, RaftEventType, type LogEntry, type RaftEffect } from './raft/Types.js';
+import {
+  AdminRequestType,
+  ControlEffectType,
+  ControlEventType,
+  type Actor,
+  type AdminRequest,
+  type ControlEffect,
+  type ControlEvent,
+} from './Types.js';
+
+type EventOf<T extends ControlEventType> = Extract<ControlEvent, { type: T }>;
+type RaftEffectOf<T extends RaftEffectType> = Extract<RaftEffect, { type: T }>;
+type SessionMessageOf<T extends ControlMessageType> = Extract<ToControlMessage, { type: T }>;
+
+/** Options of a {@link ControlReducer}. */
+export interface ControlOptions {
+  readonly raft: RaftOptions;
+  /** Tree that the first leader of a new cluster proposes. */
+  readonly initialSettings: SettingsTree | null;
+  /** Entries after which a snapshot is taken. */
+  readonly snapshotEvery?: number;
+}
+
+/** Where the result of a proposed command goes. */
+interface PendingProposal {
+  readonly term: number;
+  readonly onApplied: (result: ApplyResult) => void;
+  readonly onLost: () => void;
+}
+
+const DEFAULT_SNAPSHOT_EVERY = 20_000;
+
+/** Entry-host sessions end after so many configuration leases without a heartbeat. */
+const SESSION_SILENCE_LEASES = 2;
+
+/** Remembered times of application of settings changes. */
+const MAX_APPLIED_TIMES = 1_000;
+
+/** Reducer of a control host: replicated log, agreed state, entry-host sessions, administration. */
+export class ControlReducer {
+  readonly raft: RaftNode;
+
+  readonly agreed = new AgreedState();
+
+  readonly sessions = new EntrySessions();
+
+  private readonly reads: AdminReads;
+
+  private readonly snapshotEvery: number;
+
+  private readonly initialSettings: SettingsTree | null;
+
+  /** Proposals by log index. */
+  private readonly pending = new Map<number, PendingProposal>();
+
+  /** Linearizable reads by id. */
+  private readonly pendingReads = new Map<string, PendingRead>();
+
+  /** Local time at which a settings change was applied, by log index. */
+  private readonly appliedTimes = new Map<number, number>();
+
+  /** Base for changes whose time of application isn't remembered. */
+  private startedAtMs = -1;
+
+  private snapshotRunning = false;
+
+  private effects: ControlEffect[] = [];
+
+  private nowMs = 0;
+
+  private wallMs = 0;
+
+  constructor(options: ControlOptions) {
+    this.raft = new RaftNode(options.raft);
+    this.agreed.restore(options.raft.snapshot.bytes);
+    this.initialSettings = options.initialSettings;
+    this.snapshotEvery = options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
+    this.reads = new AdminReads(this.agreed, this.sessions, this.raft);
+  }
+
+  /** Handles one event and returns its effects in order. */
+  reduce(event: ControlEvent): ControlEffect[] {
+    this.effects = [];
+    this.nowMs = event.nowMs;
+    this.wallMs = event.wallMs;
+    if (this.startedAtMs < 0) this.startedAtMs = event.nowMs;
+    const handler = this.eventHandlers[event.type] as (received: ControlEvent) => void;
+    handler(event);
+    return this.effects;
+  }
+
+  private readonly eventHandlers = {
+    [ControlEventType.Tick]: (event: EventOf<ControlEventType.Tick>) => this.onTick(event),
+    [ControlEventType.RaftMessage]: (event: EventOf<ControlEventType.RaftMessage>) =>
+      this.stepRaft({
+        type: RaftEventType.Message,
+        nowMs: event.nowMs,
+        message: event.message,
+      }),
+    [ControlEventType.Persisted]: (event: EventOf<ControlEventType.Persisted>) =>
+      this.stepRaft({
+        type: RaftEventType.Persisted,
+        nowMs: event.nowMs,
+        index: event.index,
+        generation: event.generation,
+      }),
+    [ControlEventType.SnapshotSaved]: (event: EventOf<ControlEventType.SnapshotSaved>) => {
+      if (!event.received) this.snapshotRunning = false;
+      this.stepRaft({
+        type: RaftEventType.SnapshotSaved,
+        nowMs: event.nowMs,
+        snapshot: event.snapshot,
+        received: event.received,
+      });
+    },
+    [ControlEventType.SessionMessage]: (event: EventOf<ControlEventType.SessionMessage>) =>
+      this.onSessionMessage(event.sessionId, event.message),
+    [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) =>
+      this.sessions.close(event.sessionId),
+    [ControlEventType.Admin]: (event: EventOf<ControlEventType.Admin>) => this.onAdmin(event),
+    [ControlEventType.Stop]: () => this.runRaftEffects(this.raft.stepDown()),
+  };
+
+  private readonly raftHandlers = {
+    [RaftEffectType.Persist]: (effect: RaftEffectOf<RaftEffectType.Persist>) =>
+      this.emit({ type: ControlEffectType.Persist, write: effect }),
+    [RaftEffectType.Send]: (effect: RaftEffectOf<RaftEffectType.Send>) =>
+      this.emit({
+        type: ControlEffectType.SendRaft,
+        to: effect.to,
+        message: effect.message,
+        early: effect.early,
+      }),
+    [RaftEffectType.Apply]: (effect: RaftEffectOf<RaftEffectType.Apply>) =>
+      this.applyEntry(effect.entry),
+    [RaftEffectType.SaveSnapshot]: (effect: RaftEffectOf<RaftEffectType.SaveSnapshot>) =>
+      this.emit({
+        type: ControlEffectType.SaveSnapshot,
+        snapshot: effect.snapshot,
+        received: effect.received,
+      }),
+    [RaftEffectType.Restore]: (effect: RaftEffectOf<RaftEffectType.Restore>) => {
+      this.agreed.restore(effect.snapshot.bytes);
+      this.pushFull();
+    },
+    [RaftEffectType.ReadReady]: (effect: RaftEffectOf<RaftEffectType.ReadReady>) =>
+      this.finishRead(effect.readId),
+    [RaftEffectType.ReadFailed]: (effect: RaftEffectOf<RaftEffectType.ReadFailed>) =>
+      this.failRead(effect.readId),
+    [RaftEffectType.RoleChanged]: (effect: RaftEffectOf<RaftEffectType.RoleChanged>) => {
+      if (!this.raft.isLeader) this.loseProposals();
+      this.emit({
+        type: ControlEffectType.RoleChanged,
+        role: effect.role,
+        term: effect.term,
+        leaderId: effect.leaderId,
+      });
+    },
+  };
+
+  private readonly sessionHandlers = {
+    [ControlMessageType.Hello]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.Hello>,
+    ) => {
+      this.sessions.hello(sessionId, message.entryHost, this.nowMs);
+      this.sendSession(sessionId, this.sessions.listMessage());
+    },
+    [ControlMessageType.Ping]: (sessionId: number, message: PingMessage) =>
+      this.onPing(sessionId, message),
+    [ControlMessageType.FetchSettings]: (sessionId: number) => this.sendSettings(sessionId),
+    [ControlMessageType.Claim]: (sessionId: number, message: ClaimMessage) =>
+      this.onClaim(sessionId, message),
+    [ControlMessageType.Settle]: (sessionId: number, message: SettleMessage) =>
+      this.onSettle(sessionId, message),
+  };
+
+  private emit(effect: ControlEffect): void {
+    this.effects.push(effect);
+  }
+
+  private sendSession(sessionId: number, message: FromControlMessage): void {
+    this.emit({ type: ControlEffectType.SendSession, sessionId, message });
+  }
+
+  private stepRaft(event: Parameters<RaftNode['reduce']>[0]): void {
+    this.runRaftEffects(this.raft.reduce(event));
+  }
+
+  private runRaftEffects(effects: readonly RaftEffect[]): void {
+    effects.forEach((effect) => {
+      const handler = this.raftHandlers[effect.type] as (received: RaftEffect) => void;
+      handler(effect);
+    });
+  }
+
+  private onTick(event: EventOf<ControlEventType.Tick>): void {
+    this.stepRaft({ type: RaftEventType.Tick, nowMs: event.nowMs, random: event.random });
+    this.sessions.expire(
+      this.nowMs,
+      this.agreed.tree.system.configLeaseMs * SESSION_SILENCE_LEASES,
+    );
+    this.sessions
+      .takeListUpdates()
+      .forEach((send) => this.sendSession(send.sessionId, send.message));
+    this.maintainLeader();
+    this.maybeSnapshot();
+  }
+
+  /** Proposes what only the leader of a settled term may propose. */
+  private maintainLeader(): void {
+    if (!this.raft.isLeader || !hasCommittedInTerm(this.raft.state)) return;
+    if (this.agreed.revision === 0 && this.initialSettings && this.pending.size === 0) {
+      const tree = this.initialSettings;
+      this.propose({ type: CommandType.Bootstrap, tree, atMs: this.wallMs });
+    }
+    const { state } = this.raft;
+    const membership = withInstanceIds(state);
+    if (membership && state.log.membershipIndex <= state.commitIndex) {
+      const command = { type: CommandType.Membership, membership } as const;
+      this.propose({ ...command, actor: 'system', atMs: this.wallMs });
+    }
+  }
+
+  private maybeSnapshot(): void {
+    const { state } = this.raft;
+    const applied = state.appliedIndex - state.log.snapshot.index;
+    if (this.snapshotRunning || applied < this.snapshotEvery) return;
+    const term = state.log.termAt(state.appliedIndex);
+    if (term === undefined) return;
+    this.snapshotRunning = true;
+    this.emit({
+      type: ControlEffectType.SaveSnapshot,
+      received: false,
+      snapshot: {
+        index: state.appliedIndex,
+        term,
+        membership: this.committedMembership(),
+        bytes: this.agreed.toBytes(),
+      },
+    });
+  }
+
+  /** Membership at the applied index; a later, uncommitted one stays in the log. */
+  private committedMembership() {
+    const { state } = this.raft;
+    for (let index = state.appliedIndex; index > state.log.snapshot.index; index -= 1) {
+      const command = state.log.entryAt(index)?.command;
+      if (command?.type === CommandType.Membership) return command.membership;
+    }
+    return state.log.snapshot.membership;
+  }
+
+  /** Proposes a command; undefined if this host doesn't lead. */
+  private propose(command: Command, callbacks?: Omit<PendingProposal, 'term'>): boolean {
+    if (!this.raft.isLeader) return false;
+    const index = this.raft.state.log.lastIndex + 1;
+    if (callbacks) this.pending.set(index, { term: this.raft.state.term, ...callbacks });
+    this.stepRaft({ type: RaftEventType.Propose, nowMs: this.nowMs, command });
+    return true;
+  }
+
+  private applyEntry(entry: LogEntry): void {
+    const result = this.agreed.apply(entry.index, entry.command);
+    if (result.delta || result.replaced) this.noteApplied(entry.index);
+    if (result.replaced) this.pushFull();
+    if (result.delta) this.pushDelta(result.delta);
+    const proposal = this.pending.get(entry.index);
+    if (!proposal) return;
+    this.pending.delete(entry.index);
+    if (proposal.term === entry.term) proposal.onApplied(result);
+    else proposal.onLost();
+  }
+
+  private noteApplied(index: number): void {
+    this.appliedTimes.set(index, this.nowMs);
+    if (this.appliedTimes.size > MAX_APPLIED_TIMES) {
+      const [oldest] = this.appliedTimes.keys();
+      if (oldest !== undefined) this.appliedTimes.delete(oldest);
+    }
+  }
+
+  private loseProposals(): void {
+    const lost = [...this.pending.values()];
+    this.pending.clear();
+    lost.forEach((proposal) => proposal.onLost());
+  }
+
+  private pushFull(): void {
+    this.sessions.subscribers().forEach((session) => this.sendSettings(session.sessionId));
+  }
+
+  private pushDelta(delta: SettingsDelta): void {
+    this.sessions.subscribers().forEach((session) => {
+      this.sendSession(session.sessionId, { type: ControlMessageType.SettingsDelta, ...delta });
+    });
+  }
+
+  private sendSettings(sessionId: number): void {
+    if (this.agreed.settingsIndex === 0) return;
+    this.sendSession(sessionId, {
+      type: ControlMessageType.Settings,
+      index: this.agreed.settingsIndex,
+      revision: this.agreed.revision,
+      tree: this.agreed.tree,
+    });
+  }
+
+  private onSessionMessage(sessionId: number, message: ToControlMessage): void {
+    const handler = this.sessionHandlers[message.type] as
+      ((id: number, received: ToControlMessage) => void) | undefined;
+    handler?.(sessionId, message);
+  }
+
+  /** Log index of the newest settings change in the log, committed or not. */
+  private newestSettingsIndex(): number {
+    const { state } = this.raft;
+    for (let index = state.log.lastIndex; index > state.appliedIndex; index -= 1) {
+      const type = state.log.entryAt(index)?.command.type;
+      if (type === CommandType.Change || type === CommandType.Bootstrap) return index;
+    }
+    return this.agreed.settingsIndex;
+  }
+
+  private onPing(sessionId: number, message: PingMessage): void {
+    const before = this.sessions.has(sessionId);
+    this.sessions.ping(sessionId, message, this.nowMs);
+    if (!before) return;
+    const { state } = this.raft;
+    this.sendSession(sessionId, {
+      type: ControlMessageType.Pong,
+      pingId: message.pingId,
+      newestSettingsIndex: this.newestSettingsIndex(),
+      leaderId: state.leaderId,
+      membershipIndex: state.log.membershipIndex,
+      voters: state.log.membership.voters,
+      isVoter: state.isVoter,
+    });
+    if (message.subscribe && message.appliedIndex < this.agreed.settingsIndex) {
+      this.sendSettings(sessionId);
+    }
+  }
+
+  private onClaim(sessionId: number, message: ClaimMessage): void {
+    const entryHostId = this.sessions.list().find((session) => session.sessionId === sessionId);
+    const reply = (verdict: ClaimReplyVerdict) =>
+      this.sendSession(sessionId, {
+        type: ControlMessageType.ClaimReply,
+        requestId: message.requestId,
+        verdict,
+        answer: null,
+        refusal: null,
+      });
+    const proposed = this.propose(
+      {
+        type: CommandType.Claim,
+        key: message.key,
+        service: message.service,
+        fingerprint: message.fingerprint,
+        attemptId: message.attemptId,
+        entryHostId: entryHostId?.entryHost.id ?? '',
+        holdMs: message.holdMs,
+        atMs: this.wallMs,
+      },
+      {
+        onApplied: ({ claim }) => {
+          if (!claim) return;
+          this.sendSession(sessionId, {
+            type: ControlMessageType.ClaimReply,
+            requestId: message.requestId,
+            ...claim,
+          });
+        },
+        onLost: () => reply(ClaimReplyVerdict.Unavailable),
+      },
+    );
+    if (!proposed) reply(ClaimReplyVerdict.Unavailable);
+  }
+
+  private onSettle(sessionId: number, message: SettleMessage): void {
+    const { requestId, key, service, attemptId, outcome, answer } = message;
+    const reply = (durable: boolean) =>
+      this.sendSession(sessionId, { type: ControlMessageType.SettleReply, requestId, durable });
+    const command = { type: CommandType.Settle, key, service, attemptId, outcome, answer } as const;
+    const proposed = this.propose(
+      { ...command, atMs: this.wallMs },
+      { onApplied: () => reply(true), onLost: () => reply(false) },
+    );
+    if (!proposed) reply(false);
+  }
+
+  private answerAdmin(requestId: string, body: unknown, error: EgretError | null = null): void {
+    this.emit({ type: ControlEffectType.AnswerAdmin, requestId, body, error });
+  }
+
+  private refuseNoLeader(requestId: string): void {
+    const leader = this.raft.state.leaderId ?? 'none';
+    const detail = `This control host does not lead (leader: ${leader}).`;
+    this.answerAdmin(requestId, null, new EgretError(ErrorKind.NoQuorum, detail));
+  }
+
+  private onAdmin(event: EventOf<ControlEventType.Admin>): void {
+    const { requestId, request } = event;
+    if (!this.raft.isLeader) {
+      this.refuseNoLeader(requestId);
+      return;
+    }
+    const authenticated = authenticate(this.agreed.tree, event.tokenHash);
+    if (authenticated.isErr) {
+      this.answerAdmin(requestId, null, authenticated.error);
+      return;
+    }
+    const actor = authenticated.value;
+    const authorized = authorize(actor, request);
+    if (authorized.isErr) {
+      this.auditRefusal(request, actor, authorized.error);
+      this.answerAdmin(requestId, null, authorized.error);
+      return;
+    }
+    if (request.type === AdminRequestType.Change) this.proposeChange(requestId, request, actor);
+    else if (isMemberRequest(request)) this.proposeMembership(requestId, request, actor);
+    else this.startRead(requestId, request);
+  }
+
+  private auditRefusal(request: AdminRequest, actor: Actor, error: EgretError): void {
+    this.propose({
+      type: CommandType.Refusal,
+      path: 'path' in request ? request.path : `/system/${request.type}`,
+      kind: error.kind,
+      actor: actor.name,
+      atMs: this.wallMs,
+    });
+  }
+
+  private proposeChange(
+    requestId: string,
+    request: Extract<AdminRequest, { type: AdminRequestType.Change }>,
+    actor: Actor,
+  ): void {
+    const { changeId, baseRevision, path, value } = request;
+    const command = { type: CommandType.Change, changeId, baseRevision, path, value } as const;
+    this.propose(
+      { ...command, actor: actor.name, atMs: this.wallMs },
+      {
+        onApplied: ({ change }) => this.answerAdmin(requestId, change),
+        onLost: () => this.refuseNoLeader(requestId),
+      },
+    );
+  }
+
+  private proposeMembership(
+    requestId: string,
+    request: Parameters<typeof planMembership>[1],
+    actor: Actor,
+  ): void {
+    const planned = planMembership(this.raft.state, request);
+    if (planned.isErr) {
+      this.answerAdmin(requestId, null, planned.error);
+      return;
+    }
+    const command = { type: CommandType.Membership, membership: planned.value } as const;
+    this.propose(
+      { ...command, actor: actor.name, atMs: this.wallMs },
+      {
+        onApplied: () => this.answerAdmin(requestId, planned.value),
+        onLost: () => this.refuseNoLeader(requestId),
+      },
+    );
+  }
+
+  private startRead(requestId: string, request: AdminRequest): void {
+    this.pendingReads.set(requestId, { request });
+    this.stepRaft({ type: RaftEventType.Read, nowMs: this.nowMs, readId: requestId });
+  }
+
+  private finishRead(readId: string): void {
+    const read = this.pendingReads.get(readId);
+    this.pendingReads.delete(readId);
+    if (!read) return;
+    const result = this.reads.read(read.request, (index) => this.isLeaseExpired(index));
+    if (result.isOk) this.answerAdmin(readId, result.value);
+    else this.answerAdmin(readId, null, result.error);
+  }
+
+  private failRead(readId: string): void {
+    if (this.pendingReads.delete(readId)) this.refuseNoLeader(readId);
+  }
+
+  /** True once every configuration lease from before the change has surely run out. */
+  private isLeaseExpired(index: number): boolean {
+    const appliedAtMs = this.appliedTimes.get(index) ?? this.startedAtMs;
+    const leaseMs = this.agreed.tree.system.configLeaseMs * (1 + MAX_CLOCK_DRIFT_RATIO);
+    return this.nowMs - appliedAtMs > leaseMs;
+  }
+}
+
+/** Linearizable read that waits for its confirmation round. */
+interface PendingRead {
+  readonly request: AdminRequest;
+}
--- /dev/null
+++ b/src/control/EntrySessions.ts
@@ -0,0 +1,124 @@
+import {
+  ControlMessageType,
+  type FromControlMessage,
+  type PingMessage,
+} from '../common/Messages.js';
+import type { EntryHost } from '../common/Placement.js';
+
+/** Session of one entry host at this control host. */
+export interface EntrySession {
+  readonly sessionId: number;
+  entryHost: EntryHost;
+  /** Log index of the settings that the entry host applies. */
+  appliedIndex: number;
+  /** True where this control host pushes changes to it. */
+  subscribed: boolean;
+  lastSeenMs: number;
+}
+
+/** Message for one session. */
+export interface SessionSend {
+  readonly sessionId: number;
+  readonly message: FromControlMessage;
+}
+
+/** How far a settings change has reached. */
+export interface InForce {
+  readonly entryHosts: number;
+  readonly applied: number;
+  readonly behind: readonly string[];
+  /** True once no entry host can still admit work under older settings. */
+  readonly inForce: boolean;
+}
+
+/** Live entry hosts as one control host sees them; soft state. */
+export class EntrySessions {
+  private readonly sessions = new Map<number, EntrySession>();
+
+  /** True while the list of entry hosts has changed since it was last sent. */
+  private changed = false;
+
+  get size(): number {
+    return this.sessions.size;
+  }
+
+  /** Entry hosts in the order of their ids. */
+  list(): EntrySession[] {
+    return [...this.sessions.values()].sort((a, b) => (a.entryHost.id < b.entryHost.id ? -1 : 1));
+  }
+
+  has(sessionId: number): boolean {
+    return this.sessions.has(sessionId);
+  }
+
+  /** Starts a session; an older one of the same entry host is replaced. */
+  hello(sessionId: number, entryHost: EntryHost, nowMs: number): void {
+    this.sessions.forEach((session, id) => {
+      if (session.entryHost.id === entryHost.id) this.sessions.delete(id);
+    });
+    this.sessions.set(sessionId, {
+      sessionId,
+      entryHost,
+      appliedIndex: 0,
+      subscribed: false,
+      lastSeenMs: nowMs,
+    });
+    this.changed = true;
+  }
+
+  /** Notes a heartbeat; undefined without a session. */
+  ping(sessionId: number, message: PingMessage, nowMs: number): EntrySession | undefined {
+    const session = this.sessions.get(sessionId);
+    if (!session) return undefined;
+    session.appliedIndex = message.appliedIndex;
+    session.subscribed = message.subscribe;
+    session.lastSeenMs = nowMs;
+    if (session.entryHost.stopping !== message.stopping) {
+      session.entryHost = { ...session.entryHost, stopping: message.stopping };
+      this.changed = true;
+    }
+    return session;
+  }
+
+  close(sessionId: number): void {
+    if (this.sessions.delete(sessionId)) this.changed = true;
+  }
+
+  /** Ends sessions that sent no heartbeat for so long. */
+  expire(nowMs: number, silenceMs: number): void {
+    this.sessions.forEach((session, id) => {
+      if (nowMs - session.lastSeenMs > silenceMs) this.close(id);
+    });
+  }
+
+  /** Messages that tell every session the current list, if it has changed. */
+  takeListUpdates(): SessionSend[] {
+    if (!this.changed) return [];
+    this.changed = false;
+    const message = this.listMessage();
+    return [...this.sessions.keys()].map((sessionId) => ({ sessionId, message }));
+  }
+
+  listMessage(): FromControlMessage {
+    return {
+      type: ControlMessageType.EntryHosts,
+      entryHosts: this.list().map((session) => session.entryHost),
+    };
+  }
+
+  subscribers(): EntrySession[] {
+    return [...this.sessions.values()].filter((session) => session.subscribed);
+  }
+
+  /** Counts the entry hosts that apply settings of at least this log index. */
+  inForce(index: number, leaseExpired: boolean): InForce {
+    const sessions = this.list();
+    const behind = sessions.filter((session) => session.appliedIndex < index);
+    return {
+      entryHosts: sessions.length,
+      applied: sessions.length - behind.length,
+      behind: behind.map((session) => session.entryHost.id),
+      inForce: leaseExpired,
+    };
+  }
+}
--- /dev/null
+++ b/src/control/MembershipChange.ts
@@ -0,0 +1,105 @@
+import Result from 'true-myth/result';
+import { EgretError, ErrorKind } from '../common/Errors.js';
+import { hasCommittedInTerm } from './raft/Replication.js';
+import type { RaftState } from './raft/RaftState.js';
+import type { Member, Membership } from './raft/Types.js';
+import { AdminRequestType, type AdminRequest } from './Types.js';
+
+/** Most voters of a cluster. */
+export const MAX_VOTERS = 7;
+
+/** Entries by which a learner may trail when it becomes a voter. */
+const MAX_PROMOTION_LAG = 16;
+
+type MemberRequest = Extract<
+  AdminRequest,
+  {
+    type:
+      AdminRequestType.AddMember | AdminRequestType.PromoteMember | AdminRequestType.RemoveMember;
+  }
+>;
+type RequestOf<T extends AdminRequestType> = Extract<AdminRequest, { type: T }>;
+type Planned = Result<Membership, EgretError>;
+
+function refuse(detail: string): Planned {
+  return Result.err(new EgretError(ErrorKind.Conflict, detail));
+}
+
+function planAdd(state: RaftState, request: RequestOf<AdminRequestType.AddMember>): Planned {
+  const { voters, learners } = state.log.membership;
+  if ([...voters, ...learners].some((member) => member.id === request.id)) {
+    return refuse(`Member ${request.id} exists; a replaced host needs a new id.`);
+  }
+  const { id, address, port } = request;
+  return Result.ok({ voters, learners: [...learners, { id, address, port }] });
+}
+
+function planPromote(
+  state: RaftState,
+  request: RequestOf<AdminRequestType.PromoteMember>,
+): Planned {
+  const { voters, learners } = state.log.membership;
+  const learner = learners.find((member) => member.id === request.id);
+  if (!learner) return refuse(`No non-voting member ${request.id}; add it first.`);
+  if (voters.length >= MAX_VOTERS) return refuse(`The cluster has ${MAX_VOTERS} voters already.`);
+  const matchIndex = state.followers.get(request.id)?.matchIndex ?? 0;
+  if (state.log.lastIndex - matchIndex > MAX_PROMOTION_LAG) {
+    return refuse(`Member ${request.id} has not caught up: ${matchIndex}/${state.log.lastIndex}.`);
+  }
+  const instanceId = state.instanceIds.get(request.id);
+  return Result.ok({
+    voters: [...voters, { ...learner, instanceId }],
+    learners: learners.filter((member) => member.id !== request.id),
+  });
+}
+
+function planRemove(state: RaftState, request: RequestOf<AdminRequestType.RemoveMember>): Planned {
+  const { voters, learners } = state.log.membership;
+  const without = (members: readonly Member[]) =>
+    members.filter((member) => member.id !== request.id);
+  const next = { voters: without(voters), learners: without(learners) };
+  if (next.voters.length === voters.length && next.learners.length === learners.length) {
+    return refuse(`No member ${request.id}.`);
+  }
+  if (next.voters.length === 0) return refuse('The last voter can not be removed.');
+  return Result.ok(next);
+}
+
+const PLANS: {
+  [T in MemberRequest['type']]: (state: RaftState, request: RequestOf<T>) => Planned;
+} = {
+  [AdminRequestType.AddMember]: planAdd,
+  [AdminRequestType.PromoteMember]: planPromote,
+  [AdminRequestType.RemoveMember]: planRemove,
+};
+
+/** True for requests that change the membership. */
+export function isMemberRequest(request: AdminRequest): request is MemberRequest {
+  return request.type in PLANS;
+}
+
+/**
+ * Plans the next membership: one change at a time, and only after an entry of the leader's own
+ * term is committed (the condition that single-server changes need).
+ *
+ * @example
+ * planMembership(node.state, { type: AdminRequestType.RemoveMember, id: 'control-2' });
+ */
+export function planMembership(state: RaftState, request: MemberRequest): Planned {
+  if (state.log.membershipIndex > state.commitIndex || !hasCommittedInTerm(state)) {
+    return refuse('Another membership change is under way.');
+  }
+  const plan = PLANS[request.type] as (target: RaftState, wanted: MemberRequest) => Planned;
+  return plan(state, request);
+}
+
+/** Membership with newly heard instance ids of voters recorded; undefined if there are none. */
+export function withInstanceIds(state: RaftState): Membership | undefined {
+  const { voters, learners } = state.log.membership;
+  const known = voters.map((member) => {
+    const heard = member.id === state.id ? state.instanceId : state.instanceIds.get(member.id);
+    return member.instanceId || !heard ? member : { ...member, instanceId: heard };
+  });
+  const fresh = known.some((member, position) => member !== voters[position]);
+  return fresh ? { voters: known, learners } : undefined;
+}
--- /dev/null
+++ b/src/control/Types.ts
@@ -0,0 +1,143 @@
+import type { Role } from '../common/Enums.js';
+import type { EgretError } from '../common/Errors.js';
+import type { FromControlMessage, ToControlMessage } from '../common/Messages.js';
+import type { PersistEffect, RaftMessage, RaftRole, Snapshot } from './raft/Types.js';
+
+/** Kinds of administration requests. */
+export enum AdminRequestType {
+  GetSettings = 'get-settings',
+  Change = 'change',
+  ShowChange = 'show-change',
+  Audit = 'audit',
+  Services = 'services',
+  EntryHosts = 'entry-hosts',
+  Members = 'members',
+  AddMember = 'add-member',
+  PromoteMember = 'promote-member',
+  RemoveMember = 'remove-member',
+}
+
+/** Request of an operator, as the administration API passes it on. */
+export type AdminRequest =
+  | { readonly type: AdminRequestType.GetSettings; readonly path: string }
+  | {
+      readonly type: AdminRequestType.Change;
+      readonly changeId: string;
+      readonly baseRevision: number;
+      readonly path: string;
+      readonly value: unknown;
+    }
+  | { readonly type: AdminRequestType.ShowChange; readonly changeId: string }
+  | { readonly type: AdminRequestType.Audit; readonly limit: number; readonly team?: string }
+  | { readonly type: AdminRequestType.Services }
+  | { readonly type: AdminRequestType.EntryHosts }
+  | { readonly type: AdminRequestType.Members }
+  | {
+      readonly type: AdminRequestType.AddMember;
+      readonly id: string;
+      readonly address: string;
+      readonly port: number;
+    }
+  | { readonly type: AdminRequestType.PromoteMember; readonly id: string }
+  | { readonly type: AdminRequestType.RemoveMember; readonly id: string };
+
+/** Authenticated operator. */
+export interface Actor {
+  readonly name: string;
+  /** Team that the token is bound to; `*` for all. */
+  readonly team: string;
+  readonly role: Role;
+}
+
+export enum ControlEventType {
+  Tick = 'tick',
+  RaftMessage = 'raft-message',
+  Persisted = 'persisted',
+  SnapshotSaved = 'snapshot-saved',
+  SessionMessage = 'session-message',
+  SessionClosed = 'session-closed',
+  Admin = 'admin',
+  Stop = 'stop',
+}
+
+/** Times of an event: monotonic for leases, wall clock for records. */
+interface ControlEventBase {
+  readonly nowMs: number;
+  readonly wallMs: number;
+}
+
+export type ControlEvent = ControlEventBase &
+  (
+    | { readonly type: ControlEventType.Tick; readonly random: number }
+    | { readonly type: ControlEventType.RaftMessage; readonly message: RaftMessage }
+    | {
+        readonly type: ControlEventType.Persisted;
+        readonly index: number;
+        readonly generation: number;
+      }
+    | {
+        readonly type: ControlEventType.SnapshotSaved;
+        readonly snapshot: Snapshot;
+        readonly received: boolean;
+      }
+    | {
+        readonly type: ControlEventType.SessionMessage;
+        readonly sessionId: number;
+        readonly message: ToControlMessage;
+      }
+    | { readonly type: ControlEventType.SessionClosed; readonly sessionId: number }
+    | {
+        readonly type: ControlEventType.Admin;
+        readonly requestId: string;
+        /** SHA-256 of the bearer token in hexadecimal. */
+        readonly tokenHash: string;
+        readonly request: AdminRequest;
+      }
+    | { readonly type: ControlEventType.Stop }
+  );
+
+export enum ControlEffectType {
+  Persist = 'persist',
+  SaveSnapshot = 'save-snapshot',
+  SendRaft = 'send-raft',
+  SendSession = 'send-session',
+  AnswerAdmin = 'answer-admin',
+  RoleChanged = 'role-changed',
+  Log = 'log',
+}
+
+export type ControlEffect =
+  | { readonly type: ControlEffectType.Persist; readonly write: PersistEffect }
+  | {
+      readonly type: ControlEffectType.SaveSnapshot;
+      readonly snapshot: Snapshot;
+      readonly received: boolean;
+    }
+  | {
+      readonly type: ControlEffectType.SendRaft;
+      readonly to: string;
+      readonly message: RaftMessage;
+      readonly early: boolean;
+    }
+  | {
+      readonly type: ControlEffectType.SendSession;
+      readonly sessionId: number;
+      readonly message: FromControlMessage;
+    }
+  | {
+      readonly type: ControlEffectType.AnswerAdmin;
+      readonly requestId: string;
+      readonly body: unknown;
+      readonly error: EgretError | null;
+    }
+  | {
+      readonly type: ControlEffectType.RoleChanged;
+      readonly role: RaftRole;
+      readonly term: number;
+      readonly leaderId: string | null;
+    }
+  | {
+      readonly type: ControlEffectType.Log;
+      readonly event: string;
+      readonly fields: Readonly<Record<string, string | number | boolean>>;
+    };
--- /dev/null
+++ b/src/control/raft/Election.ts
@@ -0,0 +1,178 @@
+import {
+  RaftEffectType,
+  RaftMessageType,
+  RaftRole,
+  type VoteReply,
+  type VoteRequest,
+} from './Types.js';
+import type { RaftState } from './RaftState.js';
+
+/** Sets the next election time between one and two election timeouts from now. */
+export function resetElectionTimer(state: RaftState, random: number): void {
+  state.electionAtMs = state.nowMs + state.timing.electionTimeoutMs * (1 + random);
+}
+
+/** Reports the role, term and leader. */
+function emitRole(state: RaftState): void {
+  state.emit({
+    type: RaftEffectType.RoleChanged,
+    role: state.role,
+    term: state.term,
+    leaderId: state.leaderId,
+  });
+}
+
+/** Fails every read that waits for a confirmation round. */
+function failReads(state: RaftState): void {
+  state.pendingReads.forEach((read) =>
+    state.emit({ type: RaftEffectType.ReadFailed, readId: read.readId }),
+  );
+  state.pendingReads = [];
+}
+
+/** Becomes follower in a term; a higher term clears the vote and is made durable. */
+export function becomeFollower(state: RaftState, term: number, leaderId: string | null): void {
+  const changed =
+    state.role !== RaftRole.Follower || state.leaderId !== leaderId || term !== state.term;
+  if (term > state.term) {
+    state.term = term;
+    state.votedFor = null;
+    state.persistHardState();
+  }
+  state.role = RaftRole.Follower;
+  state.leaderId = leaderId;
+  state.votes.clear();
+  state.followers.clear();
+  failReads(state);
+  if (changed) emitRole(state);
+}
+
+/** Becomes leader of the current term. */
+function becomeLeader(state: RaftState): void {
+  state.role = RaftRole.Leader;
+  state.leaderId = state.id;
+  state.votes.clear();
+  state.followers.clear();
+  state.log.othersThan(state.id).forEach((member) => {
+    state.followers.set(member.id, {
+      nextIndex: state.log.lastIndex + 1,
+      matchIndex: 0,
+      ackedAtMs: state.nowMs,
+      ackedRound: 0,
+      snapshotOffsetBytes: -1,
+    });
+  });
+  state.heartbeatAtMs = 0;
+  emitRole(state);
+}
+
+/** Sends a vote request to every other voter. */
+function requestVotes(state: RaftState, type: VoteRequest['type'], term: number): void {
+  state.log.membership.voters
+    .filter((member) => member.id !== state.id)
+    .forEach((member) => {
+      state.send(member.id, {
+        ...state.envelope,
+        type,
+        term,
+        lastIndex: state.log.lastIndex,
+        lastTerm: state.log.lastTerm,
+      });
+    });
+}
+
+/** Starts the election proper after a successful pre-vote. */
+function startElection(state: RaftState): void {
+  state.role = RaftRole.Candidate;
+  state.term += 1;
+  state.votedFor = state.id;
+  state.persistHardState();
+  state.votes.clear();
+  state.votes.add(state.id);
+  emitRole(state);
+  if (state.votes.size >= state.log.quorum) {
+    becomeLeader(state);
+    return;
+  }
+  requestVotes(state, RaftMessageType.Vote, state.term);
+}
+
+/** Asks whether an election could succeed, without raising the term. */
+export function startPreVote(state: RaftState, random: number): void {
+  resetElectionTimer(state, random);
+  if (!state.isVoter) return;
+  state.role = RaftRole.PreCandidate;
+  state.leaderId = null;
+  state.votes.clear();
+  state.votes.add(state.id);
+  emitRole(state);
+  if (state.votes.size >= state.log.quorum) {
+    startElection(state);
+    return;
+  }
+  requestVotes(state, RaftMessageType.PreVote, state.term + 1);
+}
+
+/** True where the requester's log is at least as complete as ours. */
+function isLogCurrent(state: RaftState, request: VoteRequest): boolean {
+  if (request.lastTerm !== state.log.lastTerm) return request.lastTerm > state.log.lastTerm;
+  return request.lastIndex >= state.log.lastIndex;
+}
+
+/** True while a leader was heard within the shortest election timeout. */
+function hasLiveLeader(state: RaftState): boolean {
+  if (state.role === RaftRole.Leader) return true;
+  return state.nowMs - state.leaderHeardAtMs < state.timing.electionTimeoutMs;
+}
+
+/** Answers a pre-vote; no state changes. */
+export function handlePreVote(state: RaftState, request: VoteRequest): void {
+  const granted =
+    request.term > state.term && isLogCurrent(state, request) && !hasLiveLeader(state);
+  state.send(request.from, {
+    ...state.envelope,
+    type: RaftMessageType.PreVoteReply,
+    term: granted ? request.term : state.term,
+    granted,
+  });
+}
+
+/** Answers a vote; a granted vote is durable before the reply leaves. */
+export function handleVote(state: RaftState, request: VoteRequest): void {
+  if (hasLiveLeader(state) && request.from !== state.leaderId) return;
+  if (request.term > state.term) becomeFollower(state, request.term, null);
+  const free = state.votedFor === null || state.votedFor === request.from;
+  const granted = request.term === state.term && free && isLogCurrent(state, request);
+  if (granted) {
+    state.votedFor = request.from;
+    state.persistHardState();
+    state.electionAtMs = Math.max(state.electionAtMs, state.nowMs + state.timing.electionTimeoutMs);
+  }
+  state.send(request.from, { ...state.envelope, type: RaftMessageType.VoteReply, granted });
+}
+
+/** Counts a pre-vote. */
+export function handlePreVoteReply(state: RaftState, reply: VoteReply): void {
+  if (!reply.granted) {
+    if (reply.term > state.term) becomeFollower(state, reply.term, null);
+    return;
+  }
+  if (state.role !== RaftRole.PreCandidate || reply.term !== state.term + 1) return;
+  if (state.log.isVoter(reply.from)) state.votes.add(reply.from);
+  if (state.votes.size >= state.log.quorum) startElection(state);
+}
+
+/** Counts a vote. */
+export function handleVoteReply(state: RaftState, reply: VoteReply): boolean {
+  if (reply.term > state.term) {
+    becomeFollower(state, reply.term, null);
+    return false;
+  }
+  if (state.role !== RaftRole.Candidate || reply.term !== state.term || !reply.granted) {
+    return false;
+  }
+  if (state.log.isVoter(reply.from)) state.votes.add(reply.from);
+  if (state.votes.size < state.log.quorum) return false;
+  becomeLeader(state);
+  return true;
+}
--- /dev/null
+++ b/src/control/raft/RaftLog.ts
@@ -0,0 +1,112 @@
+import { CommandType } from '../Commands.js';
+import type { LogEntry, Member, Membership, Snapshot } from './Types.js';
+
+/** In-memory view of the log after the latest snapshot. */
+export class RaftLog {
+  /** Latest snapshot; index 0 means none was taken. */
+  snapshot: Snapshot;
+
+  /** Entries after the snapshot, in order. */
+  private entries: LogEntry[];
+
+  /** Membership in force: that of the last membership entry, committed or not. */
+  membership: Membership;
+
+  /** Index of the entry that set the membership. */
+  membershipIndex: number;
+
+  constructor(snapshot: Snapshot, entries: readonly LogEntry[]) {
+    this.snapshot = snapshot;
+    this.entries = [...entries];
+    this.membership = snapshot.membership;
+    this.membershipIndex = snapshot.index;
+    this.refreshMembership();
+  }
+
+  get lastIndex(): number {
+    return this.snapshot.index + this.entries.length;
+  }
+
+  get lastTerm(): number {
+    return this.entries.at(-1)?.term ?? this.snapshot.term;
+  }
+
+  /** Entries held in memory. */
+  get length(): number {
+    return this.entries.length;
+  }
+
+  /** Term of an index, or undefined where it is compacted away or not yet written. */
+  termAt(index: number): number | undefined {
+    if (index === this.snapshot.index) return this.snapshot.term;
+    return this.entryAt(index)?.term;
+  }
+
+  entryAt(index: number): LogEntry | undefined {
+    return this.entries[index - this.snapshot.index - 1];
+  }
+
+  /** Entries from an index on, at most so many. */
+  slice(fromIndex: number, maxEntries: number): LogEntry[] {
+    const start = fromIndex - this.snapshot.index - 1;
+    return this.entries.slice(start, start + maxEntries);
+  }
+
+  append(entry: LogEntry): void {
+    this.entries.push(entry);
+    if (entry.command.type === CommandType.Membership) {
+      this.membership = entry.command.membership;
+      this.membershipIndex = entry.index;
+    }
+  }
+
+  /** Removes the entries from an index on. */
+  truncateFrom(index: number): void {
+    this.entries.length = Math.max(0, index - this.snapshot.index - 1);
+    this.refreshMembership();
+  }
+
+  /** Drops entries that a snapshot covers. */
+  compactTo(snapshot: Snapshot): void {
+    const matches = this.termAt(snapshot.index) === snapshot.term;
+    const covered = snapshot.index - this.snapshot.index;
+    this.entries = matches ? this.entries.slice(covered) : [];
+    this.snapshot = snapshot;
+    this.refreshMembership();
+  }
+
+  isVoter(id: string): boolean {
+    return this.membership.voters.some((member) => member.id === id);
+  }
+
+  /** Number of votes that a majority needs. */
+  get quorum(): number {
+    return Math.floor(this.membership.voters.length / 2) + 1;
+  }
+
+  /** Every member but one. */
+  othersThan(id: string): Member[] {
+    return [...this.membership.voters, ...this.membership.learners].filter(
+      (member) => member.id !== id,
+    );
+  }
+
+  /** True unless another instance is recorded under the id. */
+  isKnownInstance(id: string, instanceId: string): boolean {
+    const member = [...this.membership.voters, ...this.membership.learners].find(
+      (candidate) => candidate.id === id,
+    );
+    return member?.instanceId === undefined || member.instanceId === instanceId;
+  }
+
+  private refreshMembership(): void {
+    const last = this.entries.findLast((entry) => entry.command.type === CommandType.Membership);
+    if (last && last.command.type === CommandType.Membership) {
+      this.membership = last.command.membership;
+      this.membershipIndex = last.index;
+      return;
+    }
+    this.membership = this.snapshot.membership;
+    this.membershipIndex = this.snapshot.index;
+  }
+}
--- /dev/null
+++ b/src/control/raft/RaftNode.ts
@@ -0,0 +1,161 @@
+import { CommandType } from '../Commands.js';
+import {
+  becomeFollower,
+  handlePreVote,
+  handlePreVoteReply,
+  handleVote,
+  handleVoteReply,
+  resetElectionTimer,
+  startPreVote,
+} from './Election.js';
+import { RaftState, type RaftOptions } from './RaftState.js';
+import {
+  advanceCommit,
+  broadcastAppend,
+  checkQuorum,
+  handleAppend,
+  handleAppendReply,
+  handleSnapshotChunk,
+  handleSnapshotReply,
+  propose,
+  releaseReads,
+  requestRead,
+} from './Replication.js';
+import {
+  RaftEffectType,
+  RaftEventType,
+  RaftMessageType,
+  RaftRole,
+  type RaftEffect,
+  type RaftEvent,
+  type RaftMessage,
+} from './Types.js';
+
+type EventOf<T extends RaftEventType> = Extract<RaftEvent, { type: T }>;
+type MessageOf<T extends RaftMessageType> = Extract<RaftMessage, { type: T }>;
+type EventHandlers = { [T in RaftEventType]: (state: RaftState, event: EventOf<T>) => void };
+type MessageHandlers = {
+  [T in RaftMessageType]: (state: RaftState, message: MessageOf<T>) => void;
+};
+
+/** Appends the first entry of a term, which commits everything before it. */
+function openTerm(state: RaftState): void {
+  propose(state, { type: CommandType.Noop });
+}
+
+function handleTick(state: RaftState, event: EventOf<RaftEventType.Tick>): void {
+  if (state.electionAtMs === 0) resetElectionTimer(state, event.random);
+  if (state.role === RaftRole.Leader) {
+    checkQuorum(state);
+    if (state.role === RaftRole.Leader && state.nowMs >= state.heartbeatAtMs) {
+      state.heartbeatAtMs = state.nowMs + state.timing.heartbeatMs;
+      broadcastAppend(state);
+    }
+    return;
+  }
+  if (state.nowMs < state.electionAtMs) return;
+  startPreVote(state, event.random);
+  if ((state.role as RaftRole) === RaftRole.Leader) openTerm(state);
+}
+
+function handlePersisted(state: RaftState, event: EventOf<RaftEventType.Persisted>): void {
+  if (event.generation !== state.generation) return;
+  state.persistedIndex = Math.max(state.persistedIndex, event.index);
+  advanceCommit(state);
+  releaseReads(state);
+}
+
+function handleSnapshotSaved(state: RaftState, event: EventOf<RaftEventType.SnapshotSaved>): void {
+  const { snapshot } = event;
+  if (snapshot.index <= state.log.snapshot.index) return;
+  state.log.compactTo(snapshot);
+  // Entries that contradict the snapshot are gone, and with them their durability.
+  state.persistedIndex = Math.min(
+    Math.max(state.persistedIndex, snapshot.index),
+    state.log.lastIndex,
+  );
+  if (!event.received) return;
+  state.commitIndex = Math.max(state.commitIndex, snapshot.index);
+  if (state.appliedIndex < snapshot.index) {
+    state.appliedIndex = snapshot.index;
+    state.emit({ type: RaftEffectType.Restore, snapshot });
+  }
+  if (state.leaderId && state.leaderId !== state.id) {
+    state.send(state.leaderId, {
+      ...state.envelope,
+      type: RaftMessageType.SnapshotReply,
+      snapshotIndex: snapshot.index,
+      receivedBytes: 0,
+      installed: true,
+    });
+  }
+}
+
+const MESSAGE_HANDLERS: MessageHandlers = {
+  [RaftMessageType.PreVote]: handlePreVote,
+  [RaftMessageType.PreVoteReply]: handlePreVoteReply,
+  [RaftMessageType.Vote]: handleVote,
+  [RaftMessageType.VoteReply]: (state, reply) => {
+    if (handleVoteReply(state, reply)) openTerm(state);
+  },
+  [RaftMessageType.Append]: handleAppend,
+  [RaftMessageType.AppendReply]: handleAppendReply,
+  [RaftMessageType.SnapshotChunk]: handleSnapshotChunk,
+  [RaftMessageType.SnapshotReply]: handleSnapshotReply,
+};
+
+function handleMessage(state: RaftState, event: EventOf<RaftEventType.Message>): void {
+  const { message } = event;
+  if (!state.log.isKnownInstance(message.from, message.fromInstanceId)) return;
+  state.instanceIds.set(message.from, message.fromInstanceId);
+  const handler = MESSAGE_HANDLERS[message.type] as
+    ((target: RaftState, received: RaftMessage) => void) | undefined;
+  const wasPreCandidate = state.role === RaftRole.PreCandidate;
+  handler?.(state, message);
+  if (wasPreCandidate && (state.role as RaftRole) === RaftRole.Leader) openTerm(state);
+}
+
+const EVENT_HANDLERS: EventHandlers = {
+  [RaftEventType.Tick]: handleTick,
+  [RaftEventType.Message]: handleMessage,
+  [RaftEventType.Propose]: (state, event) => propose(state, event.command),
+  [RaftEventType.Read]: (state, event) => requestRead(state, event.readId),
+  [RaftEventType.Persisted]: handlePersisted,
+  [RaftEventType.SnapshotSaved]: handleSnapshotSaved,
+};
+
+/**
+ * Reducer of the replicated log of one control host.
+ *
+ * @example
+ * const node = new RaftNode(options);
+ * const effects = node.reduce({ type: RaftEventType.Tick, nowMs: 10, random: 0.5 });
+ */
+export class RaftNode {
+  readonly state: RaftState;
+
+  constructor(options: RaftOptions) {
+    this.state = new RaftState(options);
+  }
+
+  /** Handles one event and returns its effects in order. */
+  reduce(event: RaftEvent): RaftEffect[] {
+    const { state } = this;
+    state.effects = [];
+    state.nowMs = Math.max(state.nowMs, event.nowMs);
+    const handler = EVENT_HANDLERS[event.type] as (target: RaftState, received: RaftEvent) => void;
+    handler(state, event);
+    return state.effects;
+  }
+
+  get isLeader(): boolean {
+    return this.state.role === RaftRole.Leader;
+  }
+
+  /** Gives up leadership, as a planned stop does. */
+  stepDown(): RaftEffect[] {
+    this.state.effects = [];
+    becomeFollower(this.state, this.state.term, null);
+    return this.state.effects;
+  }
+}
--- /dev/null
+++ b/src/control/raft/RaftState.ts
@@ -0,0 +1,171 @@
+import { RaftLog } from './RaftLog.js';
+import {
+  RaftEffectType,
+  RaftRole,
+  type HardState,
+  type LogEntry,
+  type RaftEffect,
+  type RaftMessage,
+  type Snapshot,
+} from './Types.js';
+
+/** Timing of elections and heartbeats. */
+export interface RaftTiming {
+  readonly electionTimeoutMs: number;
+  readonly heartbeatMs: number;
+}
+
+/** Default timing: several heartbeats fit into the shortest election timeout. */
+export const DEFAULT_RAFT_TIMING: RaftTiming = { electionTimeoutMs: 600, heartbeatMs: 120 };
+
+/** Options of a {@link RaftState}. */
+export interface RaftOptions {
+  readonly id: string;
+  readonly instanceId: string;
+  readonly hardState: HardState;
+  readonly snapshot: Snapshot;
+  readonly entries: readonly LogEntry[];
+  readonly timing?: RaftTiming;
+}
+
+/** Leader's view of one other member. */
+export interface Follower {
+  nextIndex: number;
+  matchIndex: number;
+  /** Time of the last reply in this term. */
+  ackedAtMs: number;
+  /** Last confirmation round that it replied to. */
+  ackedRound: number;
+  /** Byte offset of the snapshot transfer; -1 while none is under way. */
+  snapshotOffsetBytes: number;
+}
+
+/** Linearizable read that waits for a confirmation round. */
+export interface PendingRead {
+  readonly readId: string;
+  readonly round: number;
+  readonly readIndex: number;
+}
+
+/** Snapshot under transfer from the leader. */
+export interface IncomingSnapshot {
+  readonly index: number;
+  readonly chunks: Uint8Array[];
+  receivedBytes: number;
+}
+
+/**
+ * State of one control host in the replicated log.
+ *
+ * Algorithm: Raft (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm",
+ * USENIX ATC 2014), with pre-vote, check-quorum, read index and single-server membership change
+ * from Ongaro's dissertation (2014), sections 4, 6.4 and 9.6.
+ */
+export class RaftState {
+  readonly id: string;
+
+  readonly instanceId: string;
+
+  readonly timing: RaftTiming;
+
+  readonly log: RaftLog;
+
+  role = RaftRole.Follower;
+
+  term: number;
+
+  votedFor: string | null;
+
+  leaderId: string | null = null;
+
+  commitIndex: number;
+
+  appliedIndex: number;
+
+  /** Last index that is durable on this host. */
+  persistedIndex: number;
+
+  /** Rises with every truncation, so that late confirmations of removed entries don't count. */
+  generation = 0;
+
+  nowMs = 0;
+
+  /** Time after which a follower starts an election. */
+  electionAtMs = 0;
+
+  /** Time of the last message from a live leader. */
+  leaderHeardAtMs = Number.NEGATIVE_INFINITY;
+
+  heartbeatAtMs = 0;
+
+  /** Voters that granted the running election. */
+  readonly votes = new Set<string>();
+
+  /** State of every other member while leading. */
+  readonly followers = new Map<string, Follower>();
+
+  /** Instance ids heard from other members. */
+  readonly instanceIds = new Map<string, string>();
+
+  /** Current confirmation round of the leader. */
+  round = 0;
+
+  pendingReads: PendingRead[] = [];
+
+  incoming: IncomingSnapshot | null = null;
+
+  /** Effects of the event at hand. */
+  effects: RaftEffect[] = [];
+
+  constructor(options: RaftOptions) {
+    this.id = options.id;
+    this.instanceId = options.instanceId;
+    this.timing = options.timing ?? DEFAULT_RAFT_TIMING;
+    this.log = new RaftLog(options.snapshot, options.entries);
+    this.term = options.hardState.term;
+    this.votedFor = options.hardState.votedFor;
+    this.commitIndex = options.snapshot.index;
+    this.appliedIndex = options.snapshot.index;
+    this.persistedIndex = this.log.lastIndex;
+  }
+
+  get isVoter(): boolean {
+    return this.log.isVoter(this.id);
+  }
+
+  /** Adds an effect. */
+  emit(effect: RaftEffect): void {
+    this.effects.push(effect);
+  }
+
+  /** Sends a message; an early one need not wait for earlier writes. */
+  send(to: string, message: RaftMessage, early = false): void {
+    this.emit({ type: RaftEffectType.Send, to, message, early });
+  }
+
+  /** Makes term and vote durable. */
+  persistHardState(): void {
+    this.emit({
+      type: RaftEffectType.Persist,
+      hardState: { term: this.term, votedFor: this.votedFor },
+      truncateFrom: 0,
+      entries: [],
+      generation: this.generation,
+    });
+  }
+
+  /** Fields that every message of this host carries. */
+  get envelope(): { term: number; from: string; fromInstanceId: string } {
+    return { term: this.term, from: this.id, fromInstanceId: this.instanceId };
+  }
+
+  /** Applies entries up to the commit index. */
+  applyCommitted(): void {
+    while (this.appliedIndex < this.commitIndex) {
+      const entry = this.log.entryAt(this.appliedIndex + 1);
+      if (!entry) return;
+      this.appliedIndex += 1;
+      this.emit({ type: RaftEffectType.Apply, entry });
+    }
+  }
+}
--- /dev/null
+++ b/src/control/raft/Replication.ts
@@ -0,0 +1,312 @@
+import { CommandType, type Command } from '../Commands.js';
+import { becomeFollower } from './Election.js';
+import type { Follower, RaftState } from './RaftState.js';
+import {
+  RaftEffectType,
+  RaftMessageType,
+  RaftRole,
+  type AppendReply,
+  type AppendRequest,
+  type LogEntry,
+  type SnapshotChunk,
+  type SnapshotReply,
+} from './Types.js';
+
+const MAX_ENTRIES_PER_MESSAGE = 128;
+const SNAPSHOT_CHUNK_BYTES = 512 * 1024;
+
+/** Appends entries to the own log and makes them durable. */
+function persistEntries(
+  state: RaftState,
+  entries: readonly LogEntry[],
+  truncateFrom: number,
+): void {
+  entries.forEach((entry) => state.log.append(entry));
+  state.emit({
+    type: RaftEffectType.Persist,
+    hardState: null,
+    truncateFrom,
+    entries,
+    generation: state.generation,
+  });
+}
+
+/** Sends the next part of the snapshot to a follower whose entries are compacted away. */
+function sendSnapshotChunk(state: RaftState, to: string, follower: Follower): void {
+  const { snapshot } = state.log;
+  const offsetBytes = Math.max(0, follower.snapshotOffsetBytes);
+  const bytes = snapshot.bytes.subarray(offsetBytes, offsetBytes + SNAPSHOT_CHUNK_BYTES);
+  follower.snapshotOffsetBytes = offsetBytes;
+  state.send(to, {
+    ...state.envelope,
+    type: RaftMessageType.SnapshotChunk,
+    snapshotIndex: snapshot.index,
+    snapshotTerm: snapshot.term,
+    membership: snapshot.membership,
+    offsetBytes,
+    bytes,
+    last: offsetBytes + bytes.length >= snapshot.bytes.length,
+  });
+}
+
+/** Sends entries, or an empty heartbeat, to one member. */
+export function sendAppend(state: RaftState, to: string): void {
+  const follower = state.followers.get(to);
+  if (!follower) return;
+  const prevIndex = follower.nextIndex - 1;
+  const prevTerm = state.log.termAt(prevIndex);
+  if (prevTerm === undefined) {
+    sendSnapshotChunk(state, to, follower);
+    return;
+  }
+  const entries = state.log.slice(follower.nextIndex, MAX_ENTRIES_PER_MESSAGE);
+  follower.nextIndex += entries.length;
+  state.send(
+    to,
+    {
+      ...state.envelope,
+      type: RaftMessageType.Append,
+      prevIndex,
+      prevTerm,
+      entries,
+      commitIndex: state.commitIndex,
+      round: state.round,
+    },
+    true,
+  );
+}
+
+/** Sends to every other member. */
+export function broadcastAppend(state: RaftState): void {
+  [...state.followers.keys()].forEach((id) => sendAppend(state, id));
+}
+
+/** Creates and drops follower records after a membership change. */
+export function syncFollowers(state: RaftState): void {
+  const others = new Set(state.log.othersThan(state.id).map((member) => member.id));
+  [...state.followers.keys()]
+    .filter((id) => !others.has(id))
+    .forEach((id) => state.followers.delete(id));
+  others.forEach((id) => {
+    if (state.followers.has(id)) return;
+    state.followers.set(id, {
+      nextIndex: state.log.lastIndex + 1,
+      matchIndex: 0,
+      ackedAtMs: state.nowMs,
+      ackedRound: 0,
+      snapshotOffsetBytes: -1,
+    });
+  });
+}
+
+/** Appends a command to the leader's log and replicates it. */
+export function propose(state: RaftState, command: Command): void {
+  if (state.role !== RaftRole.Leader) return;
+  const entry = { index: state.log.lastIndex + 1, term: state.term, command };
+  persistEntries(state, [entry], 0);
+  if (command.type === CommandType.Membership) syncFollowers(state);
+  broadcastAppend(state);
+}
+
+/** Highest value that a majority of voters has reached. */
+function majorityValue(state: RaftState, own: number, of: (follower: Follower) => number): number {
+  const values = state.log.membership.voters.map((member) => {
+    if (member.id === state.id) return own;
+    const follower = state.followers.get(member.id);
+    return follower ? of(follower) : Number.NEGATIVE_INFINITY;
+  });
+  values.sort((a, b) => b - a);
+  return values[state.log.quorum - 1] ?? Number.NEGATIVE_INFINITY;
+}
+
+/** Commits what a majority holds durably, entries of the own term only (Raft section 5.4.2). */
+export function advanceCommit(state: RaftState): void {
+  if (state.role !== RaftRole.Leader) return;
+  const index = majorityValue(state, state.persistedIndex, (follower) => follower.matchIndex);
+  if (index <= state.commitIndex || state.log.termAt(index) !== state.term) return;
+  state.commitIndex = index;
+  state.applyCommitted();
+  const removed = state.log.membershipIndex <= state.commitIndex && !state.isVoter;
+  broadcastAppend(state);
+  if (removed) becomeFollower(state, state.term, null);
+}
+
+/** True once an entry of the own term is committed, so that the commit index is current. */
+export function hasCommittedInTerm(state: RaftState): boolean {
+  return state.log.termAt(state.commitIndex) === state.term;
+}
+
+/** Answers reads whose confirmation round a majority replied to. */
+export function releaseReads(state: RaftState): void {
+  if (state.pendingReads.length === 0 || !hasCommittedInTerm(state)) return;
+  const confirmed = majorityValue(state, state.round, (follower) => follower.ackedRound);
+  const ready = state.pendingReads.filter(
+    (read) => read.round <= confirmed && read.readIndex <= state.appliedIndex,
+  );
+  if (ready.length === 0) return;
+  state.pendingReads = state.pendingReads.filter((read) => !ready.includes(read));
+  ready.forEach((read) => state.emit({ type: RaftEffectType.ReadReady, readId: read.readId }));
+}
+
+/** Registers a linearizable read and starts a confirmation round for it. */
+export function requestRead(state: RaftState, readId: string): void {
+  if (state.role !== RaftRole.Leader) {
+    state.emit({ type: RaftEffectType.ReadFailed, readId });
+    return;
+  }
+  state.round += 1;
+  state.pendingReads.push({ readId, round: state.round, readIndex: state.commitIndex });
+  broadcastAppend(state);
+  releaseReads(state);
+}
+
+/** Steps down when no majority replied within an election timeout. */
+export function checkQuorum(state: RaftState): void {
+  const heardAtMs = majorityValue(state, state.nowMs, (follower) => follower.ackedAtMs);
+  if (state.nowMs - heardAtMs > state.timing.electionTimeoutMs) {
+    becomeFollower(state, state.term, null);
+  }
+}
+
+/** Accepts the sender as leader of the current term. */
+function followLeader(state: RaftState, leaderId: string, term: number): void {
+  const sameLeader = state.role === RaftRole.Follower && state.leaderId === leaderId;
+  if (!sameLeader || term > state.term) becomeFollower(state, term, leaderId);
+  state.leaderHeardAtMs = state.nowMs;
+  state.electionAtMs = Math.max(state.electionAtMs, state.nowMs + state.timing.electionTimeoutMs);
+}
+
+function replyAppend(
+  state: RaftState,
+  request: AppendRequest,
+  success: boolean,
+  matchIndex: number,
+): void {
+  state.send(request.from, {
+    ...state.envelope,
+    type: RaftMessageType.AppendReply,
+    success,
+    matchIndex,
+    round: request.round,
+  });
+}
+
+/** Appends the leader's entries after the consistency check. */
+export function handleAppend(state: RaftState, request: AppendRequest): void {
+  if (request.term < state.term) {
+    replyAppend(state, request, false, state.log.lastIndex);
+    return;
+  }
+  followLeader(state, request.from, request.term);
+  const behind = request.prevIndex < state.log.snapshot.index;
+  if (!behind && state.log.termAt(request.prevIndex) !== request.prevTerm) {
+    const hint = Math.min(request.prevIndex - 1, state.log.lastIndex);
+    replyAppend(state, request, false, Math.max(hint, state.commitIndex));
+    return;
+  }
+  const fresh = request.entries.filter(
+    (entry) =>
+      entry.index > state.log.snapshot.index && state.log.termAt(entry.index) !== entry.term,
+  );
+  const first = fresh[0];
+  if (first) {
+    const truncateFrom = first.index <= state.log.lastIndex ? first.index : 0;
+    if (truncateFrom > 0) {
+      state.log.truncateFrom(truncateFrom);
+      state.persistedIndex = Math.min(state.persistedIndex, truncateFrom - 1);
+      state.generation += 1;
+    }
+    persistEntries(state, fresh, truncateFrom);
+  }
+  const matchIndex = request.prevIndex + request.entries.length;
+  const commitIndex = Math.min(request.commitIndex, matchIndex);
+  if (commitIndex > state.commitIndex) {
+    state.commitIndex = commitIndex;
+    state.applyCommitted();
+  }
+  replyAppend(state, request, true, matchIndex);
+}
+
+/** Updates the leader's view of a follower. */
+export function handleAppendReply(state: RaftState, reply: AppendReply): void {
+  if (reply.term > state.term) {
+    becomeFollower(state, reply.term, null);
+    return;
+  }
+  const follower = state.followers.get(reply.from);
+  if (state.role !== RaftRole.Leader || reply.term !== state.term || !follower) return;
+  follower.ackedAtMs = state.nowMs;
+  follower.ackedRound = Math.max(follower.ackedRound, reply.round);
+  if (reply.success) {
+    follower.matchIndex = Math.max(follower.matchIndex, reply.matchIndex);
+    follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
+    advanceCommit(state);
+  } else {
+    follower.nextIndex = Math.max(1, Math.min(follower.nextIndex, reply.matchIndex + 1));
+  }
+  if (state.role === RaftRole.Leader && follower.nextIndex <= state.log.lastIndex) {
+    sendAppend(state, reply.from);
+  }
+  releaseReads(state);
+}
+
+/** Collects a snapshot chunk; the last one hands the snapshot over to be saved. */
+export function handleSnapshotChunk(state: RaftState, chunk: SnapshotChunk): void {
+  if (chunk.term < state.term) return;
+  followLeader(state, chunk.from, chunk.term);
+  const done = chunk.snapshotIndex <= state.commitIndex;
+  if (!done) {
+    if (state.incoming?.index !== chunk.snapshotIndex || chunk.offsetBytes === 0) {
+      state.incoming = { index: chunk.snapshotIndex, chunks: [], receivedBytes: 0 };
+    }
+    if (chunk.offsetBytes === state.incoming.receivedBytes) {
+      state.incoming.chunks.push(chunk.bytes);
+      state.incoming.receivedBytes += chunk.bytes.length;
+      if (chunk.last) {
+        const bytes = Buffer.concat(state.incoming.chunks);
+        state.incoming = null;
+        state.emit({
+          type: RaftEffectType.SaveSnapshot,
+          received: true,
+          snapshot: {
+            index: chunk.snapshotIndex,
+            term: chunk.snapshotTerm,
+            membership: chunk.membership,
+            bytes,
+          },
+        });
+        return;
+      }
+    }
+  }
+  state.send(chunk.from, {
+    ...state.envelope,
+    type: RaftMessageType.SnapshotReply,
+    snapshotIndex: chunk.snapshotIndex,
+    receivedBytes: state.incoming?.receivedBytes ?? 0,
+    installed: done,
+  });
+}
+
+/** Continues a snapshot transfer, or goes on with entries after it. */
+export function handleSnapshotReply(state: RaftState, reply: SnapshotReply): void {
+  if (reply.term > state.term) {
+    becomeFollower(state, reply.term, null);
+    return;
+  }
+  const follower = state.followers.get(reply.from);
+  if (state.role !== RaftRole.Leader || !follower) return;
+  follower.ackedAtMs = state.nowMs;
+  if (reply.installed) {
+    follower.matchIndex = Math.max(follower.matchIndex, reply.snapshotIndex);
+    follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
+    follower.snapshotOffsetBytes = -1;
+    sendAppend(state, reply.from);
+    return;
+  }
+  const sameSnapshot = reply.snapshotIndex === state.log.snapshot.index;
+  follower.snapshotOffsetBytes = sameSnapshot ? reply.receivedBytes : 0;
+  if (state.log.termAt(follower.nextIndex - 1) === undefined) {
+    sendSnapshotChunk(state, reply.from, follower);
+  }
+}
--- /dev/null
+++ b/src/control/raft/Types.ts
@@ -0,0 +1,187 @@
+import type { Command } from '../Commands.js';
+
+/** Role of a control host in the replicated log. */
+export enum RaftRole {
+  Follower = 'follower',
+  PreCandidate = 'pre-candidate',
+  Candidate = 'candidate',
+  Leader = 'leader',
+}
+
+/** One control host in the membership. */
+export interface Member {
+  readonly id: string;
+  readonly address: string;
+  readonly port: number;
+  /** Identity of the data folder, once known; another one under the same id is ignored. */
+  readonly instanceId?: string;
+}
+
+/** Voters and non-voting members. */
+export interface Membership {
+  readonly voters: readonly Member[];
+  readonly learners: readonly Member[];
+}
+
+/** Entry of the replicated log. */
+export interface LogEntry {
+  readonly index: number;
+  readonly term: number;
+  readonly command: Command;
+}
+
+/** State that must be durable before a vote leaves the host. */
+export interface HardState {
+  readonly term: number;
+  readonly votedFor: string | null;
+}
+
+/** Snapshot of the state machine with its position in the log. */
+export interface Snapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly membership: Membership;
+  readonly bytes: Uint8Array;
+}
+
+export enum RaftMessageType {
+  PreVote = 'pre-vote',
+  PreVoteReply = 'pre-vote-reply',
+  Vote = 'vote',
+  VoteReply = 'vote-reply',
+  Append = 'append',
+  AppendReply = 'append-reply',
+  SnapshotChunk = 'snapshot-chunk',
+  SnapshotReply = 'snapshot-reply',
+}
+
+/** Fields that every message carries. */
+interface MessageBase {
+  readonly term: number;
+  readonly from: string;
+  readonly fromInstanceId: string;
+}
+
+export interface VoteRequest extends MessageBase {
+  readonly type: RaftMessageType.PreVote | RaftMessageType.Vote;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+}
+
+export interface VoteReply extends MessageBase {
+  readonly type: RaftMessageType.PreVoteReply | RaftMessageType.VoteReply;
+  readonly granted: boolean;
+}
+
+export interface AppendRequest extends MessageBase {
+  readonly type: RaftMessageType.Append;
+  readonly prevIndex: number;
+  readonly prevTerm: number;
+  readonly entries: readonly LogEntry[];
+  readonly commitIndex: number;
+  /** Number of the leader's confirmation round. */
+  readonly round: number;
+}
+
+export interface AppendReply extends MessageBase {
+  readonly type: RaftMessageType.AppendReply;
+  readonly success: boolean;
+  /** Last index known to match, or where the leader should try next. */
+  readonly matchIndex: number;
+  readonly round: number;
+}
+
+export interface SnapshotChunk extends MessageBase {
+  readonly type: RaftMessageType.SnapshotChunk;
+  readonly snapshotIndex: number;
+  readonly snapshotTerm: number;
+  readonly membership: Membership;
+  readonly offsetBytes: number;
+  readonly bytes: Uint8Array;
+  readonly last: boolean;
+}
+
+export interface SnapshotReply extends MessageBase {
+  readonly type: RaftMessageType.SnapshotReply;
+  readonly snapshotIndex: number;
+  /** Bytes received so far; the next chunk starts here. */
+  readonly receivedBytes: number;
+  readonly installed: boolean;
+}
+
+export type RaftMessage =
+  VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotChunk | SnapshotReply;
+
+export enum RaftEventType {
+  Tick = 'tick',
+  Message = 'message',
+  Propose = 'propose',
+  Read = 'read',
+  Persisted = 'persisted',
+  SnapshotSaved = 'snapshot-saved',
+}
+
+export type RaftEvent =
+  | { readonly type: RaftEventType.Tick; readonly nowMs: number; readonly random: number }
+  | { readonly type: RaftEventType.Message; readonly nowMs: number; readonly message: RaftMessage }
+  | { readonly type: RaftEventType.Propose; readonly nowMs: number; readonly command: Command }
+  | { readonly type: RaftEventType.Read; readonly nowMs: number; readonly readId: string }
+  | {
+      readonly type: RaftEventType.Persisted;
+      readonly nowMs: number;
+      readonly index: number;
+      readonly generation: number;
+    }
+  | {
+      readonly type: RaftEventType.SnapshotSaved;
+      readonly nowMs: number;
+      readonly snapshot: Snapshot;
+      /** True for a snapshot received from the leader. */
+      readonly received: boolean;
+    };
+
+export enum RaftEffectType {
+  Persist = 'persist',
+  Send = 'send',
+  Apply = 'apply',
+  SaveSnapshot = 'save-snapshot',
+  Restore = 'restore',
+  ReadReady = 'read-ready',
+  ReadFailed = 'read-failed',
+  RoleChanged = 'role-changed',
+}
+
+/** Writes to the log; later sends wait for it unless they are early. */
+export interface PersistEffect {
+  readonly type: RaftEffectType.Persist;
+  readonly hardState: HardState | null;
+  /** Removes entries from this index on before appending; 0 removes none. */
+  readonly truncateFrom: number;
+  readonly entries: readonly LogEntry[];
+  readonly generation: number;
+}
+
+export type RaftEffect =
+  | PersistEffect
+  | {
+      readonly type: RaftEffectType.Send;
+      readonly to: string;
+      readonly message: RaftMessage;
+      /** True where the message may leave before earlier writes are durable. */
+      readonly early: boolean;
+    }
+  | { readonly type: RaftEffectType.Apply; readonly entry: LogEntry }
+  | {
+      readonly type: RaftEffectType.SaveSnapshot;
+      readonly snapshot: Snapshot;
+      readonly received: boolean;
+    }
+  | { readonly type: RaftEffectType.Restore; readonly snapshot: Snapshot }
+  | { readonly type: RaftEffectType.ReadReady; readonly readId: string }
+  | { readonly type: RaftEffectType.ReadFailed; readonly readId: string }
+  | {
+      readonly type: RaftEffectType.RoleChanged;
+      readonly role: RaftRole;
+      readonly term: number;
+      readonly leaderId: string | null;
+    };
--- /dev/null
+++ b/src/control/server/ControlServer.ts
@@ -0,0 +1,334 @@
+import { createServer, type Server } from 'node:http';
+import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import { ControlMessageType, type ToControlMessage } from '../../common/Messages.js';
+import type { ControlFile } from '../../common/ProcessSettings.js';
+import { createRandom, type RandomSource } from '../../common/Random.js';
+import { AdminListener } from '../../runtime/AdminListener.js';
+import { systemClock, type Clock } from '../../runtime/Clock.js';
+import { EventLoop } from '../../runtime/EventLoop.js';
+import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
+import { LinkRole } from '../../runtime/LinkAuth.js';
+import type { Logger } from '../../runtime/Logger.js';
+import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
+import { ControlReducer } from '../ControlReducer.js';
+import type { RaftTiming } from '../raft/RaftState.js';
+import type { RaftMessage } from '../raft/Types.js';
+import { DataFolder } from '../storage/DataFolder.js';
+import {
+  ControlEffectType,
+  ControlEventType,
+  type AdminRequest,
+  type ControlEffect,
+  type ControlEvent,
+} from '../Types.js';
+import { AdminApi, type AdminResult } from './AdminApi.js';
+import { DurableSender } from './DurableSender.js';
+import { ENTRY_FIELDS, RAFT_FIELDS } from './MessageFields.js';
+import { RaftLinks } from './RaftLinks.js';
+
+/** Options of a {@link ControlServer}. */
+export interface ControlServerOptions {
+  readonly file: ControlFile;
+  readonly secret: string;
+  readonly logger: Logger;
+  /** Creates the identity of an empty data folder. */
+  readonly initialize: boolean;
+  /** Called when the process can't go on. */
+  readonly onFatal: (error: unknown) => void;
+  readonly clock?: Clock;
+  readonly seed?: number;
+  readonly timing?: RaftTiming;
+  readonly snapshotEvery?: number;
+}
+
+type EffectOf<T extends ControlEffectType> = Extract<ControlEffect, { type: T }>;
+
+/** Event without its times, which the server adds. */
+type Untimed<E> = E extends unknown ? Omit<E, 'nowMs' | 'wallMs'> : never;
+
+const TICK_MS = 20;
+const ADMIN_TIMEOUT_MS = 10_000;
+
+/** Process shell of a control host: sockets, files and timers around the reducer. */
+export class ControlServer {
+  readonly registry = new Registry();
+
+  private readonly clock: Clock;
+
+  private readonly random: RandomSource;
+
+  private readonly loop: EventLoop<ControlEvent>;
+
+  private readonly http: Server;
+
+  private readonly messages: MessageServer;
+
+  private readonly links: RaftLinks;
+
+  private readonly adminHttp = createServer();
+
+  private readonly admin: AdminListener;
+
+  private readonly sender: DurableSender;
+
+  private readonly sessions = new Map<number, ServerSession>();
+
+  /** Administration requests without an answer. */
+  private readonly adminWaiters = new Map<string, (result: AdminResult) => void>();
+
+  private nextAdminId = 1;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private boundPort = 0;
+
+  private boundAdminPort = 0;
+
+  /** Membership index that the links were made for. */
+  private linkedMembershipIndex = -1;
+
+  private constructor(
+    private readonly options: ControlServerOptions,
+    private readonly storage: DataFolder,
+    readonly reducer: ControlReducer,
+  ) {
+    const { file, secret, logger } = options;
+    this.clock = options.clock ?? systemClock;
+    this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
+    this.loop = new EventLoop<ControlEvent>({ handle: (event) => this.handle(event) });
+    this.messages = new MessageServer({
+      secret,
+      logger,
+      fields: { ...RAFT_FIELDS, ...ENTRY_FIELDS },
+      onOpen: (session) => this.sessions.set(session.sessionId, session),
+      onMessage: (session, message) => this.onMessage(session, message),
+      onClose: (session) => {
+        this.sessions.delete(session.sessionId);
+        const { sessionId } = session;
+        this.post({ type: ControlEventType.SessionClosed, sessionId });
+      },
+    });
+    this.http = createServer((request, response) => {
+      response.writeHead(426, { Connection: 'close' });
+      response.end();
+    });
+    answerParserErrors(this.http);
+    this.messages.attach(this.http);
+    this.links = new RaftLinks({ id: file.id, secret, logger });
+    this.sender = new DurableSender({
+      storage,
+      send: (to, message) => this.links.send(to, message),
+      onPersisted: (index, generation) =>
+        this.loop.postCompletion(
+          this.timed({ type: ControlEventType.Persisted, index, generation }),
+        ),
+      onSnapshotSaved: (snapshot, received) =>
+        this.loop.postCompletion(
+          this.timed({ type: ControlEventType.SnapshotSaved, snapshot, received }),
+        ),
+      onFailed: (error) => options.onFatal(error),
+    });
+    const api = new AdminApi((request, tokenHash) => this.submitAdmin(request, tokenHash));
+    this.admin = new AdminListener({
+      server: this.adminHttp,
+      registry: this.registry,
+      isReady: () => this.reducer.raft.state.leaderId !== null,
+      handle: (request, response) => api.handle(request, response),
+    });
+    this.registerMetrics();
+  }
+
+  /**
+   * Opens the data folder and creates the server.
+   *
+   * @throws EgretError of kind data-locked or data-corrupt
+   */
+  static async open(options: ControlServerOptions): Promise<ControlServer> {
+    const { file } = options;
+    const storage = await DataFolder.open({
+      folder: file.dataFolder,
+      initialize: options.initialize,
+    });
+    const { instanceId, hardState, snapshot, entries } = storage.stored;
+    const reducer = new ControlReducer({
+      raft: {
+        id: file.id,
+        instanceId,
+        hardState,
+        snapshot: snapshot ?? {
+          index: 0,
+          term: 0,
+          membership: { voters: file.initialVoters, learners: [] },
+          bytes: new Uint8Array(),
+        },
+        entries,
+        timing: options.timing,
+      },
+      initialSettings: file.initialSettings ?? null,
+      snapshotEvery: options.snapshotEvery,
+    });
+    return new ControlServer(options, storage, reducer);
+  }
+
+  /** Port for the system's own processes. */
+  get port(): number {
+    return this.boundPort;
+  }
+
+  get adminPort(): number {
+    return this.boundAdminPort;
+  }
+
+  async start(): Promise<void> {
+    const { file, logger } = this.options;
+    this.boundPort = await listen(this.http, file.listen.address, file.listen.port);
+    const { adminListen } = file;
+    this.boundAdminPort = await listen(this.adminHttp, adminListen.address, adminListen.port);
+    this.syncLinks();
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+    logger.info('control_started', {
+      host: file.id,
+      port: this.boundPort,
+      adminPort: this.adminPort,
+      term: this.reducer.raft.state.term,
+      lastIndex: this.reducer.raft.state.log.lastIndex,
+    });
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.run(this.reducer.reduce(this.timed({ type: ControlEventType.Stop })));
+    this.loop.dispose();
+    this.links.dispose();
+    this.messages.dispose();
+    await this.admin.stop();
+    await closeServer(this.http);
+    await this.storage.close();
+    this.options.logger.info('control_stopped', { host: this.options.file.id });
+  }
+
+  /** Sends an administration request to the reducer. */
+  submitAdmin(request: AdminRequest, tokenHash: string): Promise<AdminResult> {
+    const requestId = String(this.nextAdminId);
+    this.nextAdminId += 1;
+    return new Promise((resolve) => {
+      const finish = (result: AdminResult) => {
+        this.adminWaiters.delete(requestId);
+        resolve(result);
+      };
+      const refuse = (detail: string) =>
+        finish({ body: null, error: new EgretError(ErrorKind.NoQuorum, detail) });
+      const timer = setTimeout(() => refuse('No majority answered in time.'), ADMIN_TIMEOUT_MS);
+      this.adminWaiters.set(requestId, (result) => {
+        clearTimeout(timer);
+        finish(result);
+      });
+      const type = ControlEventType.Admin;
+      if (!this.post({ type, requestId, tokenHash, request })) {
+        clearTimeout(timer);
+        refuse('The control host is overloaded.');
+      }
+    });
+  }
+
+  private timed(event: Untimed<ControlEvent>): ControlEvent {
+    const times = { nowMs: this.clock.nowMs(), wallMs: this.clock.wallMs() };
+    return { ...event, ...times } as ControlEvent;
+  }
+
+  private post(event: Untimed<ControlEvent>): boolean {
+    return this.loop.post(this.timed(event));
+  }
+
+  private tick(): void {
+    this.loop.postCompletion(
+      this.timed({ type: ControlEventType.Tick, random: this.random.next() }),
+    );
+  }
+
+  private handle(event: ControlEvent): void {
+    try {
+      this.run(this.reducer.reduce(event));
+    } catch (error) {
+      this.options.onFatal(error);
+    }
+  }
+
+  private onMessage(session: ServerSession, message: object): void {
+    if (session.role === LinkRole.Control) {
+      const raftMessage = message as RaftMessage;
+      // Nobody speaks for another host.
+      if (raftMessage.from !== session.clientId) return;
+      this.post({ type: ControlEventType.RaftMessage, message: raftMessage });
+      return;
+    }
+    const { sessionId } = session;
+    const received = message as ToControlMessage;
+    const foreign =
+      received.type === ControlMessageType.Hello && received.entryHost.id !== session.clientId;
+    if (foreign) return;
+    this.post({ type: ControlEventType.SessionMessage, sessionId, message: received });
+  }
+
+  private run(effects: readonly ControlEffect[]): void {
+    effects.forEach((effect) => {
+      const runner = this.runners[effect.type] as (received: ControlEffect) => void;
+      runner(effect);
+    });
+    this.syncLinks();
+  }
+
+  private syncLinks(): void {
+    const { log } = this.reducer.raft.state;
+    if (log.membershipIndex === this.linkedMembershipIndex) return;
+    this.linkedMembershipIndex = log.membershipIndex;
+    this.links.sync(log.othersThan(this.options.file.id));
+  }
+
+  private readonly runners = {
+    [ControlEffectType.Persist]: (effect: EffectOf<ControlEffectType.Persist>) =>
+      this.sender.persist(effect.write),
+    [ControlEffectType.SaveSnapshot]: (effect: EffectOf<ControlEffectType.SaveSnapshot>) =>
+      this.sender.saveSnapshot(effect.snapshot, effect.received, this.reducer.raft.state),
+    [ControlEffectType.SendRaft]: (effect: EffectOf<ControlEffectType.SendRaft>) =>
+      this.sender.send(effect.to, effect.message, effect.early),
+    [ControlEffectType.SendSession]: (effect: EffectOf<ControlEffectType.SendSession>) =>
+      this.sessions.get(effect.sessionId)?.send(effect.message),
+    [ControlEffectType.AnswerAdmin]: (effect: EffectOf<ControlEffectType.AnswerAdmin>) =>
+      this.adminWaiters.get(effect.requestId)?.({ body: effect.body, error: effect.error }),
+    [ControlEffectType.RoleChanged]: (effect: EffectOf<ControlEffectType.RoleChanged>) =>
+      this.options.logger.info('role_changed', {
+        host: this.options.file.id,
+        role: effect.role,
+        term: effect.term,
+        leader: effect.leaderId ?? 'none',
+      }),
+    [ControlEffectType.Log]: (effect: EffectOf<ControlEffectType.Log>) =>
+      this.options.logger.info(effect.event, effect.fields),
+  };
+
+  private registerMetrics(): void {
+    collectDefaultMetrics({ register: this.registry });
+    const gauge = (name: string, help: string, read: () => number) => {
+      const created = new Gauge({
+        name,
+        help,
+        registers: [this.registry],
+        collect() {
+          this.set(read());
+        },
+      });
+      return created;
+    };
+    const { reducer, storage, loop } = this;
+    gauge('egret_control_term', 'Current term.', () => reducer.raft.state.term);
+    gauge('egret_control_commit_index', 'Commit index.', () => reducer.raft.state.commitIndex);
+    gauge('egret_control_is_leader', '1 on the leader.', () => Number(reducer.raft.isLeader));
+    gauge('egret_control_revision', 'Settings revision.', () => reducer.agreed.revision);
+    gauge('egret_control_claims', 'Idempotency keys kept.', () => reducer.agreed.claims.size);
+    gauge('egret_control_sessions', 'Entry-host sessions.', () => reducer.sessions.size);
+    gauge('egret_control_syncs', 'Syncs of the log.', () => storage.syncs);
+    gauge('egret_control_events_refused', 'Events lost to a full channel.', () => loop.refused);
+  }
+}
--- /dev/null
+++ b/src/control/server/MessageFields.ts
@@ -0,0 +1,107 @@
+import { ControlMessageType } from '../../common/Messages.js';
+import { FieldType, type MessageFields } from '../../runtime/MessageCheck.js';
+import { RaftMessageType } from '../raft/Types.js';
+
+const ENVELOPE = {
+  term: FieldType.Number,
+  from: FieldType.String,
+  fromInstanceId: FieldType.String,
+} as const;
+
+/** Required fields of the messages between control hosts. */
+export const RAFT_FIELDS: MessageFields = {
+  [RaftMessageType.PreVote]: {
+    ...ENVELOPE,
+    lastIndex: FieldType.Number,
+    lastTerm: FieldType.Number,
+  },
+  [RaftMessageType.PreVoteReply]: { ...ENVELOPE, granted: FieldType.Boolean },
+  [RaftMessageType.Vote]: {
+    ...ENVELOPE,
+    lastIndex: FieldType.Number,
+    lastTerm: FieldType.Number,
+  },
+  [RaftMessageType.VoteReply]: { ...ENVELOPE, granted: FieldType.Boolean },
+  [RaftMessageType.Append]: {
+    ...ENVELOPE,
+    prevIndex: FieldType.Number,
+    prevTerm: FieldType.Number,
+    entries: FieldType.Object,
+    commitIndex: FieldType.Number,
+    round: FieldType.Number,
+  },
+  [RaftMessageType.AppendReply]: {
+    ...ENVELOPE,
+    success: FieldType.Boolean,
+    matchIndex: FieldType.Number,
+    round: FieldType.Number,
+  },
+  [RaftMessageType.SnapshotChunk]: {
+    ...ENVELOPE,
+    snapshotIndex: FieldType.Number,
+    snapshotTerm: FieldType.Number,
+    membership: FieldType.Object,
+    offsetBytes: FieldType.Number,
+    bytes: FieldType.Object,
+    last: FieldType.Boolean,
+  },
+  [RaftMessageType.SnapshotReply]: {
+    ...ENVELOPE,
+    snapshotIndex: FieldType.Number,
+    receivedBytes: FieldType.Number,
+    installed: FieldType.Boolean,
+  },
+};
+
+/** Required fields of the messages from entry hosts. */
+export const ENTRY_FIELDS: MessageFields = {
+  [ControlMessageType.Hello]: { entryHost: FieldType.Object },
+  [ControlMessageType.Ping]: {
+    pingId: FieldType.Number,
+    appliedIndex: FieldType.Number,
+    subscribe: FieldType.Boolean,
+    stopping: FieldType.Boolean,
+  },
+  [ControlMessageType.FetchSettings]: {},
+  [ControlMessageType.Claim]: {
+    requestId: FieldType.String,
+    key: FieldType.String,
+    service: FieldType.String,
+    fingerprint: FieldType.String,
+    attemptId: FieldType.String,
+    holdMs: FieldType.Number,
+  },
+  [ControlMessageType.Settle]: {
+    requestId: FieldType.String,
+    key: FieldType.String,
+    service: FieldType.String,
+    attemptId: FieldType.String,
+    outcome: FieldType.String,
+    answer: FieldType.Any,
+  },
+};
+
+/** Required fields of the messages to entry hosts. */
+export const CONTROL_FIELDS: MessageFields = {
+  [ControlMessageType.Pong]: {
+    pingId: FieldType.Number,
+    newestSettingsIndex: FieldType.Number,
+    membershipIndex: FieldType.Number,
+    voters: FieldType.Object,
+    isVoter: FieldType.Boolean,
+  },
+  [ControlMessageType.Settings]: {
+    index: FieldType.Number,
+    revision: FieldType.Number,
+    tree: FieldType.Object,
+  },
+  [ControlMessageType.SettingsDelta]: {
+    previousIndex: FieldType.Number,
+    index: FieldType.Number,
+    revision: FieldType.Number,
+    path: FieldType.String,
+  },
+  [ControlMessageType.EntryHosts]: { entryHosts: FieldType.Object },
+  [ControlMessageType.ClaimReply]: { requestId: FieldType.String, verdict: FieldType.String },
+  [ControlMessageType.SettleReply]: { requestId: FieldType.String, durable: FieldType.Boolean },
+};
--- /dev/null
+++ b/src/control/server/RaftLinks.ts
@@ -0,0 +1,64 @@
+import type { Disposable } from '../../common/Disposable.js';
+import { LinkRole } from '../../runtime/LinkAuth.js';
+import type { Logger } from '../../runtime/Logger.js';
+import { MessageClient } from '../../runtime/MessageClient.js';
+import type { Member, RaftMessage } from '../raft/Types.js';
+
+/** Options of {@link RaftLinks}. */
+export interface RaftLinksOptions {
+  readonly id: string;
+  readonly secret: string;
+  readonly logger: Logger;
+}
+
+/** Outgoing links to the other control hosts; replies come over their own links. */
+export class RaftLinks implements Disposable {
+  private readonly clients = new Map<string, MessageClient>();
+
+  /** Addresses that the links were made for. */
+  private readonly addresses = new Map<string, string>();
+
+  constructor(private readonly options: RaftLinksOptions) {}
+
+  /** Opens links to new members and closes those to removed ones. */
+  sync(members: readonly Member[]): void {
+    const wanted = new Map(members.map((member) => [member.id, member]));
+    this.clients.forEach((client, id) => {
+      const member = wanted.get(id);
+      if (member && this.addresses.get(id) === `${member.address}:${member.port}`) return;
+      client.dispose();
+      this.clients.delete(id);
+    });
+    wanted.forEach((member, id) => {
+      if (!this.clients.has(id)) this.open(member);
+    });
+  }
+
+  send(to: string, message: RaftMessage): void {
+    this.clients.get(to)?.send(message);
+  }
+
+  dispose(): void {
+    this.clients.forEach((client) => client.dispose());
+  }
+
+  private open(member: Member): void {
+    const { id, secret, logger } = this.options;
+    this.addresses.set(member.id, `${member.address}:${member.port}`);
+    this.clients.set(
+      member.id,
+      new MessageClient({
+        address: member.address,
+        port: member.port,
+        id,
+        role: LinkRole.Control,
+        secret,
+        logger,
+        fields: {},
+        onOpen: () => {},
+        onMessage: () => {},
+        onClose: () => {},
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/src/control/storage/DataFolder.ts
@@ -0,0 +1,252 @@
+import { randomUUID } from 'node:crypto';
+import { existsSync } from 'node:fs';
+import { mkdir, open, readFile, rename, rm, writeFile, type FileHandle } from 'node:fs/promises';
+import path from 'node:path';
+import { Packr } from 'msgpackr';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import type { HardState, LogEntry, PersistEffect, Snapshot } from '../raft/Types.js';
+import type { LogTail, Storage, StoredState } from './Types.js';
+import { decodeFrame, decodeLog, encodeFrame, encodeRecord, WalRecordType } from './WalCodec.js';
+
+const LOG_FILE = 'log.wal';
+const SNAPSHOT_FILE = 'snapshot.bin';
+const IDENTITY_FILE = 'identity';
+const LOCK_FILE = 'lock';
+
+const codec = new Packr({ useRecords: false });
+
+/** Options of {@link DataFolder.open}. */
+export interface DataFolderOptions {
+  readonly folder: string;
+  /** Creates the identity of an empty folder; without it an empty folder is refused. */
+  readonly initialize: boolean;
+}
+
+/** Write that waits for the next sync. */
+interface QueuedWrite {
+  readonly bytes: Buffer;
+  readonly done: () => void;
+  readonly failed: (error: unknown) => void;
+}
+
+function isAlive(processId: number): boolean {
+  try {
+    process.kill(processId, 0);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** Takes the lock of the folder; the lock of a process that is gone is taken over. */
+async function takeLock(folder: string): Promise<void> {
+  const file = path.join(folder, LOCK_FILE);
+  const holder = Number.parseInt(await readFile(file, 'utf8').catch(() => ''), 10);
+  if (holder > 0 && holder !== process.pid && isAlive(holder)) {
+    throw new EgretError(
+      ErrorKind.DataLocked,
+      `The data folder ${folder} is in use by process ${holder}.`,
+    );
+  }
+  await writeFile(file, `${process.pid}\n`);
+}
+
+async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, 'r');
+  await handle.sync();
+  await handle.close();
+}
+
+/** Replaces a file so that a crash leaves either the old or the new one. */
+async function replaceFile(folder: string, name: string, bytes: Uint8Array): Promise<void> {
+  const temporary = path.join(folder, `${name}.new`);
+  const handle = await open(temporary, 'w');
+  await handle.writeFile(bytes);
+  await handle.sync();
+  await handle.close();
+  await rename(temporary, path.join(folder, name));
+  await syncFolder(folder);
+}
+
+async function readIdentity(options: DataFolderOptions): Promise<string> {
+  const file = path.join(options.folder, IDENTITY_FILE);
+  if (existsSync(file)) return (await readFile(file, 'utf8')).trim();
+  if (!options.initialize) {
+    throw new EgretError(
+      ErrorKind.DataCorrupt,
+      `The data folder ${options.folder} is empty; start with --initialize only a new member.`,
+    );
+  }
+  const identity = randomUUID();
+  await replaceFile(options.folder, IDENTITY_FILE, Buffer.from(`${identity}\n`));
+  return identity;
+}
+
+async function readSnapshot(folder: string): Promise<Snapshot | null> {
+  const file = path.join(folder, SNAPSHOT_FILE);
+  if (!existsSync(file)) return null;
+  const payload = decodeFrame(await readFile(file), 0);
+  if (!payload) {
+    throw new EgretError(ErrorKind.DataCorrupt, `The snapshot ${file} fails its checksum.`);
+  }
+  return codec.unpack(payload) as Snapshot;
+}
+
+/** Replays the records of the log over the snapshot. */
+function replay(contents: ReturnType<typeof decodeLog>, snapshot: Snapshot | null) {
+  let hardState: HardState = { term: 0, votedFor: null };
+  let entries: LogEntry[] = [];
+  contents.records.forEach((record) => {
+    switch (record.type) {
+      case WalRecordType.HardState:
+        hardState = record.hardState;
+        break;
+      case WalRecordType.Truncate:
+        entries = entries.filter((entry) => entry.index < record.fromIndex);
+        break;
+      default:
+        // A write that was queued while the log was replaced may stand twice.
+        if ((entries.at(-1)?.index ?? 0) >= record.entry.index) {
+          entries = entries.filter((entry) => entry.index < record.entry.index);
+        }
+        entries.push(record.entry);
+    }
+  });
+  const base = snapshot?.index ?? 0;
+  const atBase = entries.find((entry) => entry.index === base);
+  // Entries that contradict a received snapshot must not outlive a crash during its installation.
+  if (snapshot && atBase && atBase.term !== snapshot.term) entries = [];
+  entries = entries.filter((entry) => entry.index > base);
+  entries.forEach((entry, position) => {
+    if (entry.index !== base + position + 1) {
+      throw new EgretError(
+        ErrorKind.DataCorrupt,
+        `The log holds entry ${entry.index} where ${base + position + 1} belongs.`,
+      );
+    }
+  });
+  return { hardState, entries };
+}
+
+/** Encodes the log that follows a snapshot. */
+function encodeTail(tail: LogTail): Buffer {
+  const frames = [encodeRecord({ type: WalRecordType.HardState, hardState: tail.hardState })];
+  tail.entries.forEach((entry) => frames.push(encodeRecord({ type: WalRecordType.Entry, entry })));
+  return Buffer.concat(frames);
+}
+
+/** Encodes one write of the replicated log. */
+export function encodeWrite(write: PersistEffect): Buffer {
+  const frames: Buffer[] = [];
+  if (write.hardState) {
+    frames.push(encodeRecord({ type: WalRecordType.HardState, hardState: write.hardState }));
+  }
+  if (write.truncateFrom > 0) {
+    frames.push(encodeRecord({ type: WalRecordType.Truncate, fromIndex: write.truncateFrom }));
+  }
+  write.entries.forEach((entry) => frames.push(encodeRecord({ type: WalRecordType.Entry, entry })));
+  return Buffer.concat(frames);
+}
+
+/** Data folder of a control host: identity, write-ahead log with group commit, snapshot. */
+export class DataFolder implements Storage {
+  private queue: QueuedWrite[] = [];
+
+  /** The running write loop, or the last one. */
+  private running: Promise<void> = Promise.resolve();
+
+  private busy = false;
+
+  /** Syncs done so far, exported as a metric. */
+  syncs = 0;
+
+  private constructor(
+    private readonly folder: string,
+    private handle: FileHandle,
+    readonly stored: StoredState,
+  ) {}
+
+  /**
+   * Opens and locks a data folder and reads its state.
+   *
+   * @example
+   * const data = await DataFolder.open({ folder: '/var/lib/egret', initialize: false });
+   * @throws EgretError of kind data-locked or data-corrupt
+   */
+  static async open(options: DataFolderOptions): Promise<DataFolder> {
+    const { folder } = options;
+    await mkdir(folder, { recursive: true });
+    await takeLock(folder);
+    const instanceId = await readIdentity(options);
+    const snapshot = await readSnapshot(folder);
+    const file = path.join(folder, LOG_FILE);
+    const bytes = existsSync(file) ? await readFile(file) : Buffer.alloc(0);
+    const contents = decodeLog(bytes);
+    const { hardState, entries } = replay(contents, snapshot);
+    const handle = await open(file, 'a');
+    if (contents.validBytes < bytes.length) await handle.truncate(contents.validBytes);
+    await handle.sync();
+    await syncFolder(folder);
+    return new DataFolder(folder, handle, { instanceId, hardState, snapshot, entries });
+  }
+
+  persist(write: PersistEffect): Promise<void> {
+    return new Promise((done, failed) => {
+      this.queue.push({ bytes: encodeWrite(write), done, failed });
+      this.start();
+    });
+  }
+
+  async saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
+    await this.running;
+    // No write may reach the old log while the new one is prepared.
+    this.busy = true;
+    this.running = this.replaceLog(snapshot, readTail);
+    try {
+      await this.running;
+    } finally {
+      this.busy = false;
+      this.start();
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.running;
+    await this.handle.close();
+    await rm(path.join(this.folder, LOCK_FILE), { force: true });
+  }
+
+  private async replaceLog(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
+    await replaceFile(this.folder, SNAPSHOT_FILE, encodeFrame(codec.pack(snapshot)));
+    await replaceFile(this.folder, LOG_FILE, encodeTail(readTail()));
+    await this.handle.close();
+    this.handle = await open(path.join(this.folder, LOG_FILE), 'a');
+  }
+
+  private start(): void {
+    if (this.busy || this.queue.length === 0) return;
+    this.busy = true;
+    this.running = this.drain().finally(() => {
+      this.busy = false;
+    });
+  }
+
+  /** Writes and syncs everything queued, one sync for a whole batch. */
+  private async drain(): Promise<void> {
+    while (this.queue.length > 0) {
+      const batch = this.queue;
+      this.queue = [];
+      try {
+        // One batch at a time keeps the order of the log.
+        // eslint-disable-next-line no-await-in-loop
+        await this.handle.writeFile(Buffer.concat(batch.map((write) => write.bytes)));
+        // eslint-disable-next-line no-await-in-loop
+        await this.handle.datasync();
+        this.syncs += 1;
+        batch.forEach((write) => write.done());
+      } catch (error) {
+        batch.forEach((write) => write.failed(error));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/control/storage/Types.ts
@@ -0,0 +1,25 @@
+import type { HardState, LogEntry, PersistEffect, Snapshot } from '../raft/Types.js';
+
+/** State read from a data folder at the start. */
+export interface StoredState {
+  readonly instanceId: string;
+  readonly hardState: HardState;
+  readonly snapshot: Snapshot | null;
+  readonly entries: readonly LogEntry[];
+}
+
+/** Log that remains after a snapshot. */
+export interface LogTail {
+  readonly hardState: HardState;
+  readonly entries: readonly LogEntry[];
+}
+
+/** Durable storage of one control host. */
+export interface Storage {
+  /** Queues a write; resolves once it and all earlier ones are synced. */
+  persist(write: PersistEffect): Promise<void>;
+  /** Saves a snapshot durably and drops the log entries that it covers. */
+  saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void>;
+  /** Releases the folder after the queued writes. */
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/src/control/storage/WalCodec.ts
@@ -0,0 +1,103 @@
+import { crc32 } from 'node:zlib';
+import { Packr } from 'msgpackr';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import type { HardState, LogEntry } from '../raft/Types.js';
+
+/** Kinds of records in the write-ahead log. */
+export enum WalRecordType {
+  HardState = 'hard-state',
+  Entry = 'entry',
+  Truncate = 'truncate',
+}
+
+export type WalRecord =
+  | { readonly type: WalRecordType.HardState; readonly hardState: HardState }
+  | { readonly type: WalRecordType.Entry; readonly entry: LogEntry }
+  | { readonly type: WalRecordType.Truncate; readonly fromIndex: number };
+
+/** Result of reading a write-ahead log. */
+export interface WalContents {
+  readonly records: readonly WalRecord[];
+  /** Length of the valid prefix; a torn tail follows if the file is longer. */
+  readonly validBytes: number;
+}
+
+/** Length and checksum before each payload. */
+const FRAME_HEADER_BYTES = 8;
+const CHECKSUM_OFFSET_BYTES = 4;
+const MAX_PAYLOAD_BYTES = 16 * 1024 * 1024;
+
+const codec = new Packr({ useRecords: false });
+
+/**
+ * Frames one payload with its length and CRC-32.
+ *
+ * @example
+ * encodeFrame(new Uint8Array([1])).length; // 9
+ */
+export function encodeFrame(payload: Uint8Array): Buffer {
+  const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + payload.length);
+  frame.writeUInt32LE(payload.length, 0);
+  frame.writeUInt32LE(crc32(payload), CHECKSUM_OFFSET_BYTES);
+  frame.set(payload, FRAME_HEADER_BYTES);
+  return frame;
+}
+
+/**
+ * Reads the payload of the frame at an offset; undefined where there is no valid one.
+ *
+ * @example
+ * decodeFrame(encodeFrame(payload), 0); // payload
+ */
+export function decodeFrame(bytes: Buffer, offsetBytes: number): Buffer | undefined {
+  const start = offsetBytes + FRAME_HEADER_BYTES;
+  if (start > bytes.length) return undefined;
+  const payloadBytes = bytes.readUInt32LE(offsetBytes);
+  const end = start + payloadBytes;
+  if (payloadBytes === 0 || payloadBytes > MAX_PAYLOAD_BYTES || end > bytes.length) {
+    return undefined;
+  }
+  const payload = bytes.subarray(start, end);
+  const expected = bytes.readUInt32LE(offsetBytes + CHECKSUM_OFFSET_BYTES);
+  return crc32(payload) === expected ? payload : undefined;
+}
+
+/** Encodes one record of the write-ahead log. */
+export function encodeRecord(record: WalRecord): Buffer {
+  return encodeFrame(codec.pack(record));
+}
+
+/** True where a valid frame starts anywhere after the offset. */
+function hasFrameAfter(bytes: Buffer, offsetBytes: number): boolean {
+  for (let at = offsetBytes + 1; at + FRAME_HEADER_BYTES < bytes.length; at += 1) {
+    if (decodeFrame(bytes, at)) return true;
+  }
+  return false;
+}
+
+/**
+ * Reads every record. A torn last record is cut off; an invalid record with valid ones behind it
+ * is corruption and refused.
+ *
+ * @example
+ * decodeLog(encodeRecord(record)).records.length; // 1
+ */
+export function decodeLog(bytes: Buffer): WalContents {
+  const records: WalRecord[] = [];
+  let offsetBytes = 0;
+  while (offsetBytes < bytes.length) {
+    const payload = decodeFrame(bytes, offsetBytes);
+    if (!payload) {
+      if (hasFrameAfter(bytes, offsetBytes)) {
+        throw new EgretError(
+          ErrorKind.DataCorrupt,
+          `The write-ahead log is damaged at byte ${offsetBytes}, before valid records.`,
+        );
+      }
+      break;
+    }
+    records.push(codec.unpack(payload) as WalRecord);
+    offsetBytes += FRAME_HEADER_BYTES + payload.length;
+  }
+  return { records, validBytes: offsetBytes };
+}
--- /dev/null
+++ b/src/ctl/ZoneCommands.ts
@@ -0,0 +1,207 @@
+import { Option } from 'clipanion';
+import { API_PREFIX } from '../common/Constants.js';
+import { ZoneState } from '../common/Enums.js';
+import { EgretError, ErrorKind } from '../common/Errors.js';
+import type { TeamSettings } from '../common/SettingsSchema.js';
+import { AdminRequestType } from '../control/Types.js';
+import type { BackendListItem } from '../entry/server/BackendList.js';
+import { requestJson, type AdminClient } from './AdminClient.js';
+import { sendChange, waitInForce, type SettingsValue } from './ChangeSender.js';
+import { CtlCommand, renderTable } from './CtlCommand.js';
+
+/** Entry host as the control hosts list it. */
+export interface ListedEntryHost {
+  readonly id: string;
+  readonly address: string;
+  readonly port: number;
+  readonly adminAddress: string;
+  readonly adminPort: number;
+  readonly availabilityZone: string;
+  readonly stopping: boolean;
+  readonly appliedIndex: number;
+  readonly current: boolean;
+}
+
+/** Use of one service's slots with an availability zone taken out. */
+interface ProjectedUse {
+  readonly service: string;
+  readonly slotsNow: number;
+  readonly slotsLeft: number;
+  readonly inFlight: number;
+}
+
+const LIST_TIMEOUT_MS = 2_000;
+const IN_FORCE_TIMEOUT_MS = 30_000;
+const PERCENT = 100;
+
+/** Collects the backend servers from every entry host; hosts that don't answer are left out. */
+export async function collectBackends(client: AdminClient): Promise<BackendListItem[]> {
+  const listed = await client.send<{ entryHosts: ListedEntryHost[] }>({
+    type: AdminRequestType.EntryHosts,
+  });
+  const lists = await Promise.all(
+    listed.entryHosts.map(async (entry) => {
+      const address = `${entry.adminAddress}:${entry.adminPort}`;
+      try {
+        const path = `${API_PREFIX}/backends`;
+        const answer = await requestJson(address, { path, timeout: LIST_TIMEOUT_MS });
+        return (answer.body as { backends: BackendListItem[] }).backends;
+      } catch {
+        return [];
+      }
+    }),
+  );
+  return lists.flat();
+}
+
+/** Projects the use of each service's slots with one availability zone out. */
+export function projectUse(
+  backends: readonly BackendListItem[],
+  services: readonly string[],
+  zone: string,
+): ProjectedUse[] {
+  return services.map((service) => {
+    const own = backends.filter((item) => item.service === service && item.leased);
+    const sum = (items: readonly BackendListItem[], field: 'slots' | 'inFlight') =>
+      items.reduce((total, item) => total + item[field], 0);
+    const left = own.filter((item) => item.availabilityZone !== zone);
+    return {
+      service,
+      slotsNow: sum(own, 'slots'),
+      slotsLeft: sum(left, 'slots'),
+      inFlight: sum(own, 'inFlight'),
+    };
+  });
+}
+
+/** Team settings that hold an availability zone. */
+async function findTeam(client: AdminClient, zone: string, team: string | undefined) {
+  const type = AdminRequestType.GetSettings;
+  const path = team === undefined ? '/teams' : `/teams/${team}`;
+  const shown = await client.send<SettingsValue>({ type, path });
+  const teams =
+    team === undefined
+      ? (shown.value as Record<string, TeamSettings>)
+      : { [team]: shown.value as TeamSettings };
+  const found = Object.entries(teams).find(([, settings]) => zone in settings.availabilityZones);
+  if (found) return { team: found[0], settings: found[1] };
+  throw new EgretError(ErrorKind.NotFound, `No availability zone ${zone} is set.`);
+}
+
+/** Shared work of taking a zone out and in. */
+abstract class ZoneChangeCommand extends CtlCommand {
+  zone = Option.String();
+
+  team = Option.String('--team', process.env.EGRET_TEAM ?? '', {
+    description: 'Team of the zone (EGRET_TEAM); a token of one team needs it',
+  });
+
+  protected abstract readonly state: ZoneState;
+
+  /** Checks before the change. */
+  protected abstract readonly prepare: (
+    client: AdminClient,
+    settings: TeamSettings,
+  ) => Promise<string[]>;
+
+  protected async run(): Promise<void> {
+    const client = this.client();
+    const found = await findTeam(client, this.zone, this.team || undefined);
+    const notes = await this.prepare(client, found.settings);
+    const change = await sendChange(client, {
+      path: `/teams/${found.team}/availabilityZones/${this.zone}/state`,
+      value: this.state,
+    });
+    const shown = await waitInForce(client, change.changeId, IN_FORCE_TIMEOUT_MS);
+    const progress = shown.progress!;
+    this.print({ ...shown, notes }, [
+      ...notes,
+      `zone=${this.zone} state=${this.state} revision=${change.revision} ` +
+        `inForce=${progress.inForce} applied=${progress.applied}/${progress.entryHosts}`,
+    ]);
+    if (!progress.inForce) {
+      const detail = `The change is accepted but not in force; behind: ${progress.behind.join()}.`;
+      throw new EgretError(ErrorKind.NoQuorum, detail);
+    }
+  }
+}
+
+/** `egretctl zone out ZONE` */
+export class ZoneOutCommand extends ZoneChangeCommand {
+  static override paths = [['zone', 'out']];
+
+  static override usage = CtlCommand.Usage({
+    description: 'Takes an availability zone out of service.',
+    details:
+      'Shows the projected use of the remaining slots first, and refuses to close the last zone ' +
+      'of a service without --force.',
+  });
+
+  force = Option.Boolean('--force', false, { description: 'Close the last zone of a service too' });
+
+  protected readonly state = ZoneState.Out;
+
+  protected readonly prepare = async (
+    client: AdminClient,
+    settings: TeamSettings,
+  ): Promise<string[]> => {
+    const open = (zone: string) => settings.availabilityZones[zone]?.state === ZoneState.In;
+    const affected = Object.entries(settings.services).filter(([, service]) =>
+      service.availabilityZones.includes(this.zone),
+    );
+    const stranded = affected
+      .filter(
+        ([, service]) =>
+          !service.availabilityZones.some((zone) => zone !== this.zone && open(zone)),
+      )
+      .map(([service]) => service);
+    if (stranded.length > 0 && !this.force) {
+      const detail = `${this.zone} is the last open zone of ${stranded.join(', ')}; use --force.`;
+      throw new EgretError(ErrorKind.Conflict, detail);
+    }
+    const services = affected.map(([service]) => service);
+    const projected = projectUse(await collectBackends(client), services, this.zone);
+    const rows = projected.map((use) => [
+      use.service,
+      String(use.slotsNow),
+      String(use.slotsLeft),
+      `${use.slotsLeft > 0 ? Math.round((use.inFlight / use.slotsLeft) * PERCENT) : PERCENT}%`,
+    ]);
+    return renderTable(['SERVICE', 'SLOTS', 'SLOTS-LEFT', 'PROJECTED-USE'], rows);
+  };
+}
+
+/** `egretctl zone in ZONE` */
+export class ZoneInCommand extends ZoneChangeCommand {
+  static override paths = [['zone', 'in']];
+
+  static override usage = CtlCommand.Usage({
+    description: 'Brings an availability zone back; its backend servers start cold.',
+  });
+
+  protected readonly state = ZoneState.In;
+
+  protected readonly prepare = async (): Promise<string[]> => [];
+}
+
+/** `egretctl zone list` */
+export class ZoneListCommand extends CtlCommand {
+  static override paths = [['zone', 'list']];
+
+  static override usage = CtlCommand.Usage({ description: 'Lists the availability zones.' });
+
+  team = Option.String('--team', process.env.EGRET_TEAM ?? '', { description: 'Only this team' });
+
+  protected async run(): Promise<void> {
+    const type = AdminRequestType.GetSettings;
+    const path = this.team ? `/teams/${this.team}` : '/teams';
+    const shown = await this.client().send<SettingsValue>({ type, path });
+    const teams = this.team
+      ? { [this.team]: shown.value as TeamSettings }
+      : (shown.value as Record<string, TeamSettings>);
+    const rows = Object.entries(teams).flatMap(([team, settings]) =>
+      Object.entries(settings.availabilityZones).map(([zone, value]) => [team, zone, value.state]),
+    );
+    this.print(teams, renderTable(['TEAM', 'ZONE', 'STATE'], rows));
+  }
+}
--- /dev/null
+++ b/src/entry/CallFlow.ts
@@ -0,0 +1,578 @@
+import { MAX_ATTEMPTS, MAX_CLOCK_DRIFT_RATIO } from '../common/Constants.js';
+import { Outcome, WhenStale } from '../common/Enums.js';
+import { EgretError, ErrorKind } from '../common/Errors.js';
+import { parseKeyTimeMs } from '../common/IdempotencyKey.js';
+import { ClaimOutcome, ClaimReplyVerdict, type ClaimReplyMessage } from '../common/Messages.js';
+import type { EntryHost } from '../common/Placement.js';
+import type { ClaimFlow } from './ClaimFlow.js';
+import { AttemptOutcomes, lastError } from './dispatch/AttemptOutcomes.js';
+import { CallPhase, type Attempt, type CallRecord } from './dispatch/CallRecord.js';
+import { hedgeIfSlow } from './dispatch/Hedging.js';
+import { Standing } from './dispatch/Quarantine.js';
+import type { BackendRecord } from './dispatch/BackendRecord.js';
+import type { ServicePool } from './dispatch/ServicePool.js';
+import type { EntryContext } from './EntryContext.js';
+import type { EntryRoster } from './EntryRoster.js';
+import type { PeerCapacity } from './PeerCapacity.js';
+import type { Pools } from './Pools.js';
+import type { SettingsView } from './SettingsView.js';
+import {
+  CounterName,
+  EntryEffectType,
+  TargetKind,
+  type ArrivedCall,
+  type AttemptEndedEvent,
+  type AttemptTarget,
+} from './Types.js';
+
+/** Collaborators of a {@link CallFlow}. */
+export interface CallFlowOptions {
+  readonly context: EntryContext;
+  readonly settings: SettingsView;
+  readonly roster: EntryRoster;
+  readonly pools: Pools;
+  readonly capacity: PeerCapacity;
+  readonly claims: ClaimFlow;
+  readonly isCurrent: () => boolean;
+  readonly onReleasedAttemptEnded: (record: BackendRecord) => void;
+  readonly onSuspicion: (call: CallRecord, attempt: Attempt, confirmed: boolean) => void;
+}
+
+/** Leaseholders that a call is forwarded to before it is refused. */
+const MAX_FORWARDS = 3;
+
+/** Claimed calls may run on for so many timeouts, to record their answers. */
+const CLAIMED_GRACE_TIMEOUTS = 2;
+
+/** Share of the time left below which a queued call is refused at once. */
+const HOPELESS_WAIT_RATIO = 1;
+
+/** Refuses a missing or malformed idempotency key. */
+function checkKey(key: string | null): ErrorKind | null {
+  if (key === null) return ErrorKind.KeyRequired;
+  return parseKeyTimeMs(key).isErr ? ErrorKind.KeyInvalid : null;
+}
+
+/** Life of every call at this entry host, from its arrival to the end of its last attempt. */
+export class CallFlow {
+  private readonly calls = new Map<number, CallRecord>();
+
+  private nextAttemptId = 1;
+
+  private readonly outcomes: AttemptOutcomes;
+
+  constructor(private readonly options: CallFlowOptions) {
+    this.outcomes = new AttemptOutcomes({
+      context: options.context,
+      onSuspicion: options.onSuspicion,
+    });
+  }
+
+  /** Calls whose caller still waits, or whose attempts have not ended. */
+  get size(): number {
+    return this.calls.size;
+  }
+
+  /** Admits, forwards or refuses a call. */
+  arrive(call: ArrivedCall): void {
+    const { context, settings, pools } = this.options;
+    context.count(CounterName.Calls, call.service);
+    const entry = settings.catalog.services.get(call.service);
+    if (!entry) {
+      this.refuseArrived(call, ErrorKind.UnknownService, `No service ${call.service}.`);
+      return;
+    }
+    const serveStale = settings.catalog.system.whenStale === WhenStale.Serve;
+    if (!this.options.isCurrent() && !(serveStale && settings.index > 0)) {
+      this.refuseArrived(call, ErrorKind.NotCurrent, 'The settings may be out of date.');
+      return;
+    }
+    const pool = pools.ensure(entry);
+    const idempotent = (pool.settings.idempotentMethods as string[]).includes(call.method);
+    const keyFault = idempotent ? null : checkKey(call.idempotencyKey);
+    if (keyFault) {
+      this.refuseArrived(call, keyFault, `Method ${call.method} is not idempotent.`);
+      return;
+    }
+    pool.retryBudget.deposit(pool.settings.retryBudgetRatio);
+    pool.hedgeBudget.deposit(pool.settings.hedgeBudgetRatio);
+    const record = this.createRecord(call, pool, idempotent);
+    this.calls.set(call.callId, record);
+    this.route(record);
+  }
+
+  /** Continues a call whose claim was answered. */
+  onClaimReply(callId: number, reply: ClaimReplyMessage): void {
+    const record = this.calls.get(callId);
+    if (!record || record.phase !== CallPhase.Claiming) {
+      return;
+    }
+    this.claimVerdicts[reply.verdict](record, reply);
+  }
+
+  /** The target's answer has begun: the caller gets it, other attempts are cancelled. */
+  onHeaders(callId: number, attemptId: number): void {
+    const { context } = this.options;
+    const record = this.calls.get(callId);
+    const attempt = record?.attempts.get(attemptId);
+    if (!record || !attempt) return;
+    // After a truncation the answering attempt has ended, and another one continues the answer.
+    const answering = record.answeringId !== null && record.attempts.has(record.answeringId);
+    if (answering || record.phase === CallPhase.Answered) {
+      this.cancelAttempt(record, attempt);
+      return;
+    }
+    record.answeringId = attemptId;
+    context.emit({ type: EntryEffectType.UseAnswer, callId, attemptId });
+    record.attempts.forEach((other) => {
+      if (other.attemptId !== attemptId) this.cancelAttempt(record, other);
+    });
+  }
+
+  /** Accounts for the end of an attempt and decides how the call goes on. */
+  onAttemptEnded(event: AttemptEndedEvent): void {
+    const record = this.calls.get(event.callId);
+    const attempt = record?.attempts.get(event.attemptId);
+    if (!record || !attempt) return;
+    record.attempts.delete(event.attemptId);
+    this.freeTarget(record, attempt, event);
+    const next = this.outcomes.decide(record, attempt, event);
+    if (next.settle) this.settle(record, next.settle, event.answer);
+    if (next.finished) this.finish(record);
+    else if (next.broken) this.breakCall(record);
+    else if (next.error) this.refuse(record, next.error);
+    else if (next.retry) this.retry(record, event);
+    this.forgetIfDone(record);
+    this.pump(record.pool);
+  }
+
+  /** Cancels the attempts of a caller that left; a claimed call runs on to record its answer. */
+  onCallerLeft(callId: number): void {
+    const record = this.calls.get(callId);
+    if (!record) return;
+    record.pool.queue.remove(record);
+    if (record.claimId !== null && record.attempts.size === 0) {
+      this.settle(record, ClaimOutcome.NotRun, null);
+    }
+    if (record.claimId === null || record.phase !== CallPhase.Running) {
+      record.attempts.forEach((attempt) => this.cancelAttempt(record, attempt));
+    }
+    record.phase = CallPhase.Answered;
+    this.forgetIfDone(record);
+  }
+
+  /** Enforces deadlines and starts hedges. */
+  tick(): void {
+    const { nowMs } = this.options.context;
+    this.options.pools.forEach((pool) => {
+      pool.latency.refresh(nowMs);
+      pool.queue.takeExpired(nowMs).forEach((record) => {
+        const detail = 'No slot came free before the deadline.';
+        this.refuseNotRun(record, new EgretError(ErrorKind.Overloaded, detail));
+        this.forgetIfDone(record);
+      });
+      this.pump(pool);
+    });
+    this.calls.forEach((record) => {
+      if (record.phase === CallPhase.Claiming && nowMs >= record.deadlineMs) {
+        this.refuseNotRun(record, new EgretError(ErrorKind.NoQuorum, 'The claim timed out.'));
+        this.forgetIfDone(record);
+      } else if (record.phase !== CallPhase.Queued) {
+        this.checkRunning(record);
+      }
+    });
+  }
+
+  /** Refuses calls that wait for a slot although the settings may be out of date. */
+  refuseQueued(error: () => EgretError): void {
+    this.options.pools.forEach((pool) => {
+      for (let record = pool.queue.shift(); record; record = pool.queue.shift()) {
+        this.refuseNotRun(record, error());
+        this.forgetIfDone(record);
+      }
+    });
+  }
+
+  /** Dispatches queued calls while there are slots. On the path of every call. */
+  pump(pool: ServicePool): void {
+    if (!this.options.isCurrent()) return;
+    for (let record = pool.queue.peek(); record; record = pool.queue.peek()) {
+      const backend = this.choose(record);
+      if (!backend) return;
+      pool.queue.remove(record);
+      this.start(record, backend.target, backend, false);
+    }
+  }
+
+  private readonly claimVerdicts: Record<
+    ClaimReplyVerdict,
+    (record: CallRecord, reply: ClaimReplyMessage) => void
+  > = {
+    [ClaimReplyVerdict.Granted]: (record) => this.enqueue(record),
+    [ClaimReplyVerdict.InProgress]: (record) =>
+      this.endClaim(record, ErrorKind.InProgress, 'The same request is running.'),
+    [ClaimReplyVerdict.Unknown]: (record) =>
+      this.endClaim(record, ErrorKind.OutcomeUnknown, 'The first attempt may have run.'),
+    [ClaimReplyVerdict.Refused]: (record, reply) =>
+      this.endClaim(record, reply.refusal ?? ErrorKind.KeyInvalid, 'The key was refused.'),
+    [ClaimReplyVerdict.Unavailable]: (record) => this.options.claims.retryLater(record),
+    [ClaimReplyVerdict.Replay]: (record, reply) => {
+      record.claimId = null;
+      record.phase = CallPhase.Answered;
+      if (reply.answer) {
+        const { callId } = record.call;
+        this.options.context.emit({
+          type: EntryEffectType.ReplayCall,
+          callId,
+          answer: reply.answer,
+        });
+      }
+      this.forgetIfDone(record);
+    },
+  };
+
+  private createRecord(call: ArrivedCall, pool: ServicePool, idempotent: boolean): CallRecord {
+    const { nowMs } = this.options.context;
+    const timeoutMs = Math.min(call.timeoutMs ?? pool.settings.timeoutMs, pool.settings.timeoutMs);
+    return {
+      call,
+      pool,
+      callerId: call.callerId,
+      arrivedAtMs: nowMs,
+      deadlineMs: nowMs + timeoutMs,
+      idempotent,
+      phase: CallPhase.Queued,
+      attempts: new Map(),
+      attemptsMade: 0,
+      tried: [],
+      answeringId: null,
+      claimId: null,
+      resume: null,
+      maybeRun: false,
+    };
+  }
+
+  /** Decides between this host's own backend servers and a peer's. */
+  private route(record: CallRecord): void {
+    const { context } = this.options;
+    const { pool, call } = record;
+    if (call.forwarded || pool.policy.free) {
+      this.admit(record);
+      return;
+    }
+    const serving = pool.isServing(context.nowMs);
+    if (serving && pool.queue.length === 0 && pool.freeSlots(context.nowMs) > 0) {
+      this.admit(record);
+      return;
+    }
+    const peer = this.choosePeer(record, serving);
+    if (peer) this.forward(record, peer);
+    else if (serving) this.admit(record);
+    else this.refuseNoBackend(record);
+  }
+
+  /** Leaseholder to forward to; a host that serves itself forwards only to known free slots. */
+  private choosePeer(record: CallRecord, serving: boolean): EntryHost | undefined {
+    const { context, roster, settings, capacity } = this.options;
+    const { service } = record.call;
+    const entry = settings.catalog.services.get(service);
+    if (!entry || record.attemptsMade >= MAX_FORWARDS) return undefined;
+    const peers = roster
+      .leaseholders(entry)
+      .filter((peer) => peer.id !== context.self.id && !record.tried.includes(peer.id))
+      .filter((peer) => !serving || capacity.hasFreeSlots(peer.id, service, context.nowMs));
+    return capacity.pick(peers, service, context.random);
+  }
+
+  private forward(record: CallRecord, peer: EntryHost): void {
+    const { context, capacity } = this.options;
+    context.count(CounterName.Forwards, record.call.service);
+    capacity.onForward(peer.id, record.call.service);
+    const target: AttemptTarget = {
+      kind: TargetKind.Peer,
+      id: peer.id,
+      address: peer.address,
+      port: peer.peerPort,
+      connectionsMax: Number.POSITIVE_INFINITY,
+    };
+    this.start(record, target, null, false);
+  }
+
+  /** Takes a call for the own backend servers. */
+  private admit(record: CallRecord): void {
+    const { context, claims } = this.options;
+    const standing = record.pool.quarantine.standingOf(record.call.fingerprint, context.nowMs);
+    if (standing === Standing.Quarantined) {
+      context.count(CounterName.Quarantined, record.call.service);
+      const detail = 'The request was in flight when several backend servers ended.';
+      this.refuse(record, new EgretError(ErrorKind.Quarantined, detail));
+      this.forgetIfDone(record);
+      return;
+    }
+    if (standing === Standing.Doubtful) {
+      const detail = 'The request is being checked after backend servers ended.';
+      this.refuseNotRun(record, new EgretError(ErrorKind.Overloaded, detail));
+      this.forgetIfDone(record);
+      return;
+    }
+    if (record.idempotent) {
+      this.enqueue(record);
+      return;
+    }
+    record.phase = CallPhase.Claiming;
+    claims.request(record);
+  }
+
+  /** Dispatches at once where a slot is free, queues otherwise. */
+  private enqueue(record: CallRecord): void {
+    const { context } = this.options;
+    const { pool } = record;
+    record.phase = CallPhase.Queued;
+    if (pool.queue.length === 0) {
+      const backend = this.choose(record);
+      if (backend) {
+        this.start(record, backend.target, backend, false);
+        return;
+      }
+    }
+    if (pool.policy.free || !pool.isServing(context.nowMs)) {
+      this.refuseNoBackend(record);
+      return;
+    }
+    if (pool.expectedWaitMs() * HOPELESS_WAIT_RATIO > record.deadlineMs - context.nowMs) {
+      const detail = 'The expected wait is longer than the time left.';
+      this.refuseNotRun(record, new EgretError(ErrorKind.Overloaded, detail));
+      this.forgetIfDone(record);
+      return;
+    }
+    const evicted = pool.queue.push(record);
+    if (!evicted) return;
+    const error = new EgretError(ErrorKind.Overloaded, 'The queue of the service is full.', {
+      retryAfterMs: Math.ceil(pool.expectedWaitMs()),
+    });
+    this.refuseNotRun(evicted, error);
+    this.forgetIfDone(evicted);
+  }
+
+  private choose(record: CallRecord): BackendRecord | undefined {
+    const { nowMs, random } = this.options.context;
+    const { pool, call } = record;
+    return pool.policy.choose(pool, {
+      nowMs,
+      random,
+      tried: record.tried,
+      suspect: pool.quarantine.standingOf(call.fingerprint, nowMs) !== Standing.Clear,
+      idempotent: record.idempotent,
+    });
+  }
+
+  private start(
+    record: CallRecord,
+    target: AttemptTarget,
+    backend: BackendRecord | null,
+    hedge: boolean,
+  ): void {
+    const { context } = this.options;
+    const attemptId = this.nextAttemptId;
+    this.nextAttemptId += 1;
+    const standing = record.pool.quarantine.standingOf(record.call.fingerprint, context.nowMs);
+    const suspect = backend !== null && standing !== Standing.Clear;
+    const startedAtMs = context.nowMs;
+    const attempt: Attempt = {
+      attemptId,
+      target,
+      record: backend,
+      startedAtMs,
+      hedge,
+      suspect,
+      cancelled: false,
+    };
+    if (backend) {
+      backend.onStart(attemptId, context.nowMs);
+      if (suspect) backend.suspectsInFlight += 1;
+    }
+    record.phase = CallPhase.Running;
+    record.attempts.set(attemptId, attempt);
+    record.attemptsMade += 1;
+    record.tried.push(target.id);
+    context.count(CounterName.Attempts, record.call.service);
+    context.emit({
+      type: EntryEffectType.StartAttempt,
+      callId: record.call.callId,
+      attemptId,
+      target,
+      timeoutMs: Math.max(1, Math.round(record.deadlineMs - context.nowMs)),
+      attemptNumber: record.attemptsMade,
+      record: record.claimId !== null,
+      resume: record.resume,
+    });
+  }
+
+  private freeTarget(record: CallRecord, attempt: Attempt, event: AttemptEndedEvent): void {
+    const { context, capacity } = this.options;
+    if (!attempt.record) {
+      capacity.onForwardEnded(attempt.target.id, record.call.service);
+      if (event.peerStatus) {
+        const { service } = record.call;
+        capacity.onStatus(attempt.target.id, service, event.peerStatus, context.nowMs);
+      }
+      return;
+    }
+    // A successor record of the same backend server took over the count.
+    const holder = record.pool.records.get(attempt.record.id) ?? attempt.record;
+    holder.onEnd(attempt.attemptId, context.nowMs);
+    if (attempt.suspect) attempt.record.suspectsInFlight -= 1;
+    if (holder.released) this.options.onReleasedAttemptEnded(holder);
+  }
+
+  /** Tries again, elsewhere first. */
+  private retry(record: CallRecord, event: AttemptEndedEvent): void {
+    const { context } = this.options;
+    record.resume = event.resume ?? record.resume;
+    if (record.phase === CallPhase.Answered) return;
+    context.count(CounterName.Retries, record.call.service);
+    const standing = record.pool.quarantine.standingOf(record.call.fingerprint, context.nowMs);
+    if (standing === Standing.Quarantined || standing === Standing.Doubtful) {
+      this.refuse(record, lastError(record, event));
+      return;
+    }
+    if (this.isForwardedElsewhere(record)) {
+      const peer = this.choosePeer(record, false);
+      if (peer) this.forward(record, peer);
+      else if (event.peerRefusal) this.refuse(record, event.peerRefusal);
+      else this.refuseNoBackend(record);
+      return;
+    }
+    const backend = this.choose(record);
+    if (backend) this.start(record, backend.target, backend, false);
+    else if (record.answeringId !== null) this.breakCall(record);
+    else this.enqueueRetry(record, event);
+  }
+
+  /** True for calls that this host has no backend servers for. */
+  private isForwardedElsewhere(record: CallRecord): boolean {
+    const { pool, call } = record;
+    return !call.forwarded && !pool.policy.free && !pool.isServing(this.options.context.nowMs);
+  }
+
+  /** Queues a retry; with every backend server tried, any of them may be tried again. */
+  private enqueueRetry(record: CallRecord, event: AttemptEndedEvent): void {
+    const { nowMs } = this.options.context;
+    record.tried.length = 0;
+    if (!record.pool.isServing(nowMs) || record.attemptsMade >= MAX_ATTEMPTS) {
+      this.refuse(record, lastError(record, event));
+      return;
+    }
+    record.phase = CallPhase.Queued;
+    const evicted = record.pool.queue.push(record);
+    if (!evicted) return;
+    const detail = 'The queue of the service is full.';
+    this.refuse(evicted, new EgretError(ErrorKind.Overloaded, detail));
+    this.forgetIfDone(evicted);
+  }
+
+  private checkRunning(record: CallRecord): void {
+    const { context } = this.options;
+    if (record.phase === CallPhase.Running && record.answeringId === null) {
+      if (context.nowMs >= record.deadlineMs) this.onDeadline(record);
+      else {
+        const backend = hedgeIfSlow(record, context);
+        if (backend) this.start(record, backend.target, backend, true);
+      }
+    }
+    const graceMs = record.pool.settings.timeoutMs * CLAIMED_GRACE_TIMEOUTS;
+    if (record.phase === CallPhase.Answered && context.nowMs > record.arrivedAtMs + graceMs) {
+      if (record.answeringId === null) {
+        record.attempts.forEach((attempt) => this.cancelAttempt(record, attempt));
+      }
+    }
+  }
+
+  /** Ends the wait of the caller; a claimed call runs on to record its answer. */
+  private onDeadline(record: CallRecord): void {
+    if (record.claimId === null) {
+      record.attempts.forEach((attempt) => this.cancelAttempt(record, attempt));
+    }
+    const detail = 'No answer began before the deadline.';
+    this.refuse(record, new EgretError(ErrorKind.DeadlineExceeded, detail));
+    this.forgetIfDone(record);
+  }
+
+  private cancelAttempt(record: CallRecord, attempt: Attempt): void {
+    if (attempt.cancelled) return;
+    attempt.cancelled = true;
+    this.options.context.emit({
+      type: EntryEffectType.CancelAttempt,
+      callId: record.call.callId,
+      attemptId: attempt.attemptId,
+    });
+  }
+
+  private finish(record: CallRecord): void {
+    record.phase = CallPhase.Answered;
+    record.attempts.forEach((attempt) => this.cancelAttempt(record, attempt));
+  }
+
+  private breakCall(record: CallRecord): void {
+    record.phase = CallPhase.Answered;
+    this.options.context.emit({ type: EntryEffectType.BreakCall, callId: record.call.callId });
+  }
+
+  private settle(
+    record: CallRecord,
+    outcome: ClaimOutcome,
+    answer: AttemptEndedEvent['answer'],
+  ): void {
+    if (record.claimId === null) return;
+    this.options.claims.settle(record, outcome, answer);
+    record.claimId = null;
+  }
+
+  /** Refuses a call that was proven not run. */
+  private refuseNotRun(record: CallRecord, error: EgretError): void {
+    const honest =
+      record.maybeRun && error.outcome === Outcome.NotRun
+        ? new EgretError(ErrorKind.OutcomeUnknown, error.detail)
+        : error;
+    if (!record.maybeRun) this.settle(record, ClaimOutcome.NotRun, null);
+    this.refuse(record, honest);
+  }
+
+  private refuseNoBackend(record: CallRecord): void {
+    const detail = `No backend server of ${record.call.service} takes work now.`;
+    this.refuseNotRun(record, new EgretError(ErrorKind.NoBackend, detail));
+    this.forgetIfDone(record);
+  }
+
+  private endClaim(record: CallRecord, kind: ErrorKind, detail: string): void {
+    record.claimId = null;
+    this.refuse(record, new EgretError(kind, detail));
+    this.forgetIfDone(record);
+  }
+
+  private refuse(record: CallRecord, error: EgretError): void {
+    if (record.phase === CallPhase.Answered) return;
+    record.phase = CallPhase.Answered;
+    const { context } = this.options;
+    context.count(CounterName.Refusals, record.call.service);
+    context.emit({ type: EntryEffectType.RefuseCall, callId: record.call.callId, error });
+  }
+
+  private refuseArrived(call: ArrivedCall, kind: ErrorKind, detail: string): void {
+    const { context } = this.options;
+    context.count(CounterName.Refusals, call.service);
+    const error = new EgretError(kind, detail);
+    context.emit({ type: EntryEffectType.RefuseCall, callId: call.callId, error });
+  }
+
+  private forgetIfDone(record: CallRecord): void {
+    const done = record.phase === CallPhase.Answered && record.attempts.size === 0;
+    if (done) this.calls.delete(record.call.callId);
+  }
+}
+
+/** Time that a claim is held, so that a claimant's death becomes "unknown" after its deadline. */
+export function holdMsOf(record: CallRecord): number {
+  const timeoutMs = record.pool.settings.timeoutMs * CLAIMED_GRACE_TIMEOUTS;
+  return Math.ceil(timeoutMs * (1 + MAX_CLOCK_DRIFT_RATIO));
+}
--- /dev/null
+++ b/src/entry/EntryContext.ts
@@ -0,0 +1,43 @@
+import type { RandomSource } from '../common/Random.js';
+import type { EntryHost } from '../common/Placement.js';
+import { CounterName, EntryEffectType, type EntryEffect } from './Types.js';
+
+/** What every part of the reducer shares while it handles one event. */
+export class EntryContext {
+  /** Monotonic time of the event at hand. */
+  nowMs = 0;
+
+  /** Effects of the event at hand, in order. */
+  private effects: EntryEffect[] = [];
+
+  constructor(
+    /** This entry host; replaced when a planned stop begins. */
+    public self: EntryHost,
+    readonly random: RandomSource,
+    /** Distinguishes this run of the process from earlier ones. */
+    readonly bootId: string,
+  ) {}
+
+  emit(effect: EntryEffect): void {
+    this.effects.push(effect);
+  }
+
+  count(counter: CounterName, service: string): void {
+    this.effects.push({ type: EntryEffectType.Count, counter, service });
+  }
+
+  log(event: string, fields: Readonly<Record<string, string | number | boolean>>): void {
+    this.effects.push({ type: EntryEffectType.Log, event, fields });
+  }
+
+  /** Starts an event. */
+  begin(nowMs: number): void {
+    this.nowMs = nowMs;
+    this.effects = [];
+  }
+
+  /** Ends an event and returns its effects. */
+  takeEffects(): EntryEffect[] {
+    return this.effects;
+  }
+}
--- /dev/null
+++ b/src/entry/EntryRoster.ts
@@ -0,0 +1,107 @@
+import { placeLeaseholders, type EntryHost } from '../common/Placement.js';
+import type { CatalogEntry } from '../common/SettingsTree.js';
+
+/** How long a peer that could not be reached is left out. */
+const UNREACHABLE_MS = 2_000;
+
+/** Live entry hosts as this one sees them; soft state. */
+export class EntryRoster {
+  /** Last list of every control host. */
+  private readonly lists = new Map<string, readonly EntryHost[]>();
+
+  /** Peers that could not be reached, with the time until which they are left out. */
+  private readonly unreachable = new Map<string, number>();
+
+  private hosts: readonly EntryHost[] = [];
+
+  /** Placement per service, kept until roster or settings change. */
+  private readonly placements = new Map<string, EntryHost[]>();
+
+  constructor(private self: EntryHost) {
+    this.rebuild();
+  }
+
+  get size(): number {
+    return this.hosts.length;
+  }
+
+  all(): readonly EntryHost[] {
+    return this.hosts;
+  }
+
+  find(id: string): EntryHost | undefined {
+    return this.hosts.find((host) => host.id === id);
+  }
+
+  /** Adopts the list of one control host. */
+  setList(controlHostId: string, hosts: readonly EntryHost[]): void {
+    this.lists.set(controlHostId, hosts);
+    this.rebuild();
+  }
+
+  /** Forgets the list of a control host, unless it is the only source left. */
+  dropList(controlHostId: string): void {
+    if (this.lists.size <= 1) return;
+    this.lists.delete(controlHostId);
+    this.rebuild();
+  }
+
+  /** Leaves a peer out for a while. */
+  markUnreachable(id: string, nowMs: number): void {
+    this.unreachable.set(id, nowMs + UNREACHABLE_MS);
+    this.rebuild();
+  }
+
+  /** Takes peers back whose time has passed. */
+  tick(nowMs: number): void {
+    let changed = false;
+    this.unreachable.forEach((untilMs, id) => {
+      if (untilMs > nowMs) return;
+      this.unreachable.delete(id);
+      changed = true;
+    });
+    if (changed) this.rebuild();
+  }
+
+  setSelf(self: EntryHost): void {
+    this.self = self;
+    this.rebuild();
+  }
+
+  /** Drops remembered placements, as every settings change must. */
+  invalidate(): void {
+    this.placements.clear();
+  }
+
+  /** Entry hosts that hold the leases of a service's backend servers. */
+  leaseholders(entry: CatalogEntry): readonly EntryHost[] {
+    const known = this.placements.get(entry.service);
+    if (known) return known;
+    const closed = entry.settings.availabilityZones.filter(
+      (zone) => !entry.openZones.includes(zone),
+    );
+    const open = this.hosts.filter((host) => !closed.includes(host.availabilityZone));
+    const placed = placeLeaseholders({
+      service: entry.service,
+      availabilityZones: entry.openZones,
+      entryHosts: open.some((host) => !host.stopping) ? open : this.hosts,
+      leaseholders: entry.settings.leaseholders,
+    });
+    this.placements.set(entry.service, placed);
+    return placed;
+  }
+
+  private rebuild(): void {
+    const merged = new Map<string, EntryHost>();
+    this.lists.forEach((hosts) => {
+      hosts.forEach((host) => {
+        const other = merged.get(host.id);
+        merged.set(host.id, other?.stopping ? other : host);
+      });
+    });
+    [...this.unreachable.keys()].forEach((id) => merged.delete(id));
+    merged.set(this.self.id, this.self);
+    this.hosts = [...merged.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
+    this.placements.clear();
+  }
+}
--- /dev/null
+++ b/src/entry/LeaseTable.ts
@@ -0,0 +1,323 @@
+import Result from 'true-myth/result';
+import { MAX_CLOCK_DRIFT_RATIO } from '../common/Constants.js';
+import { BackendState } from '../common/Enums.js';
+import { EgretError, ErrorKind } from '../common/Errors.js';
+import { placeBackend, type EntryHost } from '../common/Placement.js';
+import type { CatalogEntry } from '../common/SettingsTree.js';
+import { BackendRecord } from './dispatch/BackendRecord.js';
+import type { ServicePool } from './dispatch/ServicePool.js';
+import type { EntryContext } from './EntryContext.js';
+import type { EntryRoster } from './EntryRoster.js';
+import { decodeLeaseStamp, encodeLeaseStamp } from './LeaseStamp.js';
+import {
+  PeerMessageType,
+  type LeaseReleasedMessage,
+  type LeaseRequestMessage,
+} from './PeerMessages.js';
+import type { Pools } from './Pools.js';
+import {
+  CounterName,
+  EntryEffectType,
+  type Announcement,
+  type AnnouncementAnswer,
+} from './Types.js';
+
+/** Records whose backend server was silent for so many leases are dropped. */
+const FORGET_AFTER_LEASES = 10;
+
+/** Released records are kept so many leases, to tell the new holder their concurrency limit. */
+const FORGET_RELEASED_LEASES = 2;
+
+/** An announcement proves that its sender lived this long ago. */
+const ALIVE_PROOF_DELAY_MS = 100;
+
+/** Incarnation whose death was told by its successor, or by its silence. */
+export interface EndedIncarnation {
+  readonly pool: ServicePool;
+  readonly backendId: string;
+  readonly incarnation: number;
+}
+
+/** Refuses an announcement that is not newer than the last one. */
+function checkOrder(
+  announcement: Announcement,
+  known: BackendRecord | undefined,
+): EgretError | undefined {
+  if (!known) return undefined;
+  const { incarnation, sequence } = announcement;
+  const replayed =
+    incarnation < known.incarnation ||
+    (incarnation === known.incarnation && sequence <= known.sequence);
+  if (!replayed) return undefined;
+  return new EgretError(
+    ErrorKind.ReplayedSequence,
+    `Incarnation ${incarnation} sequence ${sequence} is not above ` +
+      `${known.incarnation}/${known.sequence}.`,
+  );
+}
+
+/**
+ * Leases on backend servers. The backend server is the arbiter: it announces to one entry host at
+ * a time. A lease counts from the answer whose stamp the next announcement returns, that is from
+ * before that announcement was sent, so that an announcement that was long under way renews
+ * nothing. A new holder waits until the lease of the previous one has run out on any clock within
+ * the drift bound, or until the previous holder has released it.
+ */
+export class LeaseTable {
+  constructor(
+    private readonly context: EntryContext,
+    private readonly roster: EntryRoster,
+    private readonly pools: Pools,
+    private readonly onEnded: (ended: EndedIncarnation) => void,
+  ) {}
+
+  /** Handles an announcement of an authenticated backend server. */
+  announce(
+    announcement: Announcement,
+    entry: CatalogEntry,
+  ): Result<AnnouncementAnswer, EgretError> {
+    const { context } = this;
+    const backendId = `${announcement.address}:${announcement.port}`;
+    const pool = this.pools.ensure(entry);
+    const known = pool.records.get(backendId);
+    const refusal = checkOrder(announcement, known);
+    if (refusal) return Result.err(refusal);
+    context.count(CounterName.Announcements, entry.service);
+    const holder =
+      placeBackend(backendId, announcement.availabilityZone, this.roster.leaseholders(entry)) ??
+      context.self;
+    if (holder.id === context.self.id) this.accept(announcement, backendId, pool, known);
+    else if (known) this.release(known, holder);
+    return Result.ok(this.answer(holder));
+  }
+
+  /** Gives a lease up on the request of the new holder. */
+  onLeaseRequest(from: EntryHost, message: LeaseRequestMessage): void {
+    const record = this.pools.findBackend(message.backendId);
+    if (record && record.incarnation === message.incarnation) {
+      this.release(record, from);
+      return;
+    }
+    // Nothing is held: neither a request in flight nor a way to start one.
+    this.sendReleased(from, message.backendId, message.incarnation, 0, 0);
+  }
+
+  /** Starts dispatching once the previous holder has released the lease. */
+  onLeaseReleased(message: LeaseReleasedMessage): BackendRecord | undefined {
+    const record = this.pools.findBackend(message.backendId);
+    if (!record || record.incarnation !== message.incarnation || record.released) return undefined;
+    record.foreignInFlight = message.inFlight;
+    record.foreignUntilMs = this.context.nowMs + this.timeoutMs(record.service);
+    if (record.usableFromMs > this.context.nowMs) {
+      record.usableFromMs = this.context.nowMs;
+      if (message.limit > 0) record.limit.resumeAt(message.limit);
+    }
+    return record;
+  }
+
+  /** Tells the new holder that a request of a released lease has ended. */
+  onReleasedAttemptEnded(record: BackendRecord): void {
+    const holder = this.holders.get(record.id);
+    if (!record.released || !holder) return;
+    this.sendReleased(holder, record.id, record.incarnation, record.inFlight, record.limit.current);
+  }
+
+  /** Drops records of backend servers that are gone. */
+  tick(leaseMs: number): void {
+    const { nowMs } = this.context;
+    this.pools.forEach((pool) => {
+      pool.records.forEach((record) => {
+        const silentMs = nowMs - Math.max(record.leaseUntilMs, this.createdAt.get(record.id) ?? 0);
+        const leases = record.released ? FORGET_RELEASED_LEASES : FORGET_AFTER_LEASES;
+        if (record.inFlight > 0 || silentMs < leaseMs * leases) return;
+        if (!record.released) {
+          this.onEnded({ pool, backendId: record.id, incarnation: record.incarnation });
+        }
+        this.drop(record);
+      });
+    });
+  }
+
+  /** New holders of released leases, by backend id. */
+  private readonly holders = new Map<string, EntryHost>();
+
+  /** Times at which records were made, by backend id. */
+  private readonly createdAt = new Map<string, number>();
+
+  private accept(
+    announcement: Announcement,
+    backendId: string,
+    pool: ServicePool,
+    known: BackendRecord | undefined,
+  ): void {
+    const { context } = this;
+    const leaseMs = this.leaseMs();
+    let record = known;
+    if (!record || record.incarnation !== announcement.incarnation || record.released) {
+      record = this.create(announcement, backendId, pool, known);
+    } else if (announcement.previous && record.leaseUntilMs <= context.nowMs) {
+      // The backend server was with another holder while this host's lease had run out.
+      record.usableFromMs = context.nowMs + this.waitMs(announcement, undefined);
+    }
+    this.countForeign(record, announcement.load.inFlight);
+    record.sequence = announcement.sequence;
+    record.slots = Math.min(announcement.slots, pool.settings.slotsMax);
+    record.limit.setSlots(record.slots);
+    record.reportedInFlight = announcement.load.inFlight;
+    if (announcement.state === BackendState.Starting && record.state === BackendState.Ready) {
+      record.limit.onColdSign();
+    }
+    record.state = announcement.state;
+    record.backoffUntilMs = 0;
+    pool.quarantine.clearIncarnation(
+      backendId,
+      record.incarnation,
+      context.nowMs - ALIVE_PROOF_DELAY_MS,
+    );
+    const stamp = decodeLeaseStamp(announcement.leaseStamp);
+    if (stamp?.entryHostId === context.self.id && stamp.bootId === context.bootId) {
+      record.leaseUntilMs = Math.max(record.leaseUntilMs, stamp.answeredAtMs + leaseMs);
+    }
+  }
+
+  /** Counts requests of previous holders that the backend server still runs. */
+  private countForeign(record: BackendRecord, reportedInFlight: number): void {
+    const { nowMs } = this.context;
+    if (nowMs < record.usableFromMs) {
+      record.foreignInFlight = Math.max(0, reportedInFlight - record.inFlight);
+      record.foreignUntilMs = record.usableFromMs + this.timeoutMs(record.service);
+    } else {
+      record.foreignInFlight = Math.min(record.foreignInFlight, reportedInFlight);
+    }
+  }
+
+  private timeoutMs(service: string): number {
+    return this.pools.get(service)?.settings.timeoutMs ?? 0;
+  }
+
+  /** Makes the record of a backend server that is new to this host, or new altogether. */
+  private create(
+    announcement: Announcement,
+    backendId: string,
+    pool: ServicePool,
+    known: BackendRecord | undefined,
+  ): BackendRecord {
+    const { context } = this;
+    if (known && known.incarnation !== announcement.incarnation) {
+      this.onEnded({ pool, backendId, incarnation: known.incarnation });
+      context.emit({ type: EntryEffectType.CloseTarget, targetId: backendId });
+    }
+    const record = new BackendRecord({
+      id: backendId,
+      service: pool.service,
+      address: announcement.address,
+      port: announcement.port,
+      availabilityZone: announcement.availabilityZone,
+      incarnation: announcement.incarnation,
+      slots: Math.min(announcement.slots, pool.settings.slotsMax),
+      coldRampSuccesses: pool.settings.coldRampSuccesses,
+      connectionsMax: pool.settings.connectionsMax,
+    });
+    // Requests of an earlier record of this host keep their slots until their ends are seen.
+    if (known) {
+      record.inFlight = known.inFlight;
+      record.startedAtMs.clear();
+      known.startedAtMs.forEach((startedAtMs, id) => record.startedAtMs.set(id, startedAtMs));
+    }
+    record.usableFromMs = context.nowMs + this.waitMs(announcement, known);
+    pool.records.set(backendId, record);
+    this.holders.delete(backendId);
+    this.createdAt.set(backendId, context.nowMs);
+    context.count(CounterName.LeaseMoves, pool.service);
+    context.log('lease_taken', {
+      service: pool.service,
+      backend: backendId,
+      incarnation: record.incarnation,
+      waitMs: Math.round(record.usableFromMs - context.nowMs),
+    });
+    return record;
+  }
+
+  /** Time until no other host can still hold a lease. */
+  private waitMs(announcement: Announcement, known: BackendRecord | undefined): number {
+    const guardMs = this.leaseMs() * (1 + MAX_CLOCK_DRIFT_RATIO);
+    if (known && !known.released && known.leaseUntilMs > this.context.nowMs) return 0;
+    const { previous } = announcement;
+    if (!previous) return Math.max(0, guardMs - announcement.upForMs);
+    if (previous.entryHostId === this.context.self.id && !known) {
+      return Math.max(0, guardMs - previous.sinceMs);
+    }
+    const peer = this.roster.find(previous.entryHostId);
+    if (peer && peer.id !== this.context.self.id) {
+      this.context.emit({
+        type: EntryEffectType.SendPeer,
+        peer,
+        message: {
+          type: PeerMessageType.LeaseRequest,
+          backendId: `${announcement.address}:${announcement.port}`,
+          incarnation: announcement.incarnation,
+        },
+      });
+    }
+    return Math.max(0, guardMs - previous.sinceMs);
+  }
+
+  /** Stops dispatching under a lease and tells the new holder. */
+  private release(record: BackendRecord, holder: EntryHost): void {
+    if (!record.released) {
+      record.released = true;
+      this.context.log('lease_released', {
+        service: record.service,
+        backend: record.id,
+        holder: holder.id,
+        inFlight: record.inFlight,
+      });
+    }
+    this.holders.set(record.id, holder);
+    this.sendReleased(holder, record.id, record.incarnation, record.inFlight, record.limit.current);
+  }
+
+  private sendReleased(
+    peer: EntryHost,
+    backendId: string,
+    incarnation: number,
+    inFlight: number,
+    limit: number,
+  ): void {
+    if (peer.id === this.context.self.id) return;
+    this.context.emit({
+      type: EntryEffectType.SendPeer,
+      peer,
+      message: { type: PeerMessageType.LeaseReleased, backendId, incarnation, inFlight, limit },
+    });
+  }
+
+  private drop(record: BackendRecord): void {
+    const pool = this.pools.get(record.service);
+    if (pool?.records.get(record.id) !== record) return;
+    pool.records.delete(record.id);
+    this.holders.delete(record.id);
+    this.createdAt.delete(record.id);
+    this.context.emit({ type: EntryEffectType.CloseTarget, targetId: record.id });
+  }
+
+  private leaseMs(): number {
+    return this.pools.system().leaseMs;
+  }
+
+  private answer(holder: EntryHost): AnnouncementAnswer {
+    const { context } = this;
+    const system = this.pools.system();
+    return {
+      announceTo: { address: holder.address, port: holder.port },
+      entryHostId: context.self.id,
+      intervalMs: holder.id === context.self.id ? system.announcementIntervalMs : 0,
+      leaseMs: system.leaseMs,
+      leaseStamp: encodeLeaseStamp({
+        entryHostId: context.self.id,
+        bootId: context.bootId,
+        answeredAtMs: context.nowMs,
+      }),
+    };
+  }
+}
--- /dev/null
+++ b/src/entry/PeerCapacity.ts
@@ -0,0 +1,85 @@
+import type { EntryHost } from '../common/Placement.js';
+import { pickIndex, type RandomSource } from '../common/Random.js';
+import type { PoolStatus } from './Types.js';
+
+/** Last known capacity of one leaseholder for one service. */
+interface KnownStatus {
+  status: PoolStatus;
+  atMs: number;
+  /** Forwards sent since the status was stated. */
+  sentSince: number;
+  /** Forwards that have not ended. */
+  outstanding: number;
+}
+
+/** Statements older than this say nothing about free slots. */
+const STATUS_VALID_MS = 250;
+
+/** Capacity of the other leaseholders, as far as this entry host knows. */
+export class PeerCapacity {
+  private readonly known = new Map<string, KnownStatus>();
+
+  /** Adopts a statement of a peer. */
+  onStatus(peerId: string, service: string, status: PoolStatus, nowMs: number): void {
+    const entry = this.entryOf(peerId, service);
+    entry.status = status;
+    entry.atMs = nowMs;
+    entry.sentSince = 0;
+  }
+
+  onForward(peerId: string, service: string): void {
+    const entry = this.entryOf(peerId, service);
+    entry.sentSince += 1;
+    entry.outstanding += 1;
+  }
+
+  onForwardEnded(peerId: string, service: string): void {
+    const entry = this.entryOf(peerId, service);
+    entry.outstanding = Math.max(0, entry.outstanding - 1);
+  }
+
+  /** True where the peer recently stated more free slots than were used since. */
+  hasFreeSlots(peerId: string, service: string, nowMs: number): boolean {
+    const entry = this.known.get(`${service}/${peerId}`);
+    if (!entry || nowMs - entry.atMs > STATUS_VALID_MS) return false;
+    return entry.status.freeSlots - entry.sentSince > 0;
+  }
+
+  /** Picks the peer with the most spare capacity; equal ones at random. */
+  pick(peers: readonly EntryHost[], service: string, random: RandomSource): EntryHost | undefined {
+    let best: EntryHost | undefined;
+    let bestSpare = Number.NEGATIVE_INFINITY;
+    let equals = 0;
+    peers.forEach((peer) => {
+      const spare = this.spareOf(peer.id, service);
+      if (spare > bestSpare) {
+        best = peer;
+        bestSpare = spare;
+        equals = 1;
+      } else if (spare === bestSpare) {
+        equals += 1;
+        if (pickIndex(random, equals) === 0) best = peer;
+      }
+    });
+    return best;
+  }
+
+  /** Share of the peer's slots that is presumably free, less what waits there. */
+  private spareOf(peerId: string, service: string): number {
+    const entry = this.known.get(`${service}/${peerId}`);
+    if (!entry || entry.status.slots === 0) return 0;
+    const { status } = entry;
+    return (status.freeSlots - status.queued - entry.sentSince) / status.slots;
+  }
+
+  private entryOf(peerId: string, service: string): KnownStatus {
+    const key = `${service}/${peerId}`;
+    let entry = this.known.get(key);
+    if (!entry) {
+      const status = { freeSlots: 0, slots: 0, queued: 0 };
+      entry = { status, atMs: Number.NEGATIVE_INFINITY, sentSince: 0, outstanding: 0 };
+      this.known.set(key, entry);
+    }
+    return entry;
+  }
+}
--- /dev/null
+++ b/src/entry/PeerMessages.ts
@@ -0,0 +1,89 @@
+import type { SettingsMessage } from '../common/Messages.js';
+import type { BackendState } from '../common/Enums.js';
+import type { PoolStatus } from './Types.js';
+
+/** Kinds of messages between entry hosts. */
+export enum PeerMessageType {
+  LeaseRequest = 'lease-request',
+  LeaseReleased = 'lease-released',
+  PoolStatus = 'pool-status',
+  Report = 'report',
+  Suspicion = 'suspicion',
+  FreshnessRequest = 'freshness-request',
+  FreshnessReply = 'freshness-reply',
+}
+
+/** Asks the previous leaseholder to stop dispatching to a backend server. */
+export interface LeaseRequestMessage {
+  readonly type: PeerMessageType.LeaseRequest;
+  readonly backendId: string;
+  readonly incarnation: number;
+}
+
+/** States that the sender holds no lease any more. */
+export interface LeaseReleasedMessage {
+  readonly type: PeerMessageType.LeaseReleased;
+  readonly backendId: string;
+  readonly incarnation: number;
+  /** Requests of the sender that still run there. */
+  readonly inFlight: number;
+  /** Concurrency limit that the sender had reached. */
+  readonly limit: number;
+}
+
+/** Free capacity of a leaseholder for one service. */
+export interface PoolStatusMessage {
+  readonly type: PeerMessageType.PoolStatus;
+  readonly service: string;
+  readonly status: PoolStatus;
+}
+
+/** Relayed load report, for the policies that dispatch without leases. */
+export interface ReportMessage {
+  readonly type: PeerMessageType.Report;
+  readonly service: string;
+  readonly address: string;
+  readonly port: number;
+  readonly availabilityZone: string;
+  readonly incarnation: number;
+  readonly state: BackendState;
+  readonly slots: number;
+  readonly inFlight: number;
+}
+
+/** Tells about backend servers that ended while they ran a call. */
+export interface SuspicionMessage {
+  readonly type: PeerMessageType.Suspicion;
+  readonly service: string;
+  readonly fingerprint: string;
+  readonly backendId: string;
+  readonly incarnation: number;
+  /** True once the death is proven, false while it is suspected. */
+  readonly confirmed: boolean;
+}
+
+/** Asks a peer for its settings and how long it knows them to be current. */
+export interface FreshnessRequestMessage {
+  readonly type: PeerMessageType.FreshnessRequest;
+  readonly requestId: number;
+  readonly appliedIndex: number;
+}
+
+export interface FreshnessReplyMessage {
+  readonly type: PeerMessageType.FreshnessReply;
+  readonly requestId: number;
+  readonly index: number;
+  /** Remaining time for which the sender is current. */
+  readonly currentForMs: number;
+  /** Present where the requester's settings were older. */
+  readonly settings: SettingsMessage | null;
+}
+
+export type PeerMessage =
+  | LeaseRequestMessage
+  | LeaseReleasedMessage
+  | PoolStatusMessage
+  | ReportMessage
+  | SuspicionMessage
+  | FreshnessRequestMessage
+  | FreshnessReplyMessage;
