--- /dev/null
+++ b/src/entry/Types.ts
@@ -0,0 +1,331 @@
+import type { BackendState } from '../common/Enums.js';
+import type { EgretError } from '../common/Errors.js';
+import type {
+  ClaimOutcome,
+  FromControlMessage,
+  ReplayAnswer,
+  ToControlMessage,
+} from '../common/Messages.js';
+import type { EntryHost } from '../common/Placement.js';
+import type { PeerMessage } from './PeerMessages.js';
+
+/** Announcement of a backend server, as it arrives over HTTP. */
+export interface Announcement {
+  readonly service: string;
+  readonly address: string;
+  readonly port: number;
+  readonly availabilityZone: string;
+  /** Rises with every start of the backend server. */
+  readonly incarnation: number;
+  /** Rises with every announcement of an incarnation. */
+  readonly sequence: number;
+  readonly state: BackendState;
+  readonly slots: number;
+  readonly connections: number;
+  readonly load: BackendLoad;
+  /** Time since the start of this incarnation. */
+  readonly upForMs: number;
+  /** Stamp of the last answer of the entry host that is being announced to. */
+  readonly leaseStamp: string | null;
+  /** Entry host that last accepted an announcement, if it is another one. */
+  readonly previous: PreviousHolder | null;
+}
+
+/** Load that a backend server reports. */
+export interface BackendLoad {
+  readonly inFlight: number;
+}
+
+/** Entry host that may still hold a lease. */
+export interface PreviousHolder {
+  readonly entryHostId: string;
+  /** Time since the last announcement was sent to it. */
+  readonly sinceMs: number;
+}
+
+/** Answer to an announcement. */
+export interface AnnouncementAnswer {
+  readonly announceTo: { readonly address: string; readonly port: number };
+  readonly entryHostId: string;
+  readonly intervalMs: number;
+  readonly leaseMs: number;
+  /** To be sent back with the next announcement to the same entry host. */
+  readonly leaseStamp: string;
+}
+
+/** Answer to "which entry hosts serve this service". */
+export interface DirectoryAnswer {
+  readonly service: string;
+  readonly revision: number;
+  readonly validForMs: number;
+  readonly entries: readonly DirectoryEntry[];
+}
+
+export interface DirectoryEntry {
+  readonly address: string;
+  readonly port: number;
+  readonly availabilityZone: string;
+}
+
+/** Call as the reducer sees it; bodies stay in the shell. */
+export interface ArrivedCall {
+  readonly callId: number;
+  readonly service: string;
+  readonly method: string;
+  readonly idempotencyKey: string | null;
+  /** Identifies equal requests: key, or method, path and body hash. */
+  readonly fingerprint: string;
+  /** Time that the caller allows; null for the service's own. */
+  readonly timeoutMs: number | null;
+  readonly callerId: string;
+  /** True where a peer forwarded the call. */
+  readonly forwarded: boolean;
+  /** True where the body can be sent again. */
+  readonly replayable: boolean;
+}
+
+/** Kind of process that an attempt goes to. */
+export enum TargetKind {
+  Backend = 'backend',
+  Peer = 'peer',
+}
+
+/** Destination of one attempt. */
+export interface AttemptTarget {
+  readonly kind: TargetKind;
+  readonly id: string;
+  readonly address: string;
+  readonly port: number;
+  /** Most connections to keep to a backend server. */
+  readonly connectionsMax: number;
+}
+
+/** How an attempt ended. */
+export enum AttemptResult {
+  /** The whole answer arrived. */
+  Completed = 'completed',
+  /** The target promised that the request did not run. */
+  Shed = 'shed',
+  /** No byte of the request was written. */
+  NotSent = 'not-sent',
+  /** The connection ended after the first byte of the request and before the answer. */
+  Reset = 'reset',
+  /** The connection ended inside the answer. */
+  Truncated = 'truncated',
+  /** The entry host cancelled the attempt and saw its end. */
+  Cancelled = 'cancelled',
+}
+
+/** Where a truncated answer can be continued. */
+export interface ResumePoint {
+  readonly etag: string;
+  readonly receivedBytes: number;
+}
+
+/** Free capacity that a peer stated on its last forwarded answer. */
+export interface PoolStatus {
+  readonly freeSlots: number;
+  readonly slots: number;
+  readonly queued: number;
+}
+
+export enum EntryEventType {
+  Tick = 'tick',
+  ControlConnected = 'control-connected',
+  ControlMessage = 'control-message',
+  ControlClosed = 'control-closed',
+  PeerMessage = 'peer-message',
+  PeerUnreachable = 'peer-unreachable',
+  Announcement = 'announcement',
+  DirectoryAsked = 'directory-asked',
+  CallArrived = 'call-arrived',
+  CallerLeft = 'caller-left',
+  AttemptHeaders = 'attempt-headers',
+  AttemptEnded = 'attempt-ended',
+  Stop = 'stop',
+}
+
+/** Time and randomness of an event. */
+interface EntryEventBase {
+  /** Monotonic. */
+  readonly nowMs: number;
+}
+
+export interface AttemptEndedEvent extends EntryEventBase {
+  readonly type: EntryEventType.AttemptEnded;
+  readonly callId: number;
+  readonly attemptId: number;
+  readonly result: AttemptResult;
+  readonly statusCode: number;
+  readonly resume: ResumePoint | null;
+  /** Whole answer, where it was small enough to record. */
+  readonly answer: ReplayAnswer | null;
+  /** Stated by a peer on a forwarded answer. */
+  readonly peerStatus: PoolStatus | null;
+  /** Refusal of a peer, to be passed on where no other peer takes the call. */
+  readonly peerRefusal: EgretError | null;
+}
+
+export type EntryEvent =
+  | (EntryEventBase & { readonly type: EntryEventType.Tick })
+  | (EntryEventBase & {
+      readonly type: EntryEventType.ControlConnected;
+      readonly controlHostId: string;
+    })
+  | (EntryEventBase & {
+      readonly type: EntryEventType.ControlMessage;
+      readonly controlHostId: string;
+      readonly message: FromControlMessage;
+    })
+  | (EntryEventBase & {
+      readonly type: EntryEventType.ControlClosed;
+      readonly controlHostId: string;
+    })
+  | (EntryEventBase & {
+      readonly type: EntryEventType.PeerMessage;
+      readonly from: string;
+      readonly message: PeerMessage;
+    })
+  | (EntryEventBase & { readonly type: EntryEventType.PeerUnreachable; readonly peerId: string })
+  | (EntryEventBase & {
+      readonly type: EntryEventType.Announcement;
+      readonly requestId: number;
+      readonly announcement: Announcement;
+      /** SHA-256 of the bearer token in hexadecimal. */
+      readonly tokenHash: string;
+    })
+  | (EntryEventBase & {
+      readonly type: EntryEventType.DirectoryAsked;
+      readonly requestId: number;
+      readonly service: string | null;
+      readonly availabilityZone: string | null;
+    })
+  | (EntryEventBase & { readonly type: EntryEventType.CallArrived; readonly call: ArrivedCall })
+  | (EntryEventBase & { readonly type: EntryEventType.CallerLeft; readonly callId: number })
+  | (EntryEventBase & {
+      readonly type: EntryEventType.AttemptHeaders;
+      readonly callId: number;
+      readonly attemptId: number;
+    })
+  | AttemptEndedEvent
+  | (EntryEventBase & { readonly type: EntryEventType.Stop });
+
+export enum EntryEffectType {
+  SendControl = 'send-control',
+  SendPeer = 'send-peer',
+  SyncControlHosts = 'sync-control-hosts',
+  AnswerAnnouncement = 'answer-announcement',
+  AnswerDirectory = 'answer-directory',
+  StartAttempt = 'start-attempt',
+  CancelAttempt = 'cancel-attempt',
+  UseAnswer = 'use-answer',
+  RefuseCall = 'refuse-call',
+  ReplayCall = 'replay-call',
+  BreakCall = 'break-call',
+  CloseTarget = 'close-target',
+  Log = 'log',
+  Count = 'count',
+}
+
+/** Counters of the entry host that the reducer raises. */
+export enum CounterName {
+  Calls = 'calls',
+  Attempts = 'attempts',
+  Forwards = 'forwards',
+  Retries = 'retries',
+  Hedges = 'hedges',
+  Refusals = 'refusals',
+  Resumes = 'resumes',
+  Quarantined = 'quarantined',
+  Announcements = 'announcements',
+  LeaseMoves = 'lease_moves',
+}
+
+export interface StartAttemptEffect {
+  readonly type: EntryEffectType.StartAttempt;
+  readonly callId: number;
+  readonly attemptId: number;
+  readonly target: AttemptTarget;
+  /** Remaining time, passed on to the target. */
+  readonly timeoutMs: number;
+  readonly attemptNumber: number;
+  /** True where a whole answer is to be kept for a replay. */
+  readonly record: boolean;
+  readonly resume: ResumePoint | null;
+}
+
+export type EntryEffect =
+  | {
+      readonly type: EntryEffectType.SendControl;
+      readonly controlHostId: string;
+      readonly message: ToControlMessage;
+    }
+  | {
+      readonly type: EntryEffectType.SendPeer;
+      readonly peer: EntryHost;
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly type: EntryEffectType.SyncControlHosts;
+      readonly controlHosts: readonly {
+        readonly id: string;
+        readonly address: string;
+        readonly port: number;
+      }[];
+    }
+  | {
+      readonly type: EntryEffectType.AnswerAnnouncement;
+      readonly requestId: number;
+      readonly answer: AnnouncementAnswer | null;
+      readonly error: EgretError | null;
+    }
+  | {
+      readonly type: EntryEffectType.AnswerDirectory;
+      readonly requestId: number;
+      readonly answer: DirectoryAnswer | null;
+      readonly error: EgretError | null;
+    }
+  | StartAttemptEffect
+  | {
+      readonly type: EntryEffectType.CancelAttempt;
+      readonly callId: number;
+      readonly attemptId: number;
+    }
+  | {
+      readonly type: EntryEffectType.UseAnswer;
+      readonly callId: number;
+      readonly attemptId: number;
+    }
+  | {
+      readonly type: EntryEffectType.RefuseCall;
+      readonly callId: number;
+      readonly error: EgretError;
+    }
+  | {
+      readonly type: EntryEffectType.ReplayCall;
+      readonly callId: number;
+      readonly answer: ReplayAnswer;
+    }
+  /** Ends an answer that has begun, visibly incomplete. */
+  | { readonly type: EntryEffectType.BreakCall; readonly callId: number }
+  /** Drops idle connections to a target that is gone. */
+  | { readonly type: EntryEffectType.CloseTarget; readonly targetId: string }
+  | {
+      readonly type: EntryEffectType.Log;
+      readonly event: string;
+      readonly fields: Readonly<Record<string, string | number | boolean>>;
+    }
+  | {
+      readonly type: EntryEffectType.Count;
+      readonly counter: CounterName;
+      readonly service: string;
+    };
+
+/** Result of a claimed call that waits to become durable. */
+export interface UnsettledClaim {
+  readonly key: string;
+  readonly service: string;
+  readonly attemptId: string;
+  readonly outcome: ClaimOutcome;
+  readonly answer: ReplayAnswer | null;
+}
--- /dev/null
+++ b/src/entry/dispatch/ServicePool.ts
@@ -0,0 +1,116 @@
+import { TokenBucket } from '../../common/TokenBucket.js';
+import type { CatalogEntry } from '../../common/SettingsTree.js';
+import type { ServiceSettings } from '../../common/SettingsSchema.js';
+import type { PoolStatus } from '../Types.js';
+import type { BackendRecord } from './BackendRecord.js';
+import type { CallRecord } from './CallRecord.js';
+import { FairQueue } from './FairQueue.js';
+import { LatencyWindow } from './LatencyWindow.js';
+import { POLICIES, type Policy } from './Policies.js';
+import { Quarantine } from './Quarantine.js';
+
+/** Retries and hedges that a quiet service may make at once. */
+const BUDGET_BURST = 10;
+
+const FAILURE_GAIN = 0.02;
+
+/** Everything that one entry host knows and decides about one service. */
+export class ServicePool {
+  readonly service: string;
+
+  settings: ServiceSettings;
+
+  policy: Policy;
+
+  private openZones: ReadonlySet<string>;
+
+  /** Backend servers whose leases this host holds, or, without leases, all that were reported. */
+  readonly records = new Map<string, BackendRecord>();
+
+  readonly queue: FairQueue<CallRecord>;
+
+  readonly quarantine = new Quarantine();
+
+  readonly latency: LatencyWindow;
+
+  readonly retryBudget = new TokenBucket({ capacity: BUDGET_BURST, initialTokens: BUDGET_BURST });
+
+  readonly hedgeBudget = new TokenBucket({ capacity: BUDGET_BURST, initialTokens: 1 });
+
+  /** Share of server errors among the answers of the whole service. */
+  failureRate = 0;
+
+  /** True where the last choice saw a leased server that is no straggler. */
+  hasOrdinary = false;
+
+  roundRobinCursor = 0;
+
+  constructor(entry: CatalogEntry) {
+    this.service = entry.service;
+    this.settings = entry.settings;
+    this.policy = POLICIES[entry.settings.policy];
+    this.openZones = new Set(entry.openZones);
+    this.queue = new FairQueue(entry.settings.queueMax);
+    this.latency = new LatencyWindow(entry.settings.hedgeQuantile);
+  }
+
+  /** Adopts new settings; a returning availability zone starts cold. */
+  update(entry: CatalogEntry): void {
+    const reopened = entry.openZones.filter((zone) => !this.openZones.has(zone));
+    this.records.forEach((record) => {
+      if (reopened.includes(record.availabilityZone)) record.limit.restart();
+    });
+    this.queue.capacity = entry.settings.queueMax;
+    this.settings = entry.settings;
+    this.policy = POLICIES[entry.settings.policy];
+    this.openZones = new Set(entry.openZones);
+  }
+
+  /** True where the backend server's availability zone takes new work. */
+  isOpen(record: BackendRecord): boolean {
+    return this.openZones.has(record.availabilityZone);
+  }
+
+  /** Slots that a new call could take now. */
+  freeSlots(nowMs: number): number {
+    let free = 0;
+    for (const record of this.records.values()) {
+      if (this.isOpen(record)) free += record.freeSlots(nowMs);
+    }
+    return free;
+  }
+
+  /** Concurrency that the pool allows now. */
+  totalLimit(nowMs: number): number {
+    let total = 0;
+    for (const record of this.records.values()) {
+      if (this.isOpen(record) && record.isLeased(nowMs)) total += record.limit.current;
+    }
+    return total;
+  }
+
+  /** True where this host may dispatch to at least one backend server. */
+  isServing(nowMs: number): boolean {
+    return this.totalLimit(nowMs) > 0;
+  }
+
+  /** Time that a call at the end of the queue waits for a slot, by the recent mean latency. */
+  expectedWaitMs(): number {
+    let limit = 0;
+    for (const record of this.records.values()) limit += record.limit.current;
+    return (this.latency.meanMs * (this.queue.length + 1)) / Math.max(1, limit);
+  }
+
+  status(nowMs: number): PoolStatus {
+    return {
+      freeSlots: this.freeSlots(nowMs),
+      slots: this.totalLimit(nowMs),
+      queued: this.queue.length,
+    };
+  }
+
+  /** Takes one answer into the service's failure rate. */
+  recordFailure(failed: boolean): void {
+    this.failureRate += FAILURE_GAIN * ((failed ? 1 : 0) - this.failureRate);
+  }
+}
--- /dev/null
+++ b/src/entry/server/Agents.ts
@@ -0,0 +1,44 @@
+import http from 'node:http';
+import type { Disposable } from '../../common/Disposable.js';
+import type { AttemptTarget } from '../Types.js';
+
+/** Idle connections are closed before most servers close them. */
+const IDLE_CONNECTION_MS = 4_000;
+
+const MAX_IDLE_CONNECTIONS = 32;
+
+/** Connection pools, one for each backend server and peer. */
+export class Agents implements Disposable {
+  private readonly agents = new Map<string, http.Agent>();
+
+  /** The pool of a target, made on first use. */
+  ensure(target: AttemptTarget): http.Agent {
+    let agent = this.agents.get(target.id);
+    if (!agent) {
+      agent = new http.Agent({
+        keepAlive: true,
+        maxSockets: target.connectionsMax,
+        maxFreeSockets: MAX_IDLE_CONNECTIONS,
+        timeout: IDLE_CONNECTION_MS,
+        scheduling: 'lifo',
+      });
+      this.agents.set(target.id, agent);
+    }
+    return agent;
+  }
+
+  /** Drops the idle connections to a target; requests in flight go on. */
+  close(targetId: string): void {
+    const agent = this.agents.get(targetId);
+    if (!agent) return;
+    Object.values(agent.freeSockets).forEach((sockets) =>
+      sockets?.forEach((socket) => socket.destroy()),
+    );
+    this.agents.delete(targetId);
+  }
+
+  dispose(): void {
+    this.agents.forEach((agent) => agent.destroy());
+    this.agents.clear();
+  }
+}
--- /dev/null
+++ b/src/entry/server/AttemptRunner.ts
@@ -0,0 +1,326 @@
+import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import { HeaderName, MAX_RECORDED_BODY_BYTES } from '../../common/Constants.js';
+import { Outcome } from '../../common/Enums.js';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import type { ReplayAnswer } from '../../common/Messages.js';
+import {
+  AttemptResult,
+  TargetKind,
+  type PoolStatus,
+  type ResumePoint,
+  type StartAttemptEffect,
+} from '../Types.js';
+import type { CallContext, RunningAttempt } from './CallContext.js';
+import { answerHeaders, POOL_HEADER } from './Headers.js';
+
+/** End of an attempt, as the reducer is told. */
+export interface AttemptEnd {
+  readonly result: AttemptResult;
+  readonly statusCode: number;
+  readonly resume: ResumePoint | null;
+  readonly answer: ReplayAnswer | null;
+  readonly peerStatus: PoolStatus | null;
+  readonly peerRefusal: EgretError | null;
+}
+
+/** Options of an {@link AttemptRunner}. */
+export interface AttemptRunnerOptions {
+  readonly effect: StartAttemptEffect;
+  readonly call: CallContext;
+  readonly agent: http.Agent;
+  /** Credential for a peer; empty for a backend server. */
+  readonly ticket: string;
+  readonly selfId: string;
+  readonly onHeaders: () => void;
+  readonly onEnded: (end: AttemptEnd) => void;
+  /** States the free slots of this host's pool, for calls that a peer forwarded. */
+  readonly poolStatus: () => PoolStatus | null;
+}
+
+const OK_STATUS = 200;
+const PARTIAL_STATUS = 206;
+const UNAVAILABLE_STATUS = 503;
+const CONTENT_RANGE = /^bytes (\d+)-(\d+)\//;
+
+/** An answer that makes no progress for so long counts as truncated. */
+const IDLE_ANSWER_MS = 30_000;
+
+/** A cancelled attempt whose end isn't seen after so long is cut off. */
+const CANCEL_LINGER_MS = 500;
+
+/** Largest refusal of a peer that is read. */
+const MAX_REFUSAL_BYTES = 16 * 1024;
+
+/** Parses the range of a partial answer. */
+function parseContentRange(header: string | undefined) {
+  const match = CONTENT_RANGE.exec(header ?? '');
+  return match ? { firstByte: Number(match[1]), lastByte: Number(match[2]) } : undefined;
+}
+
+/** Reads the statement of free slots on a forwarded answer. */
+function parsePoolStatus(header: string | string[] | undefined): PoolStatus | null {
+  if (typeof header !== 'string') return null;
+  const [freeSlots, slots, queued] = header.split(',').map(Number);
+  if (freeSlots === undefined || slots === undefined || queued === undefined) return null;
+  return { freeSlots, slots, queued };
+}
+
+/** Sends one attempt of a call to a backend server or a peer and passes its answer on. */
+export class AttemptRunner implements RunningAttempt {
+  private readonly request: ClientRequest;
+
+  private answer: IncomingMessage | undefined;
+
+  /** True once a byte of the request may have been written. */
+  private sent = false;
+
+  private cancelled = false;
+
+  private ended = false;
+
+  private readonly chunks: Buffer[] = [];
+
+  private chunkBytes = 0;
+
+  private cancelTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: AttemptRunnerOptions) {
+    const { effect, call, agent } = options;
+    const { target } = effect;
+    const prefix = target.kind === TargetKind.Peer ? `/${call.service}` : '';
+    this.request = http.request({
+      host: target.address,
+      port: target.port,
+      method: call.method,
+      path: `${prefix}${call.path}`,
+      headers: this.buildHeaders() as unknown as http.OutgoingHttpHeaders,
+      agent,
+    });
+    this.watchSocket();
+    this.request.on('response', (answer) => this.onResponse(answer));
+    this.request.on('error', () => this.onBroken());
+    this.request.on('close', () => this.onBroken());
+    this.writeBody();
+  }
+
+  useAnswer(): void {
+    const { call } = this.options;
+    const { answer } = this;
+    if (!answer) return;
+    if (!call.answered) this.sendHead(answer);
+    answer.on('data', (chunk: Buffer) => this.onData(answer, chunk));
+    answer.setTimeout(IDLE_ANSWER_MS, () => answer.destroy());
+  }
+
+  cancel(): void {
+    if (this.ended || this.cancelled) return;
+    this.cancelled = true;
+    const { socket } = this.request;
+    if (!this.sent || !socket) {
+      this.request.destroy();
+      return;
+    }
+    // The slot is freed when the other end has closed too: by then it has seen the cancellation.
+    this.answer?.resume();
+    socket.end();
+    this.cancelTimer = setTimeout(() => this.request.destroy(), CANCEL_LINGER_MS);
+  }
+
+  /** Request headers of this attempt; flat, as the parser delivered them. */
+  private buildHeaders(): string[] {
+    const { effect, call, ticket, selfId } = this.options;
+    const headers = [...call.headers];
+    headers.push('Egret-Request-Id', call.requestId);
+    headers.push('Egret-Timeout-Ms', String(effect.timeoutMs));
+    headers.push('Egret-Attempt', String(effect.attemptNumber));
+    if (effect.target.kind === TargetKind.Peer) {
+      headers.push('Egret-Peer', `${selfId} ${ticket}`, 'Egret-Caller', call.callerId);
+    }
+    if (effect.resume) {
+      const first = call.baseRange.firstByte + effect.resume.receivedBytes;
+      const last = call.baseRange.lastByte ?? '';
+      const kept = headers.findIndex((name, at) => at % 2 === 0 && name.toLowerCase() === 'range');
+      if (kept >= 0) headers.splice(kept, 2);
+      headers.push('Range', `bytes=${first}-${last}`, 'If-Range', effect.resume.etag);
+    }
+    this.pushBodyHeaders(headers);
+    return headers;
+  }
+
+  private pushBodyHeaders(headers: string[]): void {
+    const { call } = this.options;
+    if (call.body === null) {
+      if (call.streamedBytes === undefined) headers.push('Transfer-Encoding', 'chunked');
+      else headers.push('Content-Length', String(call.streamedBytes));
+    } else if (call.body.length > 0 || call.method === 'POST' || call.method === 'PUT') {
+      headers.push('Content-Length', String(call.body.length));
+    }
+  }
+
+  private watchSocket(): void {
+    this.request.once('socket', (socket) => {
+      if (!socket.connecting) {
+        this.sent = true;
+        return;
+      }
+      socket.once('connect', () => {
+        this.sent = true;
+      });
+    });
+  }
+
+  private writeBody(): void {
+    const { call } = this.options;
+    if (call.body !== null) {
+      this.request.end(call.body.length > 0 ? call.body : undefined);
+      return;
+    }
+    let bodyBytes = 0;
+    call.request.on('data', (chunk: Buffer) => {
+      bodyBytes += chunk.length;
+      if (bodyBytes > call.maxBodyBytes) {
+        call.request.destroy();
+        this.request.destroy();
+      }
+    });
+    if (call.expectsContinue) call.response.writeContinue();
+    call.request.pipe(this.request);
+  }
+
+  private onResponse(answer: IncomingMessage): void {
+    this.answer = answer;
+    const statusCode = answer.statusCode ?? 0;
+    const outcome = answer.headers[HeaderName.Outcome];
+    if (statusCode === UNAVAILABLE_STATUS && outcome === Outcome.NotRun) {
+      this.readRefusal(answer);
+      return;
+    }
+    if (this.cancelled) {
+      answer.resume();
+      return;
+    }
+    if (!this.continuesAnswer(answer)) {
+      this.end(AttemptResult.Truncated);
+      this.request.destroy();
+      return;
+    }
+    answer.on('end', () => this.onAnswerEnd(answer));
+    answer.on('close', () => this.onBroken());
+    answer.on('error', () => this.onBroken());
+    this.options.onHeaders();
+  }
+
+  /** True for a first answer, and for a continuation that starts where the last one broke. */
+  private continuesAnswer(answer: IncomingMessage): boolean {
+    const { call, effect } = this.options;
+    if (!effect.resume) return true;
+    const range = parseContentRange(answer.headers['content-range']);
+    return (
+      answer.statusCode === PARTIAL_STATUS &&
+      answer.headers.etag === effect.resume.etag &&
+      range?.firstByte === call.baseRange.firstByte + effect.resume.receivedBytes
+    );
+  }
+
+  private sendHead(answer: IncomingMessage): void {
+    const { call } = this.options;
+    const statusCode = answer.statusCode ?? 0;
+    const range =
+      statusCode === PARTIAL_STATUS
+        ? parseContentRange(answer.headers['content-range'])
+        : undefined;
+    call.baseRange = range ?? { firstByte: 0, lastByte: null };
+    const { etag } = answer.headers;
+    const resumable = statusCode === OK_STATUS || range !== undefined;
+    call.etag = resumable && etag?.startsWith('"') ? etag : null;
+    call.answered = true;
+    if (call.response.destroyed) return;
+    const headers = answerHeaders(answer.rawHeaders);
+    headers.push('Egret-Request-Id', call.requestId);
+    const status = call.forwarded ? this.options.poolStatus() : null;
+    if (status) {
+      headers.push('Egret-Pool', `${status.freeSlots},${status.slots},${status.queued}`);
+    }
+    call.response.writeHead(statusCode, headers as unknown as http.OutgoingHttpHeaders);
+  }
+
+  private onData(answer: IncomingMessage, chunk: Buffer): void {
+    const { call, effect } = this.options;
+    call.sentBytes += chunk.length;
+    if (effect.record && this.chunkBytes <= MAX_RECORDED_BODY_BYTES) {
+      this.chunkBytes += chunk.length;
+      this.chunks.push(chunk);
+    }
+    if (call.response.destroyed || call.response.write(chunk)) return;
+    answer.pause();
+    call.response.once('drain', () => answer.resume());
+  }
+
+  private onAnswerEnd(answer: IncomingMessage): void {
+    if (!answer.complete) return;
+    this.end(AttemptResult.Completed);
+  }
+
+  /** The connection ended before the answer was whole. */
+  private onBroken(): void {
+    if (this.ended) return;
+    if (this.cancelled) this.end(AttemptResult.Cancelled);
+    else if (this.answer) this.end(AttemptResult.Truncated);
+    else this.end(this.sent ? AttemptResult.Reset : AttemptResult.NotSent);
+  }
+
+  /** Reads a refusal that promises that the request did not run. */
+  private readRefusal(answer: IncomingMessage): void {
+    const chunks: Buffer[] = [];
+    let bodyBytes = 0;
+    answer.on('data', (chunk: Buffer) => {
+      bodyBytes += chunk.length;
+      if (bodyBytes <= MAX_REFUSAL_BYTES) chunks.push(chunk);
+    });
+    answer.on('close', () => {
+      const refusal = this.options.effect.target.kind === TargetKind.Peer;
+      this.end(AttemptResult.Shed, refusal ? this.parseRefusal(Buffer.concat(chunks)) : null);
+    });
+  }
+
+  private parseRefusal(bytes: Buffer): EgretError {
+    const retryAfter = Number(this.answer?.headers['retry-after'] ?? Number.NaN);
+    const retryAfterMs = Number.isFinite(retryAfter) ? retryAfter * 1000 : undefined;
+    try {
+      const body = JSON.parse(bytes.toString('utf8')) as { kind: ErrorKind; message: string };
+      const known = Object.values(ErrorKind).includes(body.kind);
+      return new EgretError(known ? body.kind : ErrorKind.Overloaded, String(body.message), {
+        retryAfterMs,
+      });
+    } catch {
+      return new EgretError(ErrorKind.Overloaded, 'A peer refused the call.', { retryAfterMs });
+    }
+  }
+
+  private recordedAnswer(result: AttemptResult): ReplayAnswer | null {
+    const { effect } = this.options;
+    if (!effect.record || result !== AttemptResult.Completed || !this.answer) return null;
+    if (this.chunkBytes > MAX_RECORDED_BODY_BYTES) return null;
+    return {
+      statusCode: this.answer.statusCode ?? 0,
+      rawHeaders: answerHeaders(this.answer.rawHeaders),
+      body: Buffer.concat(this.chunks),
+    };
+  }
+
+  private end(result: AttemptResult, peerRefusal: EgretError | null = null): void {
+    if (this.ended) return;
+    this.ended = true;
+    clearTimeout(this.cancelTimer);
+    const { call } = this.options;
+    const etag = result === AttemptResult.Truncated ? call.etag : null;
+    this.options.onEnded({
+      result,
+      statusCode: this.answer?.statusCode ?? 0,
+      resume: etag === null ? null : { etag, receivedBytes: call.sentBytes },
+      answer: this.recordedAnswer(result),
+      peerStatus: parsePoolStatus(this.answer?.headers[POOL_HEADER]),
+      peerRefusal,
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/server/CallContext.ts
@@ -0,0 +1,53 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** Byte range of a partial answer. */
+export interface ByteRange {
+  readonly firstByte: number;
+  readonly lastByte: number | null;
+}
+
+/** Sockets and body of one call while the reducer decides about it. */
+export interface CallContext {
+  readonly callId: number;
+  readonly requestId: string;
+  readonly service: string;
+  readonly method: string;
+  /** Path without the service prefix. */
+  readonly path: string;
+  readonly callerId: string;
+  readonly forwarded: boolean;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** End-to-end request headers, without content-length. */
+  readonly headers: readonly string[];
+  /** Whole body where it was short enough to buffer; null where it is streamed. */
+  readonly body: Buffer | null;
+  /** Stated length of a streamed body; undefined for a chunked one. */
+  readonly streamedBytes: number | undefined;
+  readonly maxBodyBytes: number;
+  /** True where the caller waits for 100 Continue before it sends the body. */
+  readonly expectsContinue: boolean;
+  readonly arrivedAtMs: number;
+  /** Running attempts by id. */
+  readonly attempts: Map<number, RunningAttempt>;
+  /** Attempts that were cancelled before they began. */
+  readonly cancelledIds: Set<number>;
+  /** Attempt whose answer the caller gets. */
+  answeringId: number | null;
+  /** True once the head of the answer was sent. */
+  answered: boolean;
+  /** Range of the first answer, to which the offsets of a continuation are relative. */
+  baseRange: ByteRange;
+  /** Entity tag of the first answer, if it is strong. */
+  etag: string | null;
+  /** Body bytes sent to the caller. */
+  sentBytes: number;
+}
+
+/** Attempt as the call's effects see it. */
+export interface RunningAttempt {
+  /** Passes the answer on to the caller. */
+  useAnswer(): void;
+  /** Closes the connection and reports the end once it is seen. */
+  cancel(): void;
+}
--- /dev/null
+++ b/src/entry/server/CallIntake.ts
@@ -0,0 +1,170 @@
+import { createHash } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { v4 as uuidV4 } from 'uuid';
+import { HeaderName } from '../../common/Constants.js';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import { headerOf } from '../../runtime/HttpJson.js';
+import type { ArrivedCall } from '../Types.js';
+import type { CallContext } from './CallContext.js';
+import { requestHeaders } from './Headers.js';
+
+/** Bodies up to this size are buffered, so that they can be sent again. */
+const MAX_BUFFERED_BODY_BYTES = 64 * 1024;
+
+const MAX_TIMEOUT_MS = 3_600_000;
+const MAX_CALLER_ID_LENGTH = 64;
+const MAX_PLAIN_FINGERPRINT_LENGTH = 200;
+const EMPTY_BODY = Buffer.alloc(0);
+
+/** What is known about the listener that a call arrived at. */
+export interface IntakeOptions {
+  readonly callId: number;
+  readonly nowMs: number;
+  /** Peer that forwarded the call; null for a caller's own. */
+  readonly peerId: string | null;
+  readonly expectsContinue: boolean;
+  /** Largest body of a service; undefined for an unknown service. */
+  readonly maxBodyBytesOf: (service: string) => number | undefined;
+}
+
+/** Call that was taken in, for the reducer and for the shell. */
+export interface TakenCall {
+  readonly call: ArrivedCall;
+  readonly context: CallContext;
+}
+
+/** Splits `/service/path` into both. */
+function splitPath(url: string): { service: string; path: string } {
+  const end = url.slice(1).search(/[/?]/);
+  if (end < 0) return { service: url.slice(1), path: '/' };
+  const rest = url.slice(1 + end);
+  return { service: url.slice(1, 1 + end), path: rest.startsWith('/') ? rest : `/${rest}` };
+}
+
+function parseTimeoutMs(text: string | undefined): number | null {
+  if (text === undefined) return null;
+  const timeoutMs = Number(text);
+  if (Number.isInteger(timeoutMs) && timeoutMs >= 1 && timeoutMs <= MAX_TIMEOUT_MS) {
+    return timeoutMs;
+  }
+  const detail = `Egret-Timeout-Ms is no whole number from 1 to ${MAX_TIMEOUT_MS}.`;
+  throw new EgretError(ErrorKind.BadRequest, detail);
+}
+
+/** Identifies equal requests. */
+function fingerprintOf(
+  method: string,
+  url: string,
+  body: Buffer | null,
+  bodyBytes: number,
+): string {
+  const plain = `${method} ${url}`;
+  const short = plain.length <= MAX_PLAIN_FINGERPRINT_LENGTH;
+  if (short && body !== null && body.length === 0) return plain;
+  const hash = createHash('sha256').update(plain).update('\0');
+  if (body === null) hash.update(String(bodyBytes));
+  else hash.update(body);
+  return hash.digest('base64url');
+}
+
+/** Reads a body of known, small size. */
+async function readBody(request: IncomingMessage, bodyBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const body = Buffer.concat(chunks);
+  if (body.length === bodyBytes) return body;
+  throw new EgretError(ErrorKind.BadRequest, 'The body is shorter than Content-Length.');
+}
+
+/** Length of the body, undefined for a chunked one. */
+function statedLength(request: IncomingMessage): number | undefined {
+  if (request.headers['transfer-encoding'] !== undefined) return undefined;
+  return Number(request.headers['content-length'] ?? 0);
+}
+
+/** Reads what the reducer must know; the body of an idempotent-looking GET costs no wait. */
+function takeWithBody(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: IntakeOptions,
+  body: Buffer | null,
+  streamedBytes: number | undefined,
+): TakenCall {
+  const { callId, nowMs, peerId, expectsContinue } = options;
+  const url = request.url ?? '/';
+  const method = request.method ?? 'GET';
+  const { service, path } = splitPath(url);
+  const forwarded = peerId !== null;
+  const stated = headerOf(request, HeaderName.Caller)?.slice(0, MAX_CALLER_ID_LENGTH);
+  const callerId = stated ?? request.socket.remoteAddress ?? '';
+  const call: ArrivedCall = {
+    callId,
+    service,
+    method,
+    idempotencyKey: headerOf(request, HeaderName.IdempotencyKey) ?? null,
+    fingerprint: fingerprintOf(method, url, body, streamedBytes ?? -1),
+    timeoutMs: parseTimeoutMs(headerOf(request, HeaderName.TimeoutMs)),
+    callerId,
+    forwarded,
+    replayable: body !== null,
+  };
+  const passedOn = forwarded ? headerOf(request, HeaderName.RequestId) : undefined;
+  const context: CallContext = {
+    callId,
+    requestId: passedOn ?? uuidV4(),
+    service,
+    method,
+    path,
+    callerId,
+    forwarded,
+    request,
+    response,
+    headers: requestHeaders(request.rawHeaders),
+    body,
+    streamedBytes,
+    maxBodyBytes: options.maxBodyBytesOf(service) ?? 0,
+    expectsContinue,
+    arrivedAtMs: nowMs,
+    attempts: new Map(),
+    cancelledIds: new Set(),
+    answeringId: null,
+    answered: false,
+    baseRange: { firstByte: 0, lastByte: null },
+    etag: null,
+    sentBytes: 0,
+  };
+  return { call, context };
+}
+
+/**
+ * Takes a request in. Requests without a body are taken in at once; short bodies are read first.
+ *
+ * @throws EgretError of kind bad-request, body-too-large or unknown-service
+ */
+export function takeCall(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: IntakeOptions,
+): TakenCall | Promise<TakenCall> {
+  const url = request.url ?? '';
+  if (!url.startsWith('/')) {
+    throw new EgretError(ErrorKind.BadRequest, 'The request target is no path.');
+  }
+  const { service } = splitPath(url);
+  const maxBodyBytes = options.maxBodyBytesOf(service);
+  const bodyBytes = statedLength(request);
+  if (bodyBytes === 0) return takeWithBody(request, response, options, EMPTY_BODY, 0);
+  if (maxBodyBytes === undefined) {
+    throw new EgretError(ErrorKind.UnknownService, `No service ${service}.`);
+  }
+  if (bodyBytes !== undefined && bodyBytes > maxBodyBytes) {
+    throw new EgretError(ErrorKind.BodyTooLarge, `The body is over ${maxBodyBytes} bytes.`);
+  }
+  if (bodyBytes === undefined || bodyBytes > MAX_BUFFERED_BODY_BYTES) {
+    return takeWithBody(request, response, options, null, bodyBytes);
+  }
+  if (options.expectsContinue) response.writeContinue();
+  return readBody(request, bodyBytes).then((body) =>
+    takeWithBody(request, response, options, body, body.length),
+  );
+}
--- /dev/null
+++ b/src/entry/server/ControlLinks.ts
@@ -0,0 +1,66 @@
+import type { Disposable } from '../../common/Disposable.js';
+import type { FromControlMessage, ToControlMessage, VoterAddress } from '../../common/Messages.js';
+import { LinkRole } from '../../runtime/LinkAuth.js';
+import type { Logger } from '../../runtime/Logger.js';
+import type { MessageFields } from '../../runtime/MessageCheck.js';
+import { MessageClient } from '../../runtime/MessageClient.js';
+
+/** Options of {@link ControlLinks}. */
+export interface ControlLinksOptions {
+  readonly id: string;
+  readonly secret: string;
+  readonly logger: Logger;
+  readonly fields: MessageFields;
+  readonly onOpen: (controlHostId: string) => void;
+  readonly onMessage: (controlHostId: string, message: FromControlMessage) => void;
+  readonly onClose: (controlHostId: string) => void;
+}
+
+/** Links to every control host. */
+export class ControlLinks implements Disposable {
+  private readonly clients = new Map<string, MessageClient>();
+
+  constructor(private readonly options: ControlLinksOptions) {}
+
+  /** Opens links to control hosts that are new; known ones stay. */
+  sync(controlHosts: readonly VoterAddress[]): void {
+    const wanted = new Set(controlHosts.map((host) => host.id));
+    controlHosts.forEach((host) => {
+      if (!this.clients.has(host.id)) this.open(host);
+    });
+    this.clients.forEach((client, id) => {
+      if (wanted.has(id)) return;
+      client.dispose();
+      this.clients.delete(id);
+      this.options.onClose(id);
+    });
+  }
+
+  send(controlHostId: string, message: ToControlMessage): void {
+    this.clients.get(controlHostId)?.send(message);
+  }
+
+  dispose(): void {
+    this.clients.forEach((client) => client.dispose());
+    this.clients.clear();
+  }
+
+  private open(host: VoterAddress): void {
+    const { id, secret, logger, fields } = this.options;
+    this.clients.set(
+      host.id,
+      new MessageClient({
+        address: host.address,
+        port: host.port,
+        id,
+        role: LinkRole.Entry,
+        secret,
+        logger,
+        fields,
+        onOpen: () => this.options.onOpen(host.id),
+        onMessage: (message) => this.options.onMessage(host.id, message as FromControlMessage),
+        onClose: () => this.options.onClose(host.id),
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/src/entry/server/EntryServer.ts
@@ -0,0 +1,519 @@
+import { randomUUID } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import { API_PREFIX, HeaderName } from '../../common/Constants.js';
+import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
+import type { EntryHost } from '../../common/Placement.js';
+import type { EntryFile } from '../../common/ProcessSettings.js';
+import { createRandom } from '../../common/Random.js';
+import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
+import { AdminListener } from '../../runtime/AdminListener.js';
+import { systemClock, type Clock } from '../../runtime/Clock.js';
+import { EventLoop } from '../../runtime/EventLoop.js';
+import {
+  answerParserErrors,
+  closeServer,
+  headerOf,
+  listen,
+  sendError,
+  sendJson,
+} from '../../runtime/HttpJson.js';
+import type { Logger } from '../../runtime/Logger.js';
+import { MessageServer } from '../../runtime/MessageServer.js';
+import { EntryReducer } from '../EntryReducer.js';
+import type { PeerMessage } from '../PeerMessages.js';
+import {
+  AttemptResult,
+  EntryEffectType,
+  EntryEventType,
+  TargetKind,
+  type EntryEffect,
+  type EntryEvent,
+  type StartAttemptEffect,
+} from '../Types.js';
+import { Agents } from './Agents.js';
+import { AnnouncementEndpoint } from './AnnouncementEndpoint.js';
+import { AttemptRunner, type AttemptEnd } from './AttemptRunner.js';
+import type { CallContext } from './CallContext.js';
+import { takeCall, type TakenCall } from './CallIntake.js';
+import { listBackends } from './BackendList.js';
+import { ControlLinks } from './ControlLinks.js';
+import { EntryMetrics } from './EntryMetrics.js';
+import { PEER_FIELDS } from './PeerFields.js';
+import { PeerLinks } from './PeerLinks.js';
+
+/** Options of an {@link EntryServer}. */
+export interface EntryServerOptions {
+  readonly file: EntryFile;
+  readonly secret: string;
+  readonly logger: Logger;
+  readonly clock?: Clock;
+  readonly seed?: number;
+}
+
+/** Bound listeners of an entry host. */
+interface Listeners {
+  readonly callerHttp: Server;
+  readonly peerHttp: Server;
+  readonly adminHttp: Server;
+}
+
+type EffectOf<T extends EntryEffectType> = Extract<EntryEffect, { type: T }>;
+type Untimed<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
+
+const TICK_MS = 5;
+const STOP_POLL_MS = 20;
+
+/** Longest time that a planned stop waits for results to become durable. */
+const SETTLE_WAIT_MS = 5_000;
+
+/** Longest time that a planned stop waits for calls under way. */
+const DRAIN_WAIT_MS = 600_000;
+
+const KEEP_ALIVE_MS = 60_000;
+
+/** Answers a request with a refusal, or breaks an answer that has begun. */
+function refuseRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+  error: EgretError,
+  requestId?: string,
+): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  // An unread body would be taken for the next request.
+  if (!request.complete) response.setHeader('Connection', 'close');
+  sendError(response, error, requestId);
+}
+
+/** Process shell of an entry host: sockets and timers around the reducer. */
+export class EntryServer {
+  readonly reducer: EntryReducer;
+
+  private readonly metrics: EntryMetrics;
+
+  private readonly clock: Clock;
+
+  private readonly loop: EventLoop<EntryEvent>;
+
+  private readonly callerHttp: Server;
+
+  private readonly peerHttp: Server;
+
+  private readonly peerServer: MessageServer;
+
+  private readonly peerLinks: PeerLinks;
+
+  private readonly controlLinks: ControlLinks;
+
+  private readonly admin: AdminListener;
+
+  private readonly agents = new Agents();
+
+  private readonly announcements: AnnouncementEndpoint;
+
+  /** Calls under way by id. */
+  private readonly calls = new Map<number, CallContext>();
+
+  /** Announcements and directory questions without an answer. */
+  private readonly waiting = new Map<number, ServerResponse>();
+
+  private nextId = 1;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private self: EntryHost;
+
+  private constructor(
+    private readonly options: EntryServerOptions,
+    listeners: Listeners,
+    self: EntryHost,
+  ) {
+    const { file, secret, logger } = options;
+    this.callerHttp = listeners.callerHttp;
+    this.peerHttp = listeners.peerHttp;
+    this.self = self;
+    this.clock = options.clock ?? systemClock;
+    this.reducer = new EntryReducer({
+      self,
+      random: createRandom(options.seed ?? Math.floor(this.clock.wallMs())),
+      bootId: randomUUID().slice(0, 8),
+    });
+    this.metrics = new EntryMetrics(this.reducer, () => this.clock.nowMs());
+    this.loop = new EventLoop<EntryEvent>({ handle: (event) => this.dispatch(event) });
+    this.peerServer = new MessageServer({
+      secret,
+      logger,
+      fields: PEER_FIELDS,
+      onOpen: () => {},
+      onMessage: (session, message) =>
+        this.post({
+          type: EntryEventType.PeerMessage,
+          from: session.clientId,
+          message: message as PeerMessage,
+        }),
+      onClose: () => {},
+    });
+    this.peerServer.attach(this.peerHttp);
+    this.peerLinks = new PeerLinks({
+      id: file.id,
+      secret,
+      logger,
+      onUnreachable: (peerId) => this.post({ type: EntryEventType.PeerUnreachable, peerId }),
+    });
+    this.controlLinks = new ControlLinks({
+      id: file.id,
+      secret,
+      logger,
+      fields: CONTROL_FIELDS,
+      onOpen: (controlHostId) =>
+        this.post({ type: EntryEventType.ControlConnected, controlHostId }),
+      onMessage: (controlHostId, message) =>
+        this.post({ type: EntryEventType.ControlMessage, controlHostId, message }),
+      onClose: (controlHostId) => this.post({ type: EntryEventType.ControlClosed, controlHostId }),
+    });
+    this.announcements = new AnnouncementEndpoint((announcement, tokenHash, response) => {
+      const requestId = this.wait(response);
+      this.post({ type: EntryEventType.Announcement, requestId, announcement, tokenHash });
+    });
+    this.admin = new AdminListener({
+      server: listeners.adminHttp,
+      registry: this.metrics.registry,
+      isReady: () => this.reducer.status().current && !this.self.stopping,
+      paths: {
+        [`${API_PREFIX}/backends`]: (request, response) =>
+          sendJson(response, 200, listBackends(this.reducer.pools, this.clock.nowMs())),
+      },
+    });
+    this.attachListeners();
+  }
+
+  /** Binds the listeners and creates the server. */
+  static async open(options: EntryServerOptions): Promise<EntryServer> {
+    const { file } = options;
+    const limits = {
+      maxHeaderSize: file.maxHeaderBytes,
+      headersTimeout: file.headTimeoutMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: Math.min(1_000, file.headTimeoutMs),
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      noDelay: true,
+    };
+    const callerHttp = createServer(limits);
+    const peerHttp = createServer(limits);
+    const port = await listen(callerHttp, file.listen.address, file.listen.port);
+    const peerPort = await listen(peerHttp, file.peerListen.address, file.peerListen.port);
+    const adminHttp = createServer(limits);
+    const adminPort = await listen(adminHttp, file.adminListen.address, file.adminListen.port);
+    const self: EntryHost = {
+      id: file.id,
+      address: file.listen.address,
+      port,
+      peerPort,
+      adminAddress: file.adminListen.address,
+      adminPort,
+      availabilityZone: file.availabilityZone,
+      stopping: false,
+    };
+    return new EntryServer(options, { callerHttp, peerHttp, adminHttp }, self);
+  }
+
+  get port(): number {
+    return this.self.port;
+  }
+
+  get adminPort(): number {
+    return this.self.adminPort;
+  }
+
+  /** Connects to the control hosts and starts serving. */
+  start(): void {
+    const { file, logger } = this.options;
+    this.controlLinks.sync(file.controlHosts);
+    this.timer = setInterval(
+      () => this.dispatch(this.timed({ type: EntryEventType.Tick })),
+      TICK_MS,
+    );
+    logger.info('entry_started', {
+      host: file.id,
+      availabilityZone: file.availabilityZone,
+      port: this.port,
+      peerPort: this.self.peerPort,
+      adminPort: this.adminPort,
+    });
+  }
+
+  /**
+   * Planned stop: leaves the directory, serves until callers' answers have run out and the last
+   * call has ended, then closes.
+   */
+  async stop(): Promise<void> {
+    const { logger, file } = this.options;
+    this.self = { ...this.self, stopping: true };
+    this.dispatch(this.timed({ type: EntryEventType.Stop }));
+    const { directoryValidMs } = this.reducer.settings.catalog.system;
+    logger.info('entry_stopping', { host: file.id, validMs: directoryValidMs });
+    await delay(directoryValidMs);
+    this.callerHttp.close();
+    this.callerHttp.closeIdleConnections();
+    const untilMs = this.clock.nowMs() + DRAIN_WAIT_MS;
+    await this.poll(() => this.calls.size === 0, untilMs);
+    const settledByMs = this.clock.nowMs() + SETTLE_WAIT_MS;
+    await this.poll(() => this.reducer.status().unsettledClaims === 0, settledByMs);
+    await this.close();
+    logger.info('entry_stopped', { host: file.id });
+  }
+
+  /** Closes at once, as a crash would. */
+  async close(): Promise<void> {
+    clearInterval(this.timer);
+    this.loop.dispose();
+    this.controlLinks.dispose();
+    this.peerLinks.dispose();
+    this.peerServer.dispose();
+    this.agents.dispose();
+    await Promise.all([
+      this.admin.stop(),
+      closeServer(this.callerHttp),
+      closeServer(this.peerHttp),
+    ]);
+  }
+
+  private async poll(done: () => boolean, untilMs: number): Promise<void> {
+    while (!done() && this.clock.nowMs() < untilMs) {
+      // Polling is the loop's purpose.
+      // eslint-disable-next-line no-await-in-loop
+      await delay(STOP_POLL_MS);
+    }
+  }
+
+  private timed(event: Untimed<EntryEvent>): EntryEvent {
+    return { ...event, nowMs: this.clock.nowMs() } as EntryEvent;
+  }
+
+  /** Queues an event that no call waits for. */
+  private post(event: Untimed<EntryEvent>): void {
+    this.loop.post(this.timed(event));
+  }
+
+  /** Reduces an event at once; calls take this path, without a channel hand-off. */
+  private dispatch(event: EntryEvent): void {
+    this.reducer.reduce(event).forEach((effect) => {
+      const runner = this.runners[effect.type] as (received: EntryEffect) => void;
+      runner(effect);
+    });
+  }
+
+  private wait(response: ServerResponse): number {
+    const requestId = this.nextId;
+    this.nextId += 1;
+    this.waiting.set(requestId, response);
+    response.once('close', () => this.waiting.delete(requestId));
+    return requestId;
+  }
+
+  private attachListeners(): void {
+    answerParserErrors(this.callerHttp);
+    answerParserErrors(this.peerHttp);
+    this.callerHttp.on('request', (request: IncomingMessage, response: ServerResponse) =>
+      this.onCallerRequest(request, response, false),
+    );
+    this.callerHttp.on('checkContinue', (request: IncomingMessage, response: ServerResponse) =>
+      this.onCallerRequest(request, response, true),
+    );
+    this.peerHttp.on('request', (request: IncomingMessage, response: ServerResponse) =>
+      this.onPeerRequest(request, response),
+    );
+  }
+
+  private onCallerRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expectsContinue: boolean,
+  ): void {
+    if (request.url?.startsWith(`${API_PREFIX}/`)) this.onApiRequest(request, response);
+    else this.onCall(request, response, null, expectsContinue);
+  }
+
+  private onPeerRequest(request: IncomingMessage, response: ServerResponse): void {
+    const [peerId, ticket] = (headerOf(request, HeaderName.Peer) ?? '').split(' ');
+    const session = this.peerServer.sessionOfTicket(ticket ?? '');
+    if (!session || session.clientId !== peerId) {
+      const detail = 'The peer ticket is unknown.';
+      sendError(response, new EgretError(ErrorKind.Unauthorized, detail));
+      return;
+    }
+    this.onCall(request, response, peerId, false);
+  }
+
+  private onApiRequest(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? '/', 'http://entry');
+    if (url.pathname === `${API_PREFIX}/announcements`) {
+      this.announcements.handle(request, response);
+      return;
+    }
+    if (url.pathname === `${API_PREFIX}/entries`) {
+      const requestId = this.wait(response);
+      const service = url.searchParams.get('service');
+      const availabilityZone = url.searchParams.get('availabilityZone');
+      this.post({ type: EntryEventType.DirectoryAsked, requestId, service, availabilityZone });
+      return;
+    }
+    sendError(response, new EgretError(ErrorKind.NotFound, `Nothing is at ${url.pathname}.`));
+  }
+
+  private onCall(
+    request: IncomingMessage,
+    response: ServerResponse,
+    peerId: string | null,
+    expectsContinue: boolean,
+  ): void {
+    const callId = this.nextId;
+    this.nextId += 1;
+    const nowMs = this.clock.nowMs();
+    const { services } = this.reducer.settings.catalog;
+    const maxBodyBytesOf = (service: string) => services.get(service)?.settings.maxBodyBytes;
+    const refuse = (error: unknown) =>
+      refuseRequest(request, response, toEgretError(error, ErrorKind.BadRequest));
+    try {
+      const options = { callId, nowMs, peerId, expectsContinue, maxBodyBytesOf };
+      const taken = takeCall(request, response, options);
+      if (taken instanceof Promise) taken.then((call) => this.begin(call), refuse);
+      else this.begin(taken);
+    } catch (error) {
+      refuse(error);
+    }
+  }
+
+  private begin({ call, context }: TakenCall): void {
+    const { callId, response } = context;
+    this.calls.set(callId, context);
+    response.once('close', () => {
+      this.metrics.observe(context.service, this.clock.nowMs() - context.arrivedAtMs);
+      if (!response.writableFinished) {
+        this.dispatch(this.timed({ type: EntryEventType.CallerLeft, callId }));
+      }
+      this.forgetIfDone(context);
+    });
+    this.dispatch(this.timed({ type: EntryEventType.CallArrived, call }));
+  }
+
+  private forgetIfDone(context: CallContext): void {
+    if (context.response.closed && context.attempts.size === 0) this.calls.delete(context.callId);
+  }
+
+  private startAttempt(effect: StartAttemptEffect): void {
+    const { target } = effect;
+    if (target.kind === TargetKind.Backend) {
+      this.runAttempt(effect, '');
+      return;
+    }
+    this.peerLinks.whenOpen(target.id, target.address, target.port, (ticket) =>
+      this.runAttempt(effect, ticket),
+    );
+  }
+
+  private runAttempt(effect: StartAttemptEffect, ticket: string): void {
+    const { callId, attemptId, target } = effect;
+    const call = this.calls.get(callId);
+    const unreachable = target.kind === TargetKind.Peer && ticket === '';
+    if (!call || unreachable || call.cancelledIds.has(attemptId)) {
+      this.reportNotSent(callId, attemptId);
+      return;
+    }
+    const attempt = new AttemptRunner({
+      effect,
+      call,
+      ticket,
+      selfId: this.options.file.id,
+      agent: this.agents.ensure(target),
+      onHeaders: () =>
+        this.dispatch(this.timed({ type: EntryEventType.AttemptHeaders, callId, attemptId })),
+      onEnded: (end) => this.onAttemptEnded(call, attemptId, end),
+      poolStatus: () => this.reducer.pools.get(call.service)?.status(this.clock.nowMs()) ?? null,
+    });
+    call.attempts.set(attemptId, attempt);
+  }
+
+  /** Reports an attempt that never began. */
+  private reportNotSent(callId: number, attemptId: number): void {
+    this.dispatch(
+      this.timed({
+        type: EntryEventType.AttemptEnded,
+        callId,
+        attemptId,
+        result: AttemptResult.NotSent,
+        statusCode: 0,
+        resume: null,
+        answer: null,
+        peerStatus: null,
+        peerRefusal: null,
+      }),
+    );
+  }
+
+  private onAttemptEnded(call: CallContext, attemptId: number, end: AttemptEnd): void {
+    call.attempts.delete(attemptId);
+    const completed = call.answeringId === attemptId && end.result === AttemptResult.Completed;
+    if (completed) call.response.end();
+    const { callId } = call;
+    this.dispatch(this.timed({ type: EntryEventType.AttemptEnded, callId, attemptId, ...end }));
+    this.forgetIfDone(call);
+  }
+
+  private answerWaiting(requestId: number, body: unknown, error: EgretError | null): void {
+    const response = this.waiting.get(requestId);
+    this.waiting.delete(requestId);
+    if (!response) return;
+    if (error) sendError(response, error);
+    else sendJson(response, 200, body);
+  }
+
+  private readonly runners = {
+    [EntryEffectType.SendControl]: (effect: EffectOf<EntryEffectType.SendControl>) =>
+      this.controlLinks.send(effect.controlHostId, effect.message),
+    [EntryEffectType.SendPeer]: (effect: EffectOf<EntryEffectType.SendPeer>) =>
+      this.peerLinks.send(effect.peer, effect.message),
+    [EntryEffectType.SyncControlHosts]: (effect: EffectOf<EntryEffectType.SyncControlHosts>) =>
+      this.controlLinks.sync(effect.controlHosts),
+    [EntryEffectType.AnswerAnnouncement]: (effect: EffectOf<EntryEffectType.AnswerAnnouncement>) =>
+      this.answerWaiting(effect.requestId, effect.answer, effect.error),
+    [EntryEffectType.AnswerDirectory]: (effect: EffectOf<EntryEffectType.AnswerDirectory>) =>
+      this.answerWaiting(effect.requestId, effect.answer, effect.error),
+    [EntryEffectType.StartAttempt]: (effect: StartAttemptEffect) => this.startAttempt(effect),
+    [EntryEffectType.CancelAttempt]: (effect: EffectOf<EntryEffectType.CancelAttempt>) => {
+      const call = this.calls.get(effect.callId);
+      const attempt = call?.attempts.get(effect.attemptId);
+      if (attempt) attempt.cancel();
+      else call?.cancelledIds.add(effect.attemptId);
+    },
+    [EntryEffectType.UseAnswer]: (effect: EffectOf<EntryEffectType.UseAnswer>) => {
+      const call = this.calls.get(effect.callId);
+      if (!call) return;
+      call.answeringId = effect.attemptId;
+      call.attempts.get(effect.attemptId)?.useAnswer();
+    },
+    [EntryEffectType.RefuseCall]: (effect: EffectOf<EntryEffectType.RefuseCall>) => {
+      const call = this.calls.get(effect.callId);
+      if (call) refuseRequest(call.request, call.response, effect.error, call.requestId);
+    },
+    [EntryEffectType.ReplayCall]: (effect: EffectOf<EntryEffectType.ReplayCall>) => {
+      const call = this.calls.get(effect.callId);
+      if (!call || call.response.destroyed) return;
+      const { statusCode, rawHeaders, body } = effect.answer;
+      const kept = [...rawHeaders, 'Egret-Request-Id', call.requestId, 'Egret-Replayed', 'true'];
+      call.response.writeHead(statusCode, kept as unknown as Record<string, string>);
+      call.response.end(body);
+    },
+    [EntryEffectType.BreakCall]: (effect: EffectOf<EntryEffectType.BreakCall>) =>
+      this.calls.get(effect.callId)?.response.destroy(),
+    [EntryEffectType.CloseTarget]: (effect: EffectOf<EntryEffectType.CloseTarget>) =>
+      this.agents.close(effect.targetId),
+    [EntryEffectType.Log]: (effect: EffectOf<EntryEffectType.Log>) =>
+      this.options.logger.info(effect.event, effect.fields),
+    [EntryEffectType.Count]: (effect: EffectOf<EntryEffectType.Count>) =>
+      this.metrics.count(effect.counter, effect.service),
+  };
+}
--- /dev/null
+++ b/src/entry/server/PeerLinks.ts
@@ -0,0 +1,86 @@
+import type { Disposable } from '../../common/Disposable.js';
+import type { EntryHost } from '../../common/Placement.js';
+import { LinkRole } from '../../runtime/LinkAuth.js';
+import type { Logger } from '../../runtime/Logger.js';
+import { MessageClient } from '../../runtime/MessageClient.js';
+import type { PeerMessage } from '../PeerMessages.js';
+
+/** Options of {@link PeerLinks}. */
+export interface PeerLinksOptions {
+  readonly id: string;
+  readonly secret: string;
+  readonly logger: Logger;
+  readonly onUnreachable: (peerId: string) => void;
+}
+
+/** Link with what waits for it to open. */
+interface PeerLink {
+  readonly client: MessageClient;
+  readonly waiting: Set<(ticket: string) => void>;
+}
+
+/** Time that a message or a forwarded call waits for a link to open. */
+const OPEN_TIMEOUT_MS = 400;
+
+/** Links to other entry hosts, opened on first use. */
+export class PeerLinks implements Disposable {
+  private readonly links = new Map<string, PeerLink>();
+
+  constructor(private readonly options: PeerLinksOptions) {}
+
+  /** Sends a message once the link is open; it is lost if that takes too long. */
+  send(peer: EntryHost, message: PeerMessage): void {
+    const link = this.ensure(peer.id, peer.address, peer.peerPort);
+    if (link.client.send(message)) return;
+    this.whenOpen(peer.id, peer.address, peer.peerPort, (ticket) => {
+      if (ticket) link.client.send(message);
+    });
+  }
+
+  /** Passes the ticket of an open link, or an empty one if the peer can't be reached in time. */
+  whenOpen(id: string, address: string, port: number, done: (ticket: string) => void): void {
+    const link = this.ensure(id, address, port);
+    if (link.client.isOpen) {
+      done(link.client.ticket);
+      return;
+    }
+    let timer: NodeJS.Timeout;
+    const finish = (ticket: string) => {
+      clearTimeout(timer);
+      link.waiting.delete(finish);
+      done(ticket);
+    };
+    timer = setTimeout(() => {
+      this.options.onUnreachable(id);
+      finish('');
+    }, OPEN_TIMEOUT_MS);
+    link.waiting.add(finish);
+  }
+
+  dispose(): void {
+    this.links.forEach((link) => link.client.dispose());
+    this.links.clear();
+  }
+
+  private ensure(id: string, address: string, port: number): PeerLink {
+    const key = `${id}@${address}:${port}`;
+    const known = this.links.get(key);
+    if (known) return known;
+    const waiting = new Set<(ticket: string) => void>();
+    const client: MessageClient = new MessageClient({
+      address,
+      port,
+      id: this.options.id,
+      role: LinkRole.Entry,
+      secret: this.options.secret,
+      logger: this.options.logger,
+      fields: {},
+      onOpen: () => [...waiting].forEach((finish) => finish(client.ticket)),
+      onMessage: () => {},
+      onClose: () => this.options.onUnreachable(id),
+    });
+    const link = { client, waiting };
+    this.links.set(key, link);
+    return link;
+  }
+}
--- /dev/null
+++ b/src/runtime/AdminListener.ts
@@ -0,0 +1,61 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Registry } from 'prom-client';
+import { EgretError, ErrorKind } from '../common/Errors.js';
+import { answerParserErrors, closeServer, sendError, sendJson } from './HttpJson.js';
+
+/** Handler of one path. */
+export type AdminHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Options of an {@link AdminListener}. */
+export interface AdminListenerOptions {
+  /** Server that listens, or will listen, on the administration address. */
+  readonly server: Server;
+  readonly registry: Registry;
+  /** True while the process can do its work. */
+  readonly isReady: () => boolean;
+  /** Further paths. */
+  readonly paths?: Readonly<Record<string, AdminHandler>>;
+  /** Handles every other path. */
+  readonly handle?: AdminHandler;
+}
+
+/** HTTP listener for metrics, health and administration. */
+export class AdminListener {
+  constructor(private readonly options: AdminListenerOptions) {
+    const { server } = options;
+    server.on('request', (request, response) => this.onRequest(request, response));
+    answerParserErrors(server);
+  }
+
+  stop(): Promise<void> {
+    return closeServer(this.options.server);
+  }
+
+  private onRequest(request: IncomingMessage, response: ServerResponse): void {
+    const path = (request.url ?? '/').split('?')[0]!;
+    const handler = this.handlers[path] ?? this.options.paths?.[path] ?? this.options.handle;
+    if (handler) {
+      handler(request, response);
+      return;
+    }
+    sendError(response, new EgretError(ErrorKind.NotFound, `Nothing is at ${path}.`));
+  }
+
+  private readonly handlers: Readonly<Record<string, AdminHandler>> = {
+    '/healthz': (request, response) => sendJson(response, 200, { status: 'ok' }),
+    '/readyz': (request, response) => {
+      const ready = this.options.isReady();
+      sendJson(response, ready ? 200 : 503, { status: ready ? 'ready' : 'not-ready' });
+    },
+    '/metrics': (request, response) => {
+      const { registry } = this.options;
+      registry.metrics().then(
+        (text) => {
+          response.writeHead(200, { 'Content-Type': registry.contentType });
+          response.end(text);
+        },
+        () => response.destroy(),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/src/runtime/LinkAuth.ts
@@ -0,0 +1,94 @@
+import { createHash, createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
+
+/** Kind of process at the other end of a link. */
+export enum LinkRole {
+  Entry = 'entry',
+  Control = 'control',
+}
+
+/** First message of a server on a new link. */
+export interface Challenge {
+  readonly nonce: string;
+}
+
+/** Answer of the client: proves that it knows the secret. */
+export interface ChallengeResponse {
+  readonly id: string;
+  readonly role: LinkRole;
+  readonly nonce: string;
+  readonly mac: string;
+}
+
+/** Last message of the handshake: proves that the server knows the secret. */
+export interface Welcome {
+  readonly mac: string;
+  /** Credential for calls that the client forwards to this server. */
+  readonly ticket: string;
+}
+
+const NONCE_BYTES = 16;
+
+/** Creates an unpredictable text. */
+export function createNonce(): string {
+  return randomBytes(NONCE_BYTES).toString('base64url');
+}
+
+function sign(secret: string, parts: readonly string[]): string {
+  return createHmac('sha256', secret).update(JSON.stringify(parts)).digest('base64url');
+}
+
+function isEqual(a: string, b: string): boolean {
+  const left = Buffer.from(a);
+  const right = Buffer.from(b);
+  return left.length === right.length && timingSafeEqual(left, right);
+}
+
+/**
+ * Answers a challenge.
+ *
+ * @example
+ * respond('secret', 'entry-1', LinkRole.Entry, { nonce: createNonce() }).mac;
+ */
+export function respond(
+  secret: string,
+  id: string,
+  role: LinkRole,
+  challenge: Challenge,
+): ChallengeResponse {
+  const nonce = createNonce();
+  return { id, role, nonce, mac: sign(secret, ['client', challenge.nonce, nonce, id, role]) };
+}
+
+/** Checks the answer to a challenge. */
+export function checkResponse(
+  secret: string,
+  challenge: Challenge,
+  response: ChallengeResponse,
+): boolean {
+  const { id, role, nonce } = response;
+  return isEqual(response.mac, sign(secret, ['client', challenge.nonce, nonce, id, role]));
+}
+
+/** Completes the handshake on the server's side. */
+export function welcome(secret: string, response: ChallengeResponse): Welcome {
+  return { mac: sign(secret, ['server', response.nonce]), ticket: createNonce() };
+}
+
+/** Checks that the server knows the secret too. */
+export function checkWelcome(
+  secret: string,
+  response: ChallengeResponse,
+  received: Welcome,
+): boolean {
+  return isEqual(received.mac, sign(secret, ['server', response.nonce]));
+}
+
+/**
+ * Hash under which tokens are stored.
+ *
+ * @example
+ * hashToken('letmein').length; // 64
+ */
+export function hashToken(token: string): string {
+  return createHash('sha256').update(token).digest('hex');
+}
--- /dev/null
+++ b/src/runtime/Logger.ts
@@ -0,0 +1,88 @@
+import { createConsola, type ConsolaInstance } from 'consola';
+import { LogLevel } from '../common/ProcessSettings.js';
+
+/** Values of one log line. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Log of one process: one line of key=value pairs for each event. */
+export interface Logger {
+  error(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  debug(event: string, fields?: LogFields): void;
+}
+
+const CONSOLA_LEVELS: Record<LogLevel, number> = {
+  [LogLevel.Error]: 0,
+  [LogLevel.Warn]: 1,
+  [LogLevel.Info]: 3,
+  [LogLevel.Debug]: 4,
+};
+
+const NEEDS_QUOTES = /[\s"=]/;
+
+function formatValue(value: string | number | boolean): string {
+  const text = String(value);
+  return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
+}
+
+/**
+ * Formats one event as key=value pairs.
+ *
+ * @example
+ * formatLine('started', { port: 80 }); // 'event=started port=80'
+ */
+export function formatLine(event: string, fields: LogFields = {}): string {
+  const pairs = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(value!)}`);
+  return [`event=${formatValue(event)}`, ...pairs].join(' ');
+}
+
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+  readonly level: LogLevel;
+  /** Fields that stand on every line. */
+  readonly base?: LogFields;
+  /** Receives finished lines; standard error by default. */
+  readonly write?: (line: string) => void;
+}
+
+/**
+ * Creates a logger on top of consola.
+ *
+ * @example
+ * createLogger({ level: LogLevel.Info }).info('started', { port: 80 });
+ */
+export function createLogger(options: LoggerOptions): Logger {
+  const write = options.write ?? ((line: string) => process.stderr.write(`${line}\n`));
+  const consola: ConsolaInstance = createConsola({
+    level: CONSOLA_LEVELS[options.level],
+    // Repeated events are events, not noise.
+    throttle: 0,
+    reporters: [
+      {
+        log: (entry) => {
+          const time = entry.date.toISOString();
+          write(`time=${time} level=${entry.type} ${String(entry.args[0])}`);
+        },
+      },
+    ],
+  });
+  const line = (event: string, fields?: LogFields) =>
+    formatLine(event, { ...options.base, ...fields });
+  return {
+    error: (event, fields) => consola.error(line(event, fields)),
+    warn: (event, fields) => consola.warn(line(event, fields)),
+    info: (event, fields) => consola.info(line(event, fields)),
+    debug: (event, fields) => consola.debug(line(event, fields)),
+  };
+}
+
+/** Logger that drops everything, for tests. */
+export const silentLogger: Logger = {
+  error: () => {},
+  warn: () => {},
+  info: () => {},
+  debug: () => {},
+};
--- /dev/null
+++ b/src/runtime/MessageClient.ts
@@ -0,0 +1,179 @@
+import { WebSocket, type RawData } from 'ws';
+import { MAX_MESSAGE_BYTES } from '../common/Constants.js';
+import type { Disposable } from '../common/Disposable.js';
+import {
+  checkWelcome,
+  respond,
+  type Challenge,
+  type ChallengeResponse,
+  type LinkRole,
+  type Welcome,
+} from './LinkAuth.js';
+import type { Logger } from './Logger.js';
+import { checkMessage, type MessageFields } from './MessageCheck.js';
+import { decodeMessage, encodeMessage } from './MessageCodec.js';
+
+/** Options of a {@link MessageClient}. */
+export interface MessageClientOptions {
+  readonly address: string;
+  readonly port: number;
+  /** Own id. */
+  readonly id: string;
+  readonly role: LinkRole;
+  readonly secret: string;
+  readonly logger: Logger;
+  /** Fields that messages of each type must have. */
+  readonly fields: MessageFields;
+  readonly onOpen: () => void;
+  readonly onMessage: (message: object) => void;
+  readonly onClose: () => void;
+}
+
+/** State of a link. */
+enum LinkState {
+  Connecting,
+  Challenged,
+  Open,
+  Closed,
+}
+
+const FIRST_RETRY_MS = 50;
+const MAX_RETRY_MS = 1_000;
+const HEARTBEAT_MS = 1_000;
+const MAX_SILENCE_MS = 3_000;
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+const CONNECT_TIMEOUT_MS = 2_000;
+
+/** Authenticated WebSocket link that reconnects until it is disposed. */
+export class MessageClient implements Disposable {
+  private socket: WebSocket | undefined;
+
+  private state = LinkState.Connecting;
+
+  private response: ChallengeResponse | undefined;
+
+  private retryMs = FIRST_RETRY_MS;
+
+  private retryTimer: NodeJS.Timeout | undefined;
+
+  private heartbeat: NodeJS.Timeout | undefined;
+
+  private heardAtMs = 0;
+
+  private disposed = false;
+
+  /** Credential for calls forwarded to the server; empty while the link is down. */
+  ticket = '';
+
+  constructor(private readonly options: MessageClientOptions) {
+    this.connect();
+  }
+
+  get isOpen(): boolean {
+    return this.state === LinkState.Open;
+  }
+
+  /** Sends a message; false if the link is down, or the server doesn't keep up. */
+  send(message: object): boolean {
+    if (!this.socket || this.state !== LinkState.Open) return false;
+    if (this.socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+      this.socket.terminate();
+      return false;
+    }
+    this.socket.send(encodeMessage(message));
+    return true;
+  }
+
+  dispose(): void {
+    this.disposed = true;
+    clearTimeout(this.retryTimer);
+    clearInterval(this.heartbeat);
+    this.socket?.terminate();
+  }
+
+  private connect(): void {
+    const { address, port } = this.options;
+    const socket = new WebSocket(`ws://${address}:${port}/`, {
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+    });
+    this.socket = socket;
+    this.state = LinkState.Connecting;
+    socket.on('error', () => socket.terminate());
+    socket.on('message', (data) => this.receive(socket, data));
+    socket.on('pong', () => {
+      this.heardAtMs = performance.now();
+    });
+    socket.once('close', () => this.onClosed(socket));
+  }
+
+  private receive(socket: WebSocket, data: RawData): void {
+    this.heardAtMs = performance.now();
+    const decoded = decodeMessage(data as Buffer);
+    if (decoded.isErr) {
+      socket.terminate();
+      return;
+    }
+    this.stateHandlers[this.state](socket, decoded.value);
+  }
+
+  private readonly stateHandlers: Record<
+    LinkState,
+    (socket: WebSocket, message: Record<string, unknown>) => void
+  > = {
+    [LinkState.Connecting]: (socket, message) => {
+      const { secret, id, role } = this.options;
+      this.response = respond(secret, id, role, message as unknown as Challenge);
+      this.state = LinkState.Challenged;
+      socket.send(encodeMessage(this.response));
+    },
+    [LinkState.Challenged]: (socket, message) => {
+      const greeting = message as unknown as Welcome;
+      const genuine =
+        this.response !== undefined &&
+        typeof greeting.mac === 'string' &&
+        checkWelcome(this.options.secret, this.response, greeting);
+      if (!genuine) {
+        this.options.logger.warn('link_refused', { reason: 'server authentication' });
+        socket.terminate();
+        return;
+      }
+      this.ticket = greeting.ticket;
+      this.state = LinkState.Open;
+      this.retryMs = FIRST_RETRY_MS;
+      this.startHeartbeat(socket);
+      this.options.onOpen();
+    },
+    [LinkState.Open]: (socket, message) => {
+      const checked = checkMessage(message, this.options.fields);
+      if (checked.isOk) {
+        this.options.onMessage(checked.value);
+        return;
+      }
+      this.options.logger.warn('message_refused', { detail: checked.error.detail });
+    },
+    [LinkState.Closed]: () => {},
+  };
+
+  /** Ends a link whose other end has gone silent, as behind a broken network. */
+  private startHeartbeat(socket: WebSocket): void {
+    clearInterval(this.heartbeat);
+    this.heartbeat = setInterval(() => {
+      if (performance.now() - this.heardAtMs > MAX_SILENCE_MS) socket.terminate();
+      else if (socket.readyState === socket.OPEN) socket.ping();
+    }, HEARTBEAT_MS);
+  }
+
+  private onClosed(socket: WebSocket): void {
+    if (socket !== this.socket) return;
+    clearInterval(this.heartbeat);
+    const wasOpen = this.state === LinkState.Open;
+    this.state = LinkState.Closed;
+    this.ticket = '';
+    if (wasOpen) this.options.onClose();
+    if (this.disposed) return;
+    this.retryTimer = setTimeout(() => this.connect(), this.retryMs);
+    this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
+  }
+}
--- /dev/null
+++ b/src/runtime/MessageServer.ts
@@ -0,0 +1,156 @@
+import type { IncomingMessage, Server } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { WebSocketServer, type RawData, type WebSocket } from 'ws';
+import { MAX_MESSAGE_BYTES } from '../common/Constants.js';
+import type { Disposable } from '../common/Disposable.js';
+import {
+  checkResponse,
+  createNonce,
+  welcome,
+  type ChallengeResponse,
+  type LinkRole,
+} from './LinkAuth.js';
+import type { Logger } from './Logger.js';
+import { decodeMessage, encodeMessage } from './MessageCodec.js';
+import { checkMessage, type MessageFields } from './MessageCheck.js';
+
+/** Authenticated link to a client. */
+export interface ServerSession {
+  readonly sessionId: number;
+  /** Id that the client proved. */
+  readonly clientId: string;
+  readonly role: LinkRole;
+  readonly ticket: string;
+  send(message: object): void;
+}
+
+/** Options of a {@link MessageServer}. */
+export interface MessageServerOptions {
+  readonly secret: string;
+  readonly logger: Logger;
+  /** Fields that messages of each type must have. */
+  readonly fields: MessageFields;
+  readonly onOpen: (session: ServerSession) => void;
+  readonly onMessage: (session: ServerSession, message: object) => void;
+  readonly onClose: (session: ServerSession) => void;
+}
+
+const HANDSHAKE_TIMEOUT_MS = 3_000;
+
+/** A client that leaves so much unread is disconnected. */
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+
+const POLICY_VIOLATION_CODE = 1008;
+
+function toBuffer(data: RawData): Buffer {
+  if (Buffer.isBuffer(data)) return data;
+  return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data);
+}
+
+/** Sends a message unless the client has stopped reading. */
+function sendMessage(socket: WebSocket, message: object): void {
+  if (socket.readyState !== socket.OPEN) return;
+  if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+    socket.terminate();
+    return;
+  }
+  socket.send(encodeMessage(message));
+}
+
+/** Accepts authenticated WebSocket links on an HTTP server. */
+export class MessageServer implements Disposable {
+  private readonly server = new WebSocketServer({
+    noServer: true,
+    maxPayload: MAX_MESSAGE_BYTES,
+    perMessageDeflate: false,
+  });
+
+  private readonly sockets = new Set<WebSocket>();
+
+  /** Sessions by ticket. */
+  private readonly tickets = new Map<string, ServerSession>();
+
+  private nextSessionId = 1;
+
+  constructor(private readonly options: MessageServerOptions) {}
+
+  /** Takes upgrade requests of an HTTP server. */
+  attach(http: Server): void {
+    http.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
+      this.server.handleUpgrade(request, socket, head, (webSocket) => this.accept(webSocket));
+    });
+  }
+
+  /** The session that a ticket was issued to. */
+  sessionOfTicket(ticket: string): ServerSession | undefined {
+    return this.tickets.get(ticket);
+  }
+
+  dispose(): void {
+    this.sockets.forEach((socket) => socket.terminate());
+    this.server.close();
+  }
+
+  private accept(socket: WebSocket): void {
+    const challenge = { nonce: createNonce() };
+    const timer = setTimeout(() => socket.terminate(), HANDSHAKE_TIMEOUT_MS);
+    this.sockets.add(socket);
+    socket.on('error', () => socket.terminate());
+    socket.once('close', () => {
+      clearTimeout(timer);
+      this.sockets.delete(socket);
+    });
+    socket.once('message', (data) => {
+      clearTimeout(timer);
+      const decoded = decodeMessage(toBuffer(data));
+      const response = decoded.isOk ? (decoded.value as unknown as ChallengeResponse) : undefined;
+      const wellFormed =
+        typeof response?.mac === 'string' &&
+        typeof response.id === 'string' &&
+        typeof response.nonce === 'string';
+      if (!wellFormed || !checkResponse(this.options.secret, challenge, response)) {
+        this.options.logger.warn('link_refused', { reason: 'authentication' });
+        socket.close(POLICY_VIOLATION_CODE, 'authentication failed');
+        return;
+      }
+      this.open(socket, response);
+    });
+    socket.send(encodeMessage(challenge));
+  }
+
+  private open(socket: WebSocket, response: ChallengeResponse): void {
+    const greeting = welcome(this.options.secret, response);
+    const session: ServerSession = {
+      sessionId: this.nextSessionId,
+      clientId: response.id,
+      role: response.role,
+      ticket: greeting.ticket,
+      send: (message) => sendMessage(socket, message),
+    };
+    this.nextSessionId += 1;
+    this.tickets.set(session.ticket, session);
+    socket.send(encodeMessage(greeting));
+    socket.on('message', (data) => this.receive(session, socket, toBuffer(data)));
+    socket.once('close', () => {
+      this.tickets.delete(session.ticket);
+      this.options.onClose(session);
+    });
+    this.options.onOpen(session);
+  }
+
+  private receive(session: ServerSession, socket: WebSocket, bytes: Buffer): void {
+    const checked = decodeMessage(bytes).andThen((message) =>
+      checkMessage(message, this.options.fields),
+    );
+    if (checked.isOk) {
+      this.options.onMessage(session, checked.value);
+      return;
+    }
+    this.options.logger.warn('message_refused', {
+      from: session.clientId,
+      kind: checked.error.kind,
+      detail: checked.error.detail,
+    });
+    socket.close(POLICY_VIOLATION_CODE, checked.error.kind);
+  }
+}
--- /dev/null
+++ b/standin/Announcer.ts
@@ -0,0 +1,169 @@
+import http from 'node:http';
+import { API_PREFIX } from '../src/common/Constants.js';
+import type { BackendState } from '../src/common/Enums.js';
+import type { AnnouncementAnswer } from '../src/entry/Types.js';
+
+/** Address of an entry host. */
+export interface EntryAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** What the announcer tells about its backend server. */
+export interface AnnouncedFacts {
+  readonly service: string;
+  readonly address: string;
+  readonly port: number;
+  readonly availabilityZone: string;
+  readonly incarnation: number;
+  readonly state: BackendState;
+  readonly slots: number;
+  readonly inFlight: number;
+}
+
+/** Options of an {@link Announcer}. */
+export interface AnnouncerOptions {
+  readonly token: string;
+  /** Entry hosts to begin with, and to fall back on. */
+  readonly seeds: readonly EntryAddress[];
+  readonly facts: () => AnnouncedFacts;
+}
+
+/** Entry host that accepted the last announcements. */
+interface Holder extends EntryAddress {
+  readonly entryHostId: string;
+  stamp: string;
+  sentAtMs: number;
+}
+
+const RETRY_MS = 100;
+const TIMEOUT_MS = 500;
+const DEFAULT_INTERVAL_MS = 1_000;
+const OK_STATUS = 200;
+
+/** Announces a stand-in backend server as docs/INTERFACES.md asks. */
+export class Announcer {
+  /** Announcements sent, for the cost of measuring. */
+  sent = 0;
+
+  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 2 });
+
+  private sequence = 0;
+
+  private seedIndex: number;
+
+  private target: EntryAddress;
+
+  private holder: Holder | null = null;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private readonly startedAtMs = performance.now();
+
+  private stopped = false;
+
+  constructor(private readonly options: AnnouncerOptions) {
+    const { port } = options.facts();
+    this.seedIndex = port % options.seeds.length;
+    this.target = options.seeds[this.seedIndex]!;
+    this.schedule(0);
+  }
+
+  /** Announces at once, as a change of state asks for. */
+  announceNow(): void {
+    clearTimeout(this.timer);
+    this.announce();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+    this.agent.destroy();
+  }
+
+  private schedule(delayMs: number): void {
+    if (this.stopped) return;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => this.announce(), delayMs);
+  }
+
+  private isHolder(target: EntryAddress): boolean {
+    return this.holder?.address === target.address && this.holder.port === target.port;
+  }
+
+  private announce(): void {
+    if (this.stopped) return;
+    const { target, holder } = this;
+    const { inFlight, ...facts } = this.options.facts();
+    const nowMs = performance.now();
+    const toHolder = this.isHolder(target);
+    const body = JSON.stringify({
+      ...facts,
+      sequence: this.sequence,
+      connections: inFlight,
+      load: { inFlight },
+      upForMs: nowMs - this.startedAtMs,
+      leaseStamp: toHolder ? holder!.stamp : null,
+      previous:
+        holder && !toHolder
+          ? { entryHostId: holder.entryHostId, sinceMs: nowMs - holder.sentAtMs }
+          : null,
+    });
+    this.sequence += 1;
+    this.sent += 1;
+    if (toHolder) holder!.sentAtMs = nowMs;
+    this.post(target, body, nowMs);
+  }
+
+  private post(target: EntryAddress, body: string, sentAtMs: number): void {
+    const request = http.request({
+      host: target.address,
+      port: target.port,
+      method: 'POST',
+      path: `${API_PREFIX}/announcements`,
+      agent: this.agent,
+      timeout: TIMEOUT_MS,
+      headers: {
+        'Content-Type': 'application/json',
+        'Content-Length': Buffer.byteLength(body),
+        Authorization: `Bearer ${this.options.token}`,
+      },
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => this.tryNextSeed());
+    request.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('end', () => {
+        if (response.statusCode === OK_STATUS) {
+          const text = Buffer.concat(chunks).toString('utf8');
+          this.onAnswer(target, JSON.parse(text) as AnnouncementAnswer, sentAtMs);
+        } else this.tryNextSeed();
+      });
+    });
+    request.end(body);
+  }
+
+  private onAnswer(target: EntryAddress, answer: AnnouncementAnswer, sentAtMs: number): void {
+    const { announceTo } = answer;
+    const accepted = announceTo.address === target.address && announceTo.port === target.port;
+    if (!accepted) {
+      this.target = announceTo;
+      this.schedule(0);
+      return;
+    }
+    const fresh = !this.isHolder(target);
+    const { entryHostId, leaseStamp: stamp } = answer;
+    this.holder = { ...target, entryHostId, stamp, sentAtMs };
+    // The stamp of the first answer is returned at once: only that starts the lease.
+    this.schedule(fresh ? 0 : answer.intervalMs || DEFAULT_INTERVAL_MS);
+  }
+
+  private tryNextSeed(): void {
+    if (this.stopped) return;
+    const { seeds } = this.options;
+    this.seedIndex = (this.seedIndex + 1) % seeds.length;
+    this.target = seeds[this.seedIndex]!;
+    this.schedule(RETRY_MS);
+  }
+}
--- /dev/null
+++ b/standin/BackendStandin.ts
@@ -0,0 +1,297 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { BackendState } from '../src/common/Enums.js';
+import { createRandom, type RandomSource } from '../src/common/Random.js';
+import { listen } from '../src/runtime/HttpJson.js';
+import { Announcer, type EntryAddress } from './Announcer.js';
+import { createBundle, type Bundle } from './Bundle.js';
+import { drawServiceTimeMs, HEAVY_TAIL, type ServiceTimeOptions } from './ServiceTime.js';
+
+/** Misbehaviour that a stand-in shows on command. */
+export enum Fault {
+  None = 'none',
+  /** Every answer takes several times as long. */
+  Straggle = 'straggle',
+  /** Answers 500 at once. */
+  FailFast = 'fail-fast',
+  /** Refuses every request as not run. */
+  Shed = 'shed',
+  /** Ends the connection in the middle of each body. */
+  Truncate = 'truncate',
+  /** Ends the connection before each answer. */
+  Reset = 'reset',
+}
+
+/** Options of a {@link BackendStandin}. */
+export interface BackendStandinOptions {
+  readonly service: string;
+  readonly availabilityZone: string;
+  readonly slots: number;
+  readonly token: string;
+  readonly seeds: readonly EntryAddress[];
+  readonly seed?: number;
+  readonly serviceTime?: ServiceTimeOptions;
+  /** Requests to complete before one more may run at once after a cold start; 0 starts warm. */
+  readonly coldRequests?: number;
+  readonly bundleBytes?: number;
+  /** Shared log of requests that ran, for checks against the system's answers. */
+  readonly runLog?: RunLog;
+  /** False for a stand-in that is reached directly. */
+  readonly announces?: boolean;
+}
+
+/** Log of the runs of keyed requests. */
+export interface RunLog {
+  /** Called when a request with an idempotency key begins to run. */
+  ran(key: string): void;
+}
+
+/** What a stand-in observed. */
+export interface StandinFigures {
+  requests: number;
+  peakInFlight: number;
+  /** Requests that arrived while every slot was taken. */
+  overSlots: number;
+  /** Requests that arrived above what the cold server bears. */
+  overCold: number;
+  /** Time of the last request that arrived. */
+  lastRequestAtMs: number;
+}
+
+/** Marks a request that ends the backend server that runs it. */
+export const KILL_HEADER = 'standin-kill';
+
+const STRAGGLE_FACTOR = 5;
+const COLD_OVERLOAD_FACTOR = 5;
+const CHUNK_BYTES = 64 * 1024;
+const DEFAULT_BUNDLE_BYTES = 8 * 1024 * 1024;
+const LOCALHOST = '127.0.0.1';
+const RANGE = /^bytes=(\d+)-(\d*)$/;
+
+/** Small fake of a backend server that announces itself and misbehaves on command. */
+export class BackendStandin {
+  fault = Fault.None;
+
+  state = BackendState.Ready;
+
+  /** Reported load while set, whatever the real one is. */
+  reportedInFlight: number | null = null;
+
+  figures: StandinFigures = BackendStandin.freshFigures();
+
+  inFlight = 0;
+
+  incarnation = 1;
+
+  announcer: Announcer | null = null;
+
+  readonly bundle: Bundle;
+
+  private readonly random: RandomSource;
+
+  private server: Server | null = null;
+
+  private readonly sockets = new Set<Socket>();
+
+  private boundPort = 0;
+
+  /** Requests completed since the last cold start. */
+  private completed = 0;
+
+  constructor(readonly options: BackendStandinOptions) {
+    this.random = createRandom(options.seed ?? 1);
+    this.bundle = createBundle(options.service, options.bundleBytes ?? DEFAULT_BUNDLE_BYTES);
+    if (!options.coldRequests) this.completed = Number.MAX_SAFE_INTEGER;
+  }
+
+  static freshFigures(): StandinFigures {
+    return { requests: 0, peakInFlight: 0, overSlots: 0, overCold: 0, lastRequestAtMs: 0 };
+  }
+
+  get port(): number {
+    return this.boundPort;
+  }
+
+  /** Requests that the server bears at once. */
+  get bears(): number {
+    const { slots, coldRequests = 0 } = this.options;
+    if (coldRequests === 0) return slots;
+    return Math.min(slots, 1 + Math.floor(this.completed / coldRequests));
+  }
+
+  async start(): Promise<void> {
+    const server = createServer({ keepAliveTimeout: 30_000 }, (request, response) =>
+      this.onRequest(request, response),
+    );
+    server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    this.server = server;
+    this.boundPort = await listen(server, LOCALHOST, this.boundPort);
+    if (this.options.announces !== false) this.startAnnouncing();
+  }
+
+  /** Leaves: announces that it drains, then stopped. */
+  drain(): void {
+    this.state = BackendState.Draining;
+    this.announcer?.announceNow();
+  }
+
+  /** Ends at once, as a crash does. */
+  async kill(): Promise<void> {
+    this.announcer?.stop();
+    this.announcer = null;
+    const { server } = this;
+    this.server = null;
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
+    if (server) {
+      await new Promise<void>((resolve) => {
+        server.close(() => resolve());
+      });
+    }
+    this.inFlight = 0;
+  }
+
+  /** Starts again on the same port, cold, as a new incarnation. */
+  async restart(): Promise<void> {
+    this.incarnation += 1;
+    this.turnCold();
+    this.state = BackendState.Ready;
+    await this.start();
+  }
+
+  /** Turns cold without a new incarnation. */
+  turnCold(): void {
+    this.completed = 0;
+  }
+
+  resetFigures(): void {
+    this.figures = BackendStandin.freshFigures();
+  }
+
+  private startAnnouncing(): void {
+    const { service, availabilityZone, slots, token, seeds } = this.options;
+    this.announcer = new Announcer({
+      token,
+      seeds,
+      facts: () => ({
+        service,
+        availabilityZone,
+        slots,
+        address: LOCALHOST,
+        port: this.boundPort,
+        incarnation: this.incarnation,
+        state: this.state,
+        inFlight: this.reportedInFlight ?? this.inFlight,
+      }),
+    });
+  }
+
+  private onRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { figures } = this;
+    figures.requests += 1;
+    figures.lastRequestAtMs = performance.now();
+    if (request.headers[KILL_HEADER] !== undefined) {
+      this.kill().catch(() => {});
+      return;
+    }
+    if (this.fault === Fault.Reset) {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (this.fault === Fault.Shed) {
+      response.writeHead(503, { 'Egret-Outcome': 'not-run' });
+      response.end();
+      return;
+    }
+    if (this.fault === Fault.FailFast) {
+      response.writeHead(500);
+      response.end();
+      return;
+    }
+    request.resume();
+    if (this.inFlight >= this.options.slots) figures.overSlots += 1;
+    const overload = this.inFlight >= this.bears;
+    if (overload) figures.overCold += 1;
+    this.run(request, response, overload);
+  }
+
+  private run(request: IncomingMessage, response: ServerResponse, overload: boolean): void {
+    this.inFlight += 1;
+    this.figures.peakInFlight = Math.max(this.figures.peakInFlight, this.inFlight);
+    const key = request.headers['idempotency-key'];
+    if (typeof key === 'string') this.options.runLog?.ran(key);
+    const timer = setTimeout(() => this.answer(request, response), this.serviceTimeMs(overload));
+    response.once('close', () => {
+      clearTimeout(timer);
+      this.inFlight = Math.max(0, this.inFlight - 1);
+      this.completed += 1;
+    });
+  }
+
+  private serviceTimeMs(overload: boolean): number {
+    const drawnMs = drawServiceTimeMs(this.options.serviceTime ?? HEAVY_TAIL, this.random);
+    const straggle = this.fault === Fault.Straggle ? STRAGGLE_FACTOR : 1;
+    return drawnMs * straggle * (overload ? COLD_OVERLOAD_FACTOR : 1);
+  }
+
+  private answer(request: IncomingMessage, response: ServerResponse): void {
+    const path = request.url ?? '/';
+    if (path.startsWith('/bundles/')) {
+      this.answerBundle(request, response);
+      return;
+    }
+    const body = JSON.stringify({
+      service: this.options.service,
+      path,
+      id: request.headers['egret-request-id'],
+    });
+    if (this.fault === Fault.Truncate) {
+      response.writeHead(200, { 'Content-Length': body.length * 2 });
+      response.write(body);
+      setTimeout(() => request.socket.destroy(), 1);
+      return;
+    }
+    response.writeHead(request.method === 'POST' ? 201 : 200, {
+      'Content-Type': 'application/json',
+      'Content-Length': body.length,
+    });
+    response.end(body);
+  }
+
+  private answerBundle(request: IncomingMessage, response: ServerResponse): void {
+    const { bytes, etag } = this.bundle;
+    const ifRange = request.headers['if-range'];
+    const match = RANGE.exec(request.headers.range ?? '');
+    const partial = match !== null && (ifRange === undefined || ifRange === etag);
+    const first = partial ? Number(match[1]) : 0;
+    const last = partial && match[2] ? Number(match[2]) : bytes.length - 1;
+    const headers: Record<string, string | number> = {
+      'Content-Type': 'application/octet-stream',
+      'Content-Length': last - first + 1,
+      ETag: etag,
+      'Accept-Ranges': 'bytes',
+    };
+    if (partial) headers['Content-Range'] = `bytes ${first}-${last}/${bytes.length}`;
+    response.writeHead(partial ? 206 : 200, headers);
+    this.writeChunks(response, bytes.subarray(first, last + 1), 0);
+  }
+
+  /** Writes a body piece by piece, so that a fault can end it half way. */
+  private writeChunks(response: ServerResponse, body: Buffer, offset: number): void {
+    if (response.destroyed) return;
+    if (this.fault === Fault.Truncate && offset > body.length / 2) {
+      response.destroy();
+      return;
+    }
+    if (offset >= body.length) {
+      response.end();
+      return;
+    }
+    const next = offset + CHUNK_BYTES;
+    const more = () => this.writeChunks(response, body, next);
+    if (response.write(body.subarray(offset, next))) setImmediate(more);
+    else response.once('drain', more);
+  }
+}
