--- a/src/ctl/ZoneCommands.ts
+++ b/src/ctl/ZoneCommands.ts
@@ -171,6 +171,9 @@
   };
 }
 
+/** Bringing a zone back needs no check. */
+const prepareNothing = async (): Promise<string[]> => [];
+
 /** `egretctl zone in ZONE` */
 export class ZoneInCommand extends ZoneChangeCommand {
   static override paths = [['zone', 'in']];
@@ -181,7 +184,7 @@
 
   protected readonly state = ZoneState.In;
 
-  protected readonly prepare = async (): Promise<string[]> => [];
+  protected readonly prepare = prepareNothing;
 }
 
 /** `egretctl zone list` */
