Bench processes and the overhead bench

Cause: added latency was unknown. Ruled in: timer bunching in the load generator, which it no longer does.

--- /dev/null
+++ b/bench/Fleet.ts
@@ -0,0 +1,173 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { SettingsTree } from '../src/common/SettingsSchema.js';
+import { AdminClient } from '../src/ctl/AdminClient.js';
+import type { EntryAddress } from '../standin/Announcer.js';
+import { reservePorts } from '../standin/Cluster.js';
+import { ADMIN_TOKEN } from '../standin/Deployments.js';
+import { Worker } from './workers/Worker.js';
+import {
+  WorkerRole,
+  type BackendFigures,
+  type BackendSpec,
+  type BenchControlHost,
+} from './workers/Protocol.js';
+
+/** Options of a {@link Fleet}. */
+export interface FleetOptions {
+  readonly tree: SettingsTree;
+  readonly zones: readonly string[];
+  readonly controlHosts: number;
+  readonly entryHosts: number;
+  readonly entryProcesses: number;
+  readonly backends: readonly BackendSpec[];
+  readonly loadProcesses: number;
+}
+
+/** Status of the entry hosts of one process. */
+export interface EntriesStatus {
+  readonly leased: number;
+  readonly hosts: readonly { readonly current: boolean; readonly settingsIndex: number }[];
+}
+
+const LOCALHOST = '127.0.0.1';
+const POLL_MS = 50;
+const READY_TIMEOUT_MS = 30_000;
+
+/** Whole system over several processes on this machine. */
+export class Fleet {
+  readonly controls: Worker[] = [];
+
+  readonly entries: Worker[] = [];
+
+  readonly loads: Worker[] = [];
+
+  backends!: Worker;
+
+  seeds: EntryAddress[] = [];
+
+  backendPorts: number[] = [];
+
+  adminAddresses: string[] = [];
+
+  private folder = '';
+
+  private constructor(private readonly options: FleetOptions) {}
+
+  /** Starts every process and waits until every backend server is leased. */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const fleet = new Fleet(options);
+    await fleet.startControls();
+    await fleet.startEntries();
+    fleet.backends = new Worker(WorkerRole.Backends);
+    fleet.backendPorts = await fleet.backends.call('start', {
+      specs: options.backends,
+      seeds: fleet.seeds,
+    });
+    for (let index = 0; index < options.loadProcesses; index += 1) {
+      fleet.loads.push(new Worker(WorkerRole.Load));
+    }
+    const announcing = options.backends.filter((spec) => spec.announces).length;
+    await fleet.waitLeased(announcing);
+    return fleet;
+  }
+
+  adminClient(): AdminClient {
+    return new AdminClient({ addresses: this.adminAddresses, token: ADMIN_TOKEN });
+  }
+
+  async entriesStatus(): Promise<EntriesStatus> {
+    const parts = await Promise.all(
+      this.entries.map((worker) => worker.call<EntriesStatus>('status')),
+    );
+    return {
+      leased: parts.reduce((sum, part) => sum + part.leased, 0),
+      hosts: parts.flatMap((part) => part.hosts),
+    };
+  }
+
+  /** Sums the counters of all entry hosts. */
+  async counters(): Promise<Record<string, number>> {
+    const parts = await Promise.all(
+      this.entries.map((worker) => worker.call<Record<string, number>>('counters')),
+    );
+    const totals: Record<string, number> = {};
+    parts.forEach((part) =>
+      Object.entries(part).forEach(([name, value]) => {
+        totals[name] = (totals[name] ?? 0) + value;
+      }),
+    );
+    return totals;
+  }
+
+  backendFigures(): Promise<BackendFigures[]> {
+    return this.backends.call('figures');
+  }
+
+  async waitLeased(count: number): Promise<void> {
+    const untilMs = performance.now() + READY_TIMEOUT_MS;
+    for (;;) {
+      // Polling is the loop's purpose.
+      // eslint-disable-next-line no-await-in-loop
+      const status = await this.entriesStatus();
+      if (status.leased >= count && status.hosts.every((host) => host.current)) return;
+      if (performance.now() > untilMs) throw new Error(`only ${status.leased}/${count} leases`);
+      // eslint-disable-next-line no-await-in-loop
+      await delay(POLL_MS);
+    }
+  }
+
+  async stop(): Promise<void> {
+    const workers = [...this.loads, this.backends, ...this.entries, ...this.controls];
+    await Promise.all(workers.map((worker) => worker.kill()));
+    await rm(this.folder, { recursive: true, force: true });
+  }
+
+  private async startControls(): Promise<void> {
+    this.folder = await mkdtemp(path.join(tmpdir(), 'egret-bench-'));
+    const ports = await reservePorts(this.options.controlHosts);
+    this.voters = ports.map((port, index) => ({
+      id: `control-${index}`,
+      address: LOCALHOST,
+      port,
+    }));
+    const started = await Promise.all(
+      this.voters.map(async (voter) => {
+        const worker = new Worker(WorkerRole.Control);
+        this.controls.push(worker);
+        return worker.call<{ adminPort: number }>('start', {
+          id: voter.id,
+          port: voter.port,
+          voters: this.voters,
+          tree: this.options.tree,
+          dataFolder: path.join(this.folder, voter.id),
+          initialize: true,
+        });
+      }),
+    );
+    this.adminAddresses = started.map((item) => `${LOCALHOST}:${item.adminPort}`);
+  }
+
+  private voters: BenchControlHost[] = [];
+
+  private async startEntries(): Promise<void> {
+    const { entryHosts, entryProcesses, zones } = this.options;
+    const perProcess = Math.ceil(entryHosts / entryProcesses);
+    const lists = await Promise.all(
+      Array.from({ length: entryProcesses }, (unused, index) => {
+        const worker = new Worker(WorkerRole.Entries);
+        this.entries.push(worker);
+        const firstIndex = index * perProcess;
+        return worker.call<EntryAddress[]>('start', {
+          firstIndex,
+          count: Math.min(perProcess, entryHosts - firstIndex),
+          zones,
+          controlHosts: this.voters,
+        });
+      }),
+    );
+    this.seeds = lists.flat();
+  }
+}
--- /dev/null
+++ b/bench/workers/BackendsRole.ts
@@ -0,0 +1,51 @@
+import { BackendStandin, type Fault } from '../../standin/BackendStandin.js';
+import { serviceToken } from '../../standin/Deployments.js';
+import type { BackendFigures, FaultParams, StartBackendsParams } from './Protocol.js';
+
+/** Stand-in backend servers in a bench process. */
+export class BackendsRole {
+  private readonly backends: BackendStandin[] = [];
+
+  /** Announcements sent at the last reset. */
+  private announcedBefore: number[] = [];
+
+  readonly methods = {
+    start: async ({ specs, seeds }: StartBackendsParams) => {
+      specs.forEach((spec) => {
+        this.backends.push(
+          new BackendStandin({
+            ...spec,
+            seeds,
+            token: serviceToken(spec.service),
+            seed: this.backends.length + process.pid,
+          }),
+        );
+      });
+      await Promise.all(this.backends.map((backend) => backend.start()));
+      return this.backends.map((backend) => backend.port);
+    },
+    setFault: ({ indices, fault }: FaultParams) => {
+      indices.forEach((index) => {
+        this.backends[index]!.fault = fault as Fault;
+      });
+    },
+    turnCold: ({ indices }: { indices: readonly number[] }) => {
+      indices.forEach((index) => this.backends[index]!.turnCold());
+    },
+    reset: () => {
+      this.backends.forEach((backend) => backend.resetFigures());
+      this.announcedBefore = this.backends.map((backend) => backend.announcer?.sent ?? 0);
+    },
+    figures: (): BackendFigures[] =>
+      this.backends.map((backend, index) => ({
+        service: backend.options.service,
+        availabilityZone: backend.options.availabilityZone,
+        requests: backend.figures.requests,
+        peakInFlight: backend.figures.peakInFlight,
+        overSlots: backend.figures.overSlots,
+        overCold: backend.figures.overCold,
+        announcements: (backend.announcer?.sent ?? 0) - (this.announcedBefore[index] ?? 0),
+        lastRequestWallMs: performance.timeOrigin + backend.figures.lastRequestAtMs,
+      })),
+  };
+}
--- /dev/null
+++ b/bench/workers/LoadRole.ts
@@ -0,0 +1,127 @@
+import { createRandom, pickIndex, type RandomSource } from '../../src/common/Random.js';
+import { Caller } from '../../standin/Caller.js';
+import type { LoadStream, RunLoadParams, StreamResult } from './Protocol.js';
+
+/** Stream while it runs. */
+interface RunningStream {
+  readonly stream: LoadStream;
+  readonly latenciesMs: number[];
+  refusedNotRun: number;
+  failed: number;
+  readonly failures: Record<string, number>;
+  /** Time at which the next call is due. */
+  dueMs: number;
+}
+
+const MS_PER_SECOND = 1000;
+const OK_STATUS = 200;
+const CALLERS_PER_PROCESS = 8;
+
+/** Open-loop load generator in a bench process. */
+export class LoadRole {
+  private callers: Caller[] = [];
+
+  readonly methods = {
+    run: (params: RunLoadParams) => this.run(params),
+  };
+
+  private async run(params: RunLoadParams): Promise<StreamResult[]> {
+    const random = createRandom(params.seed);
+    const callers = this.createCallers(params);
+    await this.warmDirectory(params, callers);
+    const startMs = performance.now();
+    const running = params.streams.map<RunningStream>((stream) => ({
+      stream,
+      latenciesMs: [],
+      refusedNotRun: 0,
+      failed: 0,
+      failures: {},
+      dueMs: startMs + this.gapMs(stream, random),
+    }));
+    const open = new Set<Promise<void>>();
+    await new Promise<void>((resolve) => {
+      // Polls without a pause: a timer would bunch the arrivals.
+      const pace = () => {
+        const nowMs = performance.now();
+        running.forEach((item) => {
+          while (item.dueMs <= nowMs && item.dueMs < startMs + params.durationMs) {
+            const caller = callers[pickIndex(random, callers.length)]!;
+            const call = this.send(params, caller, item, item.dueMs);
+            open.add(call);
+            call.finally(() => open.delete(call)).catch(() => {});
+            item.dueMs += this.gapMs(item.stream, random);
+          }
+        });
+        if (nowMs >= startMs + params.durationMs) resolve();
+        else setImmediate(pace);
+      };
+      pace();
+    });
+    await Promise.all(open);
+    return running.map(({ stream, latenciesMs, refusedNotRun, failed, failures }) => ({
+      service: stream.service,
+      callerId: stream.callerId,
+      latenciesMs,
+      refusedNotRun,
+      failed,
+      failures,
+    }));
+  }
+
+  private createCallers(params: RunLoadParams): Caller[] {
+    this.callers.forEach((caller) => caller.close());
+    const zones = [...params.zones];
+    this.callers = Array.from(
+      { length: CALLERS_PER_PROCESS },
+      (unused, index) =>
+        new Caller({
+          id: `load-${index}`,
+          seeds: params.seeds,
+          availabilityZone: zones[index % Math.max(1, zones.length)],
+          asksByService: params.asksByService,
+        }),
+    );
+    return this.callers;
+  }
+
+  private async warmDirectory(params: RunLoadParams, callers: readonly Caller[]): Promise<void> {
+    if (params.direct) return;
+    await Promise.all(
+      callers.flatMap((caller) => params.streams.map((stream) => caller.directory(stream.service))),
+    );
+  }
+
+  /** Time to the next arrival of a Poisson process. */
+  private readonly gapMs = (stream: LoadStream, random: RandomSource): number =>
+    (-Math.log(1 - random.next()) * MS_PER_SECOND) / stream.ratePerSecond;
+
+  private readonly send = async (
+    params: RunLoadParams,
+    caller: Caller,
+    item: RunningStream,
+    dueMs: number,
+  ): Promise<void> => {
+    const path = params.path ?? '/records/1';
+    try {
+      const answer = await caller.call({
+        service: params.direct ? '' : item.stream.service,
+        path,
+        via: params.direct,
+        headers: { 'Egret-Caller': item.stream.callerId },
+      });
+      if (answer.statusCode === OK_STATUS && answer.whole) {
+        item.latenciesMs.push(performance.now() - dueMs);
+        return;
+      }
+      if (answer.headers['egret-outcome'] === 'not-run') item.refusedNotRun += 1;
+      else item.failed += 1;
+      const kind = /"kind":"([^"]+)"/.exec(answer.text)?.[1] ?? '';
+      const label = `${answer.statusCode}${kind}${answer.whole ? '' : '-cut'}`;
+      item.failures[label] = (item.failures[label] ?? 0) + 1;
+    } catch (error) {
+      item.failed += 1;
+      const label = (error as NodeJS.ErrnoException).code ?? 'error';
+      item.failures[label] = (item.failures[label] ?? 0) + 1;
+    }
+  };
+}
--- /dev/null
+++ b/bench/workers/Worker.ts
@@ -0,0 +1,46 @@
+import { fork, type ChildProcess } from 'node:child_process';
+import { WorkerRole, type ProcessFigures, type WorkerReply } from './Protocol.js';
+
+const MAIN = new URL('./WorkerMain.js', import.meta.url);
+
+/** Bench process that runs one role. */
+export class Worker {
+  private readonly child: ChildProcess;
+
+  private readonly waiting = new Map<number, (reply: WorkerReply) => void>();
+
+  private nextId = 1;
+
+  constructor(role: WorkerRole) {
+    this.child = fork(MAIN, [role], { serialization: 'advanced' });
+    this.child.on('message', (reply: WorkerReply) => {
+      this.waiting.get(reply.id)?.(reply);
+      this.waiting.delete(reply.id);
+    });
+  }
+
+  /** Calls a method of the role. */
+  call<T>(method: string, params: unknown = null): Promise<T> {
+    const id = this.nextId;
+    this.nextId += 1;
+    return new Promise((resolve, reject) => {
+      this.waiting.set(id, (reply) => {
+        if (reply.error === null) resolve(reply.result as T);
+        else reject(new Error(`${method}: ${reply.error}`));
+      });
+      this.child.send({ id, method, params });
+    });
+  }
+
+  figures(): Promise<ProcessFigures> {
+    return this.call('processFigures');
+  }
+
+  /** Ends the process at once, as a crash does. */
+  kill(): Promise<void> {
+    return new Promise((resolve) => {
+      this.child.once('exit', () => resolve());
+      this.child.kill('SIGKILL');
+    });
+  }
+}
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
+import type { Registry } from 'prom-client';
 import { API_PREFIX, HeaderName } from '../../common/Constants.js';
 import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
 import type { EntryHost } from '../../common/Placement.js';
@@ -224,6 +225,11 @@
     return this.self.port;
   }
 
+  /** Metrics of this host. */
+  get registry(): Registry {
+    return this.metrics.registry;
+  }
+
   get adminPort(): number {
     return this.self.adminPort;
   }
--- a/standin/BackendStandin.ts
+++ b/standin/BackendStandin.ts
@@ -222,7 +222,12 @@
     this.figures.peakInFlight = Math.max(this.figures.peakInFlight, this.inFlight);
     const key = request.headers['idempotency-key'];
     if (typeof key === 'string') this.options.runLog?.ran(key);
-    const timer = setTimeout(() => this.answer(request, response), this.serviceTimeMs(overload));
+    const serviceTimeMs = this.serviceTimeMs(overload);
+    const timer =
+      serviceTimeMs > 0
+        ? setTimeout(() => this.answer(request, response), serviceTimeMs)
+        : undefined;
+    if (!timer) this.answer(request, response);
     response.once('close', () => {
       clearTimeout(timer);
       this.inFlight = Math.max(0, this.inFlight - 1);
