--- a/bench/workers/LoadRole.ts
+++ b/bench/workers/LoadRole.ts
@@ -17,6 +17,50 @@
 const OK_STATUS = 200;
 const CALLERS_PER_PROCESS = 8;
 
+/** Asks the directory before the clock starts. */
+async function warmDirectory(params: RunLoadParams, callers: readonly Caller[]): Promise<void> {
+  if (params.direct) return;
+  await Promise.all(
+    callers.flatMap((caller) => params.streams.map((stream) => caller.directory(stream.service))),
+  );
+}
+
+/** Time to the next arrival of a Poisson process. */
+function gapMs(stream: LoadStream, random: RandomSource): number {
+  return (-Math.log(1 - random.next()) * MS_PER_SECOND) / stream.ratePerSecond;
+}
+
+/** Sends one call and notes its result. */
+async function send(
+  params: RunLoadParams,
+  caller: Caller,
+  item: RunningStream,
+  dueMs: number,
+): Promise<void> {
+  const path = params.path ?? '/records/1';
+  try {
+    const answer = await caller.call({
+      service: params.direct ? '' : item.stream.service,
+      path,
+      via: params.direct,
+      headers: { 'Egret-Caller': item.stream.callerId },
+    });
+    if (answer.statusCode === OK_STATUS && answer.whole) {
+      item.latenciesMs.push(performance.now() - dueMs);
+      return;
+    }
+    if (answer.headers['egret-outcome'] === 'not-run') item.refusedNotRun += 1;
+    else item.failed += 1;
+    const kind = /"kind":"([^"]+)"/.exec(answer.text)?.[1] ?? '';
+    const label = `${answer.statusCode}${kind}${answer.whole ? '' : '-cut'}`;
+    item.failures[label] = (item.failures[label] ?? 0) + 1;
+  } catch (error) {
+    item.failed += 1;
+    const label = (error as NodeJS.ErrnoException).code ?? 'error';
+    item.failures[label] = (item.failures[label] ?? 0) + 1;
+  }
+}
+
 /** Open-loop load generator in a bench process. */
 export class LoadRole {
   private callers: Caller[] = [];
@@ -28,7 +72,7 @@
   private async run(params: RunLoadParams): Promise<StreamResult[]> {
     const random = createRandom(params.seed);
     const callers = this.createCallers(params);
-    await this.warmDirectory(params, callers);
+    await warmDirectory(params, callers);
     const startMs = performance.now();
     const running = params.streams.map<RunningStream>((stream) => ({
       stream,
@@ -36,7 +80,7 @@
       refusedNotRun: 0,
       failed: 0,
       failures: {},
-      dueMs: startMs + this.gapMs(stream, random),
+      dueMs: startMs + gapMs(stream, random),
     }));
     const open = new Set<Promise<void>>();
     await new Promise<void>((resolve) => {
@@ -46,10 +90,10 @@
         running.forEach((item) => {
           while (item.dueMs <= nowMs && item.dueMs < startMs + params.durationMs) {
             const caller = callers[pickIndex(random, callers.length)]!;
-            const call = this.send(params, caller, item, item.dueMs);
+            const call = send(params, caller, item, item.dueMs);
             open.add(call);
             call.finally(() => open.delete(call)).catch(() => {});
-            item.dueMs += this.gapMs(item.stream, random);
+            item.dueMs += gapMs(item.stream, random);
           }
         });
         if (nowMs >= startMs + params.durationMs) resolve();
@@ -83,45 +127,4 @@
     );
     return this.callers;
   }
-
-  private async warmDirectory(params: RunLoadParams, callers: readonly Caller[]): Promise<void> {
-    if (params.direct) return;
-    await Promise.all(
-      callers.flatMap((caller) => params.streams.map((stream) => caller.directory(stream.service))),
-    );
-  }
-
-  /** Time to the next arrival of a Poisson process. */
-  private readonly gapMs = (stream: LoadStream, random: RandomSource): number =>
-    (-Math.log(1 - random.next()) * MS_PER_SECOND) / stream.ratePerSecond;
-
-  private readonly send = async (
-    params: RunLoadParams,
-    caller: Caller,
-    item: RunningStream,
-    dueMs: number,
-  ): Promise<void> => {
-    const path = params.path ?? '/records/1';
-    try {
-      const answer = await caller.call({
-        service: params.direct ? '' : item.stream.service,
-        path,
-        via: params.direct,
-        headers: { 'Egret-Caller': item.stream.callerId },
-      });
-      if (answer.statusCode === OK_STATUS && answer.whole) {
-        item.latenciesMs.push(performance.now() - dueMs);
-        return;
-      }
-      if (answer.headers['egret-outcome'] === 'not-run') item.refusedNotRun += 1;
-      else item.failed += 1;
-      const kind = /"kind":"([^"]+)"/.exec(answer.text)?.[1] ?? '';
-      const label = `${answer.statusCode}${kind}${answer.whole ? '' : '-cut'}`;
-      item.failures[label] = (item.failures[label] ?? 0) + 1;
-    } catch (error) {
-      item.failed += 1;
-      const label = (error as NodeJS.ErrnoException).code ?? 'error';
-      item.failures[label] = (item.failures[label] ?? 0) + 1;
-    }
-  };
 }
--- /dev/null
+++ b/fuzz/ControlHost.ts
@@ -0,0 +1,192 @@
+import type { SettingsTree } from '../src/common/SettingsSchema.js';
+import type { RandomSource } from '../src/common/Random.js';
+import { ControlReducer } from '../src/control/ControlReducer.js';
+import type {
+  HardState,
+  LogEntry,
+  Member,
+  RaftMessage,
+  Snapshot,
+} from '../src/control/raft/Types.js';
+import {
+  ControlEffectType,
+  ControlEventType,
+  type AdminRequest,
+  type ControlEffect,
+  type ControlEvent,
+} from '../src/control/Types.js';
+import type { EgretError } from '../src/common/Errors.js';
+import type { FromControlMessage } from '../src/common/Messages.js';
+import type { Timeline } from './Timeline.js';
+
+/** Durable part of a control host. */
+interface Disk {
+  instanceId: string;
+  hardState: HardState;
+  snapshot: Snapshot | null;
+  entries: LogEntry[];
+}
+
+/** Surroundings of a {@link ControlHost}. */
+export interface ControlHostOptions {
+  readonly id: string;
+  readonly timeline: Timeline;
+  readonly random: RandomSource;
+  readonly voters: readonly Member[];
+  readonly tree: SettingsTree;
+  /** Speed of the host's clock relative to true time. */
+  readonly clockRate: number;
+  readonly snapshotEvery: number;
+  readonly sendRaft: (to: string, message: RaftMessage) => void;
+  readonly sendSession: (sessionId: number, message: FromControlMessage) => void;
+}
+
+type EffectOf<T extends ControlEffectType> = Extract<ControlEffect, { type: T }>;
+type Untimed<E> = E extends unknown ? Omit<E, 'nowMs' | 'wallMs'> : never;
+
+/** Answer of an administration request. */
+export type AdminAnswer = (body: unknown, error: EgretError | null) => void;
+
+const TICK_MS = 20;
+const MAX_SYNC_MS = 6;
+const WALL_START_MS = 1_700_000_000_000;
+
+/** Control reducer with a fake disk, which loses unsynced writes in a crash. */
+export class ControlHost {
+  reducer!: ControlReducer;
+
+  alive = false;
+
+  private disk!: Disk;
+
+  /** Rises with every start, so that what an earlier run began is dropped. */
+  private run = 0;
+
+  /** Time at which the last queued write is durable. */
+  private syncedAtMs = 0;
+
+  private readonly answers = new Map<string, AdminAnswer>();
+
+  private nextRequest = 1;
+
+  private disks = 0;
+
+  constructor(readonly options: ControlHostOptions) {
+    this.replaceDisk();
+    this.start();
+  }
+
+  /** Gives the host an empty disk with a new identity. */
+  replaceDisk(): void {
+    this.disks += 1;
+    this.disk = {
+      instanceId: `${this.options.id}#${this.disks}`,
+      hardState: { term: 0, votedFor: null },
+      snapshot: null,
+      entries: [],
+    };
+  }
+
+  start(): void {
+    const { id, voters, tree, snapshotEvery } = this.options;
+    const { instanceId, hardState, snapshot, entries } = this.disk;
+    this.run += 1;
+    this.alive = true;
+    this.syncedAtMs = this.options.timeline.nowMs;
+    this.reducer = new ControlReducer({
+      raft: {
+        id,
+        instanceId,
+        hardState,
+        snapshot: snapshot ?? {
+          index: 0,
+          term: 0,
+          membership: { voters, learners: [] },
+          bytes: new Uint8Array(),
+        },
+        entries: [...entries],
+      },
+      initialSettings: tree,
+      snapshotEvery,
+    });
+    this.tick(this.run);
+  }
+
+  crash(): void {
+    this.alive = false;
+    this.run += 1;
+    this.answers.clear();
+  }
+
+  handle(event: Untimed<ControlEvent>): void {
+    if (!this.alive) return;
+    const { nowMs } = this.options.timeline;
+    const times = { nowMs: nowMs * this.options.clockRate, wallMs: WALL_START_MS + nowMs };
+    const effects = this.reducer.reduce({ ...event, ...times } as ControlEvent);
+    effects.forEach((effect) => {
+      const runner = this.runners[effect.type] as (received: ControlEffect) => void;
+      runner(effect);
+    });
+  }
+
+  /** Sends an administration request; the answer may never come. */
+  admin(request: AdminRequest, tokenHash: string, answer: AdminAnswer): void {
+    const requestId = String(this.nextRequest);
+    this.nextRequest += 1;
+    this.answers.set(requestId, answer);
+    this.handle({ type: ControlEventType.Admin, requestId, tokenHash, request });
+  }
+
+  private tick(run: number): void {
+    if (run !== this.run) return;
+    this.handle({ type: ControlEventType.Tick, random: this.options.random.next() });
+    this.options.timeline.after(TICK_MS, () => this.tick(run));
+  }
+
+  /** Runs an action once every write so far is durable, unless the host crashes first. */
+  private afterSync(extraMs: number, action: () => void): void {
+    const { timeline } = this.options;
+    const { run } = this;
+    this.syncedAtMs = Math.max(this.syncedAtMs, timeline.nowMs) + extraMs;
+    timeline.after(this.syncedAtMs - timeline.nowMs, () => {
+      if (run === this.run) action();
+    });
+  }
+
+  private readonly runners = {
+    [ControlEffectType.Persist]: ({ write }: EffectOf<ControlEffectType.Persist>) =>
+      this.afterSync(this.options.random.next() * MAX_SYNC_MS, () => {
+        const { disk } = this;
+        if (write.hardState) disk.hardState = write.hardState;
+        if (write.truncateFrom > 0) {
+          disk.entries = disk.entries.filter((entry) => entry.index < write.truncateFrom);
+        }
+        disk.entries.push(...write.entries);
+        const last = write.entries.at(-1);
+        const { generation } = write;
+        if (last) this.handle({ type: ControlEventType.Persisted, index: last.index, generation });
+      }),
+    [ControlEffectType.SaveSnapshot]: (effect: EffectOf<ControlEffectType.SaveSnapshot>) =>
+      this.afterSync(MAX_SYNC_MS, () => {
+        const { snapshot, received } = effect;
+        const { disk } = this;
+        const base = disk.entries.find((entry) => entry.index === snapshot.index);
+        const keeps = base?.term === snapshot.term || !received;
+        disk.snapshot = snapshot;
+        disk.entries = keeps ? disk.entries.filter((entry) => entry.index > snapshot.index) : [];
+        this.handle({ type: ControlEventType.SnapshotSaved, snapshot, received });
+      }),
+    [ControlEffectType.SendRaft]: (effect: EffectOf<ControlEffectType.SendRaft>) => {
+      if (effect.early) this.options.sendRaft(effect.to, effect.message);
+      else this.afterSync(0, () => this.options.sendRaft(effect.to, effect.message));
+    },
+    [ControlEffectType.SendSession]: (effect: EffectOf<ControlEffectType.SendSession>) =>
+      this.options.sendSession(effect.sessionId, effect.message),
+    [ControlEffectType.AnswerAdmin]: (effect: EffectOf<ControlEffectType.AnswerAdmin>) => {
+      this.answers.get(effect.requestId)?.(effect.body, effect.error);
+      this.answers.delete(effect.requestId);
+    },
+    [ControlEffectType.RoleChanged]: () => {},
+    [ControlEffectType.Log]: () => {},
+  };
+}
--- /dev/null
+++ b/fuzz/EntryHostModel.ts
@@ -0,0 +1,392 @@
+import type { Outcome } from '../src/common/Enums.js';
+import type { EgretError } from '../src/common/Errors.js';
+import type { ToControlMessage } from '../src/common/Messages.js';
+import type { EntryHost } from '../src/common/Placement.js';
+import type { RandomSource } from '../src/common/Random.js';
+import { EntryReducer } from '../src/entry/EntryReducer.js';
+import type { PeerMessage } from '../src/entry/PeerMessages.js';
+import {
+  AttemptResult,
+  EntryEffectType,
+  EntryEventType,
+  TargetKind,
+  type Announcement,
+  type AnnouncementAnswer,
+  type ArrivedCall,
+  type EntryEffect,
+  type EntryEvent,
+  type StartAttemptEffect,
+} from '../src/entry/Types.js';
+import { RunEnd, type BackendHost } from './BackendHost.js';
+import type { Network } from './Network.js';
+import type { Timeline } from './Timeline.js';
+
+/** Call of a caller, or of a peer, at one entry host. */
+export interface ModelCall {
+  readonly requestId: string;
+  readonly key: string | null;
+  readonly kills: boolean;
+  readonly method: string;
+  readonly service: string;
+  readonly callerId: string;
+  readonly forwarded: boolean;
+  /** Called once with what the caller gets. */
+  readonly onResult: (result: ModelResult) => void;
+}
+
+/** What reaches the sender of a call. */
+export interface ModelResult {
+  readonly outcome: Outcome | null;
+  readonly statusCode: number;
+  readonly answerOf: string | null;
+  readonly whole: boolean;
+  readonly endedCleanly: boolean;
+  readonly error: EgretError | null;
+}
+
+/** Open call with the answer that is being passed on. */
+interface OpenCall {
+  readonly call: ModelCall;
+  answeringId: number | null;
+  answerOf: string | null;
+  done: boolean;
+  readonly cancels: Map<number, () => void>;
+}
+
+/** Surroundings of an {@link EntryHostModel}. */
+export interface EntryHostModelOptions {
+  readonly id: string;
+  readonly zone: string;
+  readonly timeline: Timeline;
+  readonly random: RandomSource;
+  readonly network: Network;
+  readonly clockRate: number;
+  readonly controlIds: readonly string[];
+  readonly findBackend: (id: string) => BackendHost | undefined;
+  readonly findEntry: (id: string) => EntryHostModel | undefined;
+  readonly sendControl: (controlId: string, message: ToControlMessage) => void;
+  readonly sendPeer: (peerId: string, message: PeerMessage) => void;
+  /** Observes the revision under which a call is admitted. */
+  readonly onAdmitted: (entryBoot: string, revision: number) => void;
+  readonly onApplied: (entryBoot: string, revision: number) => void;
+  /** Deliberate fault of the shell: a cut answer ends like a whole one. */
+  readonly endsCutAnswersCleanly: boolean;
+}
+
+type EffectOf<T extends EntryEffectType> = Extract<EntryEffect, { type: T }>;
+type Untimed<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
+
+const TICK_MS = 5;
+const PORT = 1;
+const CANCEL_LINGER_MS = 500;
+
+const RESULTS: Record<RunEnd, AttemptResult> = {
+  [RunEnd.Answered]: AttemptResult.Completed,
+  [RunEnd.Shed]: AttemptResult.Shed,
+  [RunEnd.Reset]: AttemptResult.Reset,
+  [RunEnd.Cut]: AttemptResult.Truncated,
+};
+
+/** Passes the result of a call on, once. */
+function finish(
+  item: OpenCall,
+  error: EgretError | null,
+  whole: boolean,
+  endedCleanly: boolean,
+  statusCode = 200,
+): void {
+  if (item.done) return;
+  item.done = true;
+  item.call.onResult({
+    outcome: error?.outcome ?? null,
+    statusCode: error?.statusCode ?? statusCode,
+    answerOf: item.answerOf,
+    whole,
+    endedCleanly,
+    error,
+  });
+}
+
+/** Entry reducer with a fake shell. */
+export class EntryHostModel {
+  reducer!: EntryReducer;
+
+  alive = false;
+
+  boot = 0;
+
+  readonly self: EntryHost;
+
+  private readonly calls = new Map<number, OpenCall>();
+
+  private readonly announcements = new Map<number, (answer: AnnouncementAnswer | null) => void>();
+
+  private nextId = 1;
+
+  constructor(readonly options: EntryHostModelOptions) {
+    const { id, zone } = options;
+    this.self = {
+      id,
+      address: id,
+      port: PORT,
+      peerPort: PORT,
+      adminAddress: id,
+      adminPort: PORT,
+      availabilityZone: zone,
+      stopping: false,
+    };
+    this.start();
+  }
+
+  get bootName(): string {
+    return `${this.options.id}/${this.boot}`;
+  }
+
+  start(): void {
+    this.boot += 1;
+    this.alive = true;
+    this.calls.clear();
+    this.announcements.clear();
+    this.reducer = new EntryReducer({
+      self: this.self,
+      random: this.options.random,
+      bootId: String(this.boot),
+    });
+    this.options.controlIds.forEach((controlHostId) =>
+      this.handle({ type: EntryEventType.ControlConnected, controlHostId }),
+    );
+    this.tick(this.boot);
+  }
+
+  /** Ends at once; callers see broken connections, backend servers see closed ones. */
+  crash(): void {
+    if (!this.alive) return;
+    this.alive = false;
+    const open = [...this.calls.values()];
+    this.calls.clear();
+    open.forEach((item) => {
+      item.cancels.forEach((cancel) => this.options.network.exchange(cancel));
+      finish(item, null, false, false);
+    });
+  }
+
+  handle(event: Untimed<EntryEvent>): void {
+    if (!this.alive) return;
+    const nowMs = this.options.timeline.nowMs * this.options.clockRate;
+    const effects = this.reducer.reduce({ ...event, nowMs } as EntryEvent);
+    this.options.onApplied(this.bootName, this.reducer.settings.revision);
+    effects.forEach((effect) => {
+      const runner = this.runners[effect.type] as (received: EntryEffect) => void;
+      runner(effect);
+    });
+  }
+
+  /** A call arrives. */
+  receive(call: ModelCall): void {
+    const callId = this.nextId;
+    this.nextId += 1;
+    const cancels = new Map<number, () => void>();
+    this.calls.set(callId, { call, answeringId: null, answerOf: null, done: false, cancels });
+    const arrived: ArrivedCall = {
+      callId,
+      service: call.service,
+      method: call.method,
+      idempotencyKey: call.key,
+      fingerprint: call.kills ? 'GET /killer' : (call.key ?? `GET /${call.requestId}`),
+      timeoutMs: null,
+      callerId: call.callerId,
+      forwarded: call.forwarded,
+      replayable: true,
+    };
+    this.handle({ type: EntryEventType.CallArrived, call: arrived });
+  }
+
+  announce(
+    announcement: Announcement,
+    tokenHash: string,
+    onAnswer: (answer: AnnouncementAnswer | null) => void,
+  ): void {
+    const requestId = this.nextId;
+    this.nextId += 1;
+    this.announcements.set(requestId, onAnswer);
+    this.handle({ type: EntryEventType.Announcement, requestId, announcement, tokenHash });
+  }
+
+  private tick(boot: number): void {
+    if (boot !== this.boot || !this.alive) return;
+    this.handle({ type: EntryEventType.Tick });
+    this.options.timeline.after(TICK_MS, () => this.tick(boot));
+  }
+
+  private startAttempt(effect: StartAttemptEffect): void {
+    const { callId, attemptId, target } = effect;
+    const item = this.calls.get(callId);
+    if (!item) return;
+    const { boot } = this;
+    const { network, timeline } = this.options;
+    let ended = false;
+    const end = (result: AttemptResult, error: EgretError | null = null) => {
+      if (ended || boot !== this.boot || !this.alive) return;
+      ended = true;
+      item.cancels.delete(attemptId);
+      this.onAttemptEnded(item, callId, attemptId, result, error);
+    };
+    if (target.kind === TargetKind.Backend) {
+      this.sendToBackend(item, effect, end);
+    } else this.sendToPeer(item, effect, end);
+    const cancelTarget = item.cancels.get(attemptId);
+    item.cancels.set(attemptId, () => {
+      network.exchange(() => cancelTarget?.());
+      timeline.after(CANCEL_LINGER_MS, () => end(AttemptResult.Cancelled));
+    });
+  }
+
+  private sendToBackend(
+    item: OpenCall,
+    effect: StartAttemptEffect,
+    end: (result: AttemptResult) => void,
+  ): void {
+    const { network } = this.options;
+    const { callId, attemptId, target } = effect;
+    let cancelled = false;
+    let cancelRun: (() => void) | undefined;
+    item.cancels.set(attemptId, () => {
+      cancelled = true;
+      if (cancelRun) cancelRun();
+      network.exchange(() => end(AttemptResult.Cancelled));
+    });
+    network.exchange(() => {
+      const backend = this.options.findBackend(target.id);
+      if (!backend?.alive) {
+        network.exchange(() => end(AttemptResult.NotSent));
+        return;
+      }
+      if (cancelled) return;
+      const { requestId, key, kills } = item.call;
+      cancelRun = backend.receive({
+        requestId,
+        key,
+        kills,
+        onEnd: (how) =>
+          network.exchange(() => {
+            const begins = how === RunEnd.Answered || how === RunEnd.Cut;
+            if (begins && !cancelled) {
+              item.answerOf ??= requestId;
+              this.handle({ type: EntryEventType.AttemptHeaders, callId, attemptId });
+            }
+            end(cancelled ? AttemptResult.Cancelled : RESULTS[how]);
+          }),
+      });
+    });
+  }
+
+  private sendToPeer(
+    item: OpenCall,
+    effect: StartAttemptEffect,
+    end: (result: AttemptResult, error?: EgretError | null) => void,
+  ): void {
+    const { network } = this.options;
+    const { callId, attemptId, target } = effect;
+    network.exchange(() => {
+      const peer = this.options.findEntry(target.id);
+      const reachable = peer?.alive && network.isConnected(this.options.id, target.id);
+      if (!peer || !reachable) {
+        network.exchange(() => {
+          this.handle({ type: EntryEventType.PeerUnreachable, peerId: target.id });
+          end(AttemptResult.NotSent);
+        });
+        return;
+      }
+      peer.receive({
+        ...item.call,
+        forwarded: true,
+        onResult: (result) =>
+          network.exchange(() => {
+            const notRun = result.outcome === 'not-run' && result.statusCode === 503;
+            if (notRun) {
+              end(AttemptResult.Shed, result.error);
+              return;
+            }
+            if (result.whole || result.answerOf !== null) {
+              item.answerOf ??= result.answerOf;
+              this.handle({ type: EntryEventType.AttemptHeaders, callId, attemptId });
+              // A peer's own refusal passes as it is.
+              if (result.error) finish(item, result.error, true, true);
+            }
+            if (result.whole) end(AttemptResult.Completed);
+            else end(result.answerOf ? AttemptResult.Truncated : AttemptResult.Reset);
+          }),
+      });
+    });
+  }
+
+  private onAttemptEnded(
+    item: OpenCall,
+    callId: number,
+    attemptId: number,
+    result: AttemptResult,
+    peerRefusal: EgretError | null,
+  ): void {
+    const answering = item.answeringId === attemptId;
+    if (answering && result === AttemptResult.Completed) finish(item, null, true, true);
+    if (answering && result === AttemptResult.Truncated && this.options.endsCutAnswersCleanly) {
+      finish(item, null, false, true);
+    }
+    const answer =
+      result === AttemptResult.Completed && item.call.key !== null
+        ? { statusCode: 201, rawHeaders: [], body: Buffer.from(item.call.requestId) }
+        : null;
+    this.handle({
+      type: EntryEventType.AttemptEnded,
+      callId,
+      attemptId,
+      result,
+      statusCode: 200,
+      resume: null,
+      answer,
+      peerStatus: null,
+      peerRefusal,
+    });
+  }
+
+  private readonly runners = {
+    [EntryEffectType.SendControl]: (effect: EffectOf<EntryEffectType.SendControl>) =>
+      this.options.sendControl(effect.controlHostId, effect.message),
+    [EntryEffectType.SendPeer]: (effect: EffectOf<EntryEffectType.SendPeer>) =>
+      this.options.sendPeer(effect.peer.id, effect.message),
+    [EntryEffectType.SyncControlHosts]: () => {},
+    [EntryEffectType.AnswerAnnouncement]: (
+      effect: EffectOf<EntryEffectType.AnswerAnnouncement>,
+    ) => {
+      this.announcements.get(effect.requestId)?.(effect.answer);
+      this.announcements.delete(effect.requestId);
+    },
+    [EntryEffectType.AnswerDirectory]: () => {},
+    [EntryEffectType.StartAttempt]: (effect: StartAttemptEffect) => {
+      const current = this.reducer.settings.revision;
+      this.options.onAdmitted(this.bootName, current);
+      this.startAttempt(effect);
+    },
+    [EntryEffectType.CancelAttempt]: (effect: EffectOf<EntryEffectType.CancelAttempt>) =>
+      this.calls.get(effect.callId)?.cancels.get(effect.attemptId)?.(),
+    [EntryEffectType.UseAnswer]: (effect: EffectOf<EntryEffectType.UseAnswer>) => {
+      const item = this.calls.get(effect.callId);
+      if (item) item.answeringId = effect.attemptId;
+    },
+    [EntryEffectType.RefuseCall]: (effect: EffectOf<EntryEffectType.RefuseCall>) => {
+      const item = this.calls.get(effect.callId);
+      if (item) finish(item, effect.error, true, true);
+    },
+    [EntryEffectType.ReplayCall]: (effect: EffectOf<EntryEffectType.ReplayCall>) => {
+      const item = this.calls.get(effect.callId);
+      if (item) finish(item, null, true, true, effect.answer.statusCode);
+    },
+    [EntryEffectType.BreakCall]: (effect: EffectOf<EntryEffectType.BreakCall>) => {
+      const item = this.calls.get(effect.callId);
+      if (item) finish(item, null, false, false);
+    },
+    [EntryEffectType.CloseTarget]: () => {},
+    [EntryEffectType.Log]: () => {},
+    [EntryEffectType.Count]: () => {},
+  };
+}
--- /dev/null
+++ b/fuzz/Runner.ts
@@ -0,0 +1,51 @@
+import fc from 'fast-check';
+import { stepsArbitrary, runSteps, type Step } from './Commands.js';
+import { World } from './World.js';
+
+/** Options of {@link runFuzz}. */
+export interface FuzzOptions {
+  readonly seed: number;
+  readonly runs: number;
+  /** Stops at the first failure without shrinking it. */
+  readonly quick?: boolean;
+  /** Deliberate fault of the model's shell. */
+  readonly endsCutAnswersCleanly?: boolean;
+}
+
+/** Result of a fuzz run. */
+export interface FuzzResult {
+  readonly failed: boolean;
+  readonly runs: number;
+  /** Promise that was broken, with the detail. */
+  readonly message: string;
+  /** Shrunk trace. */
+  readonly steps: readonly Step[];
+  readonly worldSeed: number;
+}
+
+const MAX_WORLD_SEED = 1_000_000;
+
+/** Draws worlds and steps, and shrinks the first failure. */
+export function runFuzz(options: FuzzOptions): FuzzResult {
+  const details = fc.check(
+    fc.property(fc.nat({ max: MAX_WORLD_SEED }), stepsArbitrary, (seed, steps) => {
+      const { endsCutAnswersCleanly } = options;
+      runSteps(new World({ seed, endsCutAnswersCleanly }), steps);
+    }),
+    { seed: options.seed, numRuns: options.runs, endOnFailure: options.quick ?? false },
+  );
+  const [worldSeed = 0, steps = []] = details.counterexample ?? [];
+  return {
+    failed: details.failed,
+    runs: details.numRuns,
+    message: String(details.errorInstance ?? ''),
+    steps,
+    worldSeed,
+  };
+}
+
+/** Renders a trace, one step a line. */
+export function renderTrace(result: FuzzResult): string {
+  const lines = result.steps.map((step, index) => `  ${index + 1}. ${step.kind} ${step.pick}`);
+  return [`worldSeed=${result.worldSeed}`, result.message, ...lines].join('\n');
+}
