Lease holders treat unverified backend servers as cold; claims for retried orders

Cause: the fuzzer found two faults. Change: (1) a retry without a claim goes through admission. (2) a backend server counts as cold until an announcement follows the opening of a connection; the end of the last connection makes it unverified again. Ruled out: faults of the replicated log (traces show one grant a key and revision).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,8 +1,10 @@
 import { benchOverhead } from './Overhead.js';
+import { benchPolicies } from './Policies.js';
 
 /** Benches by name. */
 const BENCHES: Readonly<Record<string, (args: readonly string[]) => Promise<void>>> = {
   overhead: benchOverhead,
+  policies: benchPolicies,
 };
 
 const [name = '', ...args] = process.argv.slice(2);
--- a/fuzz/BackendHost.ts
+++ b/fuzz/BackendHost.ts
@@ -36,6 +36,8 @@
   /** Requests to complete before one more may run at once. */
   readonly coldRequests: number;
   readonly entryIds: readonly string[];
+  /** Closes the connections that entry hosts have open. */
+  readonly onCrash: () => void;
   /** Sends an announcement; the answer is null if none came. */
   readonly announce: (
     entryId: string,
@@ -99,6 +101,7 @@
 
   crash(): void {
     this.alive = false;
+    this.options.onCrash();
     this.run += 1;
     [...this.running].forEach((item) => this.end(item, RunEnd.Reset));
   }
--- a/fuzz/World.ts
+++ b/fuzz/World.ts
@@ -311,6 +311,15 @@
           oracle: this.oracle,
           coldRequests: this.options.coldRequests ?? 3,
           entryIds: this.entries.map((entry) => entry.options.id),
+          onCrash: () =>
+            this.entries.forEach((entry) =>
+              this.network.exchange(() =>
+                entry.handle({
+                  type: EntryEventType.TargetClosed,
+                  targetId: `backend:${index + 1}`,
+                }),
+              ),
+            ),
           announce: (entryId, announcement, onAnswer) =>
             this.network.exchange(() => {
               const entry = this.entry(entryId);
--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -443,6 +443,11 @@
       else this.refuseNoBackend(record);
       return;
     }
+    if (!record.idempotent && record.claimId === null) {
+      // A peer refused; this host has backend servers by now, but no claim yet.
+      this.admit(record);
+      return;
+    }
     const backend = this.choose(record);
     if (backend) this.start(record, backend.target, backend, false);
     else if (record.answeringId !== null) this.breakCall(record);
--- a/src/entry/EntryReducer.ts
+++ b/src/entry/EntryReducer.ts
@@ -176,6 +176,8 @@
       this.calls.onHeaders(event.callId, event.attemptId),
     [EntryEventType.AttemptEnded]: (event: EventOf<EntryEventType.AttemptEnded>) =>
       this.calls.onAttemptEnded(event),
+    [EntryEventType.TargetClosed]: (event: EventOf<EntryEventType.TargetClosed>) =>
+      this.pools.findBackend(event.targetId)?.onDisconnected(),
     [EntryEventType.Stop]: () => {
       this.context.self = { ...this.context.self, stopping: true };
       this.roster.setSelf(this.context.self);
--- a/src/entry/LeaseTable.ts
+++ b/src/entry/LeaseTable.ts
@@ -4,7 +4,7 @@
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import { placeBackend, type EntryHost } from '../common/Placement.js';
 import type { CatalogEntry } from '../common/SettingsTree.js';
-import { BackendRecord } from './dispatch/BackendRecord.js';
+import { ALIVE_PROOF_DELAY_MS, BackendRecord } from './dispatch/BackendRecord.js';
 import type { ServicePool } from './dispatch/ServicePool.js';
 import type { EntryContext } from './EntryContext.js';
 import type { EntryRoster } from './EntryRoster.js';
@@ -28,9 +28,6 @@
 /** Released records are kept so many leases, to tell the new holder their concurrency limit. */
 const FORGET_RELEASED_LEASES = 2;
 
-/** An announcement proves that its sender lived this long ago. */
-const ALIVE_PROOF_DELAY_MS = 100;
-
 /** Incarnation whose death was told by its successor, or by its silence. */
 export interface EndedIncarnation {
   readonly pool: ServicePool;
@@ -169,6 +166,7 @@
     }
     record.state = announcement.state;
     record.backoffUntilMs = 0;
+    record.onAnnounced(context.nowMs);
     pool.quarantine.clearIncarnation(
       backendId,
       record.incarnation,
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -142,6 +142,7 @@
   CallerLeft = 'caller-left',
   AttemptHeaders = 'attempt-headers',
   AttemptEnded = 'attempt-ended',
+  TargetClosed = 'target-closed',
   Stop = 'stop',
 }
 
@@ -208,6 +209,8 @@
       readonly attemptId: number;
     })
   | AttemptEndedEvent
+  /** The last open connection to a backend server was closed. */
+  | (EntryEventBase & { readonly type: EntryEventType.TargetClosed; readonly targetId: string })
   | (EntryEventBase & { readonly type: EntryEventType.Stop });
 
 export enum EntryEffectType {
--- a/src/entry/dispatch/AttemptOutcomes.ts
+++ b/src/entry/dispatch/AttemptOutcomes.ts
@@ -89,7 +89,7 @@
     const jumped = backend.latencyMs > 0 && latencyMs > backend.latencyMs * COLD_LATENCY_RATIO;
     if (jumped && nowMs - backend.failedAtMs < COLD_SIGN_WINDOW_MS) backend.limit.onColdSign();
     else backend.limit.onSuccess();
-    backend.recordLatency(latencyMs, pool.latency.medianMs);
+    backend.recordLatency(latencyMs, pool.latency.medianMs, nowMs);
     pool.latency.record(latencyMs);
     if (attempt.suspect) pool.quarantine.clear(record.call.fingerprint);
   }
--- a/src/entry/dispatch/BackendRecord.ts
+++ b/src/entry/dispatch/BackendRecord.ts
@@ -15,6 +15,12 @@
   readonly connectionsMax: number;
 }
 
+/** An announcement proves that its sender lived this long ago. */
+export const ALIVE_PROOF_DELAY_MS = 100;
+
+/** Requests in flight at a server that isn't verified. */
+const MIN_ALLOWED = 1;
+
 /** Weight of the newest answer in the latency estimate. */
 const LATENCY_GAIN = 0.25;
 
@@ -89,6 +95,15 @@
   /** Time of the last failure or shed answer. */
   failedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Time of the first answer over the connections that are open; null without one. */
+  connectedAtMs: number | null = null;
+
+  /**
+   * True once an announcement of this incarnation arrived after a connection was open. Until then
+   * the server may be a successor whose announcement is still under way, and counts as cold.
+   */
+  verified = false;
+
   /** Time of the last slow-server probe. */
   probedAtMs = 0;
 
@@ -123,11 +138,16 @@
     );
   }
 
+  /** Requests that may be in flight now. */
+  get allowed(): number {
+    return this.verified ? this.limit.current : MIN_ALLOWED;
+  }
+
   /** Slots that a new request could take now. */
   freeSlots(nowMs: number): number {
     if (!this.isLeased(nowMs) || nowMs < this.backoffUntilMs) return 0;
     const foreign = nowMs < this.foreignUntilMs ? this.foreignInFlight : 0;
-    return Math.max(0, this.limit.current - this.inFlight - foreign);
+    return Math.max(0, this.allowed - this.inFlight - foreign);
   }
 
   /** Expected latency: the estimate, or the age of the oldest request in flight if it is worse. */
@@ -152,8 +172,21 @@
     return nowMs - startedAtMs;
   }
 
+  /** Notes an announcement of this incarnation. */
+  onAnnounced(nowMs: number): void {
+    const provenAtMs = nowMs - ALIVE_PROOF_DELAY_MS;
+    if (this.connectedAtMs !== null && this.connectedAtMs <= provenAtMs) this.verified = true;
+  }
+
+  /** Notes that the last open connection was closed, as the end of the process would do. */
+  onDisconnected(): void {
+    this.connectedAtMs = null;
+    this.verified = false;
+  }
+
   /** Takes an answer into the latency estimate. */
-  recordLatency(latencyMs: number, medianMs: number): void {
+  recordLatency(latencyMs: number, medianMs: number, nowMs: number): void {
+    this.connectedAtMs ??= nowMs;
     const clipped = medianMs > 0 ? Math.min(latencyMs, medianMs * LATENCY_CLIP_MEDIANS) : latencyMs;
     this.latencyMs =
       this.latencyMs === 0 ? clipped : this.latencyMs + LATENCY_GAIN * (clipped - this.latencyMs);
--- a/src/entry/dispatch/Policies.ts
+++ b/src/entry/dispatch/Policies.ts
@@ -78,7 +78,7 @@
     const ratio = slowness(record, pool, nowMs);
     if (ratio === 1 && record.isLeased(nowMs)) hasOrdinary = true;
     if (pool.isOpen(record) && record.freeSlots(nowMs) > 0 && isUsable(record, request)) {
-      const score = ratio * (1 + record.inFlight / record.limit.current);
+      const score = ratio * (1 + record.inFlight / record.allowed);
       if (score < bestScore) {
         best = record;
         bestScore = score;
--- a/src/entry/dispatch/ServicePool.ts
+++ b/src/entry/dispatch/ServicePool.ts
@@ -84,7 +84,7 @@
   totalLimit(nowMs: number): number {
     let total = 0;
     for (const record of this.records.values()) {
-      if (this.isOpen(record) && record.isLeased(nowMs)) total += record.limit.current;
+      if (this.isOpen(record) && record.isLeased(nowMs)) total += record.allowed;
     }
     return total;
   }
@@ -97,7 +97,7 @@
   /** Time that a call at the end of the queue waits for a slot, by the recent mean latency. */
   expectedWaitMs(): number {
     let limit = 0;
-    for (const record of this.records.values()) limit += record.limit.current;
+    for (const record of this.records.values()) limit += record.allowed;
     return (this.latency.meanMs * (this.queue.length + 1)) / Math.max(1, limit);
   }
 
--- a/src/entry/server/Agents.ts
+++ b/src/entry/server/Agents.ts
@@ -1,6 +1,7 @@
-import http from 'node:http';
+import type http from 'node:http';
 import type { Disposable } from '../../common/Disposable.js';
 import type { AttemptTarget } from '../Types.js';
+import { CountingAgent } from './CountingAgent.js';
 
 /** Idle connections are closed before most servers close them. */
 const IDLE_CONNECTION_MS = 4_000;
@@ -11,17 +12,21 @@
 export class Agents implements Disposable {
   private readonly agents = new Map<string, http.Agent>();
 
+  constructor(private readonly onEmpty: (targetId: string) => void) {}
+
   /** The pool of a target, made on first use. */
   ensure(target: AttemptTarget): http.Agent {
     let agent = this.agents.get(target.id);
     if (!agent) {
-      agent = new http.Agent({
+      const options = {
         keepAlive: true,
+        noDelay: true,
         maxSockets: target.connectionsMax,
         maxFreeSockets: MAX_IDLE_CONNECTIONS,
         timeout: IDLE_CONNECTION_MS,
-        scheduling: 'lifo',
-      });
+        scheduling: 'lifo' as const,
+      };
+      agent = new CountingAgent(options, () => this.onEmpty(target.id));
       this.agents.set(target.id, agent);
     }
     return agent;
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -111,7 +111,9 @@
 
   private readonly admin: AdminListener;
 
-  private readonly agents = new Agents();
+  private readonly agents = new Agents((targetId) =>
+    this.post({ type: EntryEventType.TargetClosed, targetId }),
+  );
 
   private readonly announcements: AnnouncementEndpoint;
 
