--- a/bench/Fleet.ts
+++ b/bench/Fleet.ts
@@ -102,6 +102,19 @@
     return totals;
   }
 
+  /** Highest event loop utilization of each kind of process since the last reading. */
+  async utilizations(): Promise<Record<string, number>> {
+    const highest = async (workers: readonly Worker[]) => {
+      const figures = await Promise.all(workers.map((worker) => worker.figures()));
+      return Math.max(...figures.map((item) => item.utilization));
+    };
+    return {
+      entriesBusy: await highest(this.entries),
+      backendsBusy: await highest([this.backends]),
+      loadBusy: await highest(this.loads),
+    };
+  }
+
   backendFigures(): Promise<BackendFigures[]> {
     return this.backends.call('figures');
   }
--- a/bench/workers/LoadRole.ts
+++ b/bench/workers/LoadRole.ts
@@ -123,6 +123,7 @@
           seeds: params.seeds,
           availabilityZone: zones[index % Math.max(1, zones.length)],
           asksByService: params.asksByService,
+          hashes: false,
         }),
     );
     return this.callers;
--- a/bench/workers/Protocol.ts
+++ b/bench/workers/Protocol.ts
@@ -117,6 +117,8 @@
 /** Processor time and memory of a bench process. */
 export interface ProcessFigures {
   readonly cpuMs: number;
+  /** Share of the time since the last reading that the event loop was busy. */
+  readonly utilization: number;
   readonly rssBytes: number;
   readonly heapUsedBytes: number;
 }
--- a/bench/workers/WorkerMain.ts
+++ b/bench/workers/WorkerMain.ts
@@ -16,11 +16,18 @@
 
 const MICROSECONDS_PER_MS = 1000;
 
+/** Event loop utilization at the last reading. */
+let lastUtilization = performance.eventLoopUtilization();
+
 function processFigures() {
+  const current = performance.eventLoopUtilization();
+  const { utilization } = performance.eventLoopUtilization(current, lastUtilization);
+  lastUtilization = current;
   const cpu = process.cpuUsage();
   const memory = process.memoryUsage();
   return {
     cpuMs: (cpu.user + cpu.system) / MICROSECONDS_PER_MS,
+    utilization,
     rssBytes: memory.rss,
     heapUsedBytes: memory.heapUsed,
   };
--- a/src/common/SettingsSchema.ts
+++ b/src/common/SettingsSchema.ts
@@ -29,12 +29,13 @@
   leaseholders: wholeNumber(2, 32, 3),
   timeoutMs: wholeNumber(10, 3_600_000, 10_000),
   queueMax: wholeNumber(0, 100_000, 512),
+  queueWaitRatio: ratio(0, 10_000, 4),
   idempotentMethods: z
     .array(z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH']))
     .default(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']),
   retryBudgetRatio: ratio(0, 1, 0.1),
-  hedgeBudgetRatio: ratio(0, 1, 0.05),
-  hedgeQuantile: ratio(0.5, 0.999, 0.95),
+  hedgeBudgetRatio: ratio(0, 1, 0.1),
+  hedgeQuantile: ratio(0.5, 0.999, 0.9),
   coldRampSuccesses: wholeNumber(1, 1000, 4),
   measuringPerSecond: ratio(0.1, 100, 2),
   maxBodyBytes: wholeNumber(0, 1_073_741_824, 16_777_216),
--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -44,9 +44,6 @@
 /** Claimed calls may run on for so many timeouts, to record their answers. */
 const CLAIMED_GRACE_TIMEOUTS = 2;
 
-/** Share of the time left below which a queued call is refused at once. */
-const HOPELESS_WAIT_RATIO = 1;
-
 /** Refuses a missing or malformed idempotency key. */
 function checkKey(key: string | null): ErrorKind | null {
   if (key === null) return ErrorKind.KeyRequired;
@@ -199,7 +196,7 @@
     for (let record = pool.queue.peek(); record; record = pool.queue.peek()) {
       const backend = this.choose(record);
       if (!backend) return;
-      pool.queue.remove(record);
+      pool.queue.shift();
       this.start(record, backend.target, backend, false);
     }
   }
@@ -339,16 +336,18 @@
       this.refuseNoBackend(record);
       return;
     }
-    if (pool.expectedWaitMs() * HOPELESS_WAIT_RATIO > record.deadlineMs - context.nowMs) {
-      const detail = 'The expected wait is longer than the time left.';
-      this.refuseNotRun(record, new EgretError(ErrorKind.Overloaded, detail));
+    const waitMs = pool.expectedWaitMs(record.callerId);
+    if (waitMs > Math.min(record.deadlineMs - context.nowMs, pool.maxWaitMs())) {
+      const detail = 'The expected wait for a slot is too long.';
+      const retryAfterMs = Math.ceil(waitMs);
+      this.refuseNotRun(record, new EgretError(ErrorKind.Overloaded, detail, { retryAfterMs }));
       this.forgetIfDone(record);
       return;
     }
     const evicted = pool.queue.push(record);
     if (!evicted) return;
     const error = new EgretError(ErrorKind.Overloaded, 'The queue of the service is full.', {
-      retryAfterMs: Math.ceil(pool.expectedWaitMs()),
+      retryAfterMs: Math.ceil(pool.expectedWaitMs(evicted.callerId)),
     });
     this.refuseNotRun(evicted, error);
     this.forgetIfDone(evicted);
@@ -363,6 +362,7 @@
       tried: record.tried,
       suspect: pool.quarantine.standingOf(call.fingerprint, nowMs) !== Standing.Clear,
       idempotent: record.idempotent,
+      callerId: record.callerId,
     });
   }
 
--- a/src/entry/EntryRoster.ts
+++ b/src/entry/EntryRoster.ts
@@ -85,7 +85,8 @@
       service: entry.service,
       availabilityZones: entry.openZones,
       entryHosts: open.some((host) => !host.stopping) ? open : this.hosts,
-      leaseholders: entry.settings.leaseholders,
+      // Closed zones need no leaseholder; placing fewer keeps the others where they are.
+      leaseholders: entry.settings.leaseholders - closed.length,
     });
     this.placements.set(entry.service, placed);
     return placed;
--- a/src/entry/LeaseTable.ts
+++ b/src/entry/LeaseTable.ts
@@ -22,6 +22,9 @@
   type AnnouncementAnswer,
 } from './Types.js';
 
+/** Interval of the early announcements that verify a server after a lease move. */
+const HURRIED_INTERVAL_MS = 150;
+
 /** Records whose backend server was silent for so many leases are dropped. */
 const FORGET_AFTER_LEASES = 10;
 
@@ -83,9 +86,12 @@
     const holder =
       placeBackend(backendId, announcement.availabilityZone, this.roster.leaseholders(entry)) ??
       context.self;
-    if (holder.id === context.self.id) this.accept(announcement, backendId, pool, known);
-    else if (known) this.release(known, holder);
-    return Result.ok(this.answer(holder));
+    if (holder.id !== context.self.id) {
+      if (known) this.release(known, holder);
+      return Result.ok(this.answer(holder, 0));
+    }
+    const record = this.accept(announcement, backendId, pool, known);
+    return Result.ok(this.answer(holder, this.intervalMs(record)));
   }
 
   /** Gives a lease up on the request of the new holder. */
@@ -146,7 +152,7 @@
     backendId: string,
     pool: ServicePool,
     known: BackendRecord | undefined,
-  ): void {
+  ): BackendRecord {
     const { context } = this;
     const leaseMs = this.leaseMs();
     let record = known;
@@ -176,6 +182,7 @@
     if (stamp?.entryHostId === context.self.id && stamp.bootId === context.bootId) {
       record.leaseUntilMs = Math.max(record.leaseUntilMs, stamp.answeredAtMs + leaseMs);
     }
+    return record;
   }
 
   /** Counts requests of previous holders that the backend server still runs. */
@@ -303,13 +310,21 @@
     return this.pools.system().leaseMs;
   }
 
-  private answer(holder: EntryHost): AnnouncementAnswer {
+  /** Asks for an early announcement while only that keeps the server at its cold limit. */
+  private intervalMs(record: BackendRecord): number {
+    const regularMs = this.pools.system().announcementIntervalMs;
+    const waiting = !record.verified && record.limit.current > 1;
+    const hurried = waiting && record.hurryBudget.tryTake(this.context.nowMs);
+    return hurried ? Math.min(regularMs, HURRIED_INTERVAL_MS) : regularMs;
+  }
+
+  private answer(holder: EntryHost, intervalMs: number): AnnouncementAnswer {
     const { context } = this;
     const system = this.pools.system();
     return {
       announceTo: { address: holder.address, port: holder.port },
       entryHostId: context.self.id,
-      intervalMs: holder.id === context.self.id ? system.announcementIntervalMs : 0,
+      intervalMs,
       leaseMs: system.leaseMs,
       leaseStamp: encodeLeaseStamp({
         entryHostId: context.self.id,
--- a/src/entry/dispatch/FairQueue.ts
+++ b/src/entry/dispatch/FairQueue.ts
@@ -55,6 +55,14 @@
     return this.count > this.capacity ? this.evict() : undefined;
   }
 
+  /** Items that are served before a new one of a caller, about. */
+  aheadOf(callerId: string): number {
+    const own = this.callers.get(callerId);
+    const share = (own?.items.length ?? 0) + 1;
+    const callers = this.callers.size + (own ? 0 : 1);
+    return Math.min(this.count, share * callers - 1);
+  }
+
   /** The item to be served next. */
   peek(): T | undefined {
     return this.nextCaller()?.items[0];
--- a/src/entry/dispatch/Hedging.ts
+++ b/src/entry/dispatch/Hedging.ts
@@ -2,11 +2,20 @@
 import { CounterName, TargetKind } from '../Types.js';
 import type { BackendRecord } from './BackendRecord.js';
 import type { CallRecord } from './CallRecord.js';
+import type { ServicePool } from './ServicePool.js';
 import { Standing } from './Quarantine.js';
 
 /** Shortest age at which a call is hedged. */
 const MIN_HEDGE_AGE_MS = 2;
 
+/** Share of the slots that hedges leave free. */
+const HEADROOM_RATIO = 0.1;
+
+/** True while hedges leave slots free for calls that arrive next. */
+function hasHeadroom(pool: ServicePool, nowMs: number): boolean {
+  return pool.freeSlots(nowMs) > Math.max(1, pool.totalLimit(nowMs) * HEADROOM_RATIO);
+}
+
 /**
  * Selects a second backend server for an idempotent call that is slower than the service's hedge
  * quantile (Dean and Barroso, "The Tail at Scale", 2013), within the hedge budget and only where
@@ -21,6 +30,7 @@
   if (pool.policy.free || pool.settings.hedgeBudgetRatio === 0 || pool.queue.length > 0) {
     return undefined;
   }
+  if (!hasHeadroom(pool, context.nowMs)) return undefined;
   const [attempt] = record.attempts.values();
   if (!attempt || attempt.target.kind !== TargetKind.Backend) return undefined;
   const dueMs = Math.max(MIN_HEDGE_AGE_MS, pool.latency.hedgeMs);
@@ -34,6 +44,7 @@
     tried: record.tried,
     suspect: false,
     idempotent: true,
+    callerId: record.callerId,
   });
   if (!backend || !pool.hedgeBudget.tryTake(context.nowMs)) return undefined;
   context.count(CounterName.Hedges, call.service);
--- a/src/entry/dispatch/Policies.ts
+++ b/src/entry/dispatch/Policies.ts
@@ -12,6 +12,7 @@
   /** True where the call may have ended a backend server. */
   readonly suspect: boolean;
   readonly idempotent: boolean;
+  readonly callerId: string;
 }
 
 /** Way to select a backend server. */
@@ -63,7 +64,7 @@
   const probeDue = request.nowMs - record.probedAtMs >= STRAGGLER_PROBE_MS;
   if (probeDue && request.idempotent && record.inFlight === 0) return true;
   const meanMs = Math.max(pool.latency.meanMs, pool.latency.medianMs);
-  return meanMs * ratio < meanMs + pool.expectedWaitMs();
+  return meanMs * ratio < meanMs + pool.expectedWaitMs(request.callerId);
 }
 
 /** Lowest expected finish; equal ones are spread at random. Scans the pool without allocation. */
--- a/src/entry/dispatch/ServicePool.ts
+++ b/src/entry/dispatch/ServicePool.ts
@@ -94,11 +94,21 @@
     return this.totalLimit(nowMs) > 0;
   }
 
-  /** Time that a call at the end of the queue waits for a slot, by the recent mean latency. */
-  expectedWaitMs(): number {
+  /**
+   * Time that a new call of a caller waits for a slot, by the recent mean latency: behind the
+   * caller's own queued calls and as many of each other caller, at most behind all.
+   */
+  expectedWaitMs(callerId: string): number {
     let limit = 0;
     for (const record of this.records.values()) limit += record.allowed;
-    return (this.latency.meanMs * (this.queue.length + 1)) / Math.max(1, limit);
+    const ahead = this.queue.aheadOf(callerId) + 1;
+    return (this.latency.meanMs * ahead) / Math.max(1, limit);
+  }
+
+  /** Longest expected wait at which a call is still queued. */
+  maxWaitMs(): number {
+    const { meanMs } = this.latency;
+    return meanMs > 0 ? meanMs * this.settings.queueWaitRatio : Number.POSITIVE_INFINITY;
   }
 
   status(nowMs: number): PoolStatus {
--- a/standin/Caller.ts
+++ b/standin/Caller.ts
@@ -9,6 +9,8 @@
   readonly id: string;
   readonly seeds: readonly EntryAddress[];
   readonly availabilityZone?: string;
+  /** False for a caller that does not hash bodies. */
+  readonly hashes?: boolean;
   /** False for a caller that asks without a service and keeps one answer for all. */
   readonly asksByService?: boolean;
 }
@@ -117,12 +119,12 @@
       });
       sent.on('error', reject);
       sent.on('response', (response) => {
-        const hash = createHash('sha256');
+        const hash = this.options.hashes === false ? null : createHash('sha256');
         const chunks: Buffer[] = [];
         let bodyBytes = 0;
         response.on('data', (chunk: Buffer) => {
           bodyBytes += chunk.length;
-          hash.update(chunk);
+          hash?.update(chunk);
           if (bodyBytes <= MAX_TEXT_BYTES) chunks.push(chunk);
         });
         response.on('error', () => {});
@@ -131,7 +133,7 @@
             statusCode: response.statusCode ?? 0,
             headers: response.headers,
             bodyBytes,
-            sha256: hash.digest('hex'),
+            sha256: hash?.digest('hex') ?? '',
             text: Buffer.concat(chunks).toString('utf8'),
             whole: response.complete,
             durationMs: performance.now() - startedAtMs,
