--- a/.eslintrc.cjs
+++ b/.eslintrc.cjs
@@ -27,6 +27,7 @@
     },
     {
       files: ['src/common/**/*.ts'],
+      excludedFiles: ['**/*.test.ts'],
       rules: {
         'no-restricted-imports': [
           'error',
--- /dev/null
+++ b/bench/ControlClient.ts
@@ -0,0 +1,104 @@
+import { ControlMessageType, type FromControlMessage } from '../src/common/Messages.js';
+import { CONTROL_FIELDS } from '../src/control/server/MessageFields.js';
+import { LinkRole } from '../src/runtime/LinkAuth.js';
+import { silentLogger } from '../src/runtime/Logger.js';
+import { MessageClient } from '../src/runtime/MessageClient.js';
+import { BENCH_SECRET } from './workers/ControlRole.js';
+
+const ID = 'bench-client';
+const HOST = '127.0.0.1';
+
+/** Session of a bench at one control host, as an entry host would have it. */
+export class ControlClient {
+  private readonly client: MessageClient;
+
+  private readonly waiting = new Map<string, (message: FromControlMessage) => void>();
+
+  private opened!: () => void;
+
+  /** Resolves once the session is open. */
+  readonly ready = new Promise<void>((resolve) => {
+    this.opened = resolve;
+  });
+
+  leaderId: string | null = null;
+
+  constructor(port: number) {
+    this.client = new MessageClient({
+      port,
+      address: HOST,
+      id: ID,
+      role: LinkRole.Entry,
+      secret: BENCH_SECRET,
+      logger: silentLogger,
+      fields: CONTROL_FIELDS,
+      onOpen: () => {
+        this.client.send({
+          type: ControlMessageType.Hello,
+          entryHost: {
+            id: ID,
+            address: HOST,
+            port: 1,
+            peerPort: 1,
+            adminAddress: HOST,
+            adminPort: 1,
+            availabilityZone: 'bench',
+            stopping: true,
+          },
+        });
+        this.opened();
+      },
+      onMessage: (message) => this.onMessage(message as FromControlMessage),
+      onClose: () => {},
+    });
+  }
+
+  close(): void {
+    this.client.dispose();
+  }
+
+  /** Sends a ping and waits for its answer. */
+  ping(pingId: number): Promise<FromControlMessage> {
+    return this.request(String(pingId), {
+      type: ControlMessageType.Ping,
+      pingId,
+      appliedIndex: 0,
+      subscribe: false,
+      stopping: true,
+    });
+  }
+
+  /** Claims a key and waits for the verdict. */
+  claim(requestId: string, key: string): Promise<FromControlMessage> {
+    return this.request(requestId, {
+      type: ControlMessageType.Claim,
+      requestId,
+      key,
+      service: 'echo',
+      fingerprint: 'bench',
+      attemptId: requestId,
+      holdMs: 10_000,
+    });
+  }
+
+  private request(id: string, message: object): Promise<FromControlMessage> {
+    return new Promise((resolve) => {
+      this.waiting.set(id, resolve);
+      this.client.send(message);
+    });
+  }
+
+  private onMessage(message: FromControlMessage): void {
+    if (message.type === ControlMessageType.Pong) {
+      this.leaderId = message.leaderId;
+      this.finish(String(message.pingId), message);
+    } else if (message.type === ControlMessageType.ClaimReply) {
+      this.finish(message.requestId, message);
+    }
+  }
+
+  private finish(id: string, message: FromControlMessage): void {
+    this.waiting.get(id)?.(message);
+    this.waiting.delete(id);
+  }
+}
--- a/bench/Fleet.ts
+++ b/bench/Fleet.ts
@@ -7,6 +7,7 @@
 import type { EntryAddress } from '../standin/Announcer.js';
 import { reservePorts } from '../standin/Cluster.js';
 import { ADMIN_TOKEN } from '../standin/Deployments.js';
+import type { LinkTraffic } from '../src/runtime/MessageClient.js';
 import { Worker } from './workers/Worker.js';
 import {
   WorkerRole,
@@ -115,6 +116,21 @@
     };
   }
 
+  /** Traffic of all entry hosts with the control hosts. */
+  async controlTraffic(): Promise<LinkTraffic> {
+    const parts = await Promise.all(
+      this.entries.map((worker) => worker.call<LinkTraffic>('controlTraffic')),
+    );
+    return {
+      bytes: parts.reduce((sum, part) => sum + part.bytes, 0),
+      messages: parts.reduce((sum, part) => sum + part.messages, 0),
+    };
+  }
+
+  get controlPorts(): number[] {
+    return this.voters.map((voter) => voter.port);
+  }
+
   backendFigures(): Promise<BackendFigures[]> {
     return this.backends.call('figures');
   }
@@ -146,41 +162,51 @@
       address: LOCALHOST,
       port,
     }));
-    const started = await Promise.all(
-      this.voters.map(async (voter) => {
-        const worker = new Worker(WorkerRole.Control);
-        this.controls.push(worker);
-        return worker.call<{ adminPort: number }>('start', {
-          id: voter.id,
-          port: voter.port,
-          voters: this.voters,
-          tree: this.options.tree,
-          dataFolder: path.join(this.folder, voter.id),
-          initialize: true,
-        });
-      }),
-    );
-    this.adminAddresses = started.map((item) => `${LOCALHOST}:${item.adminPort}`);
+    await Promise.all(this.voters.map((voter, index) => this.startControl(index, true)));
+  }
+
+  /** Starts one control host, again on its data folder. */
+  async startControl(index: number, initialize = false): Promise<void> {
+    const voter = this.voters[index]!;
+    const worker = new Worker(WorkerRole.Control);
+    this.controls[index] = worker;
+    const { adminPort } = await worker.call<{ adminPort: number }>('start', {
+      id: voter.id,
+      port: voter.port,
+      voters: this.voters,
+      tree: this.options.tree,
+      dataFolder: path.join(this.folder, voter.id),
+      initialize,
+    });
+    this.adminAddresses[index] = `${LOCALHOST}:${adminPort}`;
   }
 
   private voters: BenchControlHost[] = [];
 
   private async startEntries(): Promise<void> {
+    const { entryHosts, entryProcesses } = this.options;
+    this.entryPorts = await reservePorts(entryHosts);
+    this.seeds = this.entryPorts.map((port) => ({ address: LOCALHOST, port }));
+    await Promise.all(
+      Array.from({ length: entryProcesses }, (unused, index) => this.startEntryProcess(index)),
+    );
+  }
+
+  /** Starts one process of entry hosts, again under the same addresses. */
+  async startEntryProcess(index: number): Promise<void> {
     const { entryHosts, entryProcesses, zones } = this.options;
     const perProcess = Math.ceil(entryHosts / entryProcesses);
-    const lists = await Promise.all(
-      Array.from({ length: entryProcesses }, (unused, index) => {
-        const worker = new Worker(WorkerRole.Entries);
-        this.entries.push(worker);
-        const firstIndex = index * perProcess;
-        return worker.call<EntryAddress[]>('start', {
-          firstIndex,
-          count: Math.min(perProcess, entryHosts - firstIndex),
-          zones,
-          controlHosts: this.voters,
-        });
-      }),
-    );
-    this.seeds = lists.flat();
+    const firstIndex = index * perProcess;
+    const worker = new Worker(WorkerRole.Entries);
+    this.entries[index] = worker;
+    await worker.call('start', {
+      firstIndex,
+      zones,
+      count: Math.min(perProcess, entryHosts - firstIndex),
+      controlHosts: this.voters,
+      ports: this.entryPorts.slice(firstIndex, firstIndex + perProcess),
+    });
   }
+
+  private entryPorts: number[] = [];
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,10 +1,16 @@
+import { benchControl } from './Control.js';
 import { benchOverhead } from './Overhead.js';
 import { benchPolicies } from './Policies.js';
+import { benchSlopes } from './Slopes.js';
+import { benchZone } from './Zone.js';
 
 /** Benches by name. */
 const BENCHES: Readonly<Record<string, (args: readonly string[]) => Promise<void>>> = {
   overhead: benchOverhead,
   policies: benchPolicies,
+  zone: benchZone,
+  control: benchControl,
+  slopes: benchSlopes,
 };
 
 const [name = '', ...args] = process.argv.slice(2);
--- a/bench/workers/BackendsRole.ts
+++ b/bench/workers/BackendsRole.ts
@@ -1,11 +1,14 @@
 import { BackendStandin, type Fault } from '../../standin/BackendStandin.js';
 import { serviceToken } from '../../standin/Deployments.js';
-import type { BackendFigures, FaultParams, StartBackendsParams } from './Protocol.js';
+import type { BackendFigures, FaultParams, KeyedRun, StartBackendsParams } from './Protocol.js';
 
 /** Stand-in backend servers in a bench process. */
 export class BackendsRole {
   private readonly backends: BackendStandin[] = [];
 
+  /** Runs of keyed requests, in order. */
+  private readonly runs: KeyedRun[] = [];
+
   /** Announcements sent at the last reset. */
   private announcedBefore: number[] = [];
 
@@ -17,6 +20,7 @@
             ...spec,
             seeds,
             token: serviceToken(spec.service),
+            runLog: { ran: (key, sending) => this.runs.push({ key, sending }) },
             seed: this.backends.length + process.pid,
           }),
         );
@@ -24,6 +28,7 @@
       await Promise.all(this.backends.map((backend) => backend.start()));
       return this.backends.map((backend) => backend.port);
     },
+    runs: () => this.runs,
     setFault: ({ indices, fault }: FaultParams) => {
       indices.forEach((index) => {
         this.backends[index]!.fault = fault as Fault;
--- a/bench/workers/EntriesRole.ts
+++ b/bench/workers/EntriesRole.ts
@@ -22,7 +22,7 @@
             program: ProgramKind.Entry,
             id: `entry-${index}`,
             availabilityZone: params.zones[index % params.zones.length]!,
-            listen: { address: LOCALHOST, port: 0 },
+            listen: { address: LOCALHOST, port: params.ports[offset]! },
             peerListen: { address: LOCALHOST, port: 0 },
             adminListen: { address: LOCALHOST, port: 0 },
             controlHosts: [...params.controlHosts],
@@ -56,6 +56,15 @@
         hosts: this.servers.map((server) => server.reducer.status()),
       };
     },
+    controlTraffic: () => {
+      const traffic = { bytes: 0, messages: 0 };
+      this.servers.forEach((server) => {
+        const own = server.controlTraffic();
+        traffic.bytes += own.bytes;
+        traffic.messages += own.messages;
+      });
+      return traffic;
+    },
     counters: async () => {
       const totals: Record<string, number> = {};
       for (const server of this.servers) {
--- a/bench/workers/Protocol.ts
+++ b/bench/workers/Protocol.ts
@@ -46,6 +46,8 @@
   readonly count: number;
   readonly zones: readonly string[];
   readonly controlHosts: readonly BenchControlHost[];
+  /** Ports for callers, so that a host comes back under its address. */
+  readonly ports: readonly number[];
 }
 
 /** Backend server to be started. */
@@ -82,6 +84,12 @@
   readonly lastRequestWallMs: number;
 }
 
+/** Run of a keyed request at a stand-in. */
+export interface KeyedRun {
+  readonly key: string;
+  readonly sending: string;
+}
+
 /** One stream of calls. */
 export interface LoadStream {
   readonly service: string;
--- a/fuzz/BackendHost.ts
+++ b/fuzz/BackendHost.ts
@@ -54,6 +54,8 @@
 
 const ADDRESS = 'backend';
 const RETRY_MS = 100;
+const AVOID_MS = 5_000;
+const MS_PER_SECOND = 1_000;
 const MAX_SERVICE_MS = 20;
 
 /** Model of a backend server: announces itself, runs requests, misbehaves on command. */
@@ -68,7 +70,8 @@
 
   cuts = false;
 
-  announcements = 0;
+  /** Answered announcements of this incarnation. */
+  accepted = 0;
 
   private readonly running = new Set<Run>();
 
@@ -82,6 +85,9 @@
 
   private startedAtMs = 0;
 
+  /** Entry hosts that did not answer, with the time until which they are avoided. */
+  private readonly unreachable = new Map<string, number>();
+
   private run = 1;
 
   constructor(readonly options: BackendHostOptions) {
@@ -94,6 +100,10 @@
     return `${ADDRESS}:${this.options.port}`;
   }
 
+  get upForSeconds(): number {
+    return (this.options.timeline.nowMs - this.startedAtMs) / MS_PER_SECOND;
+  }
+
   get bears(): number {
     const { slots, coldRequests } = this.options;
     return Math.min(slots, 1 + Math.floor(this.completed / coldRequests));
@@ -114,6 +124,7 @@
     this.state = BackendState.Ready;
     this.completed = 0;
     this.sequence = 0;
+    this.accepted = 0;
     this.holder = null;
     this.startedAtMs = this.options.timeline.nowMs;
     this.targetId = this.pickEntry();
@@ -181,6 +192,9 @@
       connections: this.running.size,
       load: { inFlight: this.running.size },
       upForMs: sentAtMs - this.startedAtMs,
+      unreachable: [...this.unreachable]
+        .filter(([, untilMs]) => untilMs > sentAtMs)
+        .map(([key]) => key),
       leaseStamp: toHolder ? holder.stamp : null,
       previous:
         holder && !toHolder
@@ -188,7 +202,6 @@
           : null,
     };
     this.sequence += 1;
-    this.announcements += 1;
     if (toHolder) holder.sentAtMs = sentAtMs;
     this.options.announce(targetId, announcement, (answer) => {
       if (run === this.run) this.onAnswer(run, targetId, answer, sentAtMs);
@@ -203,10 +216,12 @@
   ): void {
     const { timeline } = this.options;
     if (!answer) {
+      this.unreachable.set(`${targetId}:1`, timeline.nowMs + AVOID_MS);
       this.targetId = this.pickEntry();
       timeline.after(RETRY_MS, () => this.announce(run));
       return;
     }
+    this.accepted += 1;
     const to = answer.announceTo.address;
     if (to !== targetId) {
       this.targetId = to;
--- /dev/null
+++ b/fuzz/ControlCluster.ts
@@ -0,0 +1,136 @@
+import { createRandom } from '../src/common/Random.js';
+import type { EgretError } from '../src/common/Errors.js';
+import type { ChangeResult } from '../src/control/AgreedState.js';
+import { AdminRequestType, ControlEventType, type AdminRequest } from '../src/control/Types.js';
+import { hashToken } from '../src/runtime/LinkAuth.js';
+import { ADMIN_TOKEN, buildTree, OTARU } from '../standin/Deployments.js';
+import { ControlHost } from './ControlHost.js';
+import { Network } from './Network.js';
+import { Timeline } from './Timeline.js';
+
+/** Options of a {@link ControlCluster}. */
+export interface ControlClusterOptions {
+  readonly count?: number;
+  readonly seed?: number;
+  readonly snapshotEvery?: number;
+}
+
+/** Answer of an administration request, as a test sees it. */
+export interface AdminOutcome {
+  readonly body: unknown;
+  readonly error: EgretError | null;
+}
+
+const PATH = '/teams/otaru/services/ledger/queueMax';
+const STEP_MS = 10;
+const ANSWER_TIMEOUT_MS = 5_000;
+
+/** Control hosts alone, in virtual time, for focused tests of failures. */
+export class ControlCluster {
+  readonly timeline = new Timeline();
+
+  readonly network: Network;
+
+  readonly hosts = new Map<string, ControlHost>();
+
+  private readonly random;
+
+  private readonly voters;
+
+  private readonly snapshotEvery: number;
+
+  private nextChange = 1;
+
+  constructor(options: ControlClusterOptions = {}) {
+    this.random = createRandom(options.seed ?? 1);
+    this.network = new Network(this.timeline, this.random, {
+      minDelayMs: 0.5,
+      maxDelayMs: 5,
+      dropRatio: 0,
+      duplicateRatio: 0,
+    });
+    this.snapshotEvery = options.snapshotEvery ?? 100_000;
+    this.voters = Array.from({ length: options.count ?? 3 }, (unused, index) => ({
+      id: `control-${index}`,
+      address: `control-${index}`,
+      port: 1,
+    }));
+    this.voters.forEach((voter) => this.addHost(voter.id));
+    this.run(4_000);
+  }
+
+  run(spanMs: number): void {
+    this.timeline.advance(spanMs);
+  }
+
+  host(id: string): ControlHost {
+    return this.hosts.get(id)!;
+  }
+
+  /** Starts a host with an empty disk; unless it is a first voter it must be added as a member. */
+  addHost(id: string): ControlHost {
+    const host = new ControlHost({
+      id,
+      timeline: this.timeline,
+      random: this.random,
+      voters: this.voters.some((voter) => voter.id === id) ? this.voters : [],
+      tree: buildTree([OTARU]),
+      clockRate: 1,
+      snapshotEvery: this.snapshotEvery,
+      sendRaft: (to, message) =>
+        this.network.send(id, to, () =>
+          this.hosts.get(to)?.handle({ type: ControlEventType.RaftMessage, message }),
+        ),
+      sendSession: () => {},
+    });
+    this.hosts.set(id, host);
+    return host;
+  }
+
+  /** The leader that a majority follows. */
+  leader(): ControlHost {
+    const leaders = [...this.hosts.values()].filter(
+      (host) => host.alive && host.reducer.raft.isLeader,
+    );
+    leaders.sort((a, b) => b.reducer.raft.state.term - a.reducer.raft.state.term);
+    if (!leaders[0]) throw new Error('no leader');
+    return leaders[0];
+  }
+
+  /** Sends a request to one host and waits for the answer; undefined if none came. */
+  admin(host: ControlHost, request: AdminRequest): AdminOutcome | undefined {
+    let outcome: AdminOutcome | undefined;
+    host.admin(request, hashToken(ADMIN_TOKEN), (body, error) => {
+      outcome = { body, error };
+    });
+    for (let waitedMs = 0; !outcome && waitedMs < ANSWER_TIMEOUT_MS; waitedMs += STEP_MS) {
+      this.run(STEP_MS);
+    }
+    return outcome;
+  }
+
+  /** Changes a setting; undefined if it was not acknowledged. */
+  change(host: ControlHost, value: number, given: Partial<ChangeGiven> = {}) {
+    const changeId = given.changeId ?? `change-${this.nextChange}`;
+    this.nextChange += 1;
+    const outcome = this.admin(host, {
+      type: AdminRequestType.Change,
+      changeId,
+      baseRevision: given.baseRevision ?? host.reducer.agreed.subtreeRevision('otaru'),
+      path: PATH,
+      value,
+    });
+    return outcome && !outcome.error ? (outcome.body as ChangeResult) : undefined;
+  }
+}
+
+/** Value that a host has applied. */
+export function valueAt(host: ControlHost): number {
+  return host.reducer.agreed.tree.teams.otaru!.services.ledger!.queueMax;
+}
+
+/** Parts of a change that a test may choose. */
+export interface ChangeGiven {
+  readonly changeId: string;
+  readonly baseRevision: number;
+}
--- a/fuzz/EntryHostModel.ts
+++ b/fuzz/EntryHostModel.ts
@@ -30,6 +30,7 @@
   readonly service: string;
   readonly callerId: string;
   readonly forwarded: boolean;
+  readonly timeoutMs: number | null;
   /** Called once with what the caller gets. */
   readonly onResult: (result: ModelResult) => void;
 }
@@ -193,7 +194,7 @@
       method: call.method,
       idempotencyKey: call.key,
       fingerprint: call.kills ? 'GET /killer' : (call.key ?? `GET /${call.requestId}`),
-      timeoutMs: null,
+      timeoutMs: call.timeoutMs,
       callerId: call.callerId,
       forwarded: call.forwarded,
       replayable: true,
@@ -300,6 +301,7 @@
       peer.receive({
         ...item.call,
         forwarded: true,
+        timeoutMs: effect.timeoutMs,
         onResult: (result) =>
           network.exchange(() => {
             const notRun = result.outcome === 'not-run' && result.statusCode === 503;
--- a/fuzz/Oracle.ts
+++ b/fuzz/Oracle.ts
@@ -154,10 +154,11 @@
     }
   }
 
-  onMeasured(backend: string, perSecond: number, budget: number): void {
+  /** Compares the answered measuring messages of an incarnation with its budget. */
+  onMeasured(backend: string, messages: number, allowed: number): void {
     this.checks += 1;
-    if (perSecond > budget) {
-      this.fail(Promised.MeasuringBudget, `${backend}: ${perSecond} > ${budget} per second`);
+    if (messages > allowed) {
+      this.fail(Promised.MeasuringBudget, `${backend}: ${messages} messages > ${allowed}`);
     }
   }
 }
--- a/fuzz/World.ts
+++ b/fuzz/World.ts
@@ -46,6 +46,10 @@
 const CLOCK_SPREAD = 0.004;
 const IN_FORCE_GRACE_MS = 4_000;
 const RECONNECT_MS = 300;
+const MEASURING_PER_SECOND = 6;
+
+/** Announcements beyond the budget that starts and moves of one incarnation may cost. */
+const MEASURING_BURST = 12;
 const CHANGE_TIMEOUT_MS = 2_000;
 
 /** Several hosts of every kind around the real reducers, in virtual time. */
@@ -154,6 +158,7 @@
         service: SERVICE,
         callerId: `caller-${pickIndex(this.random, 3)}`,
         forwarded: false,
+        timeoutMs: null,
         onResult: (result) => {
           this.results.push(result);
           this.waiting.delete(requestId);
@@ -197,6 +202,12 @@
   checkHealed(): void {
     const leader = this.controls.find((control) => control.alive && control.reducer.raft.isLeader);
     if (leader) this.oracle.onAgreed(leader.reducer.agreed.revision);
+    this.backends
+      .filter((backend) => backend.alive)
+      .forEach((backend) => {
+        const allowed = backend.upForSeconds * MEASURING_PER_SECOND + MEASURING_BURST;
+        this.oracle.onMeasured(backend.backendId, backend.accepted, allowed);
+      });
     const boots = this.entries.map((entry) => entry.bootName);
     const unanswered = [...this.waiting].filter(([, boot]) => boots.includes(boot));
     this.oracle.onUnanswered(unanswered.map(([requestId]) => requestId));
@@ -245,7 +256,11 @@
       slots: this.options.slots ?? 3,
       services: [{ service: SERVICE, backends: 1 }],
     };
-    return buildTree([deployment], SYSTEM, { leaseholders: 2, timeoutMs: 1_000 });
+    return buildTree([deployment], SYSTEM, {
+      leaseholders: 2,
+      timeoutMs: 1_000,
+      measuringPerSecond: MEASURING_PER_SECOND,
+    });
   }
 
   /** Revision that every admitting entry host must have by now. */
--- /dev/null
+++ b/src/common/IdempotencyKey.test.ts
@@ -0,0 +1,29 @@
+import { v4, v7 } from 'uuid';
+import { describe, expect, it } from 'vitest';
+import { checkKeyAge, parseKeyTimeMs } from './IdempotencyKey.js';
+
+const NOW_MS = 1_700_000_000_000;
+const RETENTION_MS = 60_000;
+
+describe('parseKeyTimeMs', () => {
+  it('reads the creation time', () => {
+    expect(parseKeyTimeMs(v7({ msecs: NOW_MS })).unwrapOr(0)).toBe(NOW_MS);
+  });
+
+  it.each([v4(), '', 'order-17', `${v7()}0`])('refuses %s', (key) => {
+    expect(parseKeyTimeMs(key).isErr).toBe(true);
+  });
+});
+
+describe('checkKeyAge', () => {
+  it.each([
+    [0, true],
+    [RETENTION_MS - 1, true],
+    [RETENTION_MS, false],
+    [-299_000, true],
+    [-301_000, false],
+  ])('age %i ms is accepted: %s', (ageMs, accepted) => {
+    const options = { nowMs: NOW_MS, retentionMs: RETENTION_MS };
+    expect(checkKeyAge(NOW_MS - ageMs, options).isOk).toBe(accepted);
+  });
+});
--- a/src/common/SettingsTree.ts
+++ b/src/common/SettingsTree.ts
@@ -22,6 +22,11 @@
 
 const TEAMS_SEGMENT = 'teams';
 
+const MS_PER_SECOND = 1_000;
+
+/** A lease counts from the announcement before the last one, so two intervals must fit into it. */
+const MIN_INTERVALS_PER_LEASE = 2.5;
+
 /** Translates a schema issue into a fault with its remedy. */
 function toFault(issue: z.core.$ZodIssue): SettingsFault {
   const path = `/${issue.path.map(String).join('/')}`;
@@ -50,6 +55,12 @@
         message: issue.message,
         remedy: `Use one of ${issue.values.map(String).join(', ')}.`,
       };
+    case 'invalid_key':
+      return {
+        path,
+        message: issue.issues.map((inner) => inner.message).join(', '),
+        remedy: 'Correct the name.',
+      };
     case 'invalid_type':
       return { path, message: issue.message, remedy: `Use a value of type ${issue.expected}.` };
     default:
@@ -78,6 +89,16 @@
   const owners = new Map<string, string>();
   Object.entries(tree.teams).forEach(([team, settings]) => {
     Object.entries(settings.services).forEach(([service, serviceSettings]) => {
+      if (
+        serviceSettings.measuringPerSecond * tree.system.leaseMs <
+        MIN_INTERVALS_PER_LEASE * MS_PER_SECOND
+      ) {
+        faults.push({
+          path: `/teams/${team}/services/${service}/measuringPerSecond`,
+          message: `fewer than ${MIN_INTERVALS_PER_LEASE} announcements in a lease`,
+          remedy: 'Raise the budget, or /system/leaseMs.',
+        });
+      }
       const path = `/teams/${team}/services/${service}`;
       const owner = owners.get(service);
       if (owner) {
@@ -99,11 +120,11 @@
         });
     });
   });
-  if (tree.system.announcementIntervalMs * 2 > tree.system.leaseMs) {
+  if (tree.system.announcementIntervalMs * MIN_INTERVALS_PER_LEASE > tree.system.leaseMs) {
     faults.push({
       path: '/system/leaseMs',
-      message: 'lease shorter than two announcement intervals',
-      remedy: 'Use a lease of at least twice announcementIntervalMs.',
+      message: `lease shorter than ${MIN_INTERVALS_PER_LEASE} announcement intervals`,
+      remedy: `Use a lease of at least ${MIN_INTERVALS_PER_LEASE} times announcementIntervalMs.`,
     });
   }
   if (tree.system.configPingIntervalMs * 2 > tree.system.configLeaseMs) {
--- /dev/null
+++ b/src/control/ControlReducer.test.ts
@@ -0,0 +1,149 @@
+import { describe, expect, it } from 'vitest';
+import { ControlCluster, valueAt } from '../../fuzz/ControlCluster.js';
+import { AuditOutcome } from './AgreedState.js';
+import { AdminRequestType } from './Types.js';
+
+const MINUTES_MS = 180_000;
+
+describe('control hosts', () => {
+  it('keeps an old leader that is cut off for minutes from acknowledging anything', () => {
+    const cluster = new ControlCluster({ snapshotEvery: 120 });
+    const old = cluster.leader();
+    cluster.network.cut([old.options.id], 1);
+    const lost = cluster.change(old, 9_999);
+    cluster.run(5_000);
+    expect(lost).toBeUndefined();
+    const base = cluster.leader();
+    expect(base).not.toBe(old);
+    for (let value = 1; value <= 300; value += 1) {
+      expect(cluster.change(cluster.leader(), value)?.outcome).toBe(AuditOutcome.Accepted);
+    }
+    cluster.run(MINUTES_MS);
+    const type = AdminRequestType.GetSettings;
+    expect(cluster.admin(old, { type, path: '/system' })?.error?.kind).toBe('no-quorum');
+    expect(cluster.change(old, 9_998)).toBeUndefined();
+    expect(valueAt(old)).toBe(512);
+    cluster.network.heal();
+    cluster.run(5_000);
+    expect(valueAt(old)).toBe(300);
+    expect(valueAt(cluster.leader())).toBe(300);
+  });
+
+  it('accepts exactly one of two changes with equal base, before and after restarts', () => {
+    const cluster = new ControlCluster({ snapshotEvery: 20 });
+    const leader = cluster.leader();
+    const baseRevision = leader.reducer.agreed.subtreeRevision('otaru');
+    const first = cluster.change(leader, 1, { changeId: 'mine', baseRevision });
+    const second = cluster.change(leader, 2, { changeId: 'yours', baseRevision });
+    expect(first?.outcome).toBe(AuditOutcome.Accepted);
+    expect(second).toMatchObject({ outcome: AuditOutcome.Conflict, revision: first!.revision });
+    const resend = () => ({
+      mine: cluster.change(cluster.leader(), 1, { changeId: 'mine', baseRevision }),
+      yours: cluster.change(cluster.leader(), 2, { changeId: 'yours', baseRevision }),
+    });
+    expect(resend()).toEqual({ mine: first, yours: second });
+    for (let value = 10; value < 60; value += 1) cluster.change(cluster.leader(), value);
+    const hosts = [...cluster.hosts.values()];
+    expect(hosts.every((host) => host.reducer.raft.state.log.snapshot.index > 0)).toBe(true);
+    hosts.forEach((host) => host.crash());
+    hosts.forEach((host) => host.start());
+    cluster.run(5_000);
+    expect(resend()).toEqual({ mine: first, yours: second });
+    expect(valueAt(cluster.leader())).toBe(59);
+  });
+
+  it('comes back with the same revision and content after 1,000 changes', () => {
+    const cluster = new ControlCluster({ snapshotEvery: 300 });
+    for (let value = 1; value <= 1_000; value += 1) cluster.change(cluster.leader(), value);
+    const before = cluster.leader().reducer.agreed;
+    const hosts = [...cluster.hosts.values()];
+    hosts.forEach((host) => host.crash());
+    hosts.forEach((host) => host.start());
+    cluster.run(5_000);
+    hosts.forEach((host) => {
+      expect(host.reducer.agreed.revision).toBe(before.revision);
+      expect(host.reducer.agreed.tree).toEqual(before.tree);
+    });
+  });
+
+  it('loses nothing when a second host is lost before a replacement has caught up', () => {
+    const cluster = new ControlCluster();
+    for (let value = 1; value <= 50; value += 1) cluster.change(cluster.leader(), value);
+    const leader = cluster.leader();
+    const [lost, other] = [...cluster.hosts.values()].filter((host) => host !== leader);
+    lost!.crash();
+    // The lost voter comes back with an empty disk under its old identity: nobody counts it.
+    lost!.replaceDisk();
+    lost!.start();
+    const newcomer = cluster.addHost('control-9');
+    cluster.network.cut(['control-9'], 3);
+    const type = AdminRequestType.AddMember;
+    const added = { type, id: 'control-9', address: 'control-9', port: 1 } as const;
+    expect(cluster.admin(leader, added)?.error).toBeNull();
+    const promote = { type: AdminRequestType.PromoteMember, id: 'control-9' } as const;
+    expect(cluster.admin(leader, promote)?.error?.kind).toBe('conflict');
+    other!.crash();
+    cluster.run(10_000);
+    expect(cluster.change(leader, 99)).toBeUndefined();
+    expect([...cluster.hosts.values()].some((host) => host.reducer.raft.isLeader)).toBe(false);
+    other!.start();
+    cluster.network.heal();
+    cluster.run(10_000);
+    expect(valueAt(cluster.leader())).toBeGreaterThanOrEqual(50);
+    expect(cluster.admin(cluster.leader(), promote)?.error).toBeNull();
+    cluster.run(2_000);
+    expect(valueAt(newcomer)).toBe(valueAt(cluster.leader()));
+    const remove = { type: AdminRequestType.RemoveMember, id: lost!.options.id } as const;
+    expect(cluster.admin(cluster.leader(), remove)?.error).toBeNull();
+    expect(cluster.change(cluster.leader(), 77)?.outcome).toBe(AuditOutcome.Accepted);
+  });
+
+  it.each([1, 2, 3, 4, 5, 6, 7, 8])('loses no acknowledged change to crashes, seed %i', (seed) => {
+    const cluster = new ControlCluster({ seed, snapshotEvery: 15, count: seed % 2 ? 3 : 5 });
+    const hosts = [...cluster.hosts.values()];
+    let acknowledged = 0;
+    for (let round = 1; round <= 25; round += 1) {
+      const victim = hosts[(round * seed) % hosts.length]!;
+      const running = hosts.find((host) => host.alive && host.reducer.raft.isLeader);
+      if (running) {
+        cluster.timeline.after((round * 7) % 13, () => victim.crash());
+        const result = cluster.change(running, round);
+        if (result?.outcome === AuditOutcome.Accepted) acknowledged = result.revision;
+      }
+      cluster.run(1_500);
+      hosts.filter((host) => !host.alive).forEach((host) => host.start());
+      cluster.run(2_500);
+      expect(cluster.leader().reducer.agreed.revision).toBeGreaterThanOrEqual(acknowledged);
+    }
+    expect(acknowledged).toBeGreaterThan(10);
+  });
+
+  it.each([
+    ['settings of another team', '/teams/swanbourne/services', 'forbidden'],
+    ['the system', '/system/leaseMs', 'forbidden'],
+  ])('refuses a team token for %s and keeps it in the audit trail', (name, path, kind) => {
+    const cluster = new ControlCluster();
+    const leader = cluster.leader();
+    const token = 'b'.repeat(64);
+    const operator = { tokenHash: token, team: 'otaru', role: 'operator' };
+    cluster.admin(leader, {
+      type: AdminRequestType.Change,
+      changeId: 'operator',
+      baseRevision: leader.reducer.agreed.subtreeRevision('system'),
+      path: '/system/operators/duty',
+      value: operator,
+    });
+    let refused: string | undefined;
+    const type = AdminRequestType.Change;
+    const request = { type, changeId: 'x', baseRevision: 1, path, value: 1 } as const;
+    leader.admin(request, token, (body, error) => {
+      refused = error?.kind;
+    });
+    cluster.run(200);
+    expect(refused).toBe(kind);
+    const audit = cluster.admin(leader, { type: AdminRequestType.Audit, limit: 1 });
+    expect(audit?.body).toMatchObject({
+      records: [{ actor: 'duty', path, outcome: 'refused', detail: kind }],
+    });
+  });
+});
--- /dev/null
+++ b/src/control/storage/DataFolder.test.ts
@@ -0,0 +1,147 @@
+import { appendFile, mkdtemp, readFile, rm, truncate, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { createRandom, pickIndex } from '../../common/Random.js';
+import { CommandType } from '../Commands.js';
+import { RaftEffectType, type LogEntry, type PersistEffect } from '../raft/Types.js';
+import { DataFolder } from './DataFolder.js';
+
+function createEntry(index: number): LogEntry {
+  const command = { type: CommandType.Noop } as const;
+  return { index, term: 1 + Math.floor(index / 10), command };
+}
+
+function createWrite(changes: Partial<PersistEffect>): PersistEffect {
+  const type = RaftEffectType.Persist;
+  return { type, hardState: null, truncateFrom: 0, entries: [], generation: 0, ...changes };
+}
+
+describe('DataFolder', () => {
+  let folder = '';
+  const open = (initialize = true) => DataFolder.open({ folder, initialize });
+  const logFile = () => path.join(folder, 'log.wal');
+
+  beforeEach(async () => {
+    folder = await mkdtemp(path.join(tmpdir(), 'egret-data-'));
+  });
+
+  afterEach(() => rm(folder, { recursive: true, force: true }));
+
+  async function fill(count: number): Promise<number[]> {
+    const data = await open();
+    const sizes: number[] = [];
+    for (let index = 1; index <= count; index += 1) {
+      // Each write is acknowledged before the next, so that its length is known.
+      // eslint-disable-next-line no-await-in-loop
+      await data.persist(createWrite({ entries: [createEntry(index)] }));
+      // eslint-disable-next-line no-await-in-loop
+      sizes.push((await readFile(logFile())).length);
+    }
+    await data.close();
+    return sizes;
+  }
+
+  it('keeps identity, vote and entries', async () => {
+    const data = await open();
+    await data.persist(createWrite({ hardState: { term: 3, votedFor: 'control-2' } }));
+    await data.persist(createWrite({ entries: [1, 2, 3].map(createEntry) }));
+    await data.persist(createWrite({ truncateFrom: 3, entries: [createEntry(3)] }));
+    await data.close();
+    const again = await open(false);
+    expect(again.stored.instanceId).toBe(data.stored.instanceId);
+    expect(again.stored.hardState).toEqual({ term: 3, votedFor: 'control-2' });
+    expect(again.stored.entries.map((entry) => entry.index)).toEqual([1, 2, 3]);
+    await again.close();
+  });
+
+  it('refuses an empty folder without initialize', async () => {
+    await expect(open(false)).rejects.toMatchObject({ kind: 'data-corrupt' });
+  });
+
+  it('refuses a folder that a living process holds', async () => {
+    await (await open()).close();
+    await writeFile(path.join(folder, 'lock'), `${process.ppid}\n`);
+    await expect(open(false)).rejects.toMatchObject({ kind: 'data-locked' });
+  });
+
+  it('loses no acknowledged entry in 200 crashes at random bytes of the write path', async () => {
+    const random = createRandom(11);
+    const sizes = await fill(40);
+    const whole = await readFile(logFile());
+    for (let round = 0; round < 200; round += 1) {
+      const acknowledged = pickIndex(random, sizes.length);
+      const from = sizes[acknowledged]!;
+      const cut = from + pickIndex(random, whole.length - from + 1);
+      // Rounds share the folder.
+      // eslint-disable-next-line no-await-in-loop
+      await writeFile(logFile(), whole.subarray(0, cut));
+      // eslint-disable-next-line no-await-in-loop
+      const data = await open(false);
+      const indices = data.stored.entries.map((entry) => entry.index);
+      const complete = sizes.filter((size) => size <= cut).length;
+      expect(indices).toEqual(Array.from({ length: complete }, (unused, at) => at + 1));
+      expect(indices.length).toBeGreaterThan(acknowledged);
+      // eslint-disable-next-line no-await-in-loop
+      await data.close();
+    }
+  });
+
+  it('goes on after a torn tail', async () => {
+    const sizes = await fill(5);
+    await truncate(logFile(), sizes[4]! - 3);
+    const data = await open(false);
+    await data.persist(createWrite({ entries: [createEntry(5)] }));
+    await data.close();
+    const again = await open(false);
+    expect(again.stored.entries).toHaveLength(5);
+    await again.close();
+  });
+
+  it('refuses damage before valid records', async () => {
+    const sizes = await fill(5);
+    const bytes = await readFile(logFile());
+    const damaged = sizes[1]! + 10;
+    bytes[damaged] = 255 - bytes[damaged]!;
+    await writeFile(logFile(), bytes);
+    await expect(open(false)).rejects.toMatchObject({ kind: 'data-corrupt' });
+  });
+
+  it('refuses a damaged snapshot', async () => {
+    const data = await open();
+    const membership = { voters: [], learners: [] };
+    const snapshot = { index: 2, term: 1, membership, bytes: new Uint8Array([1]) };
+    await data.persist(createWrite({ entries: [1, 2, 3].map(createEntry) }));
+    const hardState = { term: 1, votedFor: null };
+    await data.saveSnapshot(snapshot, () => ({ hardState, entries: [createEntry(3)] }));
+    await data.close();
+    const again = await open(false);
+    expect(again.stored.snapshot?.index).toBe(2);
+    expect(again.stored.entries.map((entry) => entry.index)).toEqual([3]);
+    await again.close();
+    await appendFile(path.join(folder, 'snapshot.bin'), '');
+    await writeFile(path.join(folder, 'snapshot.bin'), 'damaged');
+    await expect(open(false)).rejects.toMatchObject({ kind: 'data-corrupt' });
+  });
+
+  it('keeps writes that are queued while a snapshot replaces the log', async () => {
+    const data = await open();
+    await data.persist(createWrite({ entries: [1, 2].map(createEntry) }));
+    const entries = [createEntry(2)];
+    const snapshot = {
+      index: 1,
+      term: 1,
+      membership: { voters: [], learners: [] },
+      bytes: new Uint8Array([1]),
+    };
+    const hardState = { term: 1, votedFor: null };
+    const saved = data.saveSnapshot(snapshot, () => ({ hardState, entries }));
+    const written = data.persist(createWrite({ entries: [createEntry(3)] }));
+    entries.push(createEntry(3));
+    await Promise.all([saved, written]);
+    await data.close();
+    const again = await open(false);
+    expect(again.stored.entries.map((entry) => entry.index)).toEqual([2, 3]);
+    await again.close();
+  });
+});
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -152,10 +152,8 @@
 export class DataFolder implements Storage {
   private queue: QueuedWrite[] = [];
 
-  /** The running write loop, or the last one. */
-  private running: Promise<void> = Promise.resolve();
-
-  private busy = false;
+  /** Settles after every operation so far; operations follow each other. */
+  private operations: Promise<void> = Promise.resolve();
 
   /** Syncs done so far, exported as a metric. */
   syncs = 0;
@@ -193,25 +191,20 @@
   persist(write: PersistEffect): Promise<void> {
     return new Promise((done, failed) => {
       this.queue.push({ bytes: encodeWrite(write), done, failed });
-      this.start();
+      // The first write of a batch schedules it; later ones join until it begins.
+      if (this.queue.length > 1) return;
+      this.operations = this.operations.then(() => this.writeBatch());
     });
   }
 
-  async saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
-    await this.running;
-    // No write may reach the old log while the new one is prepared.
-    this.busy = true;
-    this.running = this.replaceLog(snapshot, readTail);
-    try {
-      await this.running;
-    } finally {
-      this.busy = false;
-      this.start();
-    }
+  saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
+    const saved = this.operations.then(() => this.replaceLog(snapshot, readTail));
+    this.operations = saved.catch(() => {});
+    return saved;
   }
 
   async close(): Promise<void> {
-    await this.running;
+    await this.operations;
     await this.handle.close();
     await rm(path.join(this.folder, LOCK_FILE), { force: true });
   }
@@ -223,30 +216,17 @@
     this.handle = await open(path.join(this.folder, LOG_FILE), 'a');
   }
 
-  private start(): void {
-    if (this.busy || this.queue.length === 0) return;
-    this.busy = true;
-    this.running = this.drain().finally(() => {
-      this.busy = false;
-    });
-  }
-
-  /** Writes and syncs everything queued, one sync for a whole batch. */
-  private async drain(): Promise<void> {
-    while (this.queue.length > 0) {
-      const batch = this.queue;
-      this.queue = [];
-      try {
-        // One batch at a time keeps the order of the log.
-        // eslint-disable-next-line no-await-in-loop
-        await this.handle.writeFile(Buffer.concat(batch.map((write) => write.bytes)));
-        // eslint-disable-next-line no-await-in-loop
-        await this.handle.datasync();
-        this.syncs += 1;
-        batch.forEach((write) => write.done());
-      } catch (error) {
-        batch.forEach((write) => write.failed(error));
-      }
+  /** Writes and syncs everything queued, one sync for the whole batch. */
+  private async writeBatch(): Promise<void> {
+    const batch = this.queue;
+    this.queue = [];
+    try {
+      await this.handle.writeFile(Buffer.concat(batch.map((write) => write.bytes)));
+      await this.handle.datasync();
+      this.syncs += 1;
+      batch.forEach((write) => write.done());
+    } catch (error) {
+      batch.forEach((write) => write.failed(error));
     }
   }
 }
--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -38,6 +38,9 @@
   readonly onSuspicion: (call: CallRecord, attempt: Attempt, confirmed: boolean) => void;
 }
 
+/** Time that a forwarded answer may take on its way back. */
+const FORWARD_MARGIN_MS = 50;
+
 /** Leaseholders that a call is forwarded to before it is refused. */
 const MAX_FORWARDS = 3;
 
@@ -391,6 +394,8 @@
       backend.onStart(attemptId, context.nowMs);
       if (suspect) backend.suspectsInFlight += 1;
     }
+    // A peer answers before this host's own deadline, which knows less.
+    const marginMs = backend ? 0 : FORWARD_MARGIN_MS;
     record.phase = CallPhase.Running;
     record.attempts.set(attemptId, attempt);
     record.attemptsMade += 1;
@@ -401,7 +406,7 @@
       callId: record.call.callId,
       attemptId,
       target,
-      timeoutMs: Math.max(1, Math.round(record.deadlineMs - context.nowMs)),
+      timeoutMs: Math.max(1, Math.round(record.deadlineMs - context.nowMs - marginMs)),
       attemptNumber: record.attemptsMade,
       record: record.claimId !== null,
       resume: record.resume,
@@ -437,10 +442,7 @@
       return;
     }
     if (this.isForwardedElsewhere(record)) {
-      const peer = this.choosePeer(record, false);
-      if (peer) this.forward(record, peer);
-      else if (event.peerRefusal) this.refuse(record, event.peerRefusal);
-      else this.refuseNoBackend(record);
+      this.retryAtPeer(record, event);
       return;
     }
     if (!record.idempotent && record.claimId === null) {
@@ -450,8 +452,29 @@
     }
     const backend = this.choose(record);
     if (backend) this.start(record, backend.target, backend, false);
-    else if (record.answeringId !== null) this.breakCall(record);
-    else this.enqueueRetry(record, event);
+    else if (this.hasUntried(record)) this.enqueueRetry(record, event);
+    else if (record.resume) this.retryAtPeer(record, event);
+    else {
+      // With every backend server tried, any of them may be tried again.
+      record.tried.length = 0;
+      this.enqueueRetry(record, event);
+    }
+  }
+
+  /** Sends the call to a leaseholder that it was not sent to yet. */
+  private retryAtPeer(record: CallRecord, event: AttemptEndedEvent): void {
+    const peer = record.call.forwarded ? undefined : this.choosePeer(record, false);
+    if (peer) this.forward(record, peer);
+    else if (event.peerRefusal) this.refuse(record, event.peerRefusal);
+    else this.refuseNoBackend(record);
+  }
+
+  /** True where a leased backend server was not tried yet. */
+  private hasUntried(record: CallRecord): boolean {
+    const { nowMs } = this.options.context;
+    return [...record.pool.records.values()].some(
+      (backend) => backend.isLeased(nowMs) && !record.tried.includes(backend.id),
+    );
   }
 
   /** True for calls that this host has no backend servers for. */
@@ -460,10 +483,10 @@
     return !call.forwarded && !pool.policy.free && !pool.isServing(this.options.context.nowMs);
   }
 
-  /** Queues a retry; with every backend server tried, any of them may be tried again. */
   private enqueueRetry(record: CallRecord, event: AttemptEndedEvent): void {
     const { nowMs } = this.options.context;
-    record.tried.length = 0;
+    // The answer has begun in time; its continuation has as long again to wait for a slot.
+    if (record.resume) record.deadlineMs = nowMs + record.pool.settings.timeoutMs;
     if (!record.pool.isServing(nowMs) || record.attemptsMade >= MAX_ATTEMPTS) {
       this.refuse(record, lastError(record, event));
       return;
@@ -535,12 +558,8 @@
 
   /** Refuses a call that was proven not run. */
   private refuseNotRun(record: CallRecord, error: EgretError): void {
-    const honest =
-      record.maybeRun && error.outcome === Outcome.NotRun
-        ? new EgretError(ErrorKind.OutcomeUnknown, error.detail)
-        : error;
     if (!record.maybeRun) this.settle(record, ClaimOutcome.NotRun, null);
-    this.refuse(record, honest);
+    this.refuse(record, error);
   }
 
   private refuseNoBackend(record: CallRecord): void {
@@ -557,10 +576,20 @@
 
   private refuse(record: CallRecord, error: EgretError): void {
     if (record.phase === CallPhase.Answered) return;
+    if (record.answeringId !== null) {
+      this.breakCall(record);
+      return;
+    }
     record.phase = CallPhase.Answered;
     const { context } = this.options;
-    context.count(CounterName.Refusals, record.call.service);
-    context.emit({ type: EntryEffectType.RefuseCall, callId: record.call.callId, error });
+    const { callId, service } = record.call;
+    // An earlier attempt of the same call may have run, whatever the last one says.
+    const honest =
+      record.maybeRun && error.outcome === Outcome.NotRun
+        ? new EgretError(ErrorKind.OutcomeUnknown, error.detail)
+        : error;
+    context.count(CounterName.Refusals, service);
+    context.emit({ type: EntryEffectType.RefuseCall, callId, error: honest });
   }
 
   private refuseArrived(call: ArrivedCall, kind: ErrorKind, detail: string): void {
--- /dev/null
+++ b/src/entry/EntryReducer.test.ts
@@ -0,0 +1,227 @@
+import { describe, expect, it } from 'vitest';
+import { World } from '../../fuzz/World.js';
+import { BackendState, ZoneState } from '../common/Enums.js';
+
+/** World with a clean network that has settled. */
+function createWorld(changes: Partial<ConstructorParameters<typeof World>[0]> = {}): World {
+  const network = { dropRatio: 0, duplicateRatio: 0 };
+  const world = new World({ seed: 3, network, ...changes });
+  world.settle();
+  return world;
+}
+
+function sendCalls(world: World, count: number, spacingMs = 2): void {
+  for (let index = 0; index < count; index += 1) {
+    world.call(index);
+    world.run(spacingMs);
+  }
+}
+
+const succeeded = (world: World) => world.results.filter((result) => result.error === null);
+
+/** Entry hosts that may dispatch to a backend server now. */
+function holders(world: World, backendId: string): string[] {
+  return world.entries
+    .filter((entry) => {
+      const nowMs = world.timeline.nowMs * entry.options.clockRate;
+      return entry.alive && entry.reducer.pools.findBackend(backendId)?.isLeased(nowMs);
+    })
+    .map((entry) => entry.options.id);
+}
+
+describe('leases', () => {
+  it('are held by one entry host each, and every call is served through any', () => {
+    const world = createWorld();
+    world.backends.forEach((backend) => {
+      expect(holders(world, backend.backendId)).toHaveLength(1);
+    });
+    sendCalls(world, 300, 8);
+    world.run(1_000);
+    expect(succeeded(world)).toHaveLength(300);
+  });
+
+  it('are never held by two, also while the old holder no longer hears announcements', () => {
+    const world = createWorld();
+    const { backendId } = world.backends[0]!;
+    const [old] = holders(world, backendId);
+    world.deafEntries.add(old!);
+    let moved = false;
+    for (let step = 0; step < 600; step += 1) {
+      world.call(step);
+      world.run(5);
+      const now = holders(world, backendId);
+      expect(now.length).toBeLessThanOrEqual(1);
+      moved ||= now.length === 1 && now[0] !== old;
+    }
+    expect(moved).toBe(true);
+  });
+
+  it('move after the death of the holder with calls in flight', () => {
+    const world = createWorld();
+    sendCalls(world, 50);
+    const [old] = holders(world, world.backends[0]!.backendId);
+    world.entry(old!)!.crash();
+    const before = succeeded(world).length;
+    const survivors = world.entries.filter((entry) => entry.alive);
+    for (let index = 0; index < 600; index += 1) {
+      world.call(world.entries.indexOf(survivors[index % survivors.length]!));
+      world.run(5);
+    }
+    world.run(1_500);
+    expect(holders(world, world.backends[0]!.backendId)).toHaveLength(1);
+    expect(succeeded(world).length).toBeGreaterThan(before + 300);
+  });
+
+  it('start at the cold limit after a restart under load', () => {
+    const world = createWorld({ coldRequests: 4 });
+    sendCalls(world, 200, 1);
+    world.backends[0]!.restart();
+    sendCalls(world, 400, 1);
+    expect(world.oracle.checks).toBeGreaterThan(800);
+  });
+});
+
+describe('leaving', () => {
+  it.each([
+    ['a draining backend server', (world: World) => world.backends[0]!.drain()],
+    [
+      'a closed availability zone',
+      (world: World) => {
+        const leader = world.controls.findIndex((control) => control.reducer.raft.isLeader);
+        world.changeZone(leader, 'north', ZoneState.Out, 'out');
+      },
+    ],
+  ])('%s gets no new work after seconds, during a burst', (name, leave) => {
+    const world = createWorld();
+    sendCalls(world, 100, 1);
+    leave(world);
+    sendCalls(world, 2_000, 2);
+    expect(world.oracle.checks).toBeGreaterThan(2_000);
+    expect(world.backends.some((backend) => backend.state === BackendState.Ready)).toBe(true);
+  });
+
+  it('lets no change be forgotten by an entry host that is cut off', () => {
+    const world = createWorld();
+    world.network.cut(['entry-0'], 1);
+    const leader = world.controls.findIndex((control) => control.reducer.raft.isLeader);
+    world.changeZone(leader, 'south', ZoneState.Out, 'out');
+    world.run(100);
+    for (let index = 0; index < 300; index += 1) {
+      world.call(0);
+      world.run(20);
+    }
+    const refused = world.results.filter((result) => result.error?.kind === 'not-current');
+    expect(refused.length).toBeGreaterThan(150);
+  });
+});
+
+describe('a request that ends backend servers', () => {
+  it('ends at most two when it is sent again through every entry host', () => {
+    const world = createWorld({ backends: 6 });
+    for (let round = 0; round < 12; round += 1) {
+      world.call(round, { kills: true });
+      world.run(150);
+    }
+    const dead = world.backends.filter((backend) => !backend.alive);
+    expect(dead.length).toBeLessThanOrEqual(2);
+    world.run(2_000);
+    const before = succeeded(world).length;
+    sendCalls(world, 60, 5);
+    world.run(1_500);
+    expect(succeeded(world).length - before).toBe(60);
+  });
+});
+
+describe('misbehaving backend servers', () => {
+  it('that shed every request cost no call while others are free', () => {
+    const world = createWorld();
+    world.backends[0]!.sheds = true;
+    sendCalls(world, 100, 10);
+    world.run(1_500);
+    expect(succeeded(world).length).toBeGreaterThanOrEqual(95);
+  });
+
+  it('do not amplify load beyond the retry budget in a full outage', () => {
+    const world = createWorld();
+    sendCalls(world, 50, 5);
+    world.run(1_000);
+    world.backends.forEach((backend) => backend.crash());
+    const before = world.results.length;
+    let attempts = 0;
+    world.entries.forEach((entry) => {
+      const { options } = entry;
+      const { onAdmitted } = options;
+      Object.assign(options, {
+        onAdmitted: (boot: string, revision: number) => {
+          attempts += 1;
+          onAdmitted(boot, revision);
+        },
+      });
+    });
+    const calls = 400;
+    sendCalls(world, calls, 2);
+    world.run(2_000);
+    const refused = world.results.slice(before);
+    expect(refused).toHaveLength(calls);
+    // Each of three hosts may spend a burst of ten beyond a tenth of its calls; a forwarded call
+    // makes one attempt at the peer and one there.
+    expect(attempts).toBeLessThanOrEqual(2 * (calls * 1.1 + 3 * 10));
+  });
+
+  it('whose load reports are stuck or lie do not change what they are sent', () => {
+    const world = createWorld();
+    const [lying] = world.backends;
+    world.entries.forEach((entry) => {
+      const { announce } = entry;
+      Object.assign(entry, {
+        announce: (...args: Parameters<typeof announce>) => {
+          const [announcement, ...rest] = args;
+          const lied = announcement.port === lying!.options.port;
+          announce.call(
+            entry,
+            { ...announcement, ...(lied && { load: { inFlight: 0 } }) },
+            ...rest,
+          );
+        },
+      });
+    });
+    sendCalls(world, 400, 8);
+    world.run(1_500);
+    expect(succeeded(world).length).toBeGreaterThan(380);
+  });
+});
+
+describe('orders', () => {
+  it('run once when sent at the same moment through every entry host', () => {
+    const world = createWorld();
+    const keys = Array.from({ length: 40 }, () => world.createKey());
+    keys.forEach((key) => {
+      world.entries.forEach((entry, index) => world.call(index, { key }));
+      world.run(15);
+    });
+    world.run(2_000);
+    keys.forEach((key, index) => world.call(index, { key }));
+    world.run(2_000);
+    const replayed = world.results.slice(-keys.length);
+    expect(replayed.map((result) => result.error)).toEqual(keys.map(() => null));
+  });
+
+  it('are refused as not run without a majority, while reads go on', () => {
+    const world = createWorld();
+    sendCalls(world, 20, 5);
+    const leader = world.controls.find((control) => control.reducer.raft.isLeader)!;
+    leader.crash();
+    const key = world.createKey();
+    world.call(0, { key });
+    world.call(1);
+    world.run(300);
+    expect(succeeded(world).length).toBeGreaterThan(19);
+    world.run(2_500);
+    expect(world.results.some((result) => result.outcome === 'unknown')).toBe(false);
+    world.controls.filter((control) => control.alive)[0]!.crash();
+    world.run(4_000);
+    world.call(0, { key: world.createKey() });
+    world.run(2_000);
+    expect(world.results.at(-1)?.outcome).toBe('not-run');
+  });
+});
--- a/src/entry/LeaseTable.ts
+++ b/src/entry/LeaseTable.ts
@@ -25,6 +25,11 @@
 /** Interval of the early announcements that verify a server after a lease move. */
 const HURRIED_INTERVAL_MS = 150;
 
+/** Announcements beyond the budget that a start and a move may cost. */
+const MEASURING_BURST = 8;
+
+const MS_PER_SECOND = 1_000;
+
 /** Records whose backend server was silent for so many leases are dropped. */
 const FORGET_AFTER_LEASES = 10;
 
@@ -83,15 +88,17 @@
     const refusal = checkOrder(announcement, known);
     if (refusal) return Result.err(refusal);
     context.count(CounterName.Announcements, entry.service);
+    const reachable = this.roster
+      .leaseholders(entry)
+      .filter((host) => !announcement.unreachable.includes(`${host.address}:${host.port}`));
     const holder =
-      placeBackend(backendId, announcement.availabilityZone, this.roster.leaseholders(entry)) ??
-      context.self;
+      placeBackend(backendId, announcement.availabilityZone, reachable) ?? context.self;
     if (holder.id !== context.self.id) {
       if (known) this.release(known, holder);
       return Result.ok(this.answer(holder, 0));
     }
     const record = this.accept(announcement, backendId, pool, known);
-    return Result.ok(this.answer(holder, this.intervalMs(record)));
+    return Result.ok(this.answer(holder, this.intervalMs(record, announcement)));
   }
 
   /** Gives a lease up on the request of the new holder. */
@@ -310,12 +317,22 @@
     return this.pools.system().leaseMs;
   }
 
-  /** Asks for an early announcement while only that keeps the server at its cold limit. */
-  private intervalMs(record: BackendRecord): number {
+  /**
+   * Time to the next announcement: early while only that keeps the server at its cold limit,
+   * never above the measuring budget. What was spent is read off the sequence number, so that the
+   * budget holds for any number of entry hosts and through every move.
+   */
+  private intervalMs(record: BackendRecord, announcement: Announcement): number {
     const regularMs = this.pools.system().announcementIntervalMs;
+    const perSecond = this.pools.get(record.service)?.settings.measuringPerSecond ?? 1;
+    const upForS = announcement.upForMs / MS_PER_SECOND;
+    const spent = announcement.sequence + 1;
+    record.measuredPerSecond = spent / Math.max(1, upForS);
+    if (spent > perSecond * upForS + MEASURING_BURST) {
+      return Math.max(regularMs, MS_PER_SECOND / perSecond);
+    }
     const waiting = !record.verified && record.limit.current > 1;
-    const hurried = waiting && record.hurryBudget.tryTake(this.context.nowMs);
-    return hurried ? Math.min(regularMs, HURRIED_INTERVAL_MS) : regularMs;
+    return waiting ? Math.min(regularMs, HURRIED_INTERVAL_MS) : regularMs;
   }
 
   private answer(holder: EntryHost, intervalMs: number): AnnouncementAnswer {
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -29,6 +29,8 @@
   readonly leaseStamp: string | null;
   /** Entry host that last accepted an announcement, if it is another one. */
   readonly previous: PreviousHolder | null;
+  /** Entry hosts, as `address:port`, that the backend server could not reach lately. */
+  readonly unreachable: readonly string[];
 }
 
 /** Load that a backend server reports. */
--- a/src/entry/dispatch/AttemptOutcomes.ts
+++ b/src/entry/dispatch/AttemptOutcomes.ts
@@ -57,7 +57,7 @@
   private readonly handlers: Record<AttemptResult, Handler> = {
     [AttemptResult.Completed]: (record, attempt, event) => this.onCompleted(record, attempt, event),
     [AttemptResult.Shed]: (record, attempt, event) => {
-      if (attempt.record) this.learnFailure(attempt.record);
+      if (attempt.record) this.learnFailure(record, attempt.record);
       return this.retryNotRun(record, attempt, event);
     },
     [AttemptResult.NotSent]: (record, attempt, event) => {
@@ -95,10 +95,11 @@
   }
 
   /** A shed answer or a broken connection lowers the limit; two in a row mean coldness. */
-  private learnFailure(backend: BackendRecord): void {
+  private learnFailure(record: CallRecord, backend: BackendRecord): void {
     const { nowMs } = this.options.context;
     const again = nowMs - backend.failedAtMs < COLD_SIGN_WINDOW_MS;
-    backend.failedAtMs = nowMs;
+    backend.recordFailure(true, nowMs);
+    record.pool.recordFailure(true);
     if (again) backend.limit.onColdSign();
     else backend.limit.onOverload();
   }
@@ -128,7 +129,7 @@
 
   private onReset(record: CallRecord, attempt: Attempt, event: AttemptEndedEvent): NextStep {
     if (attempt.record) {
-      this.learnFailure(attempt.record);
+      this.learnFailure(record, attempt.record);
       this.options.onSuspicion(record, attempt, false);
     }
     if (attempt.cancelled) return { settle: ClaimOutcome.Unknown };
@@ -142,11 +143,11 @@
 
   private onTruncated(record: CallRecord, attempt: Attempt, event: AttemptEndedEvent): NextStep {
     const { context } = this.options;
-    if (attempt.record) this.learnFailure(attempt.record);
+    if (attempt.record) this.learnFailure(record, attempt.record);
     if (attempt.cancelled || record.phase === CallPhase.Answered) {
       return { settle: ClaimOutcome.Unknown };
     }
-    const resumable = event.resume !== null && record.idempotent && attempt.record !== null;
+    const resumable = event.resume !== null && record.idempotent;
     if (resumable && this.mayRetry(record)) {
       context.count(CounterName.Resumes, record.call.service);
       return { retry: true };
--- a/src/entry/dispatch/BackendRecord.ts
+++ b/src/entry/dispatch/BackendRecord.ts
@@ -1,6 +1,5 @@
 import { BackendState } from '../../common/Enums.js';
 import { TargetKind, type AttemptTarget } from '../Types.js';
-import { TokenBucket } from '../../common/TokenBucket.js';
 import { ConcurrencyLimit } from './ConcurrencyLimit.js';
 
 /** Options of a {@link BackendRecord}. */
@@ -19,9 +18,6 @@
 /** An announcement proves that its sender lived this long ago. */
 export const ALIVE_PROOF_DELAY_MS = 100;
 
-/** Early announcements: a few after a lease move, then one in ten seconds. */
-const HURRY_BUDGET = { capacity: 3, initialTokens: 3, refillPerSecond: 0.1 };
-
 /** Requests in flight at a server that isn't verified. */
 const MIN_ALLOWED = 1;
 
@@ -108,8 +104,8 @@
    */
   verified = false;
 
-  /** Early announcements that may still be asked for. */
-  readonly hurryBudget = new TokenBucket({ ...HURRY_BUDGET });
+  /** Announcements per second since the server's start. */
+  measuredPerSecond = 0;
 
   /** Time of the last slow-server probe. */
   probedAtMs = 0;
--- a/src/entry/dispatch/CallRecord.ts
+++ b/src/entry/dispatch/CallRecord.ts
@@ -33,7 +33,8 @@
   readonly call: ArrivedCall;
   readonly pool: ServicePool;
   readonly arrivedAtMs: number;
-  readonly deadlineMs: number;
+  /** Time by which the answer, or its continuation, must begin. */
+  deadlineMs: number;
   readonly idempotent: boolean;
   phase: CallPhase;
   /** Attempts that have not ended, by id. */
--- a/src/entry/server/AnnouncementEndpoint.ts
+++ b/src/entry/server/AnnouncementEndpoint.ts
@@ -26,6 +26,7 @@
     .strictObject({ entryHostId: z.string().min(1).max(63), sinceMs: z.number().min(0) })
     .nullable()
     .default(null),
+  unreachable: z.array(z.string().max(300)).max(32).default([]),
 });
 
 /** Passes a checked announcement on; the answer is sent by its effect. */
--- a/src/entry/server/ControlLinks.ts
+++ b/src/entry/server/ControlLinks.ts
@@ -3,7 +3,7 @@
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
 import type { MessageFields } from '../../runtime/MessageCheck.js';
-import { MessageClient } from '../../runtime/MessageClient.js';
+import { MessageClient, type LinkTraffic } from '../../runtime/MessageClient.js';
 
 /** Options of {@link ControlLinks}. */
 export interface ControlLinksOptions {
@@ -40,6 +40,16 @@
     this.clients.get(controlHostId)?.send(message);
   }
 
+  /** Traffic of the open links, both ways. */
+  traffic(): LinkTraffic {
+    const total = { bytes: 0, messages: 0 };
+    this.clients.forEach((client) => {
+      total.bytes += client.traffic.bytes;
+      total.messages += client.traffic.messages;
+    });
+    return total;
+  }
+
   dispose(): void {
     this.clients.forEach((client) => client.dispose());
     this.clients.clear();
--- /dev/null
+++ b/src/entry/server/EntryServer.test.ts
@@ -0,0 +1,311 @@
+import http from 'node:http';
+import net from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { v4, v7 } from 'uuid';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { Fault } from '../../../standin/BackendStandin.js';
+import { Caller, type CallerRequest } from '../../../standin/Caller.js';
+import { Cluster, waitUntil } from '../../../standin/Cluster.js';
+import { buildTree, OTARU, serviceToken } from '../../../standin/Deployments.js';
+import { BackendState } from '../../common/Enums.js';
+
+const SYSTEM = {
+  leaseMs: 600,
+  announcementIntervalMs: 200,
+  configLeaseMs: 2_000,
+  configPingIntervalMs: 200,
+  directoryValidMs: 800,
+};
+const HOST = '127.0.0.1';
+
+function createAnnouncement(changes: object = {}) {
+  return {
+    service: 'ledger',
+    address: HOST,
+    port: 9,
+    availabilityZone: 'yoichi',
+    incarnation: 1,
+    sequence: 1,
+    state: BackendState.Draining,
+    slots: 3,
+    connections: 0,
+    load: { inFlight: 0 },
+    ...changes,
+  };
+}
+
+/** Sends raw bytes and returns everything that comes back. */
+function sendRaw(port: number, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = net.connect(port, HOST, () => socket.write(text));
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += chunk.toString('utf8');
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(received));
+  });
+}
+
+describe('entry host', () => {
+  const runs = new Map<string, number>();
+  let cluster: Cluster;
+  let caller: Caller;
+
+  beforeAll(async () => {
+    cluster = await Cluster.start({
+      deployments: [OTARU],
+      tree: buildTree([OTARU], SYSTEM, {
+        maxBodyBytes: 100_000,
+        timeoutMs: 4_000,
+        measuringPerSecond: 6,
+      }),
+      controlHosts: 3,
+      entryHosts: 4,
+      backendsPerService: 3,
+      bundleBytes: 4 * 1024 * 1024,
+      runLog: { ran: (key) => runs.set(key, (runs.get(key) ?? 0) + 1) },
+    });
+    await cluster.waitReady();
+    caller = new Caller({ id: 'test', seeds: cluster.seeds });
+  });
+
+  afterAll(async () => {
+    caller.close();
+    await cluster.stop();
+  });
+
+  const call = (changes: Partial<CallerRequest> = {}) =>
+    caller.call({ service: 'ledger', path: '/records/1', via: cluster.seeds[0], ...changes });
+
+  it.each<[string, Partial<CallerRequest>, number, string]>([
+    ['an unknown service', { service: 'nothing' }, 404, 'unknown-service'],
+    ['an order without a key', { method: 'POST' }, 400, 'idempotency-key-required'],
+    [
+      'an order with a UUIDv4',
+      { method: 'POST', headers: { 'Idempotency-Key': v4() } },
+      400,
+      'idempotency-key-invalid',
+    ],
+    [
+      'an order with an old key',
+      { method: 'POST', headers: { 'Idempotency-Key': v7({ msecs: 1_000 }) } },
+      409,
+      'idempotency-key-expired',
+    ],
+    ['a bad timeout', { headers: { 'Egret-Timeout-Ms': 'soon' } }, 400, 'bad-request'],
+    ['a long body', { method: 'PUT', body: 'x'.repeat(100_001) }, 413, 'body-too-large'],
+    ['an unknown system path', { service: '', path: '/egret/v1/nothing' }, 404, 'not-found'],
+    [
+      'a directory question for an unknown service',
+      { service: '', path: '/egret/v1/entries?service=nothing' },
+      404,
+      'unknown-service',
+    ],
+  ])('refuses %s with a typed error', async (name, request, statusCode, kind) => {
+    const answer = await call(request);
+    const body = JSON.parse(answer.text) as { kind: string; remedy: string };
+    expect(answer.statusCode).toBe(statusCode);
+    expect(body.kind).toBe(kind);
+    expect(body.remedy.length).toBeGreaterThan(10);
+    expect(answer.headers['egret-outcome']).toBe('not-run');
+    expect((await call()).statusCode).toBe(200);
+  });
+
+  it.each([
+    [
+      'conflicting lengths',
+      'POST /ledger/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n',
+      '400',
+      'bad-request',
+    ],
+    ['no HTTP', 'hello\r\n\r\n', '400', 'bad-request'],
+    [
+      'long headers',
+      `GET /ledger/x HTTP/1.1\r\nHost: x\r\nX: ${'x'.repeat(20_000)}\r\n\r\n`,
+      '431',
+      'headers-too-large',
+    ],
+    ['an absolute target', 'GET * HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n', '400', 'bad-'],
+  ])('refuses %s on the wire', async (name, text, status, kind) => {
+    const received = await sendRaw(cluster.entries[0]!.port, text);
+    expect(received).toContain(`HTTP/1.1 ${status}`);
+    expect(received).toContain(kind);
+    expect(received).toContain('remedy');
+    expect((await call()).statusCode).toBe(200);
+  });
+
+  const announce = (body: unknown, token = serviceToken('ledger')) =>
+    call({
+      service: '',
+      path: '/egret/v1/announcements',
+      method: 'POST',
+      headers: { Authorization: `Bearer ${token}` },
+      body: typeof body === 'string' ? body : JSON.stringify(body),
+    });
+
+  it.each([
+    ['no JSON', '{', 400, 'bad-request'],
+    ['an unknown field', createAnnouncement({ speed: 3 }), 400, 'invalid-announcement'],
+    ['no slots', createAnnouncement({ slots: 0 }), 400, 'invalid-announcement'],
+    ['an unknown state', createAnnouncement({ state: 'tired' }), 400, 'invalid-announcement'],
+    ['another zone', createAnnouncement({ availabilityZone: 'perth' }), 400, 'invalid-announ'],
+    ['an unknown service', createAnnouncement({ service: 'nothing' }), 404, 'unknown-service'],
+    ['a huge body', `"${'x'.repeat(300_000)}"`, 413, 'body-too-large'],
+  ])('refuses an announcement with %s', async (name, body, statusCode, kind) => {
+    const answer = await announce(body);
+    expect(answer.statusCode).toBe(statusCode);
+    expect(answer.text).toContain(kind);
+  });
+
+  it('refuses an announcement with a wrong token, or a replayed sequence', async () => {
+    expect((await announce(createAnnouncement(), 'wrong')).statusCode).toBe(401);
+    const first = await announce(createAnnouncement({ port: 11, sequence: 5 }));
+    const { announceTo } = JSON.parse(first.text) as {
+      announceTo: { address: string; port: number };
+    };
+    const again = (sequence: number) =>
+      caller.call({
+        service: '',
+        path: '/egret/v1/announcements',
+        method: 'POST',
+        via: announceTo,
+        headers: { Authorization: `Bearer ${serviceToken('ledger')}` },
+        body: JSON.stringify(createAnnouncement({ port: 11, sequence })),
+      });
+    expect((await again(6)).statusCode).toBe(200);
+    const replayed = await again(6);
+    expect(replayed.statusCode).toBe(409);
+    expect(replayed.text).toContain('replayed-sequence');
+  });
+
+  it('replays the answer of an order, and refuses its key for another one', async () => {
+    const headers = { 'Idempotency-Key': v7() };
+    const order = { service: 'dispatch', path: '/orders', method: 'POST', headers, body: 'crew' };
+    const first = await call(order);
+    const second = await call({ ...order, via: cluster.seeds[1] });
+    expect([first.statusCode, second.statusCode]).toEqual([201, 201]);
+    expect(second.headers['egret-replayed']).toBe('true');
+    expect(second.text).toBe(first.text);
+    expect(runs.get(headers['Idempotency-Key'])).toBe(1);
+    const other = await call({ ...order, body: 'another crew' });
+    expect(other.text).toContain('idempotency-key-reused');
+  });
+
+  it('continues a bundle whose backend server ends it half way', async () => {
+    const bundles = cluster.backendsOf('chartroom');
+    bundles[0]!.fault = Fault.Truncate;
+    bundles[1]!.fault = Fault.Truncate;
+    const answers = await Promise.all(
+      Array.from({ length: 4 }, () => call({ service: 'chartroom', path: '/bundles/a' })),
+    );
+    bundles.forEach((backend) => {
+      backend.fault = Fault.None;
+    });
+    answers.forEach((answer) => {
+      expect(answer.whole).toBe(true);
+      expect(answer.sha256).toBe(bundles[0]!.bundle.sha256);
+    });
+  });
+
+  it('passes byte ranges through', async () => {
+    const answer = await call({
+      service: 'chartroom',
+      path: '/bundles/a',
+      headers: { Range: 'bytes=100-299' },
+    });
+    expect(answer.statusCode).toBe(206);
+    expect(answer.headers['content-range']).toContain('bytes 100-299/');
+    expect(answer.bodyBytes).toBe(200);
+  });
+
+  it('breaks an answer that can not be continued, visibly', async () => {
+    const backends = cluster.backendsOf('ledger');
+    backends.forEach((backend) => {
+      backend.fault = Fault.Truncate;
+    });
+    const answer = await call();
+    backends.forEach((backend) => {
+      backend.fault = Fault.None;
+    });
+    expect(answer.whole).toBe(false);
+  });
+
+  it('refuses a slow request head', async () => {
+    const received = await sendRaw(
+      cluster.entries[0]!.port,
+      'GET /ledger/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n',
+    );
+    expect(received).toContain('HTTP/1.1 200');
+  });
+
+  it('answers with metrics, health and readiness', async () => {
+    const admin = { address: HOST, port: cluster.entries[0]!.adminPort };
+    const read = (path: string) => caller.call({ service: '', path, via: admin });
+    expect((await read('/healthz')).statusCode).toBe(200);
+    expect((await read('/readyz')).statusCode).toBe(200);
+    expect((await read('/metrics')).text).toContain('egret_calls_total');
+    expect((await read('/egret/v1/backends')).statusCode).toBe(200);
+  });
+
+  it('refuses a forwarded call without a peer ticket', async () => {
+    const answer = await new Promise<number>((resolve) => {
+      const { peerPort } = cluster.entries[0]!;
+      http.get({ host: HOST, port: peerPort, path: '/ledger/x' }, (response) => {
+        response.resume();
+        resolve(response.statusCode ?? 0);
+      });
+    });
+    expect(answer).toBe(401);
+  });
+
+  it('cuts no download and refuses no call during a planned stop', async () => {
+    const index = cluster.entries.length - 1;
+    const stopping = cluster.entries[index]!;
+    const via = cluster.seeds[index]!;
+    const downloads = Array.from({ length: 6 }, () =>
+      call({ service: 'chartroom', path: '/bundles/stop', via }),
+    );
+    await delay(5);
+    const stopped = stopping.stop();
+    const late = [];
+    for (let sent = 0; sent < 20; sent += 1) {
+      // Calls of a caller whose directory answer is still valid.
+      late.push(call({ via }));
+      // eslint-disable-next-line no-await-in-loop
+      await delay(20);
+    }
+    const answers = await Promise.all([...downloads, ...late]);
+    const states = answers.map((answer) => `${answer.statusCode} ${answer.whole}`);
+    expect(states).toEqual(answers.map(() => '200 true'));
+    const listed = await call({ service: '', path: '/egret/v1/entries?service=ledger' });
+    expect(listed.text).not.toContain(`"port":${via.port}`);
+    await stopped;
+    cluster.entries.pop();
+    await expect(call({ via })).rejects.toThrow();
+  });
+
+  it('gives a stopped availability zone no new work', async () => {
+    const client = cluster.adminClient();
+    const { sendChange, waitInForce } = await import('../../ctl/ChangeSender.js');
+    const path = '/teams/otaru/availabilityZones/yoichi/state';
+    const change = await sendChange(client, { path, value: 'out' });
+    const shown = await waitInForce(client, change.changeId, 10_000);
+    expect(shown.progress).toMatchObject({ inForce: true, behind: [] });
+    const inZone = cluster.backends.filter(
+      (backend) => backend.options.availabilityZone === 'yoichi',
+    );
+    inZone.forEach((backend) => backend.resetFigures());
+    for (let sent = 0; sent < 30; sent += 1) {
+      // One call after the other: two backend servers remain.
+      // eslint-disable-next-line no-await-in-loop
+      expect((await call()).statusCode).toBe(200);
+    }
+    expect(inZone.every((backend) => backend.figures.requests === 0)).toBe(true);
+    await sendChange(client, { path, value: 'in' });
+    await waitUntil(() => {
+      call({ via: undefined }).catch(() => {});
+      return inZone.some((backend) => backend.figures.requests > 0);
+    }, 'work in the returned zone');
+  });
+});
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -20,6 +20,7 @@
   sendJson,
 } from '../../runtime/HttpJson.js';
 import type { Logger } from '../../runtime/Logger.js';
+import type { LinkTraffic } from '../../runtime/MessageClient.js';
 import { MessageServer } from '../../runtime/MessageServer.js';
 import { EntryReducer } from '../EntryReducer.js';
 import type { PeerMessage } from '../PeerMessages.js';
@@ -227,6 +228,15 @@
     return this.self.port;
   }
 
+  get peerPort(): number {
+    return this.self.peerPort;
+  }
+
+  /** Traffic with the control hosts. */
+  controlTraffic(): LinkTraffic {
+    return this.controlLinks.traffic();
+  }
+
   /** Metrics of this host. */
   get registry(): Registry {
     return this.metrics.registry;
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -29,6 +29,12 @@
   readonly onClose: () => void;
 }
 
+/** Messages and their encoded bytes, both ways. */
+export interface LinkTraffic {
+  bytes: number;
+  messages: number;
+}
+
 /** State of a link. */
 enum LinkState {
   Connecting,
@@ -42,6 +48,8 @@
 const HEARTBEAT_MS = 1_000;
 const MAX_SILENCE_MS = 3_000;
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+/** Header of a masked WebSocket frame of ordinary size. */
+const FRAME_BYTES = 8;
 const CONNECT_TIMEOUT_MS = 2_000;
 
 /** Authenticated WebSocket link that reconnects until it is disposed. */
@@ -62,6 +70,8 @@
 
   private disposed = false;
 
+  readonly traffic: LinkTraffic = { bytes: 0, messages: 0 };
+
   /** Credential for calls forwarded to the server; empty while the link is down. */
   ticket = '';
 
@@ -80,7 +90,9 @@
       this.socket.terminate();
       return false;
     }
-    this.socket.send(encodeMessage(message));
+    const bytes = encodeMessage(message);
+    this.count(bytes);
+    this.socket.send(bytes);
     return true;
   }
 
@@ -91,6 +103,11 @@
     this.socket?.terminate();
   }
 
+  private count(bytes: Buffer): void {
+    this.traffic.bytes += bytes.length + FRAME_BYTES;
+    this.traffic.messages += 1;
+  }
+
   private connect(): void {
     const { address, port } = this.options;
     const socket = new WebSocket(`ws://${address}:${port}/`, {
@@ -110,6 +127,7 @@
 
   private receive(socket: WebSocket, data: RawData): void {
     this.heardAtMs = performance.now();
+    this.count(data as Buffer);
     const decoded = decodeMessage(data as Buffer);
     if (decoded.isErr) {
       socket.terminate();
--- a/standin/Announcer.ts
+++ b/standin/Announcer.ts
@@ -37,6 +37,7 @@
 }
 
 const RETRY_MS = 100;
+const AVOID_MS = 5_000;
 const TIMEOUT_MS = 500;
 const DEFAULT_INTERVAL_MS = 1_000;
 const OK_STATUS = 200;
@@ -56,6 +57,9 @@
 
   private holder: Holder | null = null;
 
+  /** Entry hosts that did not answer, with the time until which they are avoided. */
+  private readonly unreachable = new Map<string, number>();
+
   private timer: NodeJS.Timeout | undefined;
 
   private readonly startedAtMs = performance.now();
@@ -103,6 +107,7 @@
       connections: inFlight,
       load: { inFlight },
       upForMs: nowMs - this.startedAtMs,
+      unreachable: this.avoided(nowMs),
       leaseStamp: toHolder ? holder!.stamp : null,
       previous:
         holder && !toHolder
@@ -130,7 +135,11 @@
       },
     });
     request.on('timeout', () => request.destroy());
-    request.on('error', () => this.tryNextSeed());
+    request.on('error', () => {
+      const key = `${target.address}:${target.port}`;
+      this.unreachable.set(key, performance.now() + AVOID_MS);
+      this.tryNextSeed();
+    });
     request.on('response', (response) => {
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -159,6 +168,13 @@
     this.schedule(fresh ? 0 : answer.intervalMs || DEFAULT_INTERVAL_MS);
   }
 
+  private avoided(nowMs: number): string[] {
+    this.unreachable.forEach((untilMs, key) => {
+      if (untilMs <= nowMs) this.unreachable.delete(key);
+    });
+    return [...this.unreachable.keys()];
+  }
+
   private tryNextSeed(): void {
     if (this.stopped) return;
     const { seeds } = this.options;
--- a/standin/BackendStandin.ts
+++ b/standin/BackendStandin.ts
@@ -43,7 +43,7 @@
 /** Log of the runs of keyed requests. */
 export interface RunLog {
   /** Called when a request with an idempotency key begins to run. */
-  ran(key: string): void;
+  ran(key: string, sending: string): void;
 }
 
 /** What a stand-in observed. */
@@ -61,6 +61,9 @@
 /** Marks a request that ends the backend server that runs it. */
 export const KILL_HEADER = 'standin-kill';
 
+/** Names one sending of a request, so that a caller can look it up in the run log. */
+export const SENDING_HEADER = 'standin-sending';
+
 const STRAGGLE_FACTOR = 5;
 const COLD_OVERLOAD_FACTOR = 5;
 const CHUNK_BYTES = 64 * 1024;
@@ -221,7 +224,8 @@
     this.inFlight += 1;
     this.figures.peakInFlight = Math.max(this.figures.peakInFlight, this.inFlight);
     const key = request.headers['idempotency-key'];
-    if (typeof key === 'string') this.options.runLog?.ran(key);
+    const sending = String(request.headers[SENDING_HEADER] ?? '');
+    if (typeof key === 'string') this.options.runLog?.ran(key, sending);
     const serviceTimeMs = this.serviceTimeMs(overload);
     const timer =
       serviceTimeMs > 0
