--- a/bench/workers/Worker.ts
+++ b/bench/workers/Worker.ts
@@ -1,7 +1,10 @@
 import { fork, type ChildProcess } from 'node:child_process';
 import { WorkerRole, type ProcessFigures, type WorkerReply } from './Protocol.js';
 
-const MAIN = new URL('./WorkerMain.js', import.meta.url);
+/** Compiled entry point, also for tests that run from the sources. */
+const MAIN = import.meta.url.includes('/dist/')
+  ? new URL('./WorkerMain.js', import.meta.url)
+  : new URL('../../dist/bench/workers/WorkerMain.js', import.meta.url);
 
 /** Bench process that runs one role. */
 export class Worker {
@@ -13,6 +16,11 @@
 
   constructor(role: WorkerRole) {
     this.child = fork(MAIN, [role], { serialization: 'advanced' });
+    this.child.once('exit', (code) => {
+      const error = `the process ended with ${code}`;
+      this.waiting.forEach((finish, id) => finish({ id, result: null, error }));
+      this.waiting.clear();
+    });
     this.child.on('message', (reply: WorkerReply) => {
       this.waiting.get(reply.id)?.(reply);
       this.waiting.delete(reply.id);
--- a/fuzz/BackendHost.ts
+++ b/fuzz/BackendHost.ts
@@ -225,7 +225,7 @@
     const to = answer.announceTo.address;
     if (to !== targetId) {
       this.targetId = to;
-      timeline.after(0, () => this.announce(run));
+      timeline.after(answer.intervalMs, () => this.announce(run));
       return;
     }
     const fresh = this.holder?.entryId !== targetId;
--- a/src/entry/LeaseTable.ts
+++ b/src/entry/LeaseTable.ts
@@ -43,6 +43,18 @@
   readonly incarnation: number;
 }
 
+/** True where a backend server has announced more often than its budget allows. */
+function isOverBudget(announcement: Announcement, perSecond: number): boolean {
+  const allowed = (perSecond * announcement.upForMs) / MS_PER_SECOND + MEASURING_BURST;
+  return announcement.sequence + 1 > allowed;
+}
+
+/** Redirects are followed at once, unless hosts that disagree would keep the server busy. */
+function redirectMs(announcement: Announcement, pool: ServicePool): number {
+  const { measuringPerSecond } = pool.settings;
+  return isOverBudget(announcement, measuringPerSecond) ? MS_PER_SECOND / measuringPerSecond : 0;
+}
+
 /** Refuses an announcement that is not newer than the last one. */
 function checkOrder(
   announcement: Announcement,
@@ -95,10 +107,10 @@
       placeBackend(backendId, announcement.availabilityZone, reachable) ?? context.self;
     if (holder.id !== context.self.id) {
       if (known) this.release(known, holder);
-      return Result.ok(this.answer(holder, 0));
+      return Result.ok(this.answer(holder, redirectMs(announcement, pool)));
     }
     const record = this.accept(announcement, backendId, pool, known);
-    return Result.ok(this.answer(holder, this.intervalMs(record, announcement)));
+    return Result.ok(this.answer(holder, this.intervalMs(record, pool, announcement)));
   }
 
   /** Gives a lease up on the request of the new holder. */
@@ -322,14 +334,13 @@
    * never above the measuring budget. What was spent is read off the sequence number, so that the
    * budget holds for any number of entry hosts and through every move.
    */
-  private intervalMs(record: BackendRecord, announcement: Announcement): number {
+  private intervalMs(record: BackendRecord, pool: ServicePool, announcement: Announcement): number {
     const regularMs = this.pools.system().announcementIntervalMs;
-    const perSecond = this.pools.get(record.service)?.settings.measuringPerSecond ?? 1;
     const upForS = announcement.upForMs / MS_PER_SECOND;
-    const spent = announcement.sequence + 1;
-    record.measuredPerSecond = spent / Math.max(1, upForS);
-    if (spent > perSecond * upForS + MEASURING_BURST) {
-      return Math.max(regularMs, MS_PER_SECOND / perSecond);
+    record.measuredPerSecond = (announcement.sequence + 1) / Math.max(1, upForS);
+    const { measuringPerSecond } = pool.settings;
+    if (isOverBudget(announcement, measuringPerSecond)) {
+      return Math.max(regularMs, MS_PER_SECOND / measuringPerSecond);
     }
     const waiting = !record.verified && record.limit.current > 1;
     return waiting ? Math.min(regularMs, HURRIED_INTERVAL_MS) : regularMs;
--- a/standin/Announcer.ts
+++ b/standin/Announcer.ts
@@ -158,7 +158,7 @@
     const accepted = announceTo.address === target.address && announceTo.port === target.port;
     if (!accepted) {
       this.target = announceTo;
-      this.schedule(0);
+      this.schedule(answer.intervalMs);
       return;
     }
     const fresh = !this.isHolder(target);
