Calls follow leases that move; clients that stop sending are refused; a floor for the wait bound

Cause: the planned-stop test failed: calls queued at a stopping host stayed there until their deadline after its leases had gone; and a bound of four mean latencies refused ordinary bursts of fast services. Change: queued calls are routed again when a host has no leases left, and wait up to 1 s with doubling pauses while leases move; queueWaitFloorMs (250); pauses within a head or body longer than headTimeoutMs are refused as slow-client.

--- a/src/common/SettingsSchema.ts
+++ b/src/common/SettingsSchema.ts
@@ -30,6 +30,7 @@
   timeoutMs: wholeNumber(10, 3_600_000, 10_000),
   queueMax: wholeNumber(0, 100_000, 512),
   queueWaitRatio: ratio(0, 10_000, 4),
+  queueWaitFloorMs: wholeNumber(0, 3_600_000, 250),
   idempotentMethods: z
     .array(z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH']))
     .default(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']),
--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -41,8 +41,14 @@
 /** Time that a forwarded answer may take on its way back. */
 const FORWARD_MARGIN_MS = 50;
 
-/** Leaseholders that a call is forwarded to before it is refused. */
-const MAX_FORWARDS = 3;
+/** Attempts after which a call is no longer forwarded. */
+const MAX_FORWARDS = 4;
+
+/** First pause of a call that found no backend server; doubles each time. */
+const FIRST_PAUSE_MS = 25;
+
+/** Time for which a call waits for leases that are moving. */
+const LEASE_MOVE_WAIT_MS = 1_000;
 
 /** Claimed calls may run on for so many timeouts, to record their answers. */
 const CLAIMED_GRACE_TIMEOUTS = 2;
@@ -57,6 +63,9 @@
 export class CallFlow {
   private readonly calls = new Map<number, CallRecord>();
 
+  /** Calls that wait for leases that are moving, with the time of their next try. */
+  private readonly paused = new Map<CallRecord, number>();
+
   private nextAttemptId = 1;
 
   private readonly outcomes: AttemptOutcomes;
@@ -153,6 +162,7 @@
     const record = this.calls.get(callId);
     if (!record) return;
     record.pool.queue.remove(record);
+    this.paused.delete(record);
     if (record.claimId !== null && record.attempts.size === 0) {
       this.settle(record, ClaimOutcome.NotRun, null);
     }
@@ -168,6 +178,7 @@
     const { nowMs } = this.options.context;
     this.options.pools.forEach((pool) => {
       pool.latency.refresh(nowMs);
+      if (!pool.isServing(nowMs)) this.rerouteQueued(pool);
       pool.queue.takeExpired(nowMs).forEach((record) => {
         const detail = 'No slot came free before the deadline.';
         this.refuseNotRun(record, new EgretError(ErrorKind.Overloaded, detail));
@@ -175,6 +186,7 @@
       });
       this.pump(pool);
     });
+    this.resumePaused();
     this.calls.forEach((record) => {
       if (record.phase === CallPhase.Claiming && nowMs >= record.deadlineMs) {
         this.refuseNotRun(record, new EgretError(ErrorKind.NoQuorum, 'The claim timed out.'));
@@ -564,7 +576,40 @@
     this.refuse(record, error);
   }
 
+  /** Moves calls whose leases went to another host. */
+  private rerouteQueued(pool: ServicePool): void {
+    for (let record = pool.queue.shift(); record; record = pool.queue.shift()) {
+      if (record.claimId === null && record.answeringId === null) this.route(record);
+      else this.refuseNoBackend(record);
+    }
+  }
+
+  /** Lets a call try again shortly; false if it has waited long enough. */
+  private pause(record: CallRecord): boolean {
+    const { nowMs } = this.options.context;
+    const { call, pool } = record;
+    const mayWait = !call.forwarded && !pool.policy.free && record.claimId === null;
+    const waitedMs = nowMs - record.arrivedAtMs;
+    const fresh = record.answeringId === null && !record.maybeRun;
+    if (!mayWait || !fresh || waitedMs > LEASE_MOVE_WAIT_MS) return false;
+    if (nowMs >= record.deadlineMs || this.paused.size >= pool.settings.queueMax) return false;
+    record.phase = CallPhase.Queued;
+    this.paused.set(record, nowMs + FIRST_PAUSE_MS * 2 ** Math.max(0, record.attemptsMade - 1));
+    return true;
+  }
+
+  private resumePaused(): void {
+    const { nowMs } = this.options.context;
+    this.paused.forEach((dueMs, record) => {
+      if (nowMs < dueMs) return;
+      this.paused.delete(record);
+      record.tried.length = 0;
+      this.route(record);
+    });
+  }
+
   private refuseNoBackend(record: CallRecord): void {
+    if (this.pause(record)) return;
     const detail = `No backend server of ${record.call.service} takes work now.`;
     this.refuseNotRun(record, new EgretError(ErrorKind.NoBackend, detail));
     this.forgetIfDone(record);
--- a/src/entry/dispatch/ServicePool.ts
+++ b/src/entry/dispatch/ServicePool.ts
@@ -108,7 +108,8 @@
   /** Longest expected wait at which a call is still queued. */
   maxWaitMs(): number {
     const { meanMs } = this.latency;
-    return meanMs > 0 ? meanMs * this.settings.queueWaitRatio : Number.POSITIVE_INFINITY;
+    const { queueWaitRatio, queueWaitFloorMs } = this.settings;
+    return Math.max(queueWaitFloorMs, meanMs * queueWaitRatio);
   }
 
   status(nowMs: number): PoolStatus {
--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -45,6 +45,9 @@
 /** An answer that makes no progress for so long counts as truncated. */
 const IDLE_ANSWER_MS = 30_000;
 
+/** A streamed body that makes no progress for so long is given up. */
+const IDLE_BODY_MS = 10_000;
+
 /** A cancelled attempt whose end isn't seen after so long is cut off. */
 const CANCEL_LINGER_MS = 500;
 
@@ -188,6 +191,10 @@
       }
     });
     if (call.expectsContinue) call.response.writeContinue();
+    // A caller that stops sending must not keep a slot.
+    call.request.setTimeout(IDLE_BODY_MS, () => call.request.destroy());
+    call.request.once('end', () => call.request.setTimeout(0));
+    call.request.once('error', () => this.request.destroy());
     call.request.pipe(this.request);
   }
 
--- a/src/entry/server/CallIntake.ts
+++ b/src/entry/server/CallIntake.ts
@@ -23,6 +23,8 @@
   /** Peer that forwarded the call; null for a caller's own. */
   readonly peerId: string | null;
   readonly expectsContinue: boolean;
+  /** Longest pause within a body. */
+  readonly bodyIdleMs: number;
   /** Largest body of a service; undefined for an unknown service. */
   readonly maxBodyBytesOf: (service: string) => number | undefined;
 }
@@ -67,13 +69,21 @@
   return hash.digest('base64url');
 }
 
-/** Reads a body of known, small size. */
-async function readBody(request: IncomingMessage, bodyBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  const body = Buffer.concat(chunks);
-  if (body.length === bodyBytes) return body;
-  throw new EgretError(ErrorKind.BadRequest, 'The body is shorter than Content-Length.');
+/** Reads a body of known, small size; a client that pauses too long is refused. */
+function readBody(request: IncomingMessage, bodyBytes: number, idleMs: number): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    const fail = (kind: ErrorKind, detail: string) => reject(new EgretError(kind, detail));
+    request.setTimeout(idleMs, () => fail(ErrorKind.SlowClient, 'The body stopped coming.'));
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('error', () => fail(ErrorKind.BadRequest, 'The connection ended in the body.'));
+    request.on('end', () => {
+      request.setTimeout(0);
+      const body = Buffer.concat(chunks);
+      if (body.length === bodyBytes) resolve(body);
+      else fail(ErrorKind.BadRequest, 'The body is shorter than Content-Length.');
+    });
+  });
 }
 
 /** Length of the body, undefined for a chunked one. */
@@ -164,7 +174,7 @@
     return takeWithBody(request, response, options, null, bodyBytes);
   }
   if (options.expectsContinue) response.writeContinue();
-  return readBody(request, bodyBytes).then((body) =>
+  return readBody(request, bodyBytes, options.bodyIdleMs).then((body) =>
     takeWithBody(request, response, options, body, body.length),
   );
 }
--- a/src/entry/server/EntryServer.test.ts
+++ b/src/entry/server/EntryServer.test.ts
@@ -64,6 +64,7 @@
       entryHosts: 4,
       backendsPerService: 3,
       bundleBytes: 4 * 1024 * 1024,
+      headTimeoutMs: 500,
       runLog: { ran: (key) => runs.set(key, (runs.get(key) ?? 0) + 1) },
     });
     await cluster.waitReady();
@@ -271,12 +272,14 @@
     expect(answer.whole).toBe(false);
   });
 
-  it('refuses a slow request head', async () => {
-    const received = await sendRaw(
-      cluster.entries[0]!.port,
-      'GET /ledger/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n',
-    );
-    expect(received).toContain('HTTP/1.1 200');
+  it.each([
+    ['head', 'GET /ledger/x HTTP/1.1\r\nHost: x\r\n'],
+    ['body', 'PUT /ledger/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc'],
+  ])('refuses a client that stops sending inside the %s', async (name, text) => {
+    const received = await sendRaw(cluster.entries[0]!.port, text);
+    expect(received).toContain('HTTP/1.1 408');
+    expect(received).toContain('slow-client');
+    expect((await call()).statusCode).toBe(200);
   });
 
   it('answers with metrics, health and readiness', async () => {
@@ -316,7 +319,9 @@
       await delay(20);
     }
     const answers = await Promise.all([...downloads, ...late]);
-    const states = answers.map((answer) => `${answer.statusCode} ${answer.whole}`);
+    const states = answers.map((answer) =>
+      `${answer.statusCode} ${answer.whole} ${answer.bodyBytes && answer.statusCode !== 200 ? answer.text : ''}`.trim(),
+    );
     expect(states).toEqual(answers.map(() => '200 true'));
     const listed = await call({ service: '', path: '/egret/v1/entries?service=ledger' });
     expect(listed.text).not.toContain(`"port":${via.port}`);
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -396,7 +396,8 @@
     const refuse = (error: unknown) =>
       refuseRequest(request, response, toEgretError(error, ErrorKind.BadRequest));
     try {
-      const options = { callId, nowMs, peerId, expectsContinue, maxBodyBytesOf };
+      const bodyIdleMs = this.options.file.headTimeoutMs;
+      const options = { callId, nowMs, peerId, expectsContinue, bodyIdleMs, maxBodyBytesOf };
       const taken = takeCall(request, response, options);
       if (taken instanceof Promise) taken.then((call) => this.begin(call), refuse);
       else this.begin(taken);
--- a/standin/Cluster.ts
+++ b/standin/Cluster.ts
@@ -29,6 +29,7 @@
   readonly logger?: Logger;
   readonly timing?: RaftTiming;
   readonly snapshotEvery?: number;
+  readonly headTimeoutMs?: number;
   /** Replaces the number of backend servers of every service. */
   readonly backendsPerService?: number;
 }
@@ -196,7 +197,7 @@
         secretFile: 'unused',
         logLevel: LogLevel.Info,
         maxHeaderBytes: 16_384,
-        headTimeoutMs: 10_000,
+        headTimeoutMs: this.options.headTimeoutMs ?? 10_000,
       },
       secret: SECRET,
       logger: this.options.logger ?? silentLogger,
