--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { benchControl } from './Control.js';
+import { benchMeasuring } from './Measuring.js';
 import { benchOverhead } from './Overhead.js';
 import { benchPolicies } from './Policies.js';
 import { benchSlopes } from './Slopes.js';
@@ -9,6 +10,7 @@
   overhead: benchOverhead,
   policies: benchPolicies,
   zone: benchZone,
+  measuring: benchMeasuring,
   control: benchControl,
   slopes: benchSlopes,
 };
--- a/bench/workers/LoadRole.ts
+++ b/bench/workers/LoadRole.ts
@@ -63,7 +63,7 @@
 
 /** Open-loop load generator in a bench process. */
 export class LoadRole {
-  private callers: Caller[] = [];
+  private readonly callers = new Map<string, Caller[]>();
 
   readonly methods = {
     run: (params: RunLoadParams) => this.run(params),
@@ -71,7 +71,7 @@
 
   private async run(params: RunLoadParams): Promise<StreamResult[]> {
     const random = createRandom(params.seed);
-    const callers = this.createCallers(params);
+    const callers = this.ensureCallers(params);
     await warmDirectory(params, callers);
     const startMs = performance.now();
     const running = params.streams.map<RunningStream>((stream) => ({
@@ -112,10 +112,13 @@
     }));
   }
 
-  private createCallers(params: RunLoadParams): Caller[] {
-    this.callers.forEach((caller) => caller.close());
+  /** Callers with their open connections, kept between runs with equal parameters. */
+  private ensureCallers(params: RunLoadParams): Caller[] {
+    const key = JSON.stringify([params.seeds, params.zones, params.asksByService, params.direct]);
+    const known = this.callers.get(key);
+    if (known) return known;
     const zones = [...params.zones];
-    this.callers = Array.from(
+    const callers = Array.from(
       { length: CALLERS_PER_PROCESS },
       (unused, index) =>
         new Caller({
@@ -126,6 +129,7 @@
           hashes: false,
         }),
     );
-    return this.callers;
+    this.callers.set(key, callers);
+    return callers;
   }
 }
--- a/fuzz/BackendHost.ts
+++ b/fuzz/BackendHost.ts
@@ -7,6 +7,8 @@
 /** How a backend server ends a request. */
 export enum RunEnd {
   Answered = 'answered',
+  /** A server error, which is the backend server's own answer. */
+  Failed = 'failed',
   Shed = 'shed',
   /** The connection ended before the answer. */
   Reset = 'reset',
@@ -70,6 +72,12 @@
 
   cuts = false;
 
+  /** Answers every request at once with a server error. */
+  failsFast = false;
+
+  /** Requests received. */
+  requests = 0;
+
   /** Answered announcements of this incarnation. */
   accepted = 0;
 
@@ -141,6 +149,11 @@
   /** Receives a request; returns what cancels it. */
   receive(request: BackendRequest): () => void {
     const { timeline, random, oracle, zone, slots } = this.options;
+    this.requests += 1;
+    if (this.failsFast) {
+      request.onEnd(RunEnd.Failed);
+      return () => {};
+    }
     if (this.sheds) {
       request.onEnd(RunEnd.Shed);
       return () => {};
--- a/src/entry/EntryReducer.test.ts
+++ b/src/entry/EntryReducer.test.ts
@@ -141,6 +141,20 @@
     expect(succeeded(world).length).toBeGreaterThanOrEqual(95);
   });
 
+  it('that fail fast do not attract calls by looking idle', () => {
+    const world = createWorld();
+    const [failing] = world.backends;
+    sendCalls(world, 100, 8);
+    failing!.failsFast = true;
+    const before = failing!.requests;
+    const calls = 800;
+    sendCalls(world, calls, 4);
+    world.run(1_000);
+    // An equal share would be a quarter; what remains are the first failures and the probes.
+    expect(failing!.requests - before).toBeLessThan(calls / 10);
+    expect(succeeded(world).length).toBeGreaterThan(calls);
+  });
+
   it('do not amplify load beyond the retry budget in a full outage', () => {
     const world = createWorld();
     sendCalls(world, 50, 5);
