--- a/bench/Control.ts
+++ b/bench/Control.ts
@@ -22,6 +22,7 @@
 const CHANGES_PER_DAY = 8_700;
 const SECONDS_PER_DAY = 86_400;
 const TARGET_IN_FORCE_MS = 3_000;
+const RESTART_CHANGES = 1_000;
 const PATH = '/teams/otaru/services/ledger/queueMax';
 
 /** Times of changes until they are applied, and proved in force, on every entry host. */
@@ -148,6 +149,33 @@
   return bytes / CHANGES;
 }
 
+/** Kills every control host after many changes and times the way back to the same revision. */
+async function measureRestart(fleet: Fleet): Promise<BenchRow> {
+  const client = fleet.adminClient();
+  for (let index = 0; index < RESTART_CHANGES; index += 1) {
+    // One change after the other.
+    // eslint-disable-next-line no-await-in-loop
+    await sendChange(client, { path: PATH, value: 1_000 + index });
+  }
+  const wanted = await fleet.revision();
+  await Promise.all(fleet.controls.map((worker) => worker.kill()));
+  const startedAtMs = performance.now();
+  await Promise.all(fleet.controls.map((worker, index) => fleet.startControl(index)));
+  let revision = 0;
+  while (revision < wanted) {
+    // eslint-disable-next-line no-await-in-loop
+    await delay(POLL_MS);
+    // eslint-disable-next-line no-await-in-loop
+    revision = await fleet.revision();
+  }
+  return {
+    restartChanges: RESTART_CHANGES,
+    restartMs: performance.now() - startedAtMs,
+    revisionBefore: wanted,
+    revisionAfter: revision,
+  };
+}
+
 /** Control plane: changes in force, claims by number of voters, cost to an entry host. */
 export async function benchControl(): Promise<void> {
   const rows: BenchRow[] = [];
@@ -201,6 +229,8 @@
           idle.bytesPerSecond + (changeBytes * CHANGES_PER_DAY) / SECONDS_PER_DAY,
         claimP50Ms: row.claimP50Ms!,
         claimP99Ms: row.claimP99Ms!,
+        // eslint-disable-next-line no-await-in-loop
+        ...(await measureRestart(fleet)),
       };
     }
     // eslint-disable-next-line no-await-in-loop
--- a/bench/Fleet.ts
+++ b/bench/Fleet.ts
@@ -127,6 +127,14 @@
     };
   }
 
+  /** Lowest revision that the control hosts have applied. */
+  async revision(): Promise<number> {
+    const states = await Promise.all(
+      this.controls.map((worker) => worker.call<{ revision: number }>('status')),
+    );
+    return Math.min(...states.map((state) => state.revision));
+  }
+
   get controlPorts(): number[] {
     return this.voters.map((voter) => voter.port);
   }
