Early announcements only where they can verify a server

Idle servers, whose last connection had closed, were asked for early announcements that could verify nothing. Change: early ones only with an open connection, or within the first interval of a lease.

--- a/src/entry/LeaseTable.ts
+++ b/src/entry/LeaseTable.ts
@@ -342,7 +342,10 @@
     if (isOverBudget(announcement, measuringPerSecond)) {
       return Math.max(regularMs, MS_PER_SECOND / measuringPerSecond);
     }
-    const waiting = !record.verified && record.limit.current > 1;
+    // Without a connection an early announcement proves nothing, but a new lease soon has one.
+    const ageMs = this.context.nowMs - (this.createdAt.get(record.id) ?? 0);
+    const provable = record.connectedAtMs !== null || ageMs < regularMs;
+    const waiting = !record.verified && record.limit.current > 1 && provable;
     return waiting ? Math.min(regularMs, HURRIED_INTERVAL_MS) : regularMs;
   }
 
