Reading of the whole change: a look-up per claim, and dead code gone

Change: EntrySessions.entryHostId looks the session up; the dead pieces are removed. Behaviour, bounds and tests are as before.

--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -346,7 +346,6 @@
   }
 
   private onClaim(sessionId: number, message: ClaimMessage): void {
-    const entryHostId = this.sessions.list().find((session) => session.sessionId === sessionId);
     const reply = (verdict: ClaimReplyVerdict) =>
       this.sendSession(sessionId, {
         type: ControlMessageType.ClaimReply,
@@ -362,7 +361,7 @@
         service: message.service,
         fingerprint: message.fingerprint,
         attemptId: message.attemptId,
-        entryHostId: entryHostId?.entryHost.id ?? '',
+        entryHostId: this.sessions.entryHostId(sessionId),
         holdMs: message.holdMs,
         atMs: this.wallMs,
       },
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -51,6 +51,11 @@
     return this.sessions.has(sessionId);
   }
 
+  /** Entry host of a session; empty without one. On the path of every claim. */
+  entryHostId(sessionId: number): string {
+    return this.sessions.get(sessionId)?.entryHost.id ?? '';
+  }
+
   /** Starts a session; an older one of the same entry host is replaced. */
   hello(sessionId: number, entryHost: EntryHost, nowMs: number): void {
     this.sessions.forEach((session, id) => {
--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -425,7 +425,6 @@
   private freeTarget(record: CallRecord, attempt: Attempt, event: AttemptEndedEvent): void {
     const { context, capacity } = this.options;
     if (!attempt.record) {
-      capacity.onForwardEnded(attempt.target.id, record.call.service);
       if (event.peerStatus) {
         const { service } = record.call;
         capacity.onStatus(attempt.target.id, service, event.peerStatus, context.nowMs);
--- a/src/entry/PeerCapacity.ts
+++ b/src/entry/PeerCapacity.ts
@@ -8,8 +8,6 @@
   atMs: number;
   /** Forwards sent since the status was stated. */
   sentSince: number;
-  /** Forwards that have not ended. */
-  outstanding: number;
 }
 
 /** Statements older than this say nothing about free slots. */
@@ -30,12 +28,6 @@
   onForward(peerId: string, service: string): void {
     const entry = this.entryOf(peerId, service);
     entry.sentSince += 1;
-    entry.outstanding += 1;
-  }
-
-  onForwardEnded(peerId: string, service: string): void {
-    const entry = this.entryOf(peerId, service);
-    entry.outstanding = Math.max(0, entry.outstanding - 1);
   }
 
   /** True where the peer recently stated more free slots than were used since. */
@@ -77,7 +69,7 @@
     let entry = this.known.get(key);
     if (!entry) {
       const status = { freeSlots: 0, slots: 0, queued: 0 };
-      entry = { status, atMs: Number.NEGATIVE_INFINITY, sentSince: 0, outstanding: 0 };
+      entry = { status, atMs: Number.NEGATIVE_INFINITY, sentSince: 0 };
       this.known.set(key, entry);
     }
     return entry;
--- a/standin/Percentiles.ts
+++ b/standin/Percentiles.ts
@@ -16,9 +16,4 @@
     const sorted = this.values.sort((a, b) => a - b);
     return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]!;
   }
-
-  /** The values, sorted. */
-  sorted(): number[] {
-    return this.values.sort((a, b) => a - b);
-  }
 }
