--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -186,6 +186,8 @@
       this.answers.get(effect.requestId)?.(effect.body, effect.error);
       this.answers.delete(effect.requestId);
     },
+    [ControlEffectType.SendControl]: () => {},
+    [ControlEffectType.AnswerAnnouncement]: () => {},
     [ControlEffectType.RoleChanged]: () => {},
     [ControlEffectType.Log]: () => {},
   };
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -1,4 +1,6 @@
+import type { BackendRecord } from './backends/Types.js';
 import type { EntryHost } from './Placement.js';
+import type { RoutingView } from './routing/Types.js';
 import type { SettingsTree } from './SettingsSchema.js';
 import type { ErrorKind } from './Errors.js';
 
@@ -15,6 +17,12 @@
   ClaimReply = 'claim-reply',
   Settle = 'settle',
   SettleReply = 'settle-reply',
+  Watch = 'watch',
+  Routing = 'routing',
+  Backends = 'backends',
+  BackendsAck = 'backends-ack',
+  BackendRelay = 'backend-relay',
+  BackendRelayAck = 'backend-relay-ack',
 }
 
 /** First message of an entry host. */
@@ -143,9 +151,61 @@
   readonly durable: boolean;
 }
 
+/** Asks for the routing and the backend servers, now and whenever they change. */
+export interface WatchMessage {
+  readonly type: ControlMessageType.Watch;
+  /** Log index of the routing that the entry host applies. */
+  readonly routingIndex: number;
+}
+
+/** Routing in force. */
+export interface RoutingMessage {
+  readonly type: ControlMessageType.Routing;
+  readonly view: RoutingView;
+}
+
+/** Announcements of backend servers that changed, or all of them. */
+export interface BackendsMessage {
+  readonly type: ControlMessageType.Backends;
+  readonly batchId: number;
+  readonly records: readonly BackendRecord[];
+  /** Backend servers that have been silent for long. */
+  readonly expiredIds: readonly string[];
+}
+
+/** Confirms that an entry host dispatches by a batch. */
+export interface BackendsAckMessage {
+  readonly type: ControlMessageType.BackendsAck;
+  readonly batchId: number;
+}
+
+/** Passes announcements on to another control host. */
+export interface BackendRelayMessage {
+  readonly type: ControlMessageType.BackendRelay;
+  readonly from: string;
+  readonly batchId: number;
+  readonly records: readonly BackendRecord[];
+}
+
+/** Confirms that a control host holds a relayed batch. */
+export interface BackendRelayAckMessage {
+  readonly type: ControlMessageType.BackendRelayAck;
+  readonly from: string;
+  readonly batchId: number;
+}
+
+/** Messages between control hosts beside the replicated log. */
+export type BetweenControlMessage = BackendRelayMessage | BackendRelayAckMessage;
+
 /** Messages from an entry host to a control host. */
 export type ToControlMessage =
-  HelloMessage | PingMessage | FetchSettingsMessage | ClaimMessage | SettleMessage;
+  | HelloMessage
+  | PingMessage
+  | FetchSettingsMessage
+  | ClaimMessage
+  | SettleMessage
+  | WatchMessage
+  | BackendsAckMessage;
 
 /** Messages from a control host to an entry host. */
 export type FromControlMessage =
@@ -154,4 +214,6 @@
   | SettingsDeltaMessage
   | EntryHostsMessage
   | ClaimReplyMessage
-  | SettleReplyMessage;
+  | SettleReplyMessage
+  | RoutingMessage
+  | BackendsMessage;
--- a/src/common/ProcessSettings.ts
+++ b/src/common/ProcessSettings.ts
@@ -1,6 +1,6 @@
-import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser';
 import Result from 'true-myth/result';
 import { z } from 'zod';
+import { parseJsonc } from './Jsonc.js';
 import { checkDocument, checkTree, type SettingsFault } from './SettingsTree.js';
 import { treeSchema } from './SettingsSchema.js';
 
@@ -74,25 +74,6 @@
     ),
 };
 
-/**
- * Parses JSON with comments; every syntax error becomes a fault.
- *
- * @example
- * parseJsonc('{ "a": 1 } // comment').isOk; // true
- */
-export function parseJsonc(text: string): Result<unknown, SettingsFault[]> {
-  const errors: ParseError[] = [];
-  const document: unknown = parse(text, errors, { allowTrailingComma: true });
-  if (errors.length === 0) return Result.ok(document);
-  return Result.err(
-    errors.map((error) => ({
-      path: `offset ${error.offset}`,
-      message: printParseErrorCode(error.error),
-      remedy: 'Correct the JSON syntax at this offset.',
-    })),
-  );
-}
-
 /**
  * Checks the text of a settings file and lists every fault with its path and remedy.
  *
--- /dev/null
+++ b/src/common/routing/Types.ts
@@ -0,0 +1,84 @@
+/** What may be done with a call whose outcome isn't known. */
+export enum RouteKind {
+  /** May run more than once. */
+  Idempotent = 'idempotent',
+  /** Idempotent, with answers of many kilobytes. */
+  LargeAnswer = 'large-answer',
+  /** May run at most once for each call. */
+  NonIdempotent = 'non-idempotent',
+}
+
+/** One service of a route, with its share of the route's calls. */
+export interface Destination {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Maps calls of one caller-facing host and path prefix to services. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  readonly destinations: readonly Destination[];
+  /** Longest time that a caller is kept waiting. */
+  readonly timeoutMs: number;
+  /** Backend servers that one call may be sent to. */
+  readonly attemptsMax: number;
+  /** Time within which an answer has its full value. */
+  readonly objectiveMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Document that the operator's client wrote, kept for exact read-back. */
+  readonly source?: unknown;
+}
+
+/** What the entry hosts know of a service besides its backend servers. */
+export interface RoutedService {
+  readonly name: string;
+  readonly healthPath: string;
+  /** Connections that one backend server accepts from all entry hosts. */
+  readonly connectionsMax: number;
+  /** How long a backend server stays cold after its start. */
+  readonly coldMs: number;
+  /** Calls per second that a cold backend server bears from all entry hosts. */
+  readonly coldPerSecond: number;
+  readonly source?: unknown;
+}
+
+/** Bounds of what a caller may send and how slowly. */
+export interface CallerLimits {
+  readonly headerBytesMax: number;
+  readonly bodyBytesMax: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+  readonly source?: unknown;
+}
+
+/** All routes and services of one version. */
+export interface RoutingTable {
+  readonly routes: readonly Route[];
+  readonly services: readonly RoutedService[];
+  readonly limits: CallerLimits;
+}
+
+/** Change of named items; the rest of the table stays. */
+export interface RoutingPatch {
+  readonly upsertRoutes: readonly Route[];
+  readonly upsertServices: readonly RoutedService[];
+  readonly removeRoutes: readonly string[];
+  readonly removeServices: readonly string[];
+  readonly limits?: CallerLimits;
+}
+
+/** Routing in force: table, version and closed availability zones at a log index. */
+export interface RoutingView {
+  /** Log index of the last change. */
+  readonly index: number;
+  /** Version that the operator chose; 0 before the first table. */
+  readonly version: number;
+  readonly table: RoutingTable | null;
+  /** Availability zones whose backend servers get nothing. */
+  readonly closedZones: readonly string[];
+}
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -1,3 +1,4 @@
+import Result from 'true-myth/result';
 import { MAX_CLOCK_DRIFT_RATIO } from '../common/Constants.js';
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import { AdminReads } from './AdminReads.js';
@@ -7,6 +8,7 @@
 import type { EntrySessions } from './EntrySessions.js';
 import { isMemberRequest, planMembership } from './MembershipChange.js';
 import type { RaftNode } from './raft/RaftNode.js';
+import { RoutingVerdict, type RoutingResult } from './RoutingState.js';
 import { AdminRequestType, type Actor, type AdminRequest } from './Types.js';
 
 /** What becomes of a proposed command. */
@@ -34,6 +36,13 @@
   readonly wallMs: number;
 }
 
+/** Error kind of each refused change of the routing table. */
+const ROUTING_ERRORS: Record<RoutingVerdict, ErrorKind | undefined> = {
+  [RoutingVerdict.Accepted]: undefined,
+  [RoutingVerdict.Conflict]: ErrorKind.Conflict,
+  [RoutingVerdict.Invalid]: ErrorKind.InvalidSettings,
+};
+
 /** Remembered times of application of settings changes. */
 const MAX_APPLIED_TIMES = 1_000;
 
@@ -72,13 +81,15 @@
   }
 
   /** Handles one request; its answer may come with a later event. */
-  request(requestId: string, tokenHash: string, request: AdminRequest): void {
+  request(requestId: string, tokenHash: string, request: AdminRequest, trusted?: Actor): void {
     const { raft, agreed, answer } = this.options;
     if (!raft.isLeader) {
       this.refuseNoLeader(requestId);
       return;
     }
-    const authenticated = authenticate(agreed.tree, tokenHash);
+    const authenticated = trusted
+      ? Result.ok<Actor, EgretError>(trusted)
+      : authenticate(agreed.tree, tokenHash);
     if (authenticated.isErr) {
       answer(requestId, null, authenticated.error);
       return;
@@ -91,7 +102,11 @@
       return;
     }
     if (request.type === AdminRequestType.Change) this.proposeChange(requestId, request, actor);
-    else if (isMemberRequest(request)) this.proposeMembership(requestId, request, actor);
+    else if (request.type === AdminRequestType.ChangeRouting) {
+      this.proposeRouting(requestId, request, actor);
+    } else if (request.type === AdminRequestType.CloseZone) {
+      this.proposeClosure(requestId, request, actor);
+    } else if (isMemberRequest(request)) this.proposeMembership(requestId, request, actor);
     else {
       this.pendingReads.set(requestId, request);
       this.options.requestRead(requestId);
@@ -144,6 +159,44 @@
     );
   }
 
+  private proposeRouting(
+    requestId: string,
+    request: Extract<AdminRequest, { type: AdminRequestType.ChangeRouting }>,
+    actor: Actor,
+  ): void {
+    const { changeId, baseVersion, version, edit } = request;
+    const command = { type: CommandType.RoutingChange, changeId, baseVersion, version } as const;
+    this.options.propose(
+      { ...command, edit, actor: actor.name, atMs: this.times.wallMs },
+      {
+        onApplied: ({ routing }) => this.answerRouting(requestId, routing!),
+        onLost: () => this.refuseNoLeader(requestId),
+      },
+    );
+  }
+
+  private answerRouting(requestId: string, result: RoutingResult): void {
+    const kind = ROUTING_ERRORS[result.verdict];
+    const error = kind ? new EgretError(kind, `${result.detail}.`) : null;
+    this.options.answer(requestId, result, error);
+  }
+
+  private proposeClosure(
+    requestId: string,
+    request: Extract<AdminRequest, { type: AdminRequestType.CloseZone }>,
+    actor: Actor,
+  ): void {
+    const { zone, closed } = request;
+    const command = { type: CommandType.ZoneClosure, zone, closed } as const;
+    this.options.propose(
+      { ...command, actor: actor.name, atMs: this.times.wallMs },
+      {
+        onApplied: () => this.options.answer(requestId, { zone, closed }, null),
+        onLost: () => this.refuseNoLeader(requestId),
+      },
+    );
+  }
+
   private proposeMembership(
     requestId: string,
     request: Parameters<typeof planMembership>[1],
--- a/src/control/AdminReads.ts
+++ b/src/control/AdminReads.ts
@@ -70,6 +70,7 @@
           policy: item.settings.policy,
         })),
       }),
+    [AdminRequestType.GetRouting]: () => Result.ok(this.agreed.routing.view),
     [AdminRequestType.EntryHosts]: () =>
       Result.ok({
         revision: this.agreed.revision,
--- a/src/control/AgreedState.ts
+++ b/src/control/AgreedState.ts
@@ -3,6 +3,8 @@
 import type { SettingsTree } from '../common/SettingsSchema.js';
 import { checkTree, readPath, subtreeOf, writePath } from '../common/SettingsTree.js';
 import { ClaimTable, type ClaimRecord, type ClaimResult } from './ClaimTable.js';
+import { RoutingState, RoutingVerdict, type RoutingResult, type RoutingSnapshot } from './RoutingState.js';
+import type { RoutingChangeCommand, ZoneClosureCommand } from './RoutingCommands.js';
 import {
   CommandType,
   type BootstrapCommand,
@@ -62,6 +64,10 @@
   readonly change: ChangeResult | null;
   readonly claim: ClaimResult | null;
   readonly settled: boolean;
+  /** Present for a change of the routing table. */
+  readonly routing?: RoutingResult;
+  /** True where entry hosts need the new routing. */
+  readonly routingChanged?: boolean;
   /** Change of the settings tree, if the command made one. */
   readonly delta: SettingsDelta | null;
   /** True where the tree was replaced as a whole. */
@@ -78,8 +84,15 @@
   readonly changeResults: ChangeResult[];
   readonly audit: AuditRecord[];
   readonly claims: ClaimRecord[];
+  readonly routing?: RoutingSnapshot;
 }
 
+const ROUTING_AUDIT: Record<RoutingVerdict, AuditOutcome> = {
+  [RoutingVerdict.Accepted]: AuditOutcome.Accepted,
+  [RoutingVerdict.Conflict]: AuditOutcome.Conflict,
+  [RoutingVerdict.Invalid]: AuditOutcome.Refused,
+};
+
 const MAX_CHANGE_RESULTS = 50_000;
 const MAX_AUDIT_RECORDS = 50_000;
 
@@ -109,6 +122,8 @@
 
   claims = new ClaimTable();
 
+  readonly routing = new RoutingState();
+
   private subtreeRevisions = new Map<string, number>();
 
   private changeResults = new Map<string, ChangeResult>();
@@ -157,6 +172,7 @@
       changeResults: [...this.changeResults.values()],
       audit: this.audit,
       claims: this.claims.toRecords(),
+      routing: this.routing.toSnapshot(),
     };
     return codec.pack(snapshot);
   }
@@ -173,6 +189,7 @@
     this.changeResults = new Map(snapshot.changeResults.map((item) => [item.changeId, item]));
     this.audit = snapshot.audit;
     this.claims = new ClaimTable(snapshot.claims);
+    this.routing.restore(snapshot.routing);
   }
 
   private readonly handlers = {
@@ -191,8 +208,48 @@
       ...NOTHING,
       settled: this.claims.settle(command),
     }),
+    [CommandType.RoutingChange]: (command: RoutingChangeCommand, index: number) =>
+      this.applyRouting(index, command),
+    [CommandType.ZoneClosure]: (command: ZoneClosureCommand, index: number) =>
+      this.applyZoneClosure(index, command),
   };
 
+  private applyRouting(index: number, command: RoutingChangeCommand): ApplyResult {
+    const before = this.routing.view.version;
+    const routing = this.routing.change(index, command);
+    const accepted = routing.verdict === RoutingVerdict.Accepted;
+    if (!routing.repeated) {
+      this.record({
+        atMs: command.atMs,
+        actor: command.actor,
+        path: '/system/routing',
+        changeId: command.changeId,
+        from: before,
+        to: command.version,
+        outcome: ROUTING_AUDIT[routing.verdict],
+        revision: this.revision,
+        detail: routing.detail,
+      });
+    }
+    return { ...NOTHING, routing, routingChanged: accepted && !routing.repeated };
+  }
+
+  private applyZoneClosure(index: number, command: ZoneClosureCommand): ApplyResult {
+    const routingChanged = this.routing.closeZone(index, command);
+    this.record({
+      atMs: command.atMs,
+      actor: command.actor,
+      path: `/system/closedZones/${command.zone}`,
+      changeId: '',
+      from: routingChanged ? !command.closed : command.closed,
+      to: command.closed,
+      outcome: AuditOutcome.Accepted,
+      revision: this.revision,
+      detail: '',
+    });
+    return { ...NOTHING, routingChanged };
+  }
+
   private applyMembership(command: MembershipCommand): ApplyResult {
     const ids = (members: readonly { id: string }[]) => members.map((member) => member.id);
     this.record({
--- a/src/control/Authorization.ts
+++ b/src/control/Authorization.ts
@@ -23,6 +23,9 @@
   [AdminRequestType.AddMember]: Role.Administrator,
   [AdminRequestType.PromoteMember]: Role.Administrator,
   [AdminRequestType.RemoveMember]: Role.Administrator,
+  [AdminRequestType.GetRouting]: Role.Reader,
+  [AdminRequestType.ChangeRouting]: Role.Operator,
+  [AdminRequestType.CloseZone]: Role.Operator,
 };
 
 /** Requests about the whole system, which a team's own administrator may not send. */
@@ -30,6 +33,8 @@
   AdminRequestType.AddMember,
   AdminRequestType.PromoteMember,
   AdminRequestType.RemoveMember,
+  AdminRequestType.ChangeRouting,
+  AdminRequestType.CloseZone,
 ]);
 
 /** Token that covers every team. */
--- a/src/control/Commands.ts
+++ b/src/control/Commands.ts
@@ -2,6 +2,7 @@
 import type { ClaimOutcome, ReplayAnswer } from '../common/Messages.js';
 import type { SettingsTree } from '../common/SettingsSchema.js';
 import type { Membership } from './raft/Types.js';
+import type { RoutingChangeCommand, ZoneClosureCommand } from './RoutingCommands.js';
 
 /** Kinds of commands in the replicated log. */
 export enum CommandType {
@@ -12,6 +13,8 @@
   Refusal = 'refusal',
   Claim = 'claim',
   Settle = 'settle',
+  RoutingChange = 'routing-change',
+  ZoneClosure = 'zone-closure',
 }
 
 export interface NoopCommand {
@@ -84,4 +87,6 @@
   | ChangeCommand
   | RefusalCommand
   | ClaimCommand
-  | SettleCommand;
+  | SettleCommand
+  | RoutingChangeCommand
+  | ZoneClosureCommand;
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -8,11 +8,13 @@
   type ToControlMessage,
 } from '../common/Messages.js';
 import type { SettingsTree } from '../common/SettingsSchema.js';
+import { AutoMembership, type AutoMembershipOptions } from './AutoMembership.js';
 import { AdminFlow, type ProposalCallbacks } from './AdminFlow.js';
 import { AgreedState, type SettingsDelta } from './AgreedState.js';
 import { CommandType, type Command } from './Commands.js';
 import { EntrySessions } from './EntrySessions.js';
 import { withInstanceIds } from './MembershipChange.js';
+import { RegistryFlow } from './RegistryFlow.js';
 import { RaftNode } from './raft/RaftNode.js';
 import type { RaftOptions } from './raft/RaftState.js';
 import { hasCommittedInTerm } from './raft/Replication.js';
@@ -35,6 +37,8 @@
   readonly initialSettings: SettingsTree | null;
   /** Entries after which a snapshot is taken. */
   readonly snapshotEvery?: number;
+  /** Present where lost control hosts are replaced without an operator. */
+  readonly autoMembership?: AutoMembershipOptions;
 }
 
 /** Where the result of a proposed command goes. */
@@ -55,6 +59,10 @@
 
   readonly sessions = new EntrySessions();
 
+  readonly backends: RegistryFlow;
+
+  private readonly autoMembership: AutoMembership | null;
+
   private readonly admin: AdminFlow;
 
   private readonly snapshotEvery: number;
@@ -64,6 +72,9 @@
   /** Proposals by log index. */
   private readonly pending = new Map<number, PendingProposal>();
 
+  /** Sessions that get the routing. */
+  private readonly watchers = new Set<number>();
+
   private snapshotRunning = false;
 
   private effects: ControlEffect[] = [];
@@ -77,6 +88,14 @@
     this.agreed.restore(options.raft.snapshot.bytes);
     this.initialSettings = options.initialSettings;
     this.snapshotEvery = options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
+    this.autoMembership = options.autoMembership
+      ? new AutoMembership(options.autoMembership)
+      : null;
+    this.backends = new RegistryFlow({
+      raft: this.raft.state,
+      sessions: this.sessions,
+      emit: (effect) => this.emit(effect),
+    });
     this.admin = new AdminFlow({
       raft: this.raft,
       agreed: this.agreed,
@@ -95,6 +114,7 @@
     this.nowMs = event.nowMs;
     this.wallMs = event.wallMs;
     this.admin.begin(event);
+    this.backends.begin(event.nowMs);
     const handler = this.eventHandlers[event.type] as (received: ControlEvent) => void;
     handler(event);
     return this.effects;
@@ -126,10 +146,23 @@
     },
     [ControlEventType.SessionMessage]: (event: EventOf<ControlEventType.SessionMessage>) =>
       this.onSessionMessage(event.sessionId, event.message),
-    [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) =>
-      this.sessions.close(event.sessionId),
+    [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) => {
+      this.sessions.close(event.sessionId);
+      this.watchers.delete(event.sessionId);
+      this.backends.closeSession(event.sessionId);
+    },
     [ControlEventType.Admin]: (event: EventOf<ControlEventType.Admin>) =>
-      this.admin.request(event.requestId, event.tokenHash, event.request),
+      this.admin.request(event.requestId, event.tokenHash, event.request, event.actor),
+    [ControlEventType.Announce]: (event: EventOf<ControlEventType.Announce>) =>
+      this.backends.announce(event.requestId, event.record),
+    [ControlEventType.Goodbye]: (event: EventOf<ControlEventType.Goodbye>) =>
+      this.backends.goodbye(event.requestId, event.id, event.bornMs),
+    [ControlEventType.BetweenControl]: (event: EventOf<ControlEventType.BetweenControl>) =>
+      this.backends.betweenControl(event.message),
+    [ControlEventType.ControlLinkOpened]: (event: EventOf<ControlEventType.ControlLinkOpened>) =>
+      this.backends.onControlLink(event.memberId),
+    [ControlEventType.Join]: (event: EventOf<ControlEventType.Join>) =>
+      this.autoMembership?.join(event.member, event.nowMs),
     [ControlEventType.Stop]: () => this.runRaftEffects(this.raft.stepDown()),
   };
 
@@ -154,6 +187,7 @@
     [RaftEffectType.Restore]: (effect: RaftEffectOf<RaftEffectType.Restore>) => {
       this.agreed.restore(effect.snapshot.bytes);
       this.pushFull();
+      this.pushRouting();
     },
     [RaftEffectType.ReadReady]: (effect: RaftEffectOf<RaftEffectType.ReadReady>) =>
       this.admin.finishRead(effect.readId),
@@ -185,6 +219,18 @@
       this.onClaim(sessionId, message),
     [ControlMessageType.Settle]: (sessionId: number, message: SettleMessage) =>
       this.onSettle(sessionId, message),
+    [ControlMessageType.Watch]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.Watch>,
+    ) => {
+      this.backends.watch(sessionId);
+      this.watchers.add(sessionId);
+      if (message.routingIndex < this.agreed.routing.view.index) this.sendRouting(sessionId);
+    },
+    [ControlMessageType.BackendsAck]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.BackendsAck>,
+    ) => this.backends.acknowledge(sessionId, message.batchId),
   };
 
   private emit(effect: ControlEffect): void {
@@ -215,6 +261,7 @@
     this.sessions
       .takeListUpdates()
       .forEach((send) => this.sendSession(send.sessionId, send.message));
+    this.backends.tick();
     this.maintainLeader();
     this.maybeSnapshot();
   }
@@ -227,8 +274,18 @@
       this.propose({ type: CommandType.Bootstrap, tree, atMs: this.wallMs });
     }
     const { state } = this.raft;
-    const membership = withInstanceIds(state);
-    if (membership && state.log.membershipIndex <= state.commitIndex) {
+    const heard =
+      state.log.membershipIndex <= state.commitIndex ? withInstanceIds(state) : undefined;
+    const membership = heard ?? this.autoMembership?.plan(state, this.nowMs);
+    if (membership) {
+      this.emit({
+        type: ControlEffectType.Log,
+        event: 'membership_proposed',
+        fields: {
+          voters: membership.voters.map((member) => member.id).join(','),
+          learners: membership.learners.map((member) => member.id).join(','),
+        },
+      });
       const command = { type: CommandType.Membership, membership } as const;
       this.propose({ ...command, actor: 'system', atMs: this.wallMs });
     }
@@ -277,6 +334,15 @@
     if (result.delta || result.replaced) this.admin.noteApplied(entry.index);
     if (result.replaced) this.pushFull();
     if (result.delta) this.pushDelta(result.delta);
+    if (result.routingChanged) {
+      const { version, closedZones } = this.agreed.routing.view;
+      this.emit({
+        type: ControlEffectType.Log,
+        event: 'routing_applied',
+        fields: { index: entry.index, version, closedZones: closedZones.join(',') },
+      });
+      this.pushRouting();
+    }
     const proposal = this.pending.get(entry.index);
     if (!proposal) return;
     this.pending.delete(entry.index);
@@ -294,6 +360,17 @@
     this.sessions.subscribers().forEach((session) => this.sendSettings(session.sessionId));
   }
 
+  private pushRouting(): void {
+    this.watchers.forEach((sessionId) => this.sendRouting(sessionId));
+  }
+
+  private sendRouting(sessionId: number): void {
+    this.sendSession(sessionId, {
+      type: ControlMessageType.Routing,
+      view: this.agreed.routing.view,
+    });
+  }
+
   private pushDelta(delta: SettingsDelta): void {
     this.sessions.subscribers().forEach((session) => {
       this.sendSession(session.sessionId, { type: ControlMessageType.SettingsDelta, ...delta });
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -85,6 +85,13 @@
     return session;
   }
 
+  /** Sessions heard since a time. */
+  fresh(sinceMs: number): number[] {
+    return [...this.sessions.values()]
+      .filter((session) => session.lastSeenMs >= sinceMs)
+      .map((session) => session.sessionId);
+  }
+
   close(sessionId: number): void {
     if (this.sessions.delete(sessionId)) this.changed = true;
   }
--- /dev/null
+++ b/src/control/RegistryFlow.ts
@@ -0,0 +1,283 @@
+import {
+  BackendRegistry,
+  RegistryChange,
+  type BackendRegistryOptions,
+} from '../common/backends/BackendRegistry.js';
+import { BackendState, type BackendRecord } from '../common/backends/Types.js';
+import {
+  ControlMessageType,
+  type BetweenControlMessage,
+  type FromControlMessage,
+} from '../common/Messages.js';
+import type { EntrySessions } from './EntrySessions.js';
+import type { RaftState } from './raft/RaftState.js';
+import { RaftRole } from './raft/Types.js';
+import { ControlEffectType, type ControlEffect } from './Types.js';
+
+/** Collaborators of a {@link RegistryFlow}. */
+export interface RegistryFlowOptions {
+  readonly raft: RaftState;
+  readonly sessions: EntrySessions;
+  readonly emit: (effect: ControlEffect) => void;
+  readonly registry?: BackendRegistryOptions;
+}
+
+/** Departure that waits until those who dispatch know of it. */
+interface PendingDeparture {
+  readonly requestId: string;
+  readonly batchId: number;
+  readonly id: string;
+  readonly dueAtMs: number;
+  readonly waitingSessions: Set<number>;
+  readonly memberAcks: Set<string>;
+}
+
+/** Announcers give up after a second and try another control host. */
+const DEPARTURE_TIMEOUT_MS = 700;
+
+/** An entry host that missed this many milliseconds of heartbeats isn't waited for. */
+const SESSION_FRESH_MS = 1_000;
+
+/** Interval of the search for silent backend servers. */
+const EXPIRY_INTERVAL_MS = 1_000;
+
+/**
+ * Announcements at one control host. Every control host holds all of them; a departure is
+ * confirmed only when a majority of the control hosts and every live entry host here know it.
+ */
+export class RegistryFlow {
+  readonly registry: BackendRegistry;
+
+  /** Sessions of entry hosts that dispatch by the registry. */
+  private readonly watchers = new Set<number>();
+
+  private pending: PendingDeparture[] = [];
+
+  private nextBatchId = 1;
+
+  private expireAtMs = 0;
+
+  private nowMs = 0;
+
+  constructor(private readonly options: RegistryFlowOptions) {
+    this.registry = new BackendRegistry(options.registry);
+  }
+
+  begin(nowMs: number): void {
+    this.nowMs = nowMs;
+  }
+
+  /** Handles an announcement that arrived at this host. */
+  announce(requestId: string, record: BackendRecord): void {
+    const change = this.registry.announce(record, this.nowMs);
+    const current = this.registry.get(record.id) ?? record;
+    const batchId = this.spread(change, [current]);
+    if (current.state === BackendState.Ready) {
+      this.answer(requestId, this.hasQuorum(), current, 'announced');
+      return;
+    }
+    this.awaitDeparture(requestId, batchId, current);
+  }
+
+  /** Handles a goodbye that arrived at this host. */
+  goodbye(requestId: string, id: string, bornMs: number | undefined): void {
+    const record = this.registry.goodbye(id, bornMs);
+    if (!record) {
+      this.options.emit({
+        type: ControlEffectType.AnswerAnnouncement,
+        requestId,
+        confirmed: this.hasQuorum(),
+      });
+      return;
+    }
+    this.announce(requestId, record);
+  }
+
+  /** Starts to tell an entry host everything. */
+  watch(sessionId: number): void {
+    this.watchers.add(sessionId);
+    this.sendSession(sessionId, {
+      type: ControlMessageType.Backends,
+      batchId: 0,
+      records: this.registry.records(),
+      expiredIds: [],
+    });
+  }
+
+  closeSession(sessionId: number): void {
+    this.watchers.delete(sessionId);
+    this.pending.forEach((departure) => departure.waitingSessions.delete(sessionId));
+    this.settleDepartures();
+  }
+
+  acknowledge(sessionId: number, batchId: number): void {
+    this.pending
+      .filter((departure) => departure.batchId === batchId)
+      .forEach((departure) => departure.waitingSessions.delete(sessionId));
+    this.settleDepartures();
+  }
+
+  /** Tells a control host that has just been reached everything. */
+  onControlLink(memberId: string): void {
+    const records = this.registry.records();
+    if (records.length > 0) this.relay(memberId, 0, records);
+  }
+
+  readonly betweenControl = (message: BetweenControlMessage): void => {
+    if (message.type === ControlMessageType.BackendRelayAck) {
+      this.pending
+        .filter((departure) => departure.batchId === message.batchId)
+        .forEach((departure) => departure.memberAcks.add(message.from));
+      this.settleDepartures();
+      return;
+    }
+    const changed = message.records.filter(
+      (record) => this.registry.announce(record, this.nowMs) === RegistryChange.Changed,
+    );
+    if (changed.length > 0) this.push(changed, []);
+    this.options.emit({
+      type: ControlEffectType.SendControl,
+      to: message.from,
+      message: {
+        type: ControlMessageType.BackendRelayAck,
+        from: this.options.raft.id,
+        batchId: message.batchId,
+      },
+    });
+  };
+
+  tick(): void {
+    this.settleDepartures();
+    if (this.nowMs < this.expireAtMs) return;
+    this.expireAtMs = this.nowMs + EXPIRY_INTERVAL_MS;
+    const expiredIds = this.registry.expire(this.nowMs);
+    if (expiredIds.length === 0) return;
+    this.push([], expiredIds);
+    this.log('backend_expired', { ids: expiredIds.join(',') });
+  }
+
+  /** True while this host belongs to a connected majority. */
+  hasQuorum(): boolean {
+    const { raft } = this.options;
+    if (raft.role === RaftRole.Leader) return true;
+    return this.nowMs - raft.leaderHeardAtMs < raft.timing.electionTimeoutMs;
+  }
+
+  /** Tells entry hosts what changed, and other control hosts everything. */
+  private spread(change: RegistryChange, records: readonly BackendRecord[]): number {
+    const departing = records.some((record) => record.state !== BackendState.Ready);
+    const batchId =
+      change === RegistryChange.Changed || departing
+        ? this.push(records, [])
+        : this.takeBatchId();
+    if (change !== RegistryChange.Stale || departing) {
+      const { raft } = this.options;
+      raft.log.othersThan(raft.id).forEach((member) => this.relay(member.id, batchId, records));
+    }
+    if (change === RegistryChange.Changed) {
+      records.forEach((record) =>
+        this.log('backend_changed', {
+          backend: record.id,
+          service: record.service,
+          zone: record.availabilityZone,
+          address: `${record.address}:${record.port}`,
+          state: record.state,
+          sequence: record.sequence,
+          bornMs: record.bornMs,
+          coldLeftMs: record.coldLeftMs,
+        }),
+      );
+    }
+    return batchId;
+  }
+
+  private awaitDeparture(requestId: string, batchId: number, record: BackendRecord): void {
+    const fresh = this.options.sessions.fresh(this.nowMs - SESSION_FRESH_MS);
+    this.pending.push({
+      requestId,
+      batchId,
+      id: record.id,
+      dueAtMs: this.nowMs + DEPARTURE_TIMEOUT_MS,
+      waitingSessions: new Set(fresh.filter((sessionId) => this.watchers.has(sessionId))),
+      memberAcks: new Set([this.options.raft.id]),
+    });
+    this.settleDepartures();
+  }
+
+  private settleDepartures(): void {
+    if (this.pending.length === 0) return;
+    this.pending = this.pending.filter((departure) => {
+      const known = this.isMajority(departure.memberAcks);
+      const due = this.nowMs >= departure.dueAtMs;
+      if (!due && !(known && departure.waitingSessions.size === 0)) return true;
+      this.options.emit({
+        type: ControlEffectType.AnswerAnnouncement,
+        requestId: departure.requestId,
+        confirmed: known,
+      });
+      this.log('backend_departure', {
+        backend: departure.id,
+        confirmed: known,
+        controlHosts: departure.memberAcks.size,
+        entryHostsMissing: departure.waitingSessions.size,
+      });
+      return false;
+    });
+  }
+
+  private isMajority(ids: ReadonlySet<string>): boolean {
+    const { log } = this.options.raft;
+    const acked = log.membership.voters.filter((voter) => ids.has(voter.id)).length;
+    return acked >= log.quorum && log.membership.voters.length > 0;
+  }
+
+  private answer(
+    requestId: string,
+    confirmed: boolean,
+    record: BackendRecord,
+    event: string,
+  ): void {
+    this.options.emit({ type: ControlEffectType.AnswerAnnouncement, requestId, confirmed });
+    if (!confirmed) this.log('announcement_refused', { backend: record.id, event });
+  }
+
+  private takeBatchId(): number {
+    const batchId = this.nextBatchId;
+    this.nextBatchId += 1;
+    return batchId;
+  }
+
+  private push(records: readonly BackendRecord[], expiredIds: readonly string[]): number {
+    const batchId = this.takeBatchId();
+    this.watchers.forEach((sessionId) =>
+      this.sendSession(sessionId, {
+        type: ControlMessageType.Backends,
+        batchId,
+        records,
+        expiredIds,
+      }),
+    );
+    return batchId;
+  }
+
+  private relay(to: string, batchId: number, records: readonly BackendRecord[]): void {
+    this.options.emit({
+      type: ControlEffectType.SendControl,
+      to,
+      message: {
+        type: ControlMessageType.BackendRelay,
+        from: this.options.raft.id,
+        batchId,
+        records,
+      },
+    });
+  }
+
+  private sendSession(sessionId: number, message: FromControlMessage): void {
+    this.options.emit({ type: ControlEffectType.SendSession, sessionId, message });
+  }
+
+  private log(event: string, fields: Readonly<Record<string, string | number | boolean>>): void {
+    this.options.emit({ type: ControlEffectType.Log, event, fields });
+  }
+}
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -1,7 +1,13 @@
 import type { Role } from '../common/Enums.js';
 import type { EgretError } from '../common/Errors.js';
-import type { FromControlMessage, ToControlMessage } from '../common/Messages.js';
-import type { PersistEffect, RaftMessage, RaftRole, Snapshot } from './raft/Types.js';
+import type { BackendRecord } from '../common/backends/Types.js';
+import type {
+  BetweenControlMessage,
+  FromControlMessage,
+  ToControlMessage,
+} from '../common/Messages.js';
+import type { RoutingEdit } from './RoutingCommands.js';
+import type { Member, PersistEffect, RaftMessage, RaftRole, Snapshot } from './raft/Types.js';
 
 /** Kinds of administration requests. */
 export enum AdminRequestType {
@@ -15,6 +21,9 @@
   AddMember = 'add-member',
   PromoteMember = 'promote-member',
   RemoveMember = 'remove-member',
+  GetRouting = 'get-routing',
+  ChangeRouting = 'change-routing',
+  CloseZone = 'close-zone',
 }
 
 /** Request of an operator, as the administration API passes it on. */
@@ -39,7 +48,20 @@
       readonly port: number;
     }
   | { readonly type: AdminRequestType.PromoteMember; readonly id: string }
-  | { readonly type: AdminRequestType.RemoveMember; readonly id: string };
+  | { readonly type: AdminRequestType.RemoveMember; readonly id: string }
+  | { readonly type: AdminRequestType.GetRouting }
+  | {
+      readonly type: AdminRequestType.ChangeRouting;
+      readonly changeId: string;
+      readonly baseVersion: number;
+      readonly version: number;
+      readonly edit: RoutingEdit;
+    }
+  | {
+      readonly type: AdminRequestType.CloseZone;
+      readonly zone: string;
+      readonly closed: boolean;
+    };
 
 /** Authenticated operator. */
 export interface Actor {
@@ -57,6 +79,11 @@
   SessionMessage = 'session-message',
   SessionClosed = 'session-closed',
   Admin = 'admin',
+  Announce = 'announce',
+  Goodbye = 'goodbye',
+  BetweenControl = 'between-control',
+  ControlLinkOpened = 'control-link-opened',
+  Join = 'join',
   Stop = 'stop',
 }
 
@@ -92,7 +119,24 @@
         /** SHA-256 of the bearer token in hexadecimal. */
         readonly tokenHash: string;
         readonly request: AdminRequest;
+        /** Set for requests that another part of this process has authorized. */
+        readonly actor?: Actor;
       }
+    | {
+        readonly type: ControlEventType.Announce;
+        readonly requestId: string;
+        readonly record: BackendRecord;
+      }
+    | {
+        readonly type: ControlEventType.Goodbye;
+        readonly requestId: string;
+        readonly id: string;
+        /** Start of the process that says goodbye, if it told. */
+        readonly bornMs: number | undefined;
+      }
+    | { readonly type: ControlEventType.BetweenControl; readonly message: BetweenControlMessage }
+    | { readonly type: ControlEventType.ControlLinkOpened; readonly memberId: string }
+    | { readonly type: ControlEventType.Join; readonly member: Member }
     | { readonly type: ControlEventType.Stop }
   );
 
@@ -102,6 +146,8 @@
   SendRaft = 'send-raft',
   SendSession = 'send-session',
   AnswerAdmin = 'answer-admin',
+  SendControl = 'send-control',
+  AnswerAnnouncement = 'answer-announcement',
   RoleChanged = 'role-changed',
   Log = 'log',
 }
@@ -130,6 +176,17 @@
       readonly body: unknown;
       readonly error: EgretError | null;
     }
+  | {
+      readonly type: ControlEffectType.SendControl;
+      readonly to: string;
+      readonly message: BetweenControlMessage;
+    }
+  | {
+      readonly type: ControlEffectType.AnswerAnnouncement;
+      readonly requestId: string;
+      /** False where this host can't make the announcement known; another host may. */
+      readonly confirmed: boolean;
+    }
   | {
       readonly type: ControlEffectType.RoleChanged;
       readonly role: RaftRole;
--- a/src/control/raft/RaftLog.ts
+++ b/src/control/raft/RaftLog.ts
@@ -75,6 +75,13 @@
     this.refreshMembership();
   }
 
+  /** Takes over the membership that another host told while the own log is empty. */
+  adoptMembership(membership: Membership): void {
+    if (this.lastIndex > 0) return;
+    this.snapshot = { ...this.snapshot, membership };
+    this.refreshMembership();
+  }
+
   isVoter(id: string): boolean {
     return this.membership.voters.some((member) => member.id === id);
   }
--- a/src/control/server/AdminApi.ts
+++ b/src/control/server/AdminApi.ts
@@ -5,6 +5,7 @@
 import { checkDocument } from '../../common/SettingsTree.js';
 import { bearerToken, readJson, sendError, sendJson } from '../../runtime/HttpJson.js';
 import { hashToken } from '../../runtime/LinkAuth.js';
+import { routingEditSchema } from './RoutingSchemas.js';
 import { AdminRequestType, type AdminRequest } from '../Types.js';
 
 const id = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'use lower-case letters, digits, hyphens');
@@ -34,6 +35,17 @@
   }),
   [AdminRequestType.PromoteMember]: z.strictObject({ id }),
   [AdminRequestType.RemoveMember]: z.strictObject({ id }),
+  [AdminRequestType.GetRouting]: z.strictObject({}),
+  [AdminRequestType.ChangeRouting]: z.strictObject({
+    changeId,
+    baseVersion: z.number().int().min(0),
+    version: z.number().int().min(1),
+    edit: routingEditSchema,
+  }),
+  [AdminRequestType.CloseZone]: z.strictObject({
+    zone: z.string().min(1).max(63),
+    closed: z.boolean(),
+  }),
 };
 
 /** Result of one administration request. */
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -1,7 +1,13 @@
 import { createServer, type Server } from 'node:http';
 import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
-import { ControlMessageType, type ToControlMessage } from '../../common/Messages.js';
+import type { BackendRecord } from '../../common/backends/Types.js';
+import {
+  ControlMessageType,
+  type BetweenControlMessage,
+  type ToControlMessage,
+} from '../../common/Messages.js';
+import type { EntryHost } from '../../common/Placement.js';
 import type { ControlFile } from '../../common/ProcessSettings.js';
 import { createRandom, type RandomSource } from '../../common/Random.js';
 import { AdminListener } from '../../runtime/AdminListener.js';
@@ -10,21 +16,26 @@
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
+import type { LinkTiming } from '../../runtime/MessageClient.js';
 import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
 import { ControlReducer } from '../ControlReducer.js';
 import type { RaftTiming } from '../raft/RaftState.js';
-import type { RaftMessage } from '../raft/Types.js';
+import type { Member, RaftMessage } from '../raft/Types.js';
+import type { AutoMembershipOptions } from '../AutoMembership.js';
 import { DataFolder } from '../storage/DataFolder.js';
 import {
   ControlEffectType,
   ControlEventType,
+  type Actor,
   type AdminRequest,
   type ControlEffect,
   type ControlEvent,
 } from '../Types.js';
 import { AdminApi, type AdminResult } from './AdminApi.js';
 import { DurableSender } from './DurableSender.js';
-import { ENTRY_FIELDS, RAFT_FIELDS } from './MessageFields.js';
+import { chooseEntryHosts } from '../EntryDirectory.js';
+import { answerJoin, JOIN_PATH, requestJoin } from './JoinEndpoint.js';
+import { BETWEEN_CONTROL_FIELDS, ENTRY_FIELDS, RAFT_FIELDS } from './MessageFields.js';
 import { RaftLinks } from './RaftLinks.js';
 
 /** Options of a {@link ControlServer}. */
@@ -40,6 +51,13 @@
   readonly seed?: number;
   readonly timing?: RaftTiming;
   readonly snapshotEvery?: number;
+  readonly linkTiming?: LinkTiming;
+  /** Identity of an empty data folder; a random one by default. */
+  readonly identity?: string;
+  /** Present where lost control hosts are replaced without an operator. */
+  readonly autoMembership?: AutoMembershipOptions;
+  /** Control hosts to ask for admission while this host is no member. */
+  readonly seeds?: () => readonly { readonly address: string; readonly port: number }[];
 }
 
 type EffectOf<T extends ControlEffectType> = Extract<ControlEffect, { type: T }>;
@@ -50,6 +68,12 @@
 const TICK_MS = 20;
 const ADMIN_TIMEOUT_MS = 10_000;
 
+/** Interval at which a host that is no member asks to join. */
+const JOIN_INTERVAL_MS = 500;
+
+/** An entry host list is complete again this long after a start; heartbeats come every 300 ms. */
+const DIRECTORY_WARMUP_MS = 1_200;
+
 /** Process shell of a control host: sockets, files and timers around the reducer. */
 export class ControlServer {
   readonly registry = new Registry();
@@ -81,6 +105,13 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private joinTimer: NodeJS.Timeout | undefined;
+
+  private startedAtMs = 0;
+
+  /** Announcements without an answer. */
+  private readonly announcementWaiters = new Map<string, (confirmed: boolean) => void>();
+
   private boundPort = 0;
 
   private boundAdminPort = 0;
@@ -100,7 +131,7 @@
     this.messages = new MessageServer({
       secret,
       logger,
-      fields: { ...RAFT_FIELDS, ...ENTRY_FIELDS },
+      fields: { ...RAFT_FIELDS, ...BETWEEN_CONTROL_FIELDS, ...ENTRY_FIELDS },
       onOpen: (session) => this.sessions.set(session.sessionId, session),
       onMessage: (session, message) => this.onMessage(session, message),
       onClose: (session) => {
@@ -110,12 +141,31 @@
       },
     });
     this.http = createServer((request, response) => {
+      if (request.url === JOIN_PATH) {
+        answerJoin(request, response, {
+          secret,
+          membership: () => this.reducer.raft.state.log.membership,
+          onJoin: (member) => this.post({ type: ControlEventType.Join, member }),
+        });
+        return;
+      }
       response.writeHead(426, { Connection: 'close' });
       response.end();
     });
     answerParserErrors(this.http);
     this.messages.attach(this.http);
-    this.links = new RaftLinks({ id: file.id, secret, logger });
+    this.links = new RaftLinks({
+      id: file.id,
+      secret,
+      logger,
+      timing: options.linkTiming,
+      onOpen: (memberId) => {
+        logger.info('control_link_opened', { host: file.id, member: memberId });
+        this.post({ type: ControlEventType.ControlLinkOpened, memberId });
+      },
+      onClose: (memberId) =>
+        logger.warn('control_link_lost', { host: file.id, member: memberId }),
+    });
     this.sender = new DurableSender({
       storage,
       send: (to, message) => this.links.send(to, message),
@@ -149,6 +199,7 @@
     const storage = await DataFolder.open({
       folder: file.dataFolder,
       initialize: options.initialize,
+      identity: options.identity,
     });
     const { instanceId, hardState, snapshot, entries } = storage.stored;
     const reducer = new ControlReducer({
@@ -167,6 +218,7 @@
       },
       initialSettings: file.initialSettings ?? null,
       snapshotEvery: options.snapshotEvery,
+      autoMembership: options.autoMembership,
     });
     return new ControlServer(options, storage, reducer);
   }
@@ -186,7 +238,12 @@
     const { adminListen } = file;
     this.boundAdminPort = await listen(this.adminHttp, adminListen.address, adminListen.port);
     this.syncLinks();
+    this.startedAtMs = this.clock.nowMs();
     this.timer = setInterval(() => this.tick(), TICK_MS);
+    if (this.options.seeds) {
+      this.joinTimer = setInterval(() => this.askToJoin(), JOIN_INTERVAL_MS);
+      this.askToJoin();
+    }
     logger.info('control_started', {
       host: file.id,
       port: this.boundPort,
@@ -198,6 +255,7 @@
 
   async stop(): Promise<void> {
     clearInterval(this.timer);
+    clearInterval(this.joinTimer);
     this.run(this.reducer.reduce(this.timed({ type: ControlEventType.Stop })));
     this.loop.dispose();
     this.links.dispose();
@@ -208,8 +266,43 @@
     this.options.logger.info('control_stopped', { host: this.options.file.id });
   }
 
+  /** Takes an announcement; resolves with false where another control host should be told. */
+  announce(record: BackendRecord): Promise<boolean> {
+    return this.submitAnnouncement((requestId) =>
+      this.post({ type: ControlEventType.Announce, requestId, record }),
+    );
+  }
+
+  /** Takes the goodbye of a backend server. */
+  goodbye(id: string, bornMs: number | undefined): Promise<boolean> {
+    return this.submitAnnouncement((requestId) =>
+      this.post({ type: ControlEventType.Goodbye, requestId, id, bornMs }),
+    );
+  }
+
+  /** Entry hosts that a caller should use; empty while this host can't tell. */
+  entryHostsFor(availabilityZone: string): EntryHost[] {
+    const nowMs = this.clock.nowMs();
+    if (nowMs - this.startedAtMs < DIRECTORY_WARMUP_MS) return [];
+    const { sessions } = this.reducer;
+    return chooseEntryHosts({ sessions, availabilityZone, nowMs, random: this.random });
+  }
+
+  /** Address of the control host that leads, if one is known and isn't this one. */
+  otherLeader(): Member | undefined {
+    const { state } = this.reducer.raft;
+    const { voters, learners } = state.log.membership;
+    if (state.leaderId === state.id) return undefined;
+    return [...voters, ...learners].find((member) => member.id === state.leaderId);
+  }
+
+  /** Sends an administration request that another part of the process has authorized. */
+  submitTrusted(request: AdminRequest, actor: Actor): Promise<AdminResult> {
+    return this.submitAdmin(request, '', actor);
+  }
+
   /** Sends an administration request to the reducer. */
-  submitAdmin(request: AdminRequest, tokenHash: string): Promise<AdminResult> {
+  submitAdmin(request: AdminRequest, tokenHash: string, actor?: Actor): Promise<AdminResult> {
     const requestId = String(this.nextAdminId);
     this.nextAdminId += 1;
     return new Promise((resolve) => {
@@ -225,13 +318,50 @@
         finish(result);
       });
       const type = ControlEventType.Admin;
-      if (!this.post({ type, requestId, tokenHash, request })) {
+      if (!this.post({ type, requestId, tokenHash, request, actor })) {
         clearTimeout(timer);
         refuse('The control host is overloaded.');
       }
     });
   }
 
+  private submitAnnouncement(post: (requestId: string) => boolean): Promise<boolean> {
+    const requestId = String(this.nextAdminId);
+    this.nextAdminId += 1;
+    return new Promise((resolve) => {
+      this.announcementWaiters.set(requestId, (confirmed) => {
+        this.announcementWaiters.delete(requestId);
+        resolve(confirmed);
+      });
+      if (!post(requestId)) this.announcementWaiters.get(requestId)?.(false);
+    });
+  }
+
+  /** Asks every known control host for admission until this host is a voter. */
+  private askToJoin(): void {
+    const { state } = this.reducer.raft;
+    const { file, secret, logger } = this.options;
+    if (state.isVoter) return;
+    const member = { id: file.id, address: file.listen.address, port: this.boundPort };
+    const known = state.log.othersThan(file.id);
+    [...(this.options.seeds?.() ?? []), ...known]
+      .filter((target) => target.address !== member.address || target.port !== member.port)
+      .forEach((target) => {
+        requestJoin(target, member, secret).then((membership) => {
+          if (!membership || state.log.membership.voters.length > 0) return;
+          if (state.log.lastIndex > 0 || membership.voters.length === 0) return;
+          state.log.adoptMembership(membership);
+          logger.info('membership_learned', {
+            host: file.id,
+            from: target.address,
+            voters: membership.voters.map((voter) => voter.id).join(','),
+          });
+          this.linkedMembershipIndex = -1;
+          this.syncLinks();
+        }, (error: unknown) => logger.warn('join_failed', { detail: String(error) }));
+      });
+  }
+
   private timed(event: Untimed<ControlEvent>): ControlEvent {
     const times = { nowMs: this.clock.nowMs(), wallMs: this.clock.wallMs() };
     return { ...event, ...times } as ControlEvent;
@@ -257,6 +387,12 @@
 
   private onMessage(session: ServerSession, message: object): void {
     if (session.role === LinkRole.Control) {
+      if ((message as { type: string }).type in BETWEEN_CONTROL_FIELDS) {
+        const relayed = message as BetweenControlMessage;
+        if (relayed.from !== session.clientId) return;
+        this.post({ type: ControlEventType.BetweenControl, message: relayed });
+        return;
+      }
       const raftMessage = message as RaftMessage;
       // Nobody speaks for another host.
       if (raftMessage.from !== session.clientId) return;
@@ -297,6 +433,11 @@
       this.sessions.get(effect.sessionId)?.send(effect.message),
     [ControlEffectType.AnswerAdmin]: (effect: EffectOf<ControlEffectType.AnswerAdmin>) =>
       this.adminWaiters.get(effect.requestId)?.({ body: effect.body, error: effect.error }),
+    [ControlEffectType.SendControl]: (effect: EffectOf<ControlEffectType.SendControl>) =>
+      this.links.send(effect.to, effect.message),
+    [ControlEffectType.AnswerAnnouncement]: (
+      effect: EffectOf<ControlEffectType.AnswerAnnouncement>,
+    ) => this.announcementWaiters.get(effect.requestId)?.(effect.confirmed),
     [ControlEffectType.RoleChanged]: (effect: EffectOf<ControlEffectType.RoleChanged>) =>
       this.options.logger.info('role_changed', {
         host: this.options.file.id,
--- /dev/null
+++ b/src/control/server/JoinEndpoint.ts
@@ -0,0 +1,95 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { request as httpRequest, type IncomingMessage, type ServerResponse } from 'node:http';
+import { API_PREFIX } from '../../common/Constants.js';
+import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
+import { readJson, sendError, sendJson } from '../../runtime/HttpJson.js';
+import type { Member, Membership } from '../raft/Types.js';
+
+/** Path at which control hosts ask to join; on the port for the system's own processes. */
+export const JOIN_PATH = `${API_PREFIX}/control/join`;
+
+/** A control host that doesn't answer within this time is asked again later. */
+const JOIN_TIMEOUT_MS = 800;
+
+function sign(secret: string, member: Member): string {
+  const text = JSON.stringify(['join', member.id, member.address, member.port]);
+  return createHmac('sha256', secret).update(text).digest('base64url');
+}
+
+/** Request of a control host to join, with proof that it knows the secret. */
+interface JoinRequest {
+  readonly member: Member;
+  readonly mac: string;
+}
+
+/** Options of {@link answerJoin}. */
+export interface AnswerJoinOptions {
+  readonly secret: string;
+  readonly membership: () => Membership;
+  readonly onJoin: (member: Member) => void;
+}
+
+/** Answers a join request with the membership that this host knows. */
+export function answerJoin(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: AnswerJoinOptions,
+): void {
+  readJson(request).then(
+    (body) => {
+      const { member, mac } = body as JoinRequest;
+      const { id, address, port } = member;
+      const expected = Buffer.from(sign(options.secret, member));
+      const received = Buffer.from(String(mac));
+      if (expected.length !== received.length || !timingSafeEqual(expected, received)) {
+        sendError(response, new EgretError(ErrorKind.Unauthorized, 'The join is not signed.'));
+        return;
+      }
+      options.onJoin({ id, address, port });
+      sendJson(response, 200, options.membership());
+    },
+    (error: unknown) => sendError(response, toEgretError(error, ErrorKind.BadRequest)),
+  );
+}
+
+/**
+ * Asks one control host to admit a member; resolves with the membership that it knows, or
+ * undefined where it doesn't answer.
+ *
+ * @example
+ * const membership = await requestJoin({ address: '10.0.0.4', port: 7540 }, member, secret);
+ */
+export function requestJoin(
+  target: { readonly address: string; readonly port: number },
+  member: Member,
+  secret: string,
+): Promise<Membership | undefined> {
+  return new Promise((resolve) => {
+    const body = JSON.stringify({ member, mac: sign(secret, member) });
+    const request = httpRequest({
+      host: target.address,
+      port: target.port,
+      path: JOIN_PATH,
+      method: 'POST',
+      headers: { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) },
+      agent: false,
+      timeout: JOIN_TIMEOUT_MS,
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(undefined));
+    request.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', () => resolve(undefined));
+      response.on('end', () => {
+        try {
+          const membership = JSON.parse(Buffer.concat(chunks).toString('utf8')) as Membership;
+          resolve(Array.isArray(membership.voters) ? membership : undefined);
+        } catch {
+          resolve(undefined);
+        }
+      });
+    });
+    request.end(body);
+  });
+}
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -53,6 +53,16 @@
   },
 };
 
+/** Required fields of the other messages between control hosts. */
+export const BETWEEN_CONTROL_FIELDS: MessageFields = {
+  [ControlMessageType.BackendRelay]: {
+    from: FieldType.String,
+    batchId: FieldType.Number,
+    records: FieldType.Object,
+  },
+  [ControlMessageType.BackendRelayAck]: { from: FieldType.String, batchId: FieldType.Number },
+};
+
 /** Required fields of the messages from entry hosts. */
 export const ENTRY_FIELDS: MessageFields = {
   [ControlMessageType.Hello]: { entryHost: FieldType.Object },
@@ -79,6 +89,8 @@
     outcome: FieldType.String,
     answer: FieldType.Any,
   },
+  [ControlMessageType.Watch]: { routingIndex: FieldType.Number },
+  [ControlMessageType.BackendsAck]: { batchId: FieldType.Number },
 };
 
 /** Required fields of the messages to entry hosts. */
@@ -104,4 +116,10 @@
   [ControlMessageType.EntryHosts]: { entryHosts: FieldType.Object },
   [ControlMessageType.ClaimReply]: { requestId: FieldType.String, verdict: FieldType.String },
   [ControlMessageType.SettleReply]: { requestId: FieldType.String, durable: FieldType.Boolean },
+  [ControlMessageType.Routing]: { view: FieldType.Object },
+  [ControlMessageType.Backends]: {
+    batchId: FieldType.Number,
+    records: FieldType.Object,
+    expiredIds: FieldType.Object,
+  },
 };
--- a/src/control/server/RaftLinks.ts
+++ b/src/control/server/RaftLinks.ts
@@ -2,13 +2,17 @@
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
 import { MessageClient } from '../../runtime/MessageClient.js';
-import type { Member, RaftMessage } from '../raft/Types.js';
+import type { LinkTiming } from '../../runtime/MessageClient.js';
+import type { Member } from '../raft/Types.js';
 
 /** Options of {@link RaftLinks}. */
 export interface RaftLinksOptions {
   readonly id: string;
   readonly secret: string;
   readonly logger: Logger;
+  readonly timing?: LinkTiming;
+  readonly onOpen?: (memberId: string) => void;
+  readonly onClose?: (memberId: string) => void;
 }
 
 /** Outgoing links to the other control hosts; replies come over their own links. */
@@ -34,7 +38,7 @@
     });
   }
 
-  send(to: string, message: RaftMessage): void {
+  send(to: string, message: object): void {
     this.clients.get(to)?.send(message);
   }
 
@@ -55,9 +59,10 @@
         secret,
         logger,
         fields: {},
-        onOpen: () => {},
+        timing: this.options.timing,
+        onOpen: () => this.options.onOpen?.(member.id),
         onMessage: () => {},
-        onClose: () => {},
+        onClose: () => this.options.onClose?.(member.id),
       }),
     );
   }
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -20,6 +20,8 @@
   readonly folder: string;
   /** Creates the identity of an empty folder; without it an empty folder is refused. */
   readonly initialize: boolean;
+  /** Identity to give an empty folder; random by default. */
+  readonly identity?: string;
 }
 
 /** Write that waits for the next sync. */
@@ -68,16 +70,22 @@
   await syncFolder(folder);
 }
 
+/** Identity of a data folder; undefined where it is empty. */
+export async function storedIdentity(folder: string): Promise<string | undefined> {
+  const file = path.join(folder, IDENTITY_FILE);
+  return existsSync(file) ? (await readFile(file, 'utf8')).trim() : undefined;
+}
+
 async function readIdentity(options: DataFolderOptions): Promise<string> {
-  const file = path.join(options.folder, IDENTITY_FILE);
-  if (existsSync(file)) return (await readFile(file, 'utf8')).trim();
+  const stored = await storedIdentity(options.folder);
+  if (stored !== undefined) return stored;
   if (!options.initialize) {
     throw new EgretError(
       ErrorKind.DataCorrupt,
       `The data folder ${options.folder} is empty; start with --initialize only a new member.`,
     );
   }
-  const identity = randomUUID();
+  const identity = options.identity ?? randomUUID();
   await replaceFile(options.folder, IDENTITY_FILE, Buffer.from(`${identity}\n`));
   return identity;
 }
--- a/src/ctl/SettingsCommands.ts
+++ b/src/ctl/SettingsCommands.ts
@@ -1,7 +1,8 @@
 import { readFileSync } from 'node:fs';
 import { Option } from 'clipanion';
 import { EgretError, ErrorKind } from '../common/Errors.js';
-import { checkProcessFile, parseJsonc } from '../common/ProcessSettings.js';
+import { parseJsonc } from '../common/Jsonc.js';
+import { checkProcessFile } from '../common/ProcessSettings.js';
 import { AdminRequestType } from '../control/Types.js';
 import { hashToken } from '../runtime/LinkAuth.js';
 import { sendChange, type SettingsValue } from './ChangeSender.js';
--- a/src/entry/server/Headers.ts
+++ b/src/entry/server/Headers.ts
@@ -42,7 +42,7 @@
 }
 
 /** Copies end-to-end headers, without those of the given set. On the path of every call. */
-function copyEndToEnd(rawHeaders: readonly string[], own: ReadonlySet<string>): string[] {
+export function copyEndToEnd(rawHeaders: readonly string[], own: ReadonlySet<string>): string[] {
   const copied: string[] = [];
   const tokens = connectionTokens(rawHeaders);
   for (let index = 0; index < rawHeaders.length; index += 2) {
--- /dev/null
+++ b/src/gateway/BackendPicker.ts
@@ -0,0 +1,193 @@
+import type { RoutedService } from '../common/routing/Types.js';
+import type { BackendPool } from './BackendPool.js';
+import type { BackendView } from './BackendView.js';
+import type { ColdLimiter } from './ColdLimiter.js';
+import { EventQueue } from './EventQueue.js';
+import type { Call, HealthReport } from './Types.js';
+import type { WorkEstimates } from './WorkEstimates.js';
+
+/** Sends probes; null is a probe without an answer. */
+export type ProbePort = (view: BackendView, service: RoutedService) => Promise<HealthReport | null>;
+
+/** Options of a {@link BackendPicker}. */
+export interface BackendPickerOptions {
+  readonly pool: BackendPool;
+  readonly cold: ColdLimiter;
+  readonly work: WorkEstimates;
+  readonly probe: ProbePort;
+  readonly nowMs: () => number;
+}
+
+/** Why no backend server was picked. */
+export enum NoPickReason {
+  /** None is announced, open and unused by the call. */
+  None = 'no-backend',
+  /** None of those that answered can finish in time. */
+  Full = 'overloaded',
+  /** Only cold ones are left, and their rate is used up. */
+  Cold = 'cold',
+  /** None answered a probe. */
+  Silent = 'unreachable',
+}
+
+/** Result of picking a backend server. */
+export type Pick =
+  | {
+      readonly view: BackendView;
+      readonly expectedMs: number;
+      readonly probes: number;
+      readonly loadAgeMs: number;
+    }
+  | { readonly view: null; readonly reason: NoPickReason; readonly probes: number };
+
+/** Load of this age is used without a new probe; load changes many times a second. */
+const LOAD_FRESH_MS = 12;
+
+/** Backend servers that are probed at a time. */
+const PROBES_LOCAL = 2;
+const PROBES_REMOTE = 2;
+
+/** Rounds of probes for one pick. */
+const ROUNDS_MAX = 4;
+
+/** Share of the time to the objective that an expected answer may take to be good at once. */
+const GOOD_SHARE = 0.85;
+
+/** Cost of missing the objective, in the unit of expected milliseconds. */
+const LATE_COST_MS = 1_000;
+
+/** Cost of bytes between availability zones, in expected milliseconds per kilobyte. */
+const CROSS_ZONE_MS_PER_KB = 4;
+
+/** Cost of another zone for an answer of any size. */
+const CROSS_ZONE_MS = 3;
+
+/**
+ * Picks a backend server just in time: a few candidates are asked for their load right before the
+ * call is sent, since a load that is older than a few milliseconds says little.
+ */
+export class BackendPicker {
+  constructor(private readonly options: BackendPickerOptions) {}
+
+  async pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<Pick> {
+    const { pool, nowMs } = this.options;
+    const { local, remote } = pool.candidates({ service: service.name, nowMs: nowMs(), tried });
+    if (local.length + remote.length === 0) {
+      return { view: null, reason: NoPickReason.None, probes: 0 };
+    }
+    const asked: BackendView[] = [];
+    let probes = 0;
+    for (let round = 0; round < ROUNDS_MAX && call.isWanted(); round += 1) {
+      const group = BackendPicker.nextGroup(round, local, remote);
+      if (group.length === 0) break;
+      const answered = await this.ask(call, service, group);
+      probes += answered.probes;
+      asked.push(...answered.views);
+      if (answered.good) return this.picked(answered.good, call, probes);
+    }
+    return this.best(call, service, asked, probes);
+  }
+
+  /** Takes the next candidates off the lists: near ones first, far ones from the second round on. */
+  private static nextGroup(
+    round: number,
+    local: BackendView[],
+    remote: BackendView[],
+  ): BackendView[] {
+    const group = local.splice(0, PROBES_LOCAL);
+    if (round > 0 || group.length === 0) group.push(...remote.splice(0, PROBES_REMOTE));
+    return group;
+  }
+
+  /** Asks candidates for their load; ends with the first good one. */
+  private async ask(call: Call, service: RoutedService, group: readonly BackendView[]) {
+    const { nowMs, probe } = this.options;
+    const views: BackendView[] = [];
+    const queue = new EventQueue<BackendView | null>();
+    let probes = 0;
+    group.forEach((view) => {
+      if (nowMs() - view.loadAtMs < LOAD_FRESH_MS) {
+        queue.push(view);
+        return;
+      }
+      probes += 1;
+      probe(view, service).then(
+        (report) => queue.push(this.noteProbe(view, report) ? view : null),
+        () => queue.push(null),
+      );
+    });
+    for (let left = group.length; left > 0; left -= 1) {
+      const view = await queue.next();
+      if (view) {
+        views.push(view);
+        if (this.isGood(view, call, service)) return { good: view, views, probes };
+      }
+    }
+    return { good: null, views, probes };
+  }
+
+  /** Takes in a probe's answer; false where nothing may be sent there. */
+  private noteProbe(view: BackendView, report: HealthReport | null): boolean {
+    const now = this.options.nowMs();
+    if (!report) {
+      view.avoid(now);
+      return false;
+    }
+    if (report.backendId !== undefined && report.backendId !== view.record.id) {
+      // Another backend server has the address now.
+      view.avoid(now);
+      return false;
+    }
+    view.noteHealth(report, now);
+    return this.options.pool.isUsable(view);
+  }
+
+  private mayTake(view: BackendView, service: RoutedService): boolean {
+    const now = this.options.nowMs();
+    if (!this.options.pool.isUsable(view)) return false;
+    return !view.isCold(now) || this.options.cold.hasRoom(view, service.coldPerSecond, now);
+  }
+
+  private expectedMs(view: BackendView, call: Call): number {
+    return view.expectedMs(this.options.work.workMs(call.service), this.options.nowMs());
+  }
+
+  private isGood(view: BackendView, call: Call, service: RoutedService): boolean {
+    if (view.unwell || !this.mayTake(view, service) || !this.options.pool.isLocal(view)) {
+      return false;
+    }
+    const leftMs = call.objectiveAtMs - this.options.nowMs();
+    return this.expectedMs(view, call) <= leftMs * GOOD_SHARE;
+  }
+
+  /** Best of all that answered, if it can finish in time. */
+  private best(
+    call: Call,
+    service: RoutedService,
+    asked: readonly BackendView[],
+    probes: number,
+  ): Pick {
+    if (asked.length === 0) return { view: null, reason: NoPickReason.Silent, probes };
+    const open = asked.filter((view) => this.mayTake(view, service));
+    if (open.length === 0) return { view: null, reason: NoPickReason.Cold, probes };
+    const leftMs = call.dueAtMs - this.options.nowMs();
+    const inTime = open.filter((view) => this.expectedMs(view, call) < leftMs);
+    const chosen = inTime.sort((a, b) => this.cost(a, call) - this.cost(b, call))[0];
+    if (!chosen) return { view: null, reason: NoPickReason.Full, probes };
+    return this.picked(chosen, call, probes);
+  }
+
+  private cost(view: BackendView, call: Call): number {
+    const { pool, work, nowMs } = this.options;
+    const expectedMs = this.expectedMs(view, call);
+    const late = expectedMs > call.objectiveAtMs - nowMs() ? LATE_COST_MS : 0;
+    if (pool.isLocal(view)) return expectedMs + late;
+    const bytesCost = work.answerKilobytes(call.route.name) * CROSS_ZONE_MS_PER_KB;
+    return expectedMs + late + CROSS_ZONE_MS + bytesCost;
+  }
+
+  private picked(view: BackendView, call: Call, probes: number): Pick {
+    const loadAgeMs = this.options.nowMs() - view.loadAtMs;
+    return { view, expectedMs: this.expectedMs(view, call), probes, loadAgeMs };
+  }
+}
--- /dev/null
+++ b/src/gateway/RetryBudget.ts
@@ -0,0 +1,78 @@
+/** Options of a {@link RetryBudget}. */
+export interface RetryBudgetOptions {
+  /** Further attempts allowed for each call, over all entry hosts. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Further attempts allowed in a window whatever the calls, over all entry hosts. */
+  readonly slack: number;
+  /** Start of the process: a restarted host doesn't know what it has spent before. */
+  readonly startedAtMs: number;
+}
+
+/** Part of the bound that is used: entry hosts see calls of one window at different times. */
+const SAFETY_SHARE = 0.75;
+
+/** Counts within one window, in steps. */
+class WindowCount {
+  private times: number[] = [];
+
+  add(nowMs: number): void {
+    this.times.push(nowMs);
+  }
+
+  count(nowMs: number, windowMs: number): number {
+    let stale = 0;
+    while (stale < this.times.length && nowMs - this.times[stale]! >= windowMs) stale += 1;
+    if (stale > 0) this.times.splice(0, stale);
+    return this.times.length;
+  }
+}
+
+/**
+ * Budget of further attempts for each service in a sliding window. Every entry host spends at
+ * most its own share, so that the sum over all of them stays within the bound.
+ */
+export class RetryBudget {
+  private readonly calls = new Map<string, WindowCount>();
+
+  private readonly retries = new Map<string, WindowCount>();
+
+  private entryHosts = 0;
+
+  constructor(private readonly options: RetryBudgetOptions) {}
+
+  /** Notes how many entry hosts share the slack; the largest number counts. */
+  setEntryHosts(count: number): void {
+    this.entryHosts = Math.max(this.entryHosts, count);
+  }
+
+  noteCall(service: string, nowMs: number): void {
+    RetryBudget.of(this.calls, service).add(nowMs);
+  }
+
+  /** Takes one further attempt if the budget allows it. */
+  tryTake(service: string, nowMs: number): boolean {
+    const { windowMs } = this.options;
+    const spent = RetryBudget.of(this.retries, service);
+    if (spent.count(nowMs, windowMs) + 1 > this.allowance(service, nowMs)) return false;
+    spent.add(nowMs);
+    return true;
+  }
+
+  /** Further attempts that this host may make in the window that ends now. */
+  allowance(service: string, nowMs: number): number {
+    const { ratio, windowMs, slack, startedAtMs } = this.options;
+    const calls = RetryBudget.of(this.calls, service).count(nowMs, windowMs);
+    const settled = this.entryHosts > 0 && nowMs - startedAtMs >= windowMs;
+    const ownSlack = settled ? slack / this.entryHosts : 0;
+    return SAFETY_SHARE * (ratio * calls + ownSlack);
+  }
+
+  private static of(counts: Map<string, WindowCount>, service: string): WindowCount {
+    const known = counts.get(service);
+    if (known) return known;
+    const created = new WindowCount();
+    counts.set(service, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/src/gateway/RoutingInForce.ts
@@ -0,0 +1,43 @@
+import type { RandomSource } from '../common/Random.js';
+import { RouteIndex } from '../common/routing/RouteIndex.js';
+import type { Route, RoutedService, RoutingTable, RoutingView } from '../common/routing/Types.js';
+import { SplitChooser } from './SplitChooser.js';
+
+/** Routing that an entry host applies; it never goes back to an older one. */
+export class RoutingInForce {
+  index: RouteIndex | null = null;
+
+  table: RoutingTable | null = null;
+
+  version = 0;
+
+  /** Log index of the last change applied. */
+  logIndex = 0;
+
+  closedZones: readonly string[] = [];
+
+  private readonly split: SplitChooser;
+
+  constructor(random: RandomSource) {
+    this.split = new SplitChooser(random);
+  }
+
+  /** Applies a newer routing; false where it isn't newer. */
+  apply(view: RoutingView): boolean {
+    if (view.index <= this.logIndex) return false;
+    this.logIndex = view.index;
+    this.closedZones = view.closedZones;
+    if (view.table && view.version !== this.version) {
+      this.table = view.table;
+      this.index = new RouteIndex(view.table);
+      this.split.reset();
+    }
+    this.version = view.version;
+    return true;
+  }
+
+  /** Service that takes the route's next call. */
+  nextService(route: Route): RoutedService | undefined {
+    return this.index?.service(this.split.next(route));
+  }
+}
--- /dev/null
+++ b/src/gateway/SplitChooser.ts
@@ -0,0 +1,42 @@
+import type { RandomSource } from '../common/Random.js';
+import type { Route } from '../common/routing/Types.js';
+
+/**
+ * Distributes the calls of each route over its services by smooth weighted round robin, from a
+ * random start, so that the shares hold over all entry hosts even for few calls.
+ */
+export class SplitChooser {
+  private readonly credits = new Map<string, number[]>();
+
+  constructor(private readonly random: RandomSource) {}
+
+  /** Service of the next call of a route. */
+  next(route: Route): string {
+    const { destinations } = route;
+    if (destinations.length === 1) return destinations[0]!.service;
+    const total = destinations.reduce((sum, destination) => sum + destination.weight, 0);
+    if (total <= 0) return destinations[0]!.service;
+    const credits = this.creditsOf(route, total);
+    let best = 0;
+    destinations.forEach((destination, index) => {
+      credits[index]! += destination.weight;
+      if (credits[index]! > credits[best]!) best = index;
+    });
+    credits[best]! -= total;
+    return destinations[best]!.service;
+  }
+
+  private creditsOf(route: Route, total: number): number[] {
+    const key = JSON.stringify([route.name, route.destinations]);
+    const known = this.credits.get(key);
+    if (known) return known;
+    const created = route.destinations.map(() => this.random.next() * total);
+    this.credits.set(key, created);
+    return created;
+  }
+
+  /** Forgets routes that are no longer in force. */
+  reset(): void {
+    this.credits.clear();
+  }
+}
--- /dev/null
+++ b/src/gateway/WorkEstimates.ts
@@ -0,0 +1,40 @@
+/** Weight of the newest observation in the running means. */
+const NEWEST_WEIGHT = 0.05;
+
+/** Work assumed for a service that hasn't answered yet. */
+const FIRST_WORK_MS = 100;
+
+/** Bounds of an observation, so that one odd answer doesn't move the mean far. */
+const OBSERVED_MAX_RATIO = 4;
+
+const BYTES_PER_KB = 1_000;
+
+/** Running means of how long work takes at usual speed, and how large answers are. */
+export class WorkEstimates {
+  private readonly workByService = new Map<string, number>();
+
+  private readonly kilobytesByRoute = new Map<string, number>();
+
+  /** Usual time that the service's backend servers take for a call. */
+  workMs(service: string): number {
+    return this.workByService.get(service) ?? FIRST_WORK_MS;
+  }
+
+  /** Usual size of the route's answers. */
+  answerKilobytes(route: string): number {
+    return this.kilobytesByRoute.get(route) ?? 0;
+  }
+
+  /** Notes an answer that took so long at a stated slowdown. */
+  note(service: string, route: string, elapsedMs: number, slowdown: number, bytes: number): void {
+    const before = this.workMs(service);
+    const observed = Math.min(elapsedMs / Math.max(1, slowdown), before * OBSERVED_MAX_RATIO);
+    this.workByService.set(service, before + NEWEST_WEIGHT * (observed - before));
+    const kilobytes = bytes / BYTES_PER_KB;
+    const mean = this.kilobytesByRoute.get(route);
+    this.kilobytesByRoute.set(
+      route,
+      mean === undefined ? kilobytes : mean + NEWEST_WEIGHT * (kilobytes - mean),
+    );
+  }
+}
--- /dev/null
+++ b/src/gateway/server/CallServer.ts
@@ -0,0 +1,240 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import type { Route, RoutedService } from '../../common/routing/Types.js';
+import { copyEndToEnd } from '../../entry/server/Headers.js';
+import {
+  DispatchOutcomeType,
+  type DecisionLog,
+  type Dispatcher,
+  type DispatchOutcome,
+} from '../Dispatcher.js';
+import type { RoutingInForce } from '../RoutingInForce.js';
+import type { BackendAnswer, Call, WireProfile } from '../Types.js';
+import type { BackendClient } from './BackendClient.js';
+import type { GatewayMetrics } from './GatewayMetrics.js';
+import { readRequestBody } from './RequestBody.js';
+
+/** Options of a {@link CallServer}. */
+export interface CallServerOptions {
+  readonly profile: WireProfile;
+  readonly routing: RoutingInForce;
+  readonly dispatcher: Dispatcher;
+  readonly client: BackendClient;
+  readonly metrics: GatewayMetrics;
+  readonly nowMs: () => number;
+  readonly log: DecisionLog;
+  /** True from the start of a planned stop. */
+  readonly isStopping: () => boolean;
+  readonly createId: () => string;
+}
+
+/** How long a caller without a deadline of its own waits. */
+const DEFAULT_BUDGET_MS = 30_000;
+
+/** Time kept back from the caller's deadline for the answer's way to it. */
+const ANSWER_MARGIN_MS = 15;
+
+/** Answer headers that are set anew. */
+const OWN_ANSWER_HEADERS = new Set(['content-length']);
+
+/** Request headers that are set anew, beside those of the profile. */
+const OWN_REQUEST_HEADERS = ['expect', 'content-length'];
+
+/** Serves callers: finds the route, dispatches, passes the answer on. */
+export class CallServer {
+  /** Requests without a final answer. */
+  private open = 0;
+
+  private readonly ownRequestHeaders: ReadonlySet<string>;
+
+  constructor(private readonly options: CallServerOptions) {
+    this.ownRequestHeaders = new Set([
+      ...options.profile.attemptHeaderNames,
+      ...OWN_REQUEST_HEADERS,
+    ]);
+  }
+
+  get openCalls(): number {
+    return this.open;
+  }
+
+  /** Handles one request. */
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    this.open += 1;
+    response.once('close', () => {
+      this.open -= 1;
+    });
+    this.serve(request, response).catch((error: unknown) => {
+      this.options.log('call_crashed', { detail: String(error) });
+      response.destroy();
+    });
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { options } = this;
+    const arrivedAtMs = options.nowMs();
+    const head = options.profile.readCall(request.headers);
+    const callId = head.callId ?? options.createId();
+    const { index, table } = options.routing;
+    if (!index || !table) {
+      this.refuse(response, callId, new EgretError(ErrorKind.NotCurrent, 'No routing is known.'));
+      return;
+    }
+    const route = index.match(request.headers.host ?? '', request.url ?? '/');
+    if (!route) {
+      const detail = `No route matches ${request.headers.host ?? ''}${request.url ?? ''}.`;
+      this.refuse(response, callId, new EgretError(ErrorKind.NotFound, detail));
+      return;
+    }
+    const service = options.routing.nextService(route);
+    const read = await readRequestBody(request, table.limits.bodyBytesMax);
+    if (read.type === 'broken') return;
+    if (read.type === 'too-large' || !service) {
+      const kind = service ? ErrorKind.BodyTooLarge : ErrorKind.NoBackend;
+      this.refuse(response, callId, new EgretError(kind, 'The call can not be served.'));
+      return;
+    }
+    const budgetMs = Math.min(head.budgetMs ?? DEFAULT_BUDGET_MS, route.timeoutMs);
+    const call: Call = {
+      callId,
+      route: read.type === 'long' ? { ...route, attemptsMax: 1 } : route,
+      service: service.name,
+      arrivedAtMs,
+      dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
+      objectiveAtMs: arrivedAtMs + route.objectiveMs,
+      isWanted: () => !response.destroyed && !response.closed,
+    };
+    const rest = read.type === 'long' ? request : null;
+    const outcome = await this.dispatch(call, service, request, response, read.body, rest);
+    this.finish(call, route, response, outcome);
+  }
+
+  private dispatch(
+    call: Call,
+    service: RoutedService,
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+    bodyRest: IncomingMessage | null,
+  ): Promise<DispatchOutcome> {
+    const { dispatcher, client } = this.options;
+    const rawHeaders = copyEndToEnd(request.rawHeaders, this.ownRequestHeaders);
+    return dispatcher.run(
+      call,
+      service,
+      (view, remainingMs) =>
+        client.send(view, {
+          method: request.method ?? 'GET',
+          target: request.url ?? '/',
+          rawHeaders,
+          callId: call.callId,
+          body,
+          bodyRest,
+          remainingMs,
+        }),
+      (abandon) => response.once('close', abandon),
+    );
+  }
+
+  private finish(
+    call: Call,
+    route: Route,
+    response: ServerResponse,
+    outcome: DispatchOutcome,
+  ): void {
+    const { metrics, nowMs, log } = this.options;
+    const elapsedMs = nowMs() - call.arrivedAtMs;
+    metrics.noteCall(route.name, outcome.type, elapsedMs);
+    const fields = { call: call.callId, route: route.name, service: call.service, elapsedMs };
+    switch (outcome.type) {
+      case DispatchOutcomeType.Answer: {
+        const late = elapsedMs > route.objectiveMs;
+        log(late ? 'call_late' : 'call_answered', {
+          ...fields,
+          backend: outcome.backendId,
+          status: outcome.answer.statusCode,
+          routing: this.options.routing.version,
+        });
+        this.answer(response, outcome.answer);
+        break;
+      }
+      case DispatchOutcomeType.Abandoned:
+        log('call_abandoned', fields);
+        break;
+      case DispatchOutcomeType.Refused: {
+        const { reason, retryAfterMs } = outcome;
+        log('call_refused', { ...fields, reason, retryAfterMs });
+        const error = new EgretError(ErrorKind.Overloaded, `${reason}.`, { retryAfterMs });
+        this.refuse(response, call.callId, error);
+        break;
+      }
+      default: {
+        const timedOut = outcome.type === DispatchOutcomeType.TimedOut;
+        log(timedOut ? 'call_timed_out' : 'call_failed', { ...fields, reason: outcome.reason });
+        const kind = timedOut ? ErrorKind.DeadlineExceeded : ErrorKind.OutcomeUnknown;
+        this.refuse(response, call.callId, new EgretError(kind, `${outcome.reason}.`));
+      }
+    }
+  }
+
+  private answer(response: ServerResponse, answer: BackendAnswer): void {
+    if (response.destroyed) return;
+    const headers = copyEndToEnd(answer.rawHeaders, OWN_ANSWER_HEADERS);
+    const { body, rest } = answer;
+    const declared = CallServer.declaredLength(answer);
+    if (rest) {
+      if (declared !== undefined) headers.push('Content-Length', declared);
+    } else if (response.req.method === 'HEAD') {
+      if (declared !== undefined) headers.push('Content-Length', declared);
+    } else if (answer.statusCode !== 204 && answer.statusCode !== 304) {
+      headers.push('Content-Length', String(body.length));
+    }
+    if (this.options.isStopping()) headers.push('Connection', 'close');
+    response.writeHead(answer.statusCode, answer.statusMessage, headers);
+    if (!rest) {
+      response.end(body);
+      return;
+    }
+    response.write(body);
+    response.on('drain', () => rest.resume());
+    rest.read({
+      onData: (chunk) => response.write(chunk),
+      onEnd: () => response.end(),
+      // A cut answer must not look complete.
+      onBroken: () => response.destroy(),
+    });
+  }
+
+  private static declaredLength(answer: BackendAnswer): string | undefined {
+    for (let at = 0; at < answer.rawHeaders.length; at += 2) {
+      if (answer.rawHeaders[at]!.toLowerCase() === 'content-length') {
+        return answer.rawHeaders[at + 1];
+      }
+    }
+    return undefined;
+  }
+
+  /** Sends a final answer of this host. */
+  private refuse(response: ServerResponse, callId: string, error: EgretError): void {
+    const { metrics, profile, log } = this.options;
+    metrics.noteOwnAnswer(error.statusCode, error.kind);
+    if (error.kind === ErrorKind.NotFound || error.kind === ErrorKind.NotCurrent) {
+      log('call_unrouted', { call: callId, kind: error.kind, detail: error.detail });
+    }
+    if (response.destroyed) return;
+    const text = JSON.stringify(error.toBody(callId));
+    const headers = [
+      'Content-Type',
+      'application/json',
+      'Content-Length',
+      String(Buffer.byteLength(text)),
+    ];
+    if (error.outcome) headers.push('Egret-Outcome', error.outcome);
+    if (error.retryAfterMs !== undefined) {
+      headers.push('Retry-After', profile.retryAfter(error.retryAfterMs));
+    }
+    if (this.options.isStopping()) headers.push('Connection', 'close');
+    response.writeHead(error.statusCode, headers);
+    response.end(text);
+  }
+}
--- /dev/null
+++ b/src/gateway/server/ControlWatch.ts
@@ -0,0 +1,165 @@
+import {
+  ControlMessageType,
+  type FromControlMessage,
+  type PongMessage,
+} from '../../common/Messages.js';
+import type { Disposable } from '../../common/Disposable.js';
+import type { EntryHost } from '../../common/Placement.js';
+import { LinkRole } from '../../runtime/LinkAuth.js';
+import type { Logger } from '../../runtime/Logger.js';
+import { FieldType, type MessageFields } from '../../runtime/MessageCheck.js';
+import { FAST_LINK_TIMING, MessageClient } from '../../runtime/MessageClient.js';
+
+/** Address of a control host on the port for the system's own processes. */
+export interface ControlAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Options of a {@link ControlWatch}. */
+export interface ControlWatchOptions {
+  readonly self: () => EntryHost;
+  readonly secret: string;
+  readonly logger: Logger;
+  /** Control hosts to begin with; read again whenever no control host can be reached. */
+  readonly seeds: () => readonly ControlAddress[];
+  readonly routingIndex: () => number;
+  readonly onMessage: (message: FromControlMessage) => void;
+}
+
+/** Fields that messages from control hosts must have. */
+const WATCH_FIELDS: MessageFields = {
+  [ControlMessageType.Pong]: {
+    pingId: FieldType.Number,
+    membershipIndex: FieldType.Number,
+    voters: FieldType.Object,
+  },
+  [ControlMessageType.EntryHosts]: { entryHosts: FieldType.Object },
+  [ControlMessageType.Routing]: { view: FieldType.Object },
+  [ControlMessageType.Backends]: {
+    batchId: FieldType.Number,
+    records: FieldType.Object,
+    expiredIds: FieldType.Object,
+  },
+};
+
+/** Heartbeats; three missed ones take an entry host out of the directory. */
+const PING_INTERVAL_MS = 300;
+
+/** Without any link for this long, the seeds are tried again. */
+const SEEDS_AFTER_MS = 1_500;
+
+function keyOf(target: ControlAddress): string {
+  return `${target.address}:${target.port}`;
+}
+
+/** Links of one entry host to every control host: heartbeats, routing, backend servers. */
+export class ControlWatch implements Disposable {
+  private readonly clients = new Map<string, MessageClient>();
+
+  private membershipIndex = -1;
+
+  private pingId = 0;
+
+  private linkedAtMs = performance.now();
+
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly options: ControlWatchOptions) {
+    this.sync(options.seeds());
+    this.timer = setInterval(() => this.tick(), PING_INTERVAL_MS);
+  }
+
+  /** Links that are open. */
+  get openLinks(): number {
+    return [...this.clients.values()].filter((client) => client.isOpen).length;
+  }
+
+  /** Sends a heartbeat now, as when the host begins to stop. */
+  ping(): void {
+    this.pingId += 1;
+    this.clients.forEach((client) => this.sendPing(client));
+  }
+
+  dispose(): void {
+    clearInterval(this.timer);
+    this.clients.forEach((client) => client.dispose());
+    this.clients.clear();
+  }
+
+  private tick(): void {
+    const nowMs = performance.now();
+    if (this.openLinks > 0) this.linkedAtMs = nowMs;
+    else if (nowMs - this.linkedAtMs > SEEDS_AFTER_MS) {
+      this.linkedAtMs = nowMs;
+      this.options.seeds().forEach((seed) => this.open(seed));
+    }
+    this.ping();
+  }
+
+  private sendPing(client: MessageClient): void {
+    client.send({
+      type: ControlMessageType.Ping,
+      pingId: this.pingId,
+      appliedIndex: this.options.routingIndex(),
+      subscribe: false,
+      stopping: this.options.self().stopping,
+    });
+  }
+
+  private sync(targets: readonly ControlAddress[]): void {
+    const wanted = new Set(targets.map(keyOf));
+    targets.forEach((target) => this.open(target));
+    this.clients.forEach((client, key) => {
+      if (wanted.has(key)) return;
+      client.dispose();
+      this.clients.delete(key);
+    });
+  }
+
+  private open(target: ControlAddress): void {
+    const key = keyOf(target);
+    if (this.clients.has(key)) return;
+    const { logger, secret, self } = this.options;
+    const client: MessageClient = new MessageClient({
+      ...target,
+      id: self().id,
+      role: LinkRole.Entry,
+      secret,
+      logger,
+      fields: WATCH_FIELDS,
+      timing: FAST_LINK_TIMING,
+      onOpen: () => {
+        logger.info('control_regained', { control: key });
+        client.send({ type: ControlMessageType.Hello, entryHost: self() });
+        this.sendPing(client);
+        const routingIndex = this.options.routingIndex();
+        client.send({ type: ControlMessageType.Watch, routingIndex });
+      },
+      onMessage: (message) => this.receive(client, message as FromControlMessage),
+      onClose: () => logger.warn('control_lost', { control: key }),
+    });
+    this.clients.set(key, client);
+  }
+
+  private receive(client: MessageClient, message: FromControlMessage): void {
+    if (message.type === ControlMessageType.Pong) {
+      this.onPong(message);
+      return;
+    }
+    this.options.onMessage(message);
+    if (message.type === ControlMessageType.Backends && message.batchId > 0) {
+      client.send({ type: ControlMessageType.BackendsAck, batchId: message.batchId });
+    }
+  }
+
+  private onPong(pong: PongMessage): void {
+    if (pong.membershipIndex <= this.membershipIndex || pong.voters.length === 0) return;
+    this.membershipIndex = pong.membershipIndex;
+    this.sync(pong.voters);
+    this.options.logger.info('control_members', {
+      index: pong.membershipIndex,
+      voters: pong.voters.map(keyOf).join(','),
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/server/GatewayMetrics.ts
@@ -0,0 +1,75 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { DispatchOutcomeType } from '../Dispatcher.js';
+
+/** Buckets around the objectives of a quarter of a second to a second and a half. */
+const LATENCY_BUCKETS_MS = [25, 50, 100, 150, 200, 250, 300, 400, 600, 800, 1_200, 1_600, 3_000];
+
+/** Routes that get a label of their own; further ones share one, which bounds the series. */
+const ROUTE_LABELS_MAX = 64;
+
+/** Counters and histograms of one gateway. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+
+  private readonly routeLabels = new Set<string>();
+
+  private readonly calls = new Counter({
+    name: 'egret_calls_total',
+    help: 'Calls by route and outcome.',
+    labelNames: ['route', 'outcome'],
+    registers: [this.registry],
+  });
+
+  private readonly latency = new Histogram({
+    name: 'egret_call_ms',
+    help: 'Time from a call to its final answer.',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
+
+  private readonly ownAnswers = new Counter({
+    name: 'egret_own_answers_total',
+    help: 'Answers that this host made itself.',
+    labelNames: ['status', 'kind'],
+    registers: [this.registry],
+  });
+
+  private readonly decisions = new Counter({
+    name: 'egret_decisions_total',
+    help: 'Decisions by log event.',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
+
+  noteCall(route: string, outcome: DispatchOutcomeType, elapsedMs: number): void {
+    const label = this.routeLabel(route);
+    this.calls.inc({ route: label, outcome });
+    this.latency.observe({ route: label }, elapsedMs);
+  }
+
+  noteOwnAnswer(status: number, kind: string): void {
+    this.ownAnswers.inc({ status: String(status), kind });
+  }
+
+  noteDecision(event: string): void {
+    this.decisions.inc({ event });
+  }
+
+  /** Adds a value that is read when the metrics are. */
+  gauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+
+  private routeLabel(route: string): string {
+    if (this.routeLabels.has(route)) return route;
+    if (this.routeLabels.size >= ROUTE_LABELS_MAX) return 'other';
+    this.routeLabels.add(route);
+    return route;
+  }
+}
--- /dev/null
+++ b/src/gateway/server/GatewayServer.ts
@@ -0,0 +1,334 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { ControlMessageType, type FromControlMessage } from '../../common/Messages.js';
+import type { EntryHost } from '../../common/Placement.js';
+import { createRandom } from '../../common/Random.js';
+import type { RoutingView } from '../../common/routing/Types.js';
+import { systemClock, type Clock } from '../../runtime/Clock.js';
+import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
+import type { LineLog } from '../../runtime/LineLog.js';
+import { createNonce } from '../../runtime/LinkAuth.js';
+import { BackendPicker } from '../BackendPicker.js';
+import { BackendPool } from '../BackendPool.js';
+import { ColdLimiter } from '../ColdLimiter.js';
+import { Dispatcher } from '../Dispatcher.js';
+import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
+import { RoutingInForce } from '../RoutingInForce.js';
+import type { WireProfile } from '../Types.js';
+import { WorkEstimates } from '../WorkEstimates.js';
+import { BackendClient } from './BackendClient.js';
+import { CallServer } from './CallServer.js';
+import { ControlWatch, type ControlAddress } from './ControlWatch.js';
+import { GatewayMetrics } from './GatewayMetrics.js';
+
+/** Address to listen on. */
+export interface ListenAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Options of a {@link GatewayServer}. */
+export interface GatewayServerOptions {
+  readonly id: string;
+  readonly availabilityZone: string;
+  /** Where callers connect. */
+  readonly callers: ListenAddress;
+  /** Where readiness is told. */
+  readonly readiness: ListenAddress & { readonly path: string };
+  /** Where metrics are read, if anywhere. */
+  readonly metrics?: ListenAddress & { readonly path: string };
+  readonly secret: string;
+  readonly seeds: () => readonly ControlAddress[];
+  readonly profile: WireProfile;
+  readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
+  /** Time from the stop signal to the end of the process at the latest. */
+  readonly stopMs: number;
+  readonly log: LineLog;
+  readonly clock?: Clock;
+  readonly seed?: number;
+}
+
+/** Largest header block that any routing may allow. */
+const HEADER_BYTES_MAX = 64 * 1024;
+
+/** Part of the stop time during which callers still find this host. */
+const LINGER_SHARE = 0.45;
+
+/** Part of the stop time after which calls in flight are no longer awaited. */
+const FINISH_SHARE = 0.93;
+
+const STOP_POLL_MS = 20;
+
+/** Shortest idle time of a caller's connection, before any routing is known. */
+const DEFAULT_IDLE_MS = 15_000;
+
+/** Entry host of routed services: serves callers and dispatches by probes just in time. */
+export class GatewayServer {
+  readonly metrics = new GatewayMetrics();
+
+  readonly pool: BackendPool;
+
+  readonly routing: RoutingInForce;
+
+  private readonly clock: Clock;
+
+  private readonly cold: ColdLimiter;
+
+  private readonly budget: RetryBudget;
+
+  private readonly client: BackendClient;
+
+  private readonly calls: CallServer;
+
+  private readonly callerServer: Server;
+
+  private readonly readinessServer: Server;
+
+  private metricsServer: Server | undefined;
+
+  private watch: ControlWatch | undefined;
+
+  private stopping = false;
+
+  private wasReady = false;
+
+  private boundPort = 0;
+
+  constructor(private readonly options: GatewayServerOptions) {
+    this.clock = options.clock ?? systemClock;
+    const random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
+    const nowMs = () => this.clock.nowMs();
+    const log = (event: string, fields: Parameters<LineLog['line']>[1]) => {
+      this.metrics.noteDecision(event);
+      options.log.line(event, fields);
+    };
+    this.pool = new BackendPool({ availabilityZone: options.availabilityZone, random });
+    this.routing = new RoutingInForce(random);
+    this.cold = new ColdLimiter({ selfId: options.id });
+    this.budget = new RetryBudget({ ...options.budget, startedAtMs: nowMs() });
+    this.client = new BackendClient({ profile: options.profile });
+    const work = new WorkEstimates();
+    const picker = new BackendPicker({
+      pool: this.pool,
+      cold: this.cold,
+      work,
+      probe: (view, service) => this.client.probe(view, service),
+      nowMs,
+    });
+    const dispatcher = new Dispatcher({
+      picker,
+      cold: this.cold,
+      budget: this.budget,
+      work,
+      nowMs,
+      setTimer: (delayMs, fire) => {
+        const timer = setTimeout(fire, delayMs);
+        return () => clearTimeout(timer);
+      },
+      log,
+    });
+    this.calls = new CallServer({
+      profile: options.profile,
+      routing: this.routing,
+      dispatcher,
+      client: this.client,
+      metrics: this.metrics,
+      nowMs,
+      log,
+      isStopping: () => this.stopping,
+      createId: createNonce,
+    });
+    this.callerServer = createServer(
+      { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_MS },
+      (request, response) => this.calls.handle(request, response),
+    );
+    answerParserErrors(this.callerServer);
+    this.callerServer.on('connection', (socket: Socket) => socket.setNoDelay(true));
+    this.readinessServer = createServer((request, response) =>
+      this.answerReadiness(request, response),
+    );
+    this.registerGauges();
+  }
+
+  get port(): number {
+    return this.boundPort;
+  }
+
+  /** True where callers are served. */
+  get isReady(): boolean {
+    return !this.stopping && this.routing.table !== null && this.pool.size > 0;
+  }
+
+  async start(): Promise<void> {
+    const { callers, readiness, metrics, log, id } = this.options;
+    this.boundPort = await listen(this.callerServer, callers.address, callers.port);
+    await listen(this.readinessServer, readiness.address, readiness.port);
+    if (metrics) await this.startMetrics(metrics);
+    this.watch = new ControlWatch({
+      self: () => this.self(),
+      secret: this.options.secret,
+      logger: {
+        error: (event, fields) => log.line(event, fields),
+        warn: (event, fields) => log.line(event, fields),
+        info: (event, fields) => log.line(event, fields),
+        debug: () => {},
+      },
+      seeds: this.options.seeds,
+      routingIndex: () => this.routing.logIndex,
+      onMessage: (message) => this.receive(message),
+    });
+    log.line('gateway_started', { host: id, port: this.boundPort });
+  }
+
+  /** Ends the host without cutting a call: leaves the directory, lingers, closes, waits. */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    const { stopMs, log, id } = this.options;
+    const startedAtMs = this.clock.nowMs();
+    this.stopping = true;
+    log.line('gateway_stopping', { host: id, openCalls: this.calls.openCalls });
+    this.watch?.ping();
+    await this.sleep(stopMs * LINGER_SHARE);
+    this.callerServer.close();
+    this.callerServer.closeIdleConnections();
+    const lastAtMs = startedAtMs + stopMs * FINISH_SHARE;
+    while (this.calls.openCalls > 0 && this.clock.nowMs() < lastAtMs) {
+      await this.sleep(STOP_POLL_MS);
+      this.callerServer.closeIdleConnections();
+    }
+    log.line('gateway_stopped', { host: id, openCalls: this.calls.openCalls });
+    this.dispose();
+    await log.flush();
+  }
+
+  /** Ends the host at once. */
+  dispose(): void {
+    this.watch?.dispose();
+    this.client.dispose();
+    [this.callerServer, this.readinessServer, this.metricsServer].forEach((server) => {
+      if (server) closeServer(server).catch(() => {});
+    });
+  }
+
+  private sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, delayMs);
+    });
+  }
+
+  private self(): EntryHost {
+    const { id, callers, availabilityZone, readiness } = this.options;
+    return {
+      id,
+      address: callers.address,
+      port: this.boundPort,
+      peerPort: 0,
+      adminAddress: readiness.address,
+      adminPort: readiness.port,
+      availabilityZone,
+      stopping: this.stopping,
+    };
+  }
+
+  private receive(message: FromControlMessage): void {
+    const handler = this.handlers[message.type as keyof typeof this.handlers] as
+      ((received: FromControlMessage) => void) | undefined;
+    handler?.(message);
+  }
+
+  private readonly handlers = {
+    [ControlMessageType.Routing]: (
+      message: Extract<FromControlMessage, { type: ControlMessageType.Routing }>,
+    ) => this.applyRouting(message.view),
+    [ControlMessageType.Backends]: (
+      message: Extract<FromControlMessage, { type: ControlMessageType.Backends }>,
+    ) => {
+      const changed = this.pool.apply(message.records, this.clock.nowMs());
+      changed.forEach(({ record, coldUntilMs }) =>
+        this.options.log.line('backend_learned', {
+          backend: record.id,
+          service: record.service,
+          zone: record.availabilityZone,
+          address: `${record.address}:${record.port}`,
+          state: record.state,
+          bornMs: record.bornMs,
+          sequence: record.sequence,
+          coldMs: Math.max(0, coldUntilMs - this.clock.nowMs()),
+        }),
+      );
+      this.pool.expire(message.expiredIds);
+      this.noteReadiness();
+    },
+    [ControlMessageType.EntryHosts]: (
+      message: Extract<FromControlMessage, { type: ControlMessageType.EntryHosts }>,
+    ) => {
+      this.cold.setEntryHosts(message.entryHosts);
+      this.budget.setEntryHosts(message.entryHosts.length);
+    },
+  };
+
+  private applyRouting(view: RoutingView): void {
+    const before = this.routing.version;
+    if (!this.routing.apply(view)) return;
+    this.pool.closeZones(view.closedZones);
+    if (view.table) {
+      const { limits } = view.table;
+      this.callerServer.keepAliveTimeout = limits.idleTimeoutMs;
+      this.callerServer.headersTimeout = limits.headerTimeoutMs;
+    }
+    this.options.log.line('routing_applied', {
+      index: view.index,
+      version: view.version,
+      before,
+      closedZones: view.closedZones.join(','),
+    });
+    this.noteReadiness();
+  }
+
+  private noteReadiness(): void {
+    if (this.wasReady === this.isReady) return;
+    this.wasReady = this.isReady;
+    this.options.log.line(this.isReady ? 'gateway_ready' : 'gateway_not_ready', {
+      routing: this.routing.version,
+      backends: this.pool.size,
+    });
+  }
+
+  private answerReadiness(request: IncomingMessage, response: ServerResponse): void {
+    const known = (request.url ?? '').split('?')[0] === this.options.readiness.path;
+    const status = this.isReady ? 200 : 503;
+    response.writeHead(known ? status : 404, { 'Content-Length': 0 });
+    response.end();
+  }
+
+  private async startMetrics(at: ListenAddress & { readonly path: string }): Promise<void> {
+    const { registry } = this.metrics;
+    const server = createServer((request, response) => {
+      registry.metrics().then(
+        (text) => {
+          response.writeHead(200, { 'Content-Type': registry.contentType });
+          response.end(text);
+        },
+        (error: unknown) => {
+          this.options.log.line('metrics_failed', { detail: String(error) });
+          response.destroy();
+        },
+      );
+    });
+    this.metricsServer = server;
+    await listen(server, at.address, at.port);
+  }
+
+  private registerGauges(): void {
+    const { metrics, pool, client, routing } = this;
+    metrics.gauge('egret_backends', 'Backend servers known.', () => pool.size);
+    metrics.gauge('egret_probes', 'Probes sent.', () => client.probes);
+    metrics.gauge('egret_connects', 'Connections to backend servers.', () => client.connects);
+    metrics.gauge('egret_routing_version', 'Routing in force.', () => routing.version);
+    metrics.gauge('egret_open_calls', 'Calls in progress.', () => this.calls.openCalls);
+    metrics.gauge('egret_rss_bytes', 'Resident memory.', () => process.memoryUsage.rss());
+    metrics.gauge('egret_control_links', 'Open links to control hosts.', () =>
+      this.watch ? this.watch.openLinks : 0,
+    );
+  }
+}
--- /dev/null
+++ b/src/gateway/server/RequestBody.ts
@@ -0,0 +1,55 @@
+import type { IncomingMessage } from 'node:http';
+
+/** Bodies up to this size are held, so that a call that did not run can be sent elsewhere. */
+export const HELD_REQUEST_MAX_BYTES = 512 * 1024;
+
+/** What became of reading a request body. */
+export type RequestBody =
+  | { readonly type: 'whole'; readonly body: Buffer }
+  /** Too long to be held; the rest is still to be read. */
+  | { readonly type: 'long'; readonly body: Buffer }
+  | { readonly type: 'too-large' }
+  | { readonly type: 'broken' };
+
+/**
+ * Reads a request body until it is whole or too long to be held.
+ *
+ * @example
+ * const read = await readRequestBody(request, 64 * 1024 * 1024);
+ */
+export function readRequestBody(
+  request: IncomingMessage,
+  bodyBytesMax: number,
+): Promise<RequestBody> {
+  const declared = Number(request.headers['content-length'] ?? 0);
+  if (declared > bodyBytesMax) return Promise.resolve({ type: 'too-large' });
+  const bodiless = declared === 0 && request.headers['transfer-encoding'] === undefined;
+  if (bodiless) {
+    request.resume();
+    return Promise.resolve({ type: 'whole', body: Buffer.alloc(0) });
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bodyBytes = 0;
+    const finish = (result: RequestBody) => {
+      request.off('data', onData);
+      request.off('end', onEnd);
+      request.off('close', onClose);
+      resolve(result);
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      bodyBytes += chunk.length;
+      if (bodyBytes > bodyBytesMax) finish({ type: 'too-large' });
+      else if (bodyBytes > HELD_REQUEST_MAX_BYTES) {
+        request.pause();
+        finish({ type: 'long', body: Buffer.concat(chunks) });
+      }
+    };
+    const onEnd = () => finish({ type: 'whole', body: Buffer.concat(chunks) });
+    const onClose = () => finish({ type: 'broken' });
+    request.on('data', onData);
+    request.on('end', onEnd);
+    request.on('close', onClose);
+  });
+}
--- /dev/null
+++ b/src/runtime/LineLog.ts
@@ -0,0 +1,156 @@
+import { write } from 'node:fs';
+
+/** Values of one log line. */
+export type LineFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Options of a {@link LineLog}. */
+export interface LineLogOptions {
+  /** Fields that stand on every line. */
+  readonly base: LineFields;
+  /** Lines of one event in a second before further ones are only counted. */
+  readonly linesPerSecond?: number;
+  /** Other limits for single events, lines per second. */
+  readonly limits?: Readonly<Record<string, number>>;
+  readonly fileDescriptor?: number;
+  readonly nowMs?: () => number;
+  readonly wallMs?: () => number;
+}
+
+const DEFAULT_LINES_PER_SECOND = 20;
+
+/** Lines that wait for a reader that doesn't read; further ones are dropped and counted. */
+const PENDING_MAX_BYTES = 128 * 1024;
+
+/** Lines are written together at this interval. */
+const FLUSH_INTERVAL_MS = 100;
+
+const WINDOW_MS = 1_000;
+
+const NEEDS_QUOTES = /[\s"=]/;
+
+/** Decimal places of logged numbers. */
+const NUMBER_SCALE = 100;
+
+function formatValue(value: string | number | boolean): string {
+  if (typeof value === 'number') return String(Math.round(value * NUMBER_SCALE) / NUMBER_SCALE);
+  const text = String(value);
+  return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
+}
+
+/** Lines of one event within the current second. */
+interface EventWindow {
+  startedAtMs: number;
+  lines: number;
+  suppressed: number;
+}
+
+/**
+ * Log of key=value lines that never blocks: lines are written in the background, a reader that
+ * doesn't read costs lines instead of time, and each event has a bound of lines per second. What
+ * is left out is counted in a line of its own.
+ */
+export class LineLog {
+  private pending: string[] = [];
+
+  private pendingBytes = 0;
+
+  private dropped = 0;
+
+  private writing = false;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private readonly windows = new Map<string, EventWindow>();
+
+  private readonly prefix: string;
+
+  constructor(private readonly options: LineLogOptions) {
+    this.prefix = LineLog.format(options.base);
+  }
+
+  /** Formats fields as key=value pairs. */
+  static format(fields: LineFields): string {
+    return Object.entries(fields)
+      .filter(([, value]) => value !== undefined)
+      .map(([key, value]) => `${key}=${formatValue(value!)}`)
+      .join(' ');
+  }
+
+  /** Writes one event. */
+  line(event: string, fields: LineFields = {}): void {
+    const nowMs = this.options.nowMs?.() ?? performance.now();
+    const window = this.windowOf(event, nowMs);
+    const limit =
+      this.options.limits?.[event] ?? this.options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND;
+    if (window.lines >= limit) {
+      window.suppressed += 1;
+      return;
+    }
+    window.lines += 1;
+    this.append(event, fields);
+  }
+
+  /** Starts to write what waits; resolves when it is written. */
+  flush(): Promise<void> {
+    this.windows.forEach((window, event) => this.reportSuppressed(event, window));
+    return new Promise((resolve) => {
+      this.writePending(resolve);
+    });
+  }
+
+  private windowOf(event: string, nowMs: number): EventWindow {
+    const known = this.windows.get(event);
+    if (known && nowMs - known.startedAtMs < WINDOW_MS) return known;
+    if (known) this.reportSuppressed(event, known);
+    const window = { startedAtMs: nowMs, lines: 0, suppressed: 0 };
+    this.windows.set(event, window);
+    return window;
+  }
+
+  private reportSuppressed(event: string, window: EventWindow): void {
+    if (window.suppressed > 0) {
+      this.append('lines_suppressed', { of: event, count: window.suppressed });
+      window.suppressed = 0;
+    }
+  }
+
+  private append(event: string, fields: LineFields): void {
+    const wallMs = this.options.wallMs?.() ?? Date.now();
+    const time = new Date(wallMs).toISOString();
+    const text = `time=${time} event=${event} ${this.prefix} ${LineLog.format(fields)}\n`;
+    if (this.pendingBytes + text.length > PENDING_MAX_BYTES) {
+      this.dropped += 1;
+      return;
+    }
+    if (this.dropped > 0) {
+      const lost = `time=${time} event=lines_dropped ${this.prefix} count=${this.dropped}\n`;
+      this.dropped = 0;
+      this.pending.push(lost);
+      this.pendingBytes += lost.length;
+    }
+    this.pending.push(text);
+    this.pendingBytes += text.length;
+    this.timer ??= setTimeout(() => this.writePending(), FLUSH_INTERVAL_MS).unref();
+  }
+
+  private writePending(done?: () => void): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    if (this.writing || this.pending.length === 0) {
+      done?.();
+      return;
+    }
+    this.writing = true;
+    const text = this.pending.join('');
+    this.pending = [];
+    // The bytes stay counted until they are written: they are what a stuck reader holds up.
+    write(this.options.fileDescriptor ?? 1, text, () => {
+      this.writing = false;
+      this.pendingBytes -= text.length;
+      if (this.pending.length > 0) {
+        this.timer ??= setTimeout(() => this.writePending(), FLUSH_INTERVAL_MS).unref();
+      }
+      done?.();
+    });
+  }
+}
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -13,6 +13,32 @@
 import { checkMessage, type MessageFields } from './MessageCheck.js';
 import { decodeMessage, encodeMessage } from './MessageCodec.js';
 
+/** Timing of a link. */
+export interface LinkTiming {
+  /** Longest time between two attempts to connect. */
+  readonly retryMaxMs: number;
+  readonly heartbeatMs: number;
+  /** Silence after which the link counts as broken. */
+  readonly silenceMaxMs: number;
+  readonly connectTimeoutMs: number;
+}
+
+/** Timing for hosts that are seldom out of reach. */
+const DEFAULT_LINK_TIMING: LinkTiming = {
+  retryMaxMs: 1_000,
+  heartbeatMs: 1_000,
+  silenceMaxMs: 3_000,
+  connectTimeoutMs: 2_000,
+};
+
+/** Timing where a restored path must be in use again within three seconds. */
+export const FAST_LINK_TIMING: LinkTiming = {
+  retryMaxMs: 400,
+  heartbeatMs: 400,
+  silenceMaxMs: 1_400,
+  connectTimeoutMs: 700,
+};
+
 /** Options of a {@link MessageClient}. */
 export interface MessageClientOptions {
   readonly address: string;
@@ -24,6 +50,7 @@
   readonly logger: Logger;
   /** Fields that messages of each type must have. */
   readonly fields: MessageFields;
+  readonly timing?: LinkTiming;
   readonly onOpen: () => void;
   readonly onMessage: (message: object) => void;
   readonly onClose: () => void;
@@ -44,13 +71,9 @@
 }
 
 const FIRST_RETRY_MS = 50;
-const MAX_RETRY_MS = 1_000;
-const HEARTBEAT_MS = 1_000;
-const MAX_SILENCE_MS = 3_000;
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 /** Header of a masked WebSocket frame of ordinary size. */
 const FRAME_BYTES = 8;
-const CONNECT_TIMEOUT_MS = 2_000;
 
 /** Authenticated WebSocket link that reconnects until it is disposed. */
 export class MessageClient implements Disposable {
@@ -75,7 +98,10 @@
   /** Credential for calls forwarded to the server; empty while the link is down. */
   ticket = '';
 
+  private readonly timing: LinkTiming;
+
   constructor(private readonly options: MessageClientOptions) {
+    this.timing = options.timing ?? DEFAULT_LINK_TIMING;
     this.connect();
   }
 
@@ -113,7 +139,7 @@
     const socket = new WebSocket(`ws://${address}:${port}/`, {
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      handshakeTimeout: this.timing.connectTimeoutMs,
     });
     this.socket = socket;
     this.state = LinkState.Connecting;
@@ -178,9 +204,9 @@
   private startHeartbeat(socket: WebSocket): void {
     clearInterval(this.heartbeat);
     this.heartbeat = setInterval(() => {
-      if (performance.now() - this.heardAtMs > MAX_SILENCE_MS) socket.terminate();
+      if (performance.now() - this.heardAtMs > this.timing.silenceMaxMs) socket.terminate();
       else if (socket.readyState === socket.OPEN) socket.ping();
-    }, HEARTBEAT_MS);
+    }, this.timing.heartbeatMs);
   }
 
   private onClosed(socket: WebSocket): void {
@@ -192,6 +218,6 @@
     if (wasOpen) this.options.onClose();
     if (this.disposed) return;
     this.retryTimer = setTimeout(() => this.connect(), this.retryMs);
-    this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
+    this.retryMs = Math.min(this.timing.retryMaxMs, this.retryMs * 2);
   }
 }
