A killed control process can restart on its data folder

Ruled out: damaged log (identity and log were read back whole). Change: supervised folders take over a lock that is found.

--- a/src/control/AgreedState.ts
+++ b/src/control/AgreedState.ts
@@ -3,7 +3,12 @@
 import type { SettingsTree } from '../common/SettingsSchema.js';
 import { checkTree, readPath, subtreeOf, writePath } from '../common/SettingsTree.js';
 import { ClaimTable, type ClaimRecord, type ClaimResult } from './ClaimTable.js';
-import { RoutingState, RoutingVerdict, type RoutingResult, type RoutingSnapshot } from './RoutingState.js';
+import {
+  RoutingState,
+  RoutingVerdict,
+  type RoutingResult,
+  type RoutingSnapshot,
+} from './RoutingState.js';
 import type { RoutingChangeCommand, ZoneClosureCommand } from './RoutingCommands.js';
 import {
   CommandType,
--- a/src/control/RegistryFlow.ts
+++ b/src/control/RegistryFlow.ts
@@ -167,9 +167,7 @@
   private spread(change: RegistryChange, records: readonly BackendRecord[]): number {
     const departing = records.some((record) => record.state !== BackendState.Ready);
     const batchId =
-      change === RegistryChange.Changed || departing
-        ? this.push(records, [])
-        : this.takeBatchId();
+      change === RegistryChange.Changed || departing ? this.push(records, []) : this.takeBatchId();
     if (change !== RegistryChange.Stale || departing) {
       const { raft } = this.options;
       raft.log.othersThan(raft.id).forEach((member) => this.relay(member.id, batchId, records));
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -54,6 +54,8 @@
   readonly linkTiming?: LinkTiming;
   /** Identity of an empty data folder; a random one by default. */
   readonly identity?: string;
+  /** True where a supervisor runs at most one process on the data folder. */
+  readonly supervised?: boolean;
   /** Present where lost control hosts are replaced without an operator. */
   readonly autoMembership?: AutoMembershipOptions;
   /** Control hosts to ask for admission while this host is no member. */
@@ -163,8 +165,7 @@
         logger.info('control_link_opened', { host: file.id, member: memberId });
         this.post({ type: ControlEventType.ControlLinkOpened, memberId });
       },
-      onClose: (memberId) =>
-        logger.warn('control_link_lost', { host: file.id, member: memberId }),
+      onClose: (memberId) => logger.warn('control_link_lost', { host: file.id, member: memberId }),
     });
     this.sender = new DurableSender({
       storage,
@@ -200,6 +201,7 @@
       folder: file.dataFolder,
       initialize: options.initialize,
       identity: options.identity,
+      supervised: options.supervised,
     });
     const { instanceId, hardState, snapshot, entries } = storage.stored;
     const reducer = new ControlReducer({
@@ -347,18 +349,21 @@
     [...(this.options.seeds?.() ?? []), ...known]
       .filter((target) => target.address !== member.address || target.port !== member.port)
       .forEach((target) => {
-        requestJoin(target, member, secret).then((membership) => {
-          if (!membership || state.log.membership.voters.length > 0) return;
-          if (state.log.lastIndex > 0 || membership.voters.length === 0) return;
-          state.log.adoptMembership(membership);
-          logger.info('membership_learned', {
-            host: file.id,
-            from: target.address,
-            voters: membership.voters.map((voter) => voter.id).join(','),
-          });
-          this.linkedMembershipIndex = -1;
-          this.syncLinks();
-        }, (error: unknown) => logger.warn('join_failed', { detail: String(error) }));
+        requestJoin(target, member, secret).then(
+          (membership) => {
+            if (!membership || state.log.membership.voters.length > 0) return;
+            if (state.log.lastIndex > 0 || membership.voters.length === 0) return;
+            state.log.adoptMembership(membership);
+            logger.info('membership_learned', {
+              host: file.id,
+              from: target.address,
+              voters: membership.voters.map((voter) => voter.id).join(','),
+            });
+            this.linkedMembershipIndex = -1;
+            this.syncLinks();
+          },
+          (error: unknown) => logger.warn('join_failed', { detail: String(error) }),
+        );
       });
   }
 
--- a/src/control/storage/DataFolder.test.ts
+++ b/src/control/storage/DataFolder.test.ts
@@ -55,6 +55,17 @@
     await again.close();
   });
 
+  it('takes over the lock of a lost process whose number another one has by now', async () => {
+    const data = await open();
+    await data.close();
+    // The parent of the test process stands for the process that has the number by now.
+    await writeFile(path.join(folder, 'lock'), `${process.ppid}\n`);
+    await expect(open(false)).rejects.toMatchObject({ kind: 'data-locked' });
+    const again = await DataFolder.open({ folder, initialize: false, supervised: true });
+    expect(again.stored.instanceId).toBe(data.stored.instanceId);
+    await again.close();
+  });
+
   it('refuses an empty folder without initialize', async () => {
     await expect(open(false)).rejects.toMatchObject({ kind: 'data-corrupt' });
   });
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -22,6 +22,11 @@
   readonly initialize: boolean;
   /** Identity to give an empty folder; random by default. */
   readonly identity?: string;
+  /**
+   * True where a supervisor runs at most one process on the folder: a lock that is found then
+   * belongs to a process that is gone, even if another one has its number by now.
+   */
+  readonly supervised?: boolean;
 }
 
 /** Write that waits for the next sync. */
@@ -41,10 +46,10 @@
 }
 
 /** Takes the lock of the folder; the lock of a process that is gone is taken over. */
-async function takeLock(folder: string): Promise<void> {
+async function takeLock(folder: string, supervised: boolean): Promise<void> {
   const file = path.join(folder, LOCK_FILE);
   const holder = Number.parseInt(await readFile(file, 'utf8').catch(() => ''), 10);
-  if (holder > 0 && holder !== process.pid && isAlive(holder)) {
+  if (!supervised && holder > 0 && holder !== process.pid && isAlive(holder)) {
     throw new EgretError(
       ErrorKind.DataLocked,
       `The data folder ${folder} is in use by process ${holder}.`,
@@ -182,7 +187,7 @@
   static async open(options: DataFolderOptions): Promise<DataFolder> {
     const { folder } = options;
     await mkdir(folder, { recursive: true });
-    await takeLock(folder);
+    await takeLock(folder, options.supervised ?? false);
     const instanceId = await readIdentity(options);
     const snapshot = await readSnapshot(folder);
     const file = path.join(folder, LOG_FILE);
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -2,7 +2,6 @@
 import type { BackendPool } from './BackendPool.js';
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
-import { EventQueue } from './EventQueue.js';
 import type { Call, HealthReport } from './Types.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
@@ -40,6 +39,16 @@
     }
   | { readonly view: null; readonly reason: NoPickReason; readonly probes: number };
 
+/** Search for a backend server under way. */
+interface Search {
+  readonly local: BackendView[];
+  readonly remote: BackendView[];
+  /** Those that answered. */
+  readonly asked: BackendView[];
+  round: number;
+  probes: number;
+}
+
 /** Load of this age is used without a new probe; load changes many times a second. */
 const LOAD_FRESH_MS = 12;
 
@@ -69,61 +78,60 @@
 export class BackendPicker {
   constructor(private readonly options: BackendPickerOptions) {}
 
-  async pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<Pick> {
+  pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<Pick> {
     const { pool, nowMs } = this.options;
     const { local, remote } = pool.candidates({ service: service.name, nowMs: nowMs(), tried });
     if (local.length + remote.length === 0) {
-      return { view: null, reason: NoPickReason.None, probes: 0 };
+      return Promise.resolve({ view: null, reason: NoPickReason.None, probes: 0 });
     }
-    const asked: BackendView[] = [];
-    let probes = 0;
-    for (let round = 0; round < ROUNDS_MAX && call.isWanted(); round += 1) {
-      const group = BackendPicker.nextGroup(round, local, remote);
-      if (group.length === 0) break;
-      const answered = await this.ask(call, service, group);
-      probes += answered.probes;
-      asked.push(...answered.views);
-      if (answered.good) return this.picked(answered.good, call, probes);
-    }
-    return this.best(call, service, asked, probes);
+    return this.askInRounds(call, service, { local, remote, asked: [], round: 0, probes: 0 });
+  }
+
+  private async askInRounds(call: Call, service: RoutedService, search: Search): Promise<Pick> {
+    const group = BackendPicker.nextGroup(search);
+    const over = group.length === 0 || search.round >= ROUNDS_MAX || !call.isWanted();
+    if (over) return this.best(call, service, search.asked, search.probes);
+    const good = await this.ask(call, service, group, search);
+    if (good) return this.picked(good, call, search.probes);
+    search.round += 1;
+    return this.askInRounds(call, service, search);
   }
 
   /** Takes the next candidates off the lists: near ones first, far ones from the second round on. */
-  private static nextGroup(
-    round: number,
-    local: BackendView[],
-    remote: BackendView[],
-  ): BackendView[] {
+  private static nextGroup({ round, local, remote }: Search): BackendView[] {
     const group = local.splice(0, PROBES_LOCAL);
     if (round > 0 || group.length === 0) group.push(...remote.splice(0, PROBES_REMOTE));
     return group;
   }
 
-  /** Asks candidates for their load; ends with the first good one. */
-  private async ask(call: Call, service: RoutedService, group: readonly BackendView[]) {
+  /** Asks candidates for their load; resolves with the first good one, or null after all. */
+  private ask(
+    call: Call,
+    service: RoutedService,
+    group: readonly BackendView[],
+    search: Search,
+  ): Promise<BackendView | null> {
     const { nowMs, probe } = this.options;
-    const views: BackendView[] = [];
-    const queue = new EventQueue<BackendView | null>();
-    let probes = 0;
-    group.forEach((view) => {
-      if (nowMs() - view.loadAtMs < LOAD_FRESH_MS) {
-        queue.push(view);
-        return;
-      }
-      probes += 1;
-      probe(view, service).then(
-        (report) => queue.push(this.noteProbe(view, report) ? view : null),
-        () => queue.push(null),
-      );
+    return new Promise((resolve) => {
+      let left = group.length;
+      const take = (view: BackendView | null) => {
+        left -= 1;
+        if (view) search.asked.push(view);
+        if (view && this.isGood(view, call, service)) resolve(view);
+        else if (left === 0) resolve(null);
+      };
+      group.forEach((view) => {
+        if (nowMs() - view.loadAtMs < LOAD_FRESH_MS) {
+          take(view);
+          return;
+        }
+        search.probes += 1;
+        probe(view, service).then(
+          (report) => take(this.noteProbe(view, report) ? view : null),
+          () => take(null),
+        );
+      });
     });
-    for (let left = group.length; left > 0; left -= 1) {
-      const view = await queue.next();
-      if (view) {
-        views.push(view);
-        if (this.isGood(view, call, service)) return { good: view, views, probes };
-      }
-    }
-    return { good: null, views, probes };
   }
 
   /** Takes in a probe's answer; false where nothing may be sent there. */
--- /dev/null
+++ b/src/gateway/DispatchTypes.ts
@@ -0,0 +1,56 @@
+import type { BackendPicker } from './BackendPicker.js';
+import type { BackendView } from './BackendView.js';
+import type { ColdLimiter } from './ColdLimiter.js';
+import type { RetryBudget } from './RetryBudget.js';
+import type { AttemptHandle, BackendAnswer } from './Types.js';
+import type { WorkEstimates } from './WorkEstimates.js';
+
+/** Sends one attempt of a call. */
+export type AttemptPort = (view: BackendView, remainingMs: number) => AttemptHandle;
+
+/** Log of decisions. */
+export type DecisionLog = (
+  event: string,
+  fields: Readonly<Record<string, string | number | boolean | undefined>>,
+) => void;
+
+/** Options of a {@link Dispatcher}. */
+export interface DispatcherOptions {
+  readonly picker: BackendPicker;
+  readonly cold: ColdLimiter;
+  readonly budget: RetryBudget;
+  readonly work: WorkEstimates;
+  readonly nowMs: () => number;
+  readonly setTimer: (delayMs: number, fire: () => void) => () => void;
+  readonly log: DecisionLog;
+}
+
+/** How a call ended. */
+export enum DispatchOutcomeType {
+  Answer = 'answer',
+  /** The call has not run and never will. */
+  Refused = 'refused',
+  /** The call may have run. */
+  Failed = 'failed',
+  /** Its time ran out while it may have been running. */
+  TimedOut = 'timed-out',
+  /** The caller left. */
+  Abandoned = 'abandoned',
+}
+
+export type DispatchOutcome =
+  | {
+      readonly type: DispatchOutcomeType.Answer;
+      readonly answer: BackendAnswer;
+      readonly backendId: string;
+    }
+  | {
+      readonly type: DispatchOutcomeType.Refused;
+      readonly reason: string;
+      readonly retryAfterMs: number;
+    }
+  | {
+      readonly type: DispatchOutcomeType.Failed | DispatchOutcomeType.TimedOut;
+      readonly reason: string;
+    }
+  | { readonly type: DispatchOutcomeType.Abandoned };
--- a/src/gateway/RetryBudget.ts
+++ b/src/gateway/RetryBudget.ts
@@ -1,3 +1,5 @@
+import { WindowCount } from './WindowCount.js';
+
 /** Options of a {@link RetryBudget}. */
 export interface RetryBudgetOptions {
   /** Further attempts allowed for each call, over all entry hosts. */
@@ -12,22 +14,6 @@
 /** Part of the bound that is used: entry hosts see calls of one window at different times. */
 const SAFETY_SHARE = 0.75;
 
-/** Counts within one window, in steps. */
-class WindowCount {
-  private times: number[] = [];
-
-  add(nowMs: number): void {
-    this.times.push(nowMs);
-  }
-
-  count(nowMs: number, windowMs: number): number {
-    let stale = 0;
-    while (stale < this.times.length && nowMs - this.times[stale]! >= windowMs) stale += 1;
-    if (stale > 0) this.times.splice(0, stale);
-    return this.times.length;
-  }
-}
-
 /**
  * Budget of further attempts for each service in a sliding window. Every entry host spends at
  * most its own share, so that the sum over all of them stays within the bound.
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -1,14 +1,8 @@
-import http, { type IncomingMessage } from 'node:http';
+import http from 'node:http';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
-import {
-  AttemptResultType,
-  type AnswerRest,
-  type AttemptHandle,
-  type AttemptResult,
-  type HealthReport,
-  type WireProfile,
-} from '../Types.js';
+import type { AttemptHandle, HealthReport, WireProfile } from '../Types.js';
+import { AttemptRun, type AttemptRequest } from './AttemptRun.js';
 
 /** Options of a {@link BackendClient}. */
 export interface BackendClientOptions {
@@ -17,26 +11,8 @@
   readonly probeTimeoutMs?: number;
 }
 
-/** Request as it is sent to a backend server. */
-export interface AttemptRequest {
-  readonly method: string;
-  /** Path and query as the caller sent them. */
-  readonly target: string;
-  /** End-to-end headers, names and values in turn. */
-  readonly rawHeaders: readonly string[];
-  readonly callId: string;
-  /** What has arrived of the body. */
-  readonly body: Buffer;
-  /** Rest of a body that is too long to be held; the attempt can't be repeated. */
-  readonly bodyRest: IncomingMessage | null;
-  readonly remainingMs: number;
-}
-
 const DEFAULT_PROBE_TIMEOUT_MS = 60;
 
-/** Bodies up to this size are held until they are whole, so that a cut one can be asked again. */
-const HELD_BODY_MAX_BYTES = 256 * 1024;
-
 /** Idle connections to one backend server that are kept. */
 const FREE_SOCKETS_MAX = 4;
 
@@ -119,157 +95,3 @@
     return { result: run.result, cancel: () => run.cancel() };
   }
 }
-
-/** One request to a backend server and its answer. */
-class AttemptRun {
-  readonly result: Promise<AttemptResult>;
-
-  private settle: (result: AttemptResult) => void = () => {};
-
-  private readonly request: http.ClientRequest;
-
-  /** True from the moment at which a byte may have left. */
-  private sent = false;
-
-  private cancelled = false;
-
-  constructor(
-    agent: http.Agent,
-    private readonly profile: WireProfile,
-    view: BackendView,
-    private readonly attempt: AttemptRequest,
-    onConnect: () => void,
-  ) {
-    this.result = new Promise((resolve) => {
-      this.settle = resolve;
-    });
-    const { record } = view;
-    const { method, target, remainingMs, rawHeaders, body, bodyRest } = attempt;
-    const headers = [...rawHeaders];
-    headers.push(...profile.attemptHeaders({ remainingMs, backendId: record.id }));
-    if (!bodyRest && (body.length > 0 || method === 'POST' || method === 'PUT')) {
-      headers.push('Content-Length', String(body.length));
-    } else if (bodyRest) {
-      const length = bodyRest.headers['content-length'];
-      if (length !== undefined) headers.push('Content-Length', length);
-      else headers.push('Transfer-Encoding', 'chunked');
-    }
-    this.request = http.request({
-      host: record.address,
-      port: record.port,
-      method,
-      path: target,
-      agent,
-      setHost: false,
-      headers: headers as unknown as http.OutgoingHttpHeaders,
-    });
-    this.request.on('socket', (socket) => {
-      if (!socket.connecting) {
-        this.sent = true;
-        return;
-      }
-      socket.once('connect', () => {
-        this.sent = true;
-        onConnect();
-      });
-    });
-    this.request.on('error', (error: NodeJS.ErrnoException) =>
-      this.fail(error.code ?? error.message),
-    );
-    this.request.on('response', (response) => this.onResponse(response));
-    if (body.length > 0) this.request.write(body);
-    if (bodyRest) bodyRest.pipe(this.request);
-    else this.request.end();
-  }
-
-  cancel(): void {
-    this.cancelled = true;
-    this.settle({ type: AttemptResultType.Cancelled, reason: 'cancelled' });
-    this.request.destroy();
-  }
-
-  private fail(reason: string): void {
-    const type = this.sent ? AttemptResultType.Unknown : AttemptResultType.NotSent;
-    this.settle({ type, reason });
-  }
-
-  private onResponse(response: IncomingMessage): void {
-    const { statusCode = 0, headers } = response;
-    const head = this.profile.readAnswer(statusCode, headers);
-    if (head.callId !== this.attempt.callId && !head.notRun) {
-      this.settle({ type: AttemptResultType.Unknown, reason: 'answer to another call' });
-      this.request.destroy();
-      return;
-    }
-    if (head.notRun) {
-      response.resume();
-      const reason = `not run, status ${statusCode}`;
-      this.settle({ type: AttemptResultType.NotRun, reason, load: head.load });
-      return;
-    }
-    this.collect(response, head);
-  }
-
-  /** Holds the body until it is whole or too long to be held. */
-  private collect(
-    response: IncomingMessage,
-    head: ReturnType<WireProfile['readAnswer']>,
-  ): void {
-    const chunks: Buffer[] = [];
-    let bodyBytes = 0;
-    const answer = (rest: AnswerRest | null): AttemptResult => ({
-      type: AttemptResultType.Answer,
-      answer: {
-        statusCode: response.statusCode ?? 0,
-        statusMessage: response.statusMessage ?? '',
-        rawHeaders: response.rawHeaders,
-        authentic: head.authentic,
-        load: head.load,
-        body: Buffer.concat(chunks),
-        rest,
-      },
-    });
-    const onEnd = () => {
-      if (response.complete) this.settle(answer(null));
-      else this.fail('answer cut short');
-    };
-    const onBroken = () => this.fail('answer cut short');
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      bodyBytes += chunk.length;
-      if (bodyBytes <= HELD_BODY_MAX_BYTES) return;
-      response.pause();
-      response.off('data', onData);
-      response.off('end', onEnd);
-      this.settle(answer(this.restOf(response)));
-    };
-    response.on('data', onData);
-    response.on('end', onEnd);
-    response.on('error', onBroken);
-    response.on('close', () => {
-      if (!response.complete) onBroken();
-    });
-  }
-
-  private restOf(response: IncomingMessage): AnswerRest {
-    return {
-      read: ({ onData, onEnd, onBroken }) => {
-        let open = true;
-        const end = (whole: boolean) => {
-          if (!open) return;
-          open = false;
-          if (whole && !this.cancelled) onEnd();
-          else onBroken();
-        };
-        response.on('data', (chunk: Buffer) => {
-          if (!onData(chunk)) response.pause();
-        });
-        response.on('end', () => end(response.complete));
-        response.on('error', () => end(false));
-        response.on('close', () => end(response.complete));
-        response.resume();
-      },
-      resume: () => response.resume(),
-    };
-  }
-}
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -2,12 +2,8 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { Route, RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
-import {
-  DispatchOutcomeType,
-  type DecisionLog,
-  type Dispatcher,
-  type DispatchOutcome,
-} from '../Dispatcher.js';
+import type { Dispatcher } from '../Dispatcher.js';
+import { DispatchOutcomeType, type DecisionLog, type DispatchOutcome } from '../DispatchTypes.js';
 import type { RoutingInForce } from '../RoutingInForce.js';
 import type { BackendAnswer, Call, WireProfile } from '../Types.js';
 import type { BackendClient } from './BackendClient.js';
--- a/src/gateway/server/GatewayMetrics.ts
+++ b/src/gateway/server/GatewayMetrics.ts
@@ -1,5 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
-import type { DispatchOutcomeType } from '../Dispatcher.js';
+import type { DispatchOutcomeType } from '../DispatchTypes.js';
 
 /** Buckets around the objectives of a quarter of a second to a second and a half. */
 const LATENCY_BUCKETS_MS = [25, 50, 100, 150, 200, 250, 300, 400, 600, 800, 1_200, 1_600, 3_000];
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { ControlMessageType, type FromControlMessage } from '../../common/Messages.js';
 import type { EntryHost } from '../../common/Placement.js';
 import { createRandom } from '../../common/Random.js';
@@ -188,14 +189,10 @@
     this.stopping = true;
     log.line('gateway_stopping', { host: id, openCalls: this.calls.openCalls });
     this.watch?.ping();
-    await this.sleep(stopMs * LINGER_SHARE);
+    await sleep(stopMs * LINGER_SHARE);
     this.callerServer.close();
-    this.callerServer.closeIdleConnections();
     const lastAtMs = startedAtMs + stopMs * FINISH_SHARE;
-    while (this.calls.openCalls > 0 && this.clock.nowMs() < lastAtMs) {
-      await this.sleep(STOP_POLL_MS);
-      this.callerServer.closeIdleConnections();
-    }
+    await this.finishCalls(lastAtMs);
     log.line('gateway_stopped', { host: id, openCalls: this.calls.openCalls });
     this.dispose();
     await log.flush();
@@ -210,10 +207,12 @@
     });
   }
 
-  private sleep(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      setTimeout(resolve, delayMs);
-    });
+  /** Waits until every call has its final answer, or until the time is up. */
+  private async finishCalls(lastAtMs: number): Promise<void> {
+    this.callerServer.closeIdleConnections();
+    if (this.calls.openCalls === 0 || this.clock.nowMs() >= lastAtMs) return;
+    await sleep(STOP_POLL_MS);
+    await this.finishCalls(lastAtMs);
   }
 
   private self(): EntryHost {
--- a/src/gateway/server/RequestBody.ts
+++ b/src/gateway/server/RequestBody.ts
@@ -31,13 +31,14 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
+    let finished = false;
     const finish = (result: RequestBody) => {
-      request.off('data', onData);
-      request.off('end', onEnd);
-      request.off('close', onClose);
+      if (finished) return;
+      finished = true;
+      request.removeAllListeners('data');
       resolve(result);
     };
-    const onData = (chunk: Buffer) => {
+    request.on('data', (chunk: Buffer) => {
       chunks.push(chunk);
       bodyBytes += chunk.length;
       if (bodyBytes > bodyBytesMax) finish({ type: 'too-large' });
@@ -45,11 +46,8 @@
         request.pause();
         finish({ type: 'long', body: Buffer.concat(chunks) });
       }
-    };
-    const onEnd = () => finish({ type: 'whole', body: Buffer.concat(chunks) });
-    const onClose = () => finish({ type: 'broken' });
-    request.on('data', onData);
-    request.on('end', onEnd);
-    request.on('close', onClose);
+    });
+    request.once('end', () => finish({ type: 'whole', body: Buffer.concat(chunks) }));
+    request.once('close', () => finish({ type: 'broken' }));
   });
 }
