Answers without a length are passed on without one

Ruled out: a reset taken for an end; resets already failed the attempt. Change: such answers end with the caller's connection as well.

--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -92,6 +92,8 @@
   readonly load: LoadReport | undefined;
   /** The whole body, or what has arrived of a long one. */
   readonly body: Buffer;
+  /** False where only the end of the connection tells the end of the body. */
+  readonly framed: boolean;
   /** Rest of a body that is too long to be held; null where the body is whole. */
   readonly rest: AnswerRest | null;
 }
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -128,6 +128,9 @@
         authentic: head.authentic,
         load: head.load,
         body: Buffer.concat(chunks),
+        framed:
+          response.headers['content-length'] !== undefined ||
+          response.headers['transfer-encoding'] !== undefined,
         rest,
       },
     });
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -182,9 +182,11 @@
       if (declared !== undefined) headers.push('Content-Length', declared);
     } else if (response.req.method === 'HEAD') {
       if (declared !== undefined) headers.push('Content-Length', declared);
-    } else if (answer.statusCode !== 204 && answer.statusCode !== 304) {
+    } else if (answer.statusCode !== 204 && answer.statusCode !== 304 && answer.framed) {
       headers.push('Content-Length', String(body.length));
     }
+    // Whether a body without a length is whole isn't known here either, so no frame may say so.
+    if (!answer.framed) response.useChunkedEncodingByDefault = false;
     if (this.options.isStopping()) headers.push('Connection', 'close');
     response.writeHead(answer.statusCode, answer.statusMessage, headers);
     if (!rest) {
