Gateways answer the directory; silent entry hosts leave it sooner

Change: all gateways serve the directory from the merged lists of the control hosts, which drop a host after three missed heartbeats.

--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -39,6 +39,8 @@
   readonly snapshotEvery?: number;
   /** Present where lost control hosts are replaced without an operator. */
   readonly autoMembership?: AutoMembershipOptions;
+  /** Silence after which an entry host is no longer listed. */
+  readonly entrySilenceMs?: number;
 }
 
 /** Where the result of a proposed command goes. */
@@ -57,7 +59,7 @@
 
   readonly agreed = new AgreedState();
 
-  readonly sessions = new EntrySessions();
+  readonly sessions: EntrySessions;
 
   readonly backends: RegistryFlow;
 
@@ -75,6 +77,9 @@
   /** Sessions that get the routing. */
   private readonly watchers = new Set<number>();
 
+  /** True while a routing that was just applied is still to be pushed. */
+  private routingDirty = false;
+
   private snapshotRunning = false;
 
   private effects: ControlEffect[] = [];
@@ -85,6 +90,7 @@
 
   constructor(options: ControlOptions) {
     this.raft = new RaftNode(options.raft);
+    this.sessions = new EntrySessions({ listedSilenceMs: options.entrySilenceMs });
     this.agreed.restore(options.raft.snapshot.bytes);
     this.initialSettings = options.initialSettings;
     this.snapshotEvery = options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
@@ -117,6 +123,8 @@
     this.backends.begin(event.nowMs);
     const handler = this.eventHandlers[event.type] as (received: ControlEvent) => void;
     handler(event);
+    // One push for all entries of an event: what is replayed after a start is never in force.
+    if (this.routingDirty) this.pushRouting();
     return this.effects;
   }
 
@@ -187,7 +195,7 @@
     [RaftEffectType.Restore]: (effect: RaftEffectOf<RaftEffectType.Restore>) => {
       this.agreed.restore(effect.snapshot.bytes);
       this.pushFull();
-      this.pushRouting();
+      this.routingDirty = true;
     },
     [RaftEffectType.ReadReady]: (effect: RaftEffectOf<RaftEffectType.ReadReady>) =>
       this.admin.finishRead(effect.readId),
@@ -210,7 +218,7 @@
       message: SessionMessageOf<ControlMessageType.Hello>,
     ) => {
       this.sessions.hello(sessionId, message.entryHost, this.nowMs);
-      this.sendSession(sessionId, this.sessions.listMessage());
+      this.sendSession(sessionId, this.sessions.listMessage(this.nowMs));
     },
     [ControlMessageType.Ping]: (sessionId: number, message: PingMessage) =>
       this.onPing(sessionId, message),
@@ -259,7 +267,7 @@
       this.agreed.tree.system.configLeaseMs * SESSION_SILENCE_LEASES,
     );
     this.sessions
-      .takeListUpdates()
+      .takeListUpdates(this.nowMs)
       .forEach((send) => this.sendSession(send.sessionId, send.message));
     this.backends.tick();
     this.maintainLeader();
@@ -341,7 +349,7 @@
         event: 'routing_applied',
         fields: { index: entry.index, version, closedZones: closedZones.join(',') },
       });
-      this.pushRouting();
+      this.routingDirty = true;
     }
     const proposal = this.pending.get(entry.index);
     if (!proposal) return;
@@ -361,6 +369,7 @@
   }
 
   private pushRouting(): void {
+    this.routingDirty = false;
     this.watchers.forEach((sessionId) => this.sendRouting(sessionId));
   }
 
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -31,8 +31,23 @@
   readonly inForce: boolean;
 }
 
+/** Options of {@link EntrySessions}. */
+export interface EntrySessionsOptions {
+  /** Silence after which an entry host stays connected but is no longer listed. */
+  readonly listedSilenceMs?: number;
+}
+
 /** Live entry hosts as one control host sees them; soft state. */
 export class EntrySessions {
+  private readonly listedSilenceMs: number;
+
+  /** Ids that the last list named. */
+  private listedIds = '';
+
+  constructor(options: EntrySessionsOptions = {}) {
+    this.listedSilenceMs = options.listedSilenceMs ?? Number.POSITIVE_INFINITY;
+  }
+
   private readonly sessions = new Map<number, EntrySession>();
 
   /** True while the list of entry hosts has changed since it was last sent. */
@@ -104,20 +119,28 @@
   }
 
   /** Messages that tell every session the current list, if it has changed. */
-  takeListUpdates(): SessionSend[] {
-    if (!this.changed) return [];
+  takeListUpdates(nowMs: number): SessionSend[] {
+    const listed = this.listed(nowMs);
+    const ids = listed.map((session) => session.entryHost.id).join();
+    if (!this.changed && ids === this.listedIds) return [];
     this.changed = false;
-    const message = this.listMessage();
+    this.listedIds = ids;
+    const message = this.listMessage(nowMs);
     return [...this.sessions.keys()].map((sessionId) => ({ sessionId, message }));
   }
 
-  listMessage(): FromControlMessage {
+  listMessage(nowMs: number): FromControlMessage {
     return {
       type: ControlMessageType.EntryHosts,
-      entryHosts: this.list().map((session) => session.entryHost),
+      entryHosts: this.listed(nowMs).map((session) => session.entryHost),
     };
   }
 
+  /** Sessions that have been heard of late. */
+  private listed(nowMs: number): EntrySession[] {
+    return this.list().filter((session) => nowMs - session.lastSeenMs <= this.listedSilenceMs);
+  }
+
   subscribers(): EntrySession[] {
     return [...this.sessions.values()].filter((session) => session.subscribed);
   }
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -7,7 +7,6 @@
   type BetweenControlMessage,
   type ToControlMessage,
 } from '../../common/Messages.js';
-import type { EntryHost } from '../../common/Placement.js';
 import type { ControlFile } from '../../common/ProcessSettings.js';
 import { createRandom, type RandomSource } from '../../common/Random.js';
 import { AdminListener } from '../../runtime/AdminListener.js';
@@ -33,7 +32,6 @@
 } from '../Types.js';
 import { AdminApi, type AdminResult } from './AdminApi.js';
 import { DurableSender } from './DurableSender.js';
-import { chooseEntryHosts } from '../EntryDirectory.js';
 import { answerJoin, JOIN_PATH, requestJoin } from './JoinEndpoint.js';
 import { BETWEEN_CONTROL_FIELDS, ENTRY_FIELDS, RAFT_FIELDS } from './MessageFields.js';
 import { RaftLinks } from './RaftLinks.js';
@@ -54,6 +52,8 @@
   readonly linkTiming?: LinkTiming;
   /** Identity of an empty data folder; a random one by default. */
   readonly identity?: string;
+  /** Silence after which an entry host is no longer listed; two configuration leases by default. */
+  readonly entrySilenceMs?: number;
   /** True where a supervisor runs at most one process on the data folder. */
   readonly supervised?: boolean;
   /** Present where lost control hosts are replaced without an operator. */
@@ -73,9 +73,6 @@
 /** Interval at which a host that is no member asks to join. */
 const JOIN_INTERVAL_MS = 500;
 
-/** An entry host list is complete again this long after a start; heartbeats come every 300 ms. */
-const DIRECTORY_WARMUP_MS = 1_200;
-
 /** Process shell of a control host: sockets, files and timers around the reducer. */
 export class ControlServer {
   readonly registry = new Registry();
@@ -109,8 +106,6 @@
 
   private joinTimer: NodeJS.Timeout | undefined;
 
-  private startedAtMs = 0;
-
   /** Announcements without an answer. */
   private readonly announcementWaiters = new Map<string, (confirmed: boolean) => void>();
 
@@ -221,6 +216,7 @@
       initialSettings: file.initialSettings ?? null,
       snapshotEvery: options.snapshotEvery,
       autoMembership: options.autoMembership,
+      entrySilenceMs: options.entrySilenceMs,
     });
     return new ControlServer(options, storage, reducer);
   }
@@ -240,7 +236,6 @@
     const { adminListen } = file;
     this.boundAdminPort = await listen(this.adminHttp, adminListen.address, adminListen.port);
     this.syncLinks();
-    this.startedAtMs = this.clock.nowMs();
     this.timer = setInterval(() => this.tick(), TICK_MS);
     if (this.options.seeds) {
       this.joinTimer = setInterval(() => this.askToJoin(), JOIN_INTERVAL_MS);
@@ -282,14 +277,6 @@
     );
   }
 
-  /** Entry hosts that a caller should use; empty while this host can't tell. */
-  entryHostsFor(availabilityZone: string): EntryHost[] {
-    const nowMs = this.clock.nowMs();
-    if (nowMs - this.startedAtMs < DIRECTORY_WARMUP_MS) return [];
-    const { sessions } = this.reducer;
-    return chooseEntryHosts({ sessions, availabilityZone, nowMs, random: this.random });
-  }
-
   /** Address of the control host that leads, if one is known and isn't this one. */
   otherLeader(): Member | undefined {
     const { state } = this.reducer.raft;
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -37,7 +37,13 @@
       readonly probes: number;
       readonly loadAgeMs: number;
     }
-  | { readonly view: null; readonly reason: NoPickReason; readonly probes: number };
+  | {
+      readonly view: null;
+      readonly reason: NoPickReason;
+      readonly probes: number;
+      /** Loads of those that answered, for the log. */
+      readonly loads: string;
+    };
 
 /** Search for a backend server under way. */
 interface Search {
@@ -82,7 +88,7 @@
     const { pool, nowMs } = this.options;
     const { local, remote } = pool.candidates({ service: service.name, nowMs: nowMs(), tried });
     if (local.length + remote.length === 0) {
-      return Promise.resolve({ view: null, reason: NoPickReason.None, probes: 0 });
+      return Promise.resolve({ view: null, reason: NoPickReason.None, probes: 0, loads: '' });
     }
     return this.askInRounds(call, service, { local, remote, asked: [], round: 0, probes: 0 });
   }
@@ -175,16 +181,29 @@
     asked: readonly BackendView[],
     probes: number,
   ): Pick {
-    if (asked.length === 0) return { view: null, reason: NoPickReason.Silent, probes };
+    const none = (reason: NoPickReason): Pick => ({
+      view: null,
+      reason,
+      probes,
+      loads: asked.map((view) => this.describe(view, call)).join(','),
+    });
+    if (asked.length === 0) return none(NoPickReason.Silent);
     const open = asked.filter((view) => this.mayTake(view, service));
-    if (open.length === 0) return { view: null, reason: NoPickReason.Cold, probes };
+    if (open.length === 0) return none(NoPickReason.Cold);
     const leftMs = call.dueAtMs - this.options.nowMs();
     const inTime = open.filter((view) => this.expectedMs(view, call) < leftMs);
     const chosen = inTime.sort((a, b) => this.cost(a, call) - this.cost(b, call))[0];
-    if (!chosen) return { view: null, reason: NoPickReason.Full, probes };
+    if (!chosen) return none(NoPickReason.Full);
     return this.picked(chosen, call, probes);
   }
 
+  /** Load of a backend server as `running+waiting/slots*slowdown=expected`. */
+  private describe(view: BackendView, call: Call): string {
+    const { running = 0, waiting = 0, slots = 0, slowdown = 0 } = view.load ?? {};
+    const expectedMs = Math.round(this.expectedMs(view, call));
+    return `${running}+${waiting}/${slots}*${slowdown}=${expectedMs}`;
+  }
+
   private cost(view: BackendView, call: Call): number {
     const { pool, work, nowMs } = this.options;
     const expectedMs = this.expectedMs(view, call);
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -259,7 +259,14 @@
     const pick = await options.picker.pick(call, this.service, this.tried);
     if (!pick.view) {
       this.lastPick = pick.reason;
-      this.log('no_backend', { cause, reason: pick.reason, probes: pick.probes });
+      this.log('no_backend', {
+        cause,
+        reason: pick.reason,
+        probes: pick.probes,
+        leftMs: call.dueAtMs - options.nowMs(),
+        workMs: options.work.workMs(call.service),
+        loads: pick.loads,
+      });
       return false;
     }
     const { view } = pick;
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -24,7 +24,8 @@
   /** Control hosts to begin with; read again whenever no control host can be reached. */
   readonly seeds: () => readonly ControlAddress[];
   readonly routingIndex: () => number;
-  readonly onMessage: (message: FromControlMessage) => void;
+  readonly onMessage: (message: FromControlMessage, control: string) => void;
+  readonly onLost: (control: string) => void;
 }
 
 /** Fields that messages from control hosts must have. */
@@ -44,7 +45,7 @@
 };
 
 /** Heartbeats; three missed ones take an entry host out of the directory. */
-const PING_INTERVAL_MS = 300;
+const PING_INTERVAL_MS = 200;
 
 /** Without any link for this long, the seeds are tried again. */
 const SEEDS_AFTER_MS = 1_500;
@@ -114,6 +115,7 @@
       if (wanted.has(key)) return;
       client.dispose();
       this.clients.delete(key);
+      this.options.onLost(key);
     });
   }
 
@@ -136,18 +138,21 @@
         const routingIndex = this.options.routingIndex();
         client.send({ type: ControlMessageType.Watch, routingIndex });
       },
-      onMessage: (message) => this.receive(client, message as FromControlMessage),
-      onClose: () => logger.warn('control_lost', { control: key }),
+      onMessage: (message) => this.receive(client, key, message as FromControlMessage),
+      onClose: () => {
+        logger.warn('control_lost', { control: key });
+        this.options.onLost(key);
+      },
     });
     this.clients.set(key, client);
   }
 
-  private receive(client: MessageClient, message: FromControlMessage): void {
+  private receive(client: MessageClient, key: string, message: FromControlMessage): void {
     if (message.type === ControlMessageType.Pong) {
       this.onPong(message);
       return;
     }
-    this.options.onMessage(message);
+    this.options.onMessage(message, key);
     if (message.type === ControlMessageType.Backends && message.batchId > 0) {
       client.send({ type: ControlMessageType.BackendsAck, batchId: message.batchId });
     }
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ControlMessageType, type FromControlMessage } from '../../common/Messages.js';
 import type { EntryHost } from '../../common/Placement.js';
-import { createRandom } from '../../common/Random.js';
+import { createRandom, type RandomSource } from '../../common/Random.js';
 import type { RoutingView } from '../../common/routing/Types.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
@@ -13,6 +13,7 @@
 import { BackendPool } from '../BackendPool.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { Dispatcher } from '../Dispatcher.js';
+import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { RoutingInForce } from '../RoutingInForce.js';
 import type { WireProfile } from '../Types.js';
@@ -73,6 +74,10 @@
 
   private readonly clock: Clock;
 
+  private readonly random: RandomSource;
+
+  private readonly entryHosts = new EntryHostView();
+
   private readonly cold: ColdLimiter;
 
   private readonly budget: RetryBudget;
@@ -97,7 +102,8 @@
 
   constructor(private readonly options: GatewayServerOptions) {
     this.clock = options.clock ?? systemClock;
-    const random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
+    this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
+    const { random } = this;
     const nowMs = () => this.clock.nowMs();
     const log = (event: string, fields: Parameters<LineLog['line']>[1]) => {
       this.metrics.noteDecision(event);
@@ -155,6 +161,12 @@
     return this.boundPort;
   }
 
+  /** Entry hosts that a caller should use; empty while this host knows none. */
+  entryHostsFor(availabilityZone: string): EntryHost[] {
+    const entryHosts = this.entryHosts.hosts();
+    return chooseEntryHosts({ entryHosts, availabilityZone, random: this.random });
+  }
+
   /** True where callers are served. */
   get isReady(): boolean {
     return !this.stopping && this.routing.table !== null && this.pool.size > 0;
@@ -176,7 +188,8 @@
       },
       seeds: this.options.seeds,
       routingIndex: () => this.routing.logIndex,
-      onMessage: (message) => this.receive(message),
+      onMessage: (message, control) => this.receive(message, control),
+      onLost: (control) => this.entryHosts.lose(control),
     });
     log.line('gateway_started', { host: id, port: this.boundPort });
   }
@@ -229,10 +242,10 @@
     };
   }
 
-  private receive(message: FromControlMessage): void {
+  private receive(message: FromControlMessage, control: string): void {
     const handler = this.handlers[message.type as keyof typeof this.handlers] as
-      ((received: FromControlMessage) => void) | undefined;
-    handler?.(message);
+      ((received: FromControlMessage, from: string) => void) | undefined;
+    handler?.(message, control);
   }
 
   private readonly handlers = {
@@ -260,9 +273,12 @@
     },
     [ControlMessageType.EntryHosts]: (
       message: Extract<FromControlMessage, { type: ControlMessageType.EntryHosts }>,
+      control: string,
     ) => {
-      this.cold.setEntryHosts(message.entryHosts);
-      this.budget.setEntryHosts(message.entryHosts.length);
+      this.entryHosts.update(control, message.entryHosts);
+      const entryHosts = this.entryHosts.hosts();
+      this.cold.setEntryHosts(entryHosts);
+      this.budget.setEntryHosts(entryHosts.length);
     },
   };
 
