Control hosts hold their first election soon after a start

Change: the first election time is a quarter to half of a timeout; the pre-vote keeps a host that comes back from disturbing a living leader.

--- a/src/control/raft/Election.ts
+++ b/src/control/raft/Election.ts
@@ -12,6 +12,18 @@
   state.electionAtMs = state.nowMs + state.timing.electionTimeoutMs * (1 + random);
 }
 
+/** First election time after a start, as a share of the election timeout. */
+const FIRST_ELECTION_SHARE = 0.25;
+
+/**
+ * Sets the first election time after a start. It is short, since nothing is served before there is
+ * a leader; a pre-vote keeps a host that comes back from disturbing a leader that lives.
+ */
+export function startElectionTimer(state: RaftState, random: number): void {
+  const spreadMs = state.timing.electionTimeoutMs * FIRST_ELECTION_SHARE;
+  state.electionAtMs = state.nowMs + spreadMs * (1 + random);
+}
+
 /** Reports the role, term and leader. */
 function emitRole(state: RaftState): void {
   state.emit({
