--- a/.eslintrc.cjs
+++ b/.eslintrc.cjs
@@ -20,6 +20,15 @@
     ],
   },
   overrides: [
+    {
+      files: ['src/**/*.ts'],
+      rules: {
+        'import/no-restricted-paths': [
+          'error',
+          { zones: [{ target: './src', from: './platform', message: 'The product knows no provider.' }] },
+        ],
+      },
+    },
     {
       // Commands of one topic share a file; each is a declaration of options and output.
       files: ['src/ctl/*Commands.ts'],
