--- /dev/null
+++ b/src/control/RoutingState.test.ts
@@ -0,0 +1,88 @@
+import { describe, expect, it } from 'vitest';
+import { createRoute, createTable } from '../common/routing/fixtures.js';
+import { CommandType } from './Commands.js';
+import type { RoutingChangeCommand } from './RoutingCommands.js';
+import { RoutingState, RoutingVerdict } from './RoutingState.js';
+
+function createChange(changes: Partial<RoutingChangeCommand> = {}): RoutingChangeCommand {
+  return {
+    type: CommandType.RoutingChange,
+    changeId: 'first',
+    baseVersion: 0,
+    version: 5,
+    edit: { table: createTable() },
+    actor: 'operator',
+    atMs: 0,
+    ...changes,
+  };
+}
+
+describe('RoutingState', () => {
+  it('lets one of two changes on the same version win', () => {
+    const state = new RoutingState();
+    expect(state.change(1, createChange()).verdict).toBe(RoutingVerdict.Accepted);
+    const one = createChange({ changeId: 'one', baseVersion: 5, version: 7 });
+    const other = createChange({ changeId: 'other', baseVersion: 5, version: 7 });
+    expect(state.change(2, one).verdict).toBe(RoutingVerdict.Accepted);
+    expect(state.change(3, other).verdict).toBe(RoutingVerdict.Conflict);
+    expect(state.view).toMatchObject({ version: 7, index: 2 });
+  });
+
+  it('acknowledges a resend of an accepted change, also after later ones', () => {
+    const state = new RoutingState();
+    state.change(1, createChange());
+    state.change(2, createChange({ changeId: 'second', baseVersion: 5, version: 6 }));
+    const again = state.change(3, createChange());
+    expect(again).toMatchObject({ verdict: RoutingVerdict.Accepted, repeated: true, version: 5 });
+    expect(state.view.version).toBe(6);
+  });
+
+  it('never remembers a refused change as accepted', () => {
+    const state = new RoutingState();
+    const early = createChange({ changeId: 'x', baseVersion: 5, version: 6 });
+    expect(state.change(1, early).verdict).toBe(RoutingVerdict.Conflict);
+    state.change(2, createChange());
+    expect(state.change(3, early).verdict).toBe(RoutingVerdict.Accepted);
+  });
+
+  it('refuses a version that is not above the one in force', () => {
+    const state = new RoutingState();
+    state.change(1, createChange());
+    const same = createChange({ changeId: 'same', baseVersion: 5, version: 5 });
+    expect(state.change(2, same).verdict).toBe(RoutingVerdict.Invalid);
+  });
+
+  it('checks a partial change together with what stays', () => {
+    const state = new RoutingState();
+    state.change(1, createChange());
+    const patch = {
+      upsertRoutes: [createRoute('new', { destinations: [{ service: 'none', weight: 1 }] })],
+      upsertServices: [],
+      removeRoutes: [],
+      removeServices: [],
+    };
+    const change = createChange({ changeId: 'p', baseVersion: 5, version: 6, edit: { patch } });
+    expect(state.change(2, change).verdict).toBe(RoutingVerdict.Invalid);
+    const removal = { ...patch, upsertRoutes: [], removeServices: ['alpha'] };
+    const dangling = createChange({
+      changeId: 'q',
+      baseVersion: 5,
+      version: 6,
+      edit: { patch: removal },
+    });
+    expect(state.change(3, dangling).verdict).toBe(RoutingVerdict.Invalid);
+    expect(state.view.version).toBe(5);
+  });
+
+  it('keeps table, closed zones and accepted changes through a snapshot', () => {
+    const state = new RoutingState();
+    state.change(1, createChange());
+    const closure = { type: CommandType.ZoneClosure, zone: 'perth', closed: true } as const;
+    expect(state.closeZone(2, { ...closure, actor: 'operator', atMs: 0 })).toBe(true);
+    expect(state.closeZone(3, { ...closure, actor: 'operator', atMs: 0 })).toBe(false);
+    const restored = new RoutingState();
+    restored.restore(state.toSnapshot());
+    expect(restored.view).toEqual(state.view);
+    expect(restored.change(4, createChange()).repeated).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/gateway/Limits.test.ts
@@ -0,0 +1,176 @@
+import { describe, expect, it } from 'vitest';
+import { createRandom } from '../common/Random.js';
+import { createRoute } from '../common/routing/fixtures.js';
+import { BackendPool } from './BackendPool.js';
+import { ColdLimiter } from './ColdLimiter.js';
+import { chooseEntryHosts, EntryHostView } from './EntryDirectory.js';
+import { createBackend, createEntryHost } from './fixtures.js';
+import { RetryBudget } from './RetryBudget.js';
+import { SplitChooser } from './SplitChooser.js';
+import { BackendView } from './BackendView.js';
+
+/** The users' rule: rate times 1.5 plus 5 calls in any second. */
+const COLD_PER_SECOND = 9.4;
+const COLD_BOUND = COLD_PER_SECOND * 1.5 + 5;
+
+describe('ColdLimiter', () => {
+  it('keeps the sum over all entry hosts within the rate', () => {
+    const hosts = Array.from({ length: 20 }, (unused, at) =>
+      createEntryHost(`entry-${at}`, at % 2 ? 'perth' : 'bunbury'),
+    );
+    const view = new BackendView(createBackend('b-1'));
+    const limiters = hosts.map((host) => {
+      const limiter = new ColdLimiter({ selfId: host.id });
+      limiter.setEntryHosts(hosts);
+      return limiter;
+    });
+    let sent = 0;
+    for (let nowMs = 0; nowMs < 1_000; nowMs += 10) {
+      limiters.forEach((limiter) => {
+        if (!limiter.hasRoom(view, COLD_PER_SECOND, nowMs)) return;
+        limiter.note(view, nowMs);
+        sent += 1;
+      });
+    }
+    expect(sent).toBeGreaterThan(0);
+    expect(sent).toBeLessThanOrEqual(COLD_BOUND);
+  });
+
+  it('gives a different owner the rate when an entry host is lost', () => {
+    const hosts = Array.from({ length: 6 }, (unused, at) => createEntryHost(`entry-${at}`));
+    const view = new BackendView(createBackend('b-1'));
+    const allowed = (list: typeof hosts) =>
+      list.filter((host) => {
+        const limiter = new ColdLimiter({ selfId: host.id });
+        limiter.setEntryHosts(list);
+        return limiter.allowance(view, COLD_PER_SECOND) > 0;
+      }).length;
+    expect(allowed(hosts)).toBe(4);
+    expect(allowed(hosts.slice(1))).toBe(4);
+  });
+});
+
+describe('RetryBudget', () => {
+  const createBudget = () =>
+    new RetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 68, startedAtMs: 0 });
+
+  it('keeps the sum over all entry hosts within the bound, slack included', () => {
+    const budgets = Array.from({ length: 20 }, createBudget);
+    let calls = 0;
+    let retries = 0;
+    budgets.forEach((budget) => {
+      budget.setEntryHosts(20);
+      for (let nowMs = 10_000; nowMs < 20_000; nowMs += 100) {
+        budget.noteCall('alpha', nowMs);
+        calls += 1;
+        if (budget.tryTake('alpha', nowMs)) retries += 1;
+      }
+    });
+    expect(retries).toBeGreaterThan(0.1 * calls);
+    expect(retries).toBeLessThanOrEqual(0.2 * calls + 68);
+  });
+
+  it('has no slack after a restart: what was spent before is not known', () => {
+    const budget = createBudget();
+    budget.setEntryHosts(1);
+    expect(budget.tryTake('alpha', 100)).toBe(false);
+    expect(budget.tryTake('alpha', 10_000)).toBe(true);
+  });
+});
+
+describe('SplitChooser', () => {
+  it('keeps the shares from the first calls on', () => {
+    const route = createRoute('split', {
+      destinations: [
+        { service: 'a', weight: 90 },
+        { service: 'b', weight: 10 },
+      ],
+    });
+    const chosen: string[] = [];
+    for (let host = 0; host < 20; host += 1) {
+      const chooser = new SplitChooser(createRandom(host));
+      for (let call = 0; call < 10; call += 1) chosen.push(chooser.next(route));
+    }
+    const share = chosen.filter((service) => service === 'b').length / chosen.length;
+    expect(share).toBeGreaterThan(0.05);
+    expect(share).toBeLessThan(0.15);
+  });
+
+  it('never chooses a service of weight 0', () => {
+    const route = createRoute('split', {
+      destinations: [
+        { service: 'a', weight: 0 },
+        { service: 'b', weight: 5 },
+      ],
+    });
+    const chooser = new SplitChooser(createRandom(1));
+    for (let call = 0; call < 100; call += 1) expect(chooser.next(route)).toBe('b');
+  });
+});
+
+describe('BackendPool', () => {
+  const createPool = () => new BackendPool({ availabilityZone: 'perth', random: createRandom(1) });
+  const ids = (pool: BackendPool) => {
+    const { local, remote } = pool.candidates({ service: 'alpha', nowMs: 0, tried: new Set() });
+    return [...local, ...remote].map((view) => view.record.id).sort();
+  };
+
+  it('gives an address to its newest incarnation, whoever is heard last', () => {
+    const pool = createPool();
+    const old = createBackend('b-1', { port: 80, bornMs: 5 });
+    const fresh = createBackend('b-2', { port: 80, bornMs: 9 });
+    pool.apply([fresh], 0);
+    pool.apply([old], 1);
+    expect(ids(pool)).toEqual(['b-2']);
+    pool.apply([createBackend('b-1', { port: 81, bornMs: 10 })], 2);
+    expect(ids(pool)).toEqual(['b-1', 'b-2']);
+  });
+
+  it('sends nothing into a closed zone', () => {
+    const pool = createPool();
+    pool.apply([createBackend('b-1'), createBackend('b-2', { availabilityZone: 'bunbury' })], 0);
+    pool.closeZones(['perth']);
+    expect(ids(pool)).toEqual(['b-2']);
+    pool.closeZones([]);
+    expect(ids(pool)).toEqual(['b-1', 'b-2']);
+  });
+});
+
+describe('entry hosts in the directory', () => {
+  const near = ['e-1', 'e-2'].map((id) => createEntryHost(id, 'perth'));
+  const far = ['e-3', 'e-4'].map((id) => createEntryHost(id, 'bunbury'));
+  const choose = (entryHosts: typeof near, limit?: number) =>
+    chooseEntryHosts({
+      entryHosts,
+      availabilityZone: 'perth',
+      random: createRandom(1),
+      limit,
+    }).map((host) => host.id);
+
+  it('are those of the zone while there are enough', () => {
+    expect(choose([...near, ...far])).toEqual(['e-1', 'e-2']);
+    expect(choose([near[0]!, ...far])).toEqual(['e-1', 'e-3', 'e-4']);
+    expect(choose([near[0]!, { ...near[1]!, stopping: true }, ...far])).toHaveLength(3);
+    expect(choose([...near, ...far], 1)).toHaveLength(1);
+  });
+
+  it('stay known when the last control host is lost', () => {
+    const view = new EntryHostView();
+    view.update('c-1', near);
+    view.update('c-2', far);
+    expect(view.hosts()).toHaveLength(4);
+    view.lose('c-1');
+    expect(view.hosts()).toHaveLength(2);
+    view.lose('c-2');
+    expect(view.hosts()).toHaveLength(2);
+    view.update('c-1', near);
+    expect(view.hosts().map((host) => host.id)).toEqual(['e-1', 'e-2']);
+  });
+
+  it('count as stopping as soon as one control host says so', () => {
+    const view = new EntryHostView();
+    view.update('c-1', near);
+    view.update('c-2', [{ ...near[0]!, stopping: true }]);
+    expect(view.hosts().find((host) => host.id === 'e-1')?.stopping).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/gateway/fixtures.ts
@@ -0,0 +1,221 @@
+import { BackendState, type BackendRecord } from '../common/backends/Types.js';
+import type { EntryHost } from '../common/Placement.js';
+import { createRandom } from '../common/Random.js';
+import { createRoute, createService } from '../common/routing/fixtures.js';
+import type { Route, RoutedService } from '../common/routing/Types.js';
+import { BackendPicker } from './BackendPicker.js';
+import { BackendPool } from './BackendPool.js';
+import type { BackendView } from './BackendView.js';
+import { ColdLimiter } from './ColdLimiter.js';
+import { Dispatcher } from './Dispatcher.js';
+import type { DispatchOutcome } from './DispatchTypes.js';
+import { RetryBudget } from './RetryBudget.js';
+import {
+  AttemptResultType,
+  type AttemptResult,
+  type BackendAnswer,
+  type Call,
+  type HealthReport,
+} from './Types.js';
+import { WorkEstimates } from './WorkEstimates.js';
+
+/** Creates the record of a ready backend server, for tests. */
+export function createBackend(id: string, changes: Partial<BackendRecord> = {}): BackendRecord {
+  return {
+    id,
+    service: 'alpha',
+    address: '10.0.0.1',
+    port: 1_000 + Number(id.replace(/\D/g, '') || 0),
+    availabilityZone: 'perth',
+    slots: 3,
+    state: BackendState.Ready,
+    bornMs: 1,
+    sequence: 1,
+    coldLeftMs: 0,
+    ...changes,
+  };
+}
+
+/** Creates an entry host, for tests. */
+export function createEntryHost(id: string, availabilityZone = 'perth'): EntryHost {
+  return {
+    id,
+    address: '10.1.0.1',
+    port: 80,
+    peerPort: 0,
+    adminAddress: '10.1.0.1',
+    adminPort: 81,
+    availabilityZone,
+    stopping: false,
+  };
+}
+
+/** Creates a probe's answer, for tests. */
+export function createHealth(id: string, changes: Partial<HealthReport> = {}): HealthReport {
+  return {
+    healthy: true,
+    backendId: id,
+    coldLeftMs: undefined,
+    load: { running: 0, waiting: 0, slots: 3, slowdown: 1 },
+    ...changes,
+  };
+}
+
+/** Creates an answer, for tests. */
+export function createAnswer(changes: Partial<BackendAnswer> = {}): AttemptResult {
+  return {
+    type: AttemptResultType.Answer,
+    answer: {
+      statusCode: 200,
+      statusMessage: 'OK',
+      rawHeaders: [],
+      authentic: true,
+      load: undefined,
+      body: Buffer.from('answer'),
+      framed: true,
+      rest: null,
+      ...changes,
+    },
+  };
+}
+
+/** What a simulated backend server does with an attempt. */
+export interface ScriptedAttempt {
+  readonly afterMs: number;
+  readonly result: AttemptResult;
+}
+
+/** Options of {@link createDispatchWorld}. */
+export interface DispatchWorldOptions {
+  readonly backends: readonly BackendRecord[];
+  /** Probe answers by backend server; a missing one answers as idle, null as silent. */
+  readonly health?: Readonly<Record<string, HealthReport | null>>;
+  /** What happens to the n-th attempt; the last one repeats. */
+  readonly attempts: readonly ScriptedAttempt[];
+  readonly route?: Partial<Route>;
+  readonly service?: Partial<RoutedService>;
+  readonly budgetMs?: number;
+  readonly retryRatio?: number;
+  readonly selfId?: string;
+  readonly entryHosts?: readonly EntryHost[];
+}
+
+const PROBE_MS = 1;
+
+/** Dispatch of one entry host with simulated time, backend servers and callers. */
+export function createDispatchWorld(options: DispatchWorldOptions) {
+  let nowMs = 0;
+  const timers: { atMs: number; fire: () => void }[] = [];
+  const setTimer = (delayMs: number, fire: () => void) => {
+    const timer = { atMs: nowMs + delayMs, fire };
+    timers.push(timer);
+    return () => {
+      const at = timers.indexOf(timer);
+      if (at >= 0) timers.splice(at, 1);
+    };
+  };
+  const pool = new BackendPool({ availabilityZone: 'perth', random: createRandom(7) });
+  pool.apply(options.backends, nowMs);
+  const cold = new ColdLimiter({ selfId: options.selfId ?? 'entry-1' });
+  cold.setEntryHosts(options.entryHosts ?? [createEntryHost('entry-1')]);
+  const budget = new RetryBudget({
+    ratio: options.retryRatio ?? 2,
+    windowMs: 10_000,
+    slack: 0,
+    startedAtMs: 0,
+  });
+  const work = new WorkEstimates();
+  const probes: string[] = [];
+  const probe = (view: BackendView): Promise<HealthReport | null> => {
+    const { id } = view.record;
+    probes.push(id);
+    const known = options.health?.[id];
+    return new Promise((resolve) => {
+      setTimer(PROBE_MS, () => resolve(known === undefined ? createHealth(id) : known));
+    });
+  };
+  const picker = new BackendPicker({ pool, cold, work, probe, nowMs: () => nowMs });
+  const dispatcher = new Dispatcher({
+    picker,
+    cold,
+    budget,
+    work,
+    nowMs: () => nowMs,
+    setTimer,
+    log: () => {},
+  });
+  const sent: string[] = [];
+  const cancelled: string[] = [];
+  let wanted = true;
+  let abandon = () => {};
+  const route = createRoute('read', options.route);
+  const createCall = (): Call => ({
+    callId: 'call-1',
+    route,
+    service: 'alpha',
+    arrivedAtMs: nowMs,
+    dueAtMs: nowMs + (options.budgetMs ?? 1_200),
+    objectiveAtMs: nowMs + route.objectiveMs,
+    isWanted: () => wanted,
+  });
+  const send = (view: BackendView) => {
+    const { id } = view.record;
+    const script = options.attempts[Math.min(sent.length, options.attempts.length - 1)]!;
+    sent.push(id);
+    const result = new Promise<AttemptResult>((resolve) => {
+      setTimer(script.afterMs, () => resolve(script.result));
+    });
+    return { result, cancel: () => cancelled.push(id) };
+  };
+  const settle = async () => {
+    for (let turn = 0; turn < 20; turn += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      await Promise.resolve();
+    }
+  };
+  /** Lets simulated time pass until a time. */
+  const advanceTo = async (untilMs: number): Promise<void> => {
+    await settle();
+    timers.sort((a, b) => a.atMs - b.atMs);
+    const next = timers[0];
+    if (!next || next.atMs > untilMs) {
+      nowMs = untilMs;
+      return;
+    }
+    timers.shift();
+    nowMs = Math.max(nowMs, next.atMs);
+    next.fire();
+    await advanceTo(untilMs);
+  };
+  return {
+    pool,
+    cold,
+    budget,
+    probes,
+    sent,
+    cancelled,
+    advanceTo,
+    nowMs: () => nowMs,
+    leave: () => {
+      wanted = false;
+      abandon();
+    },
+    /** Runs one call to its end; the time at which it ended stands beside its outcome. */
+    async run(untilMs = 3_000): Promise<{ outcome: DispatchOutcome; endedAtMs: number }> {
+      let ended: { outcome: DispatchOutcome; endedAtMs: number } | undefined;
+      dispatcher
+        .run(createCall(), createService('alpha', options.service), send, (leave) => {
+          abandon = leave;
+        })
+        .then(
+          (outcome) => {
+            ended = { outcome, endedAtMs: nowMs };
+          },
+          () => {},
+        );
+      await advanceTo(nowMs + untilMs);
+      if (!ended) throw new Error('The call has not ended.');
+      return ended;
+    },
+  };
+}
