--- a/src/gateway/Limits.test.ts
+++ b/src/gateway/Limits.test.ts
@@ -24,14 +24,13 @@
       limiter.setEntryHosts(hosts);
       return limiter;
     });
+    const sendWhatFits = (nowMs: number) => {
+      const free = limiters.filter((limiter) => limiter.hasRoom(view, COLD_PER_SECOND, nowMs));
+      free.forEach((limiter) => limiter.note(view, nowMs));
+      return free.length;
+    };
     let sent = 0;
-    for (let nowMs = 0; nowMs < 1_000; nowMs += 10) {
-      limiters.forEach((limiter) => {
-        if (!limiter.hasRoom(view, COLD_PER_SECOND, nowMs)) return;
-        limiter.note(view, nowMs);
-        sent += 1;
-      });
-    }
+    for (let nowMs = 0; nowMs < 1_000; nowMs += 10) sent += sendWhatFits(nowMs);
     expect(sent).toBeGreaterThan(0);
     expect(sent).toBeLessThanOrEqual(COLD_BOUND);
   });
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -23,6 +23,8 @@
   readonly logger: Logger;
   /** Control hosts to begin with; read again whenever no control host can be reached. */
   readonly seeds: () => readonly ControlAddress[];
+  /** False to stay with the seeds whatever members the control hosts name. */
+  readonly followMembership?: boolean;
   readonly routingIndex: () => number;
   readonly onMessage: (message: FromControlMessage, control: string) => void;
   readonly onLost: (control: string) => void;
@@ -159,6 +161,7 @@
   }
 
   private onPong(pong: PongMessage): void {
+    if (this.options.followMembership === false) return;
     if (pong.membershipIndex <= this.membershipIndex || pong.voters.length === 0) return;
     this.membershipIndex = pong.membershipIndex;
     this.sync(pong.voters);
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -41,6 +41,8 @@
   readonly metrics?: ListenAddress & { readonly path: string };
   readonly secret: string;
   readonly seeds: () => readonly ControlAddress[];
+  /** False where the control hosts' own addresses can't be reached, as in tests. */
+  readonly followMembership?: boolean;
   readonly profile: WireProfile;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Time from the stop signal to the end of the process at the latest. */
@@ -187,6 +189,7 @@
         debug: () => {},
       },
       seeds: this.options.seeds,
+      followMembership: this.options.followMembership,
       routingIndex: () => this.routing.logIndex,
       onMessage: (message, control) => this.receive(message, control),
       onLost: (control) => this.entryHosts.lose(control),
--- a/src/runtime/LineLog.ts
+++ b/src/runtime/LineLog.ts
@@ -11,7 +11,8 @@
   readonly linesPerSecond?: number;
   /** Other limits for single events, lines per second. */
   readonly limits?: Readonly<Record<string, number>>;
-  readonly fileDescriptor?: number;
+  /** Writes lines in the background; to standard output by default. */
+  readonly write?: (text: string, done: () => void) => void;
   readonly nowMs?: () => number;
   readonly wallMs?: () => number;
 }
@@ -37,6 +38,13 @@
   return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
 }
 
+const STANDARD_OUTPUT = 1;
+
+/** A failed write is a reader that is gone; the lines are lost and nothing else. */
+function writeToStandardOutput(text: string, done: () => void): void {
+  write(STANDARD_OUTPUT, text, () => done());
+}
+
 /** Lines of one event within the current second. */
 interface EventWindow {
   startedAtMs: number;
@@ -144,7 +152,7 @@
     const text = this.pending.join('');
     this.pending = [];
     // The bytes stay counted until they are written: they are what a stuck reader holds up.
-    write(this.options.fileDescriptor ?? 1, text, () => {
+    (this.options.write ?? writeToStandardOutput)(text, () => {
       this.writing = false;
       this.pendingBytes -= text.length;
       if (this.pending.length > 0) {
--- /dev/null
+++ b/standin/ProviderBackend.ts
@@ -0,0 +1,189 @@
+import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
+import { closeServer, listen } from '../src/runtime/HttpJson.js';
+import { createBeat } from './ProviderDocuments.js';
+
+/** What a stand-in backend server does with a request. */
+export enum BackendMood {
+  Answer = 'answer',
+  /** Says that it did not run the request. */
+  Shed = 'shed',
+  /** Runs the request and resets the connection. */
+  LoseAnswer = 'lose-answer',
+  /** Sends an answer to another request. */
+  ForeignAnswer = 'foreign-answer',
+  /** Ends the connection in the middle of a body with a length. */
+  CutAnswer = 'cut-answer',
+  /** Sends a body without a length and ends the connection. */
+  Unframed = 'unframed',
+  /** Never answers. */
+  Hang = 'hang',
+}
+
+/** Options of a {@link ProviderBackend}. */
+export interface ProviderBackendOptions {
+  readonly id: string;
+  readonly service?: string;
+  readonly availabilityZone?: string;
+  readonly mood?: BackendMood;
+  readonly workMs?: number;
+}
+
+/** Request that a stand-in backend server ran. */
+export interface RunRequest {
+  readonly callId: string;
+  readonly method: string;
+  readonly target: string;
+  readonly body: string;
+  readonly budgetMs: number;
+}
+
+const BODY = 'the body of the answer';
+
+/** Small backend server that speaks the users' protocol over loopback. */
+export class ProviderBackend {
+  readonly runs: RunRequest[] = [];
+
+  mood: BackendMood;
+
+  slowdownPercent = 100;
+
+  coldLeftMs = 0;
+
+  private sequence = 0;
+
+  private port = 0;
+
+  private readonly server = createServer((incoming, response) => this.handle(incoming, response));
+
+  constructor(private readonly options: ProviderBackendOptions) {
+    this.mood = options.mood ?? BackendMood.Answer;
+  }
+
+  async start(): Promise<void> {
+    this.port = await listen(this.server, '127.0.0.1', 0);
+  }
+
+  stop(): Promise<void> {
+    return closeServer(this.server);
+  }
+
+  /** Announces itself at a control host; resolves with the status of the answer. */
+  announce(controlPort: number, state = 'ready'): Promise<number> {
+    const { id, service = 'alpha', availabilityZone = 'perth' } = this.options;
+    this.sequence += 1;
+    const body = createBeat(`127.0.0.1:${this.port}`, this.sequence, {
+      info: { service, version: 'v1', zone: availabilityZone, slots: 3 },
+      status: { state, sequence: this.sequence, cold_left_ms: this.coldLeftMs },
+    });
+    const path = `/egretcourse/instances/${id}`;
+    return sendDocument({ port: controlPort, method: 'PUT', path, body }).then(
+      (reply) => reply.status,
+    );
+  }
+
+  private handle(incoming: IncomingMessage, response: ServerResponse): void {
+    const { id } = this.options;
+    response.setHeader('X-Server-Load', `0,0,3,${this.slowdownPercent}`);
+    if (incoming.url === '/health') {
+      response.setHeader('X-Instance-Id', id);
+      response.setHeader('X-Cold-Ms', String(this.coldLeftMs));
+      response.end();
+      return;
+    }
+    const chunks: Buffer[] = [];
+    incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+    incoming.on('end', () => this.run(incoming, response, Buffer.concat(chunks).toString()));
+  }
+
+  private run(incoming: IncomingMessage, response: ServerResponse, body: string): void {
+    const callId = String(incoming.headers['x-attempt-id']);
+    response.setHeader('X-Attempt-Id', callId);
+    if (incoming.headers['x-expect-instance'] !== this.options.id) {
+      response.writeHead(421).end();
+      return;
+    }
+    if (this.mood === BackendMood.Shed) {
+      response.writeHead(503, { 'X-Not-Executed': '1' }).end();
+      return;
+    }
+    this.runs.push({
+      callId,
+      method: incoming.method ?? '',
+      target: incoming.url ?? '',
+      body,
+      budgetMs: Number(incoming.headers['x-deadline-ms']),
+    });
+    response.setHeader('X-Response-Signature', `mark-of-${this.options.id}`);
+    setTimeout(() => this.answers[this.mood](response), this.options.workMs ?? 1);
+  }
+
+  private readonly answers: Record<BackendMood, (response: ServerResponse) => void> = {
+    [BackendMood.Answer]: (response) => response.end(BODY),
+    [BackendMood.Shed]: (response) => response.end(),
+    [BackendMood.LoseAnswer]: (response) => response.socket?.resetAndDestroy(),
+    [BackendMood.ForeignAnswer]: (response) => {
+      response.setHeader('X-Attempt-Id', 'another-call');
+      response.end(BODY);
+    },
+    [BackendMood.CutAnswer]: (response) => {
+      response.writeHead(200, { 'Content-Length': BODY.length });
+      response.write(BODY.slice(0, 5));
+      setTimeout(() => response.destroy(), 5);
+    },
+    [BackendMood.Unframed]: (response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.end(BODY);
+    },
+    [BackendMood.Hang]: () => {},
+  };
+}
+
+/** Request of {@link sendDocument}. */
+export interface DocumentRequest {
+  readonly port: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: unknown;
+  readonly rawBody?: string;
+}
+
+/** Reply to {@link sendDocument}. */
+export interface DocumentReply {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly text: string;
+  /** False where the answer was cut. */
+  readonly complete: boolean;
+}
+
+/** Sends one request over loopback, on a connection of its own. */
+export function sendDocument(options: DocumentRequest): Promise<DocumentReply> {
+  const { port, method, path, headers = {}, body } = options;
+  const text = options.rawBody ?? (body === undefined ? '' : JSON.stringify(body));
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      host: '127.0.0.1',
+      port,
+      method,
+      path,
+      agent: false,
+      headers: { ...headers, 'Content-Length': Buffer.byteLength(text) },
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', () => {});
+      response.on('close', () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          text: Buffer.concat(chunks).toString(),
+          complete: response.complete,
+        }),
+      );
+    });
+    outgoing.end(text);
+  });
+}
