--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -1,6 +1,7 @@
-import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { closeServer, listen } from '../src/runtime/HttpJson.js';
 import { createBeat } from './ProviderDocuments.js';
+import { sendDocument } from './SendDocument.js';
 
 /** What a stand-in backend server does with a request. */
 export enum BackendMood {
@@ -137,53 +138,3 @@
     [BackendMood.Hang]: () => {},
   };
 }
-
-/** Request of {@link sendDocument}. */
-export interface DocumentRequest {
-  readonly port: number;
-  readonly method: string;
-  readonly path: string;
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: unknown;
-  readonly rawBody?: string;
-}
-
-/** Reply to {@link sendDocument}. */
-export interface DocumentReply {
-  readonly status: number;
-  readonly headers: IncomingMessage['headers'];
-  readonly text: string;
-  /** False where the answer was cut. */
-  readonly complete: boolean;
-}
-
-/** Sends one request over loopback, on a connection of its own. */
-export function sendDocument(options: DocumentRequest): Promise<DocumentReply> {
-  const { port, method, path, headers = {}, body } = options;
-  const text = options.rawBody ?? (body === undefined ? '' : JSON.stringify(body));
-  return new Promise((resolve, reject) => {
-    const outgoing = request({
-      host: '127.0.0.1',
-      port,
-      method,
-      path,
-      agent: false,
-      headers: { ...headers, 'Content-Length': Buffer.byteLength(text) },
-    });
-    outgoing.on('error', reject);
-    outgoing.on('response', (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', () => {});
-      response.on('close', () =>
-        resolve({
-          status: response.statusCode ?? 0,
-          headers: response.headers,
-          text: Buffer.concat(chunks).toString(),
-          complete: response.complete,
-        }),
-      );
-    });
-    outgoing.end(text);
-  });
-}
