Shed calls: the caller may come back at once; second copies leave budget to them

Change: 15 ms for calls that were turned away, 90 % instead of 75 % of the retry budget in use, second copies only from the first 70 % of it.

--- a/src/gateway/BackendView.ts
+++ b/src/gateway/BackendView.ts
@@ -13,6 +13,9 @@
 /** Failures in a row that begin a pause. */
 const AVOID_AFTER = 2;
 
+/** How much longer a call is expected to take where every attempt fails, retry included. */
+const FAILURE_DOUBT = 2;
+
 /** Cold backend servers take about twice as long for the same work. */
 const COLD_SLOWDOWN = 2;
 
@@ -106,7 +109,7 @@
     const known = this.load ? this.load.running + this.load.waiting + this.sentSinceLoad : 0;
     const ahead = Math.max(0, Math.max(known, this.inFlight) + 1 - slots);
     const slowdown = Math.max(this.load?.slowdown ?? 1, this.isCold(nowMs) ? COLD_SLOWDOWN : 0);
-    const doubts = 1 + 3 * this.failureShare + (this.unwell ? 1 : 0);
+    const doubts = 1 + FAILURE_DOUBT * this.failureShare + (this.unwell ? 1 : 0);
     return workMs * slowdown * (1 + ahead / slots) * doubts;
   }
 
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -51,6 +51,12 @@
 /** An attempt that took this many expected times counts against its backend server. */
 const OVERDUE_RATIO = 4;
 
+/** Part of the retry budget that second copies may use; the rest is for calls that failed. */
+const SECOND_COPY_BUDGET_SHARE = 0.7;
+
+/** Backend servers that turn calls away at random may take the next one: come back at once. */
+const RETRY_AFTER_SHED_MS = 15;
+
 /** Callers may come back this soon after each kind of refusal. */
 const RETRY_AFTER_MS: Record<NoPickReason, number> = {
   [NoPickReason.None]: 500,
@@ -147,7 +153,7 @@
   private async hedge(): Promise<void> {
     const { options, call } = this;
     if (this.running.size !== 1 || this.mayHaveRun >= call.route.attemptsMax) return;
-    if (!options.budget.tryTake(call.service, options.nowMs())) {
+    if (!options.budget.tryTake(call.service, options.nowMs(), SECOND_COPY_BUDGET_SHARE)) {
       this.log('second_copy_refused', { reason: 'retry budget' });
       return;
     }
@@ -181,7 +187,8 @@
       this.unrun += 1;
       this.mayHaveRun -= 1;
       if (result.load) view.noteLoad(result.load, nowMs);
-      else view.noteFailure(nowMs);
+      // One that turns calls away although it has free slots is failing, not full.
+      if (!result.load || result.load.running < result.load.slots) view.noteFailure(nowMs);
     } else if (result.type === AttemptResultType.NotSent) {
       this.unrun += 1;
       this.mayHaveRun -= 1;
@@ -248,8 +255,9 @@
     if (this.mayHaveRun > 0) {
       return { type: DispatchOutcomeType.Failed, reason: this.lastReason };
     }
-    const retryAfterMs = RETRY_AFTER_MS[this.lastPick];
-    const reason = this.sends > 0 ? this.lastReason : this.lastPick;
+    const turnedAway = this.sends > 0;
+    const retryAfterMs = turnedAway ? RETRY_AFTER_SHED_MS : RETRY_AFTER_MS[this.lastPick];
+    const reason = turnedAway ? this.lastReason : this.lastPick;
     return { type: DispatchOutcomeType.Refused, reason, retryAfterMs };
   }
 
--- a/src/gateway/Dispatcher.test.ts
+++ b/src/gateway/Dispatcher.test.ts
@@ -91,6 +91,32 @@
   });
 });
 
+describe('backend servers that turn calls away at random', () => {
+  it('are tried again at once, and the caller may come back at once', async () => {
+    const world = createDispatchWorld({
+      backends: BACKENDS,
+      attempts: [{ afterMs: 2, result: NOT_RUN }],
+      retryRatio: 9,
+    });
+    const { outcome, endedAtMs } = await world.run();
+    expect(world.sent).toHaveLength(4);
+    expect(endedAtMs).toBeLessThan(30);
+    expect(outcome).toMatchObject({ type: DispatchOutcomeType.Refused, retryAfterMs: 15 });
+  });
+
+  it('get the part of the retry budget that second copies leave', () => {
+    const { budget } = createDispatchWorld({ backends: [], attempts: [], retryRatio: 1 });
+    for (let call = 0; call < 10; call += 1) budget.noteCall('alpha', 0);
+    const takeAll = (share: number) => {
+      let taken = 0;
+      while (budget.tryTake('alpha', 0, share)) taken += 1;
+      return taken;
+    };
+    expect(takeAll(0.7)).toBe(6);
+    expect(takeAll(1)).toBe(3);
+  });
+});
+
 describe('load that shifts within milliseconds', () => {
   it('is asked for right before the call is sent, and slow phases are avoided', async () => {
     const slow = { running: 0, waiting: 0, slots: 3, slowdown: 7 };
--- a/src/gateway/EntryDirectory.ts
+++ b/src/gateway/EntryDirectory.ts
@@ -6,6 +6,8 @@
   readonly entryHosts: readonly EntryHost[];
   /** Availability zone of the caller. */
   readonly availabilityZone: string;
+  /** Availability zones whose backend servers get nothing. */
+  readonly closedZones?: readonly string[];
   readonly random: RandomSource;
   /** Most entry hosts in one answer. */
   readonly limit?: number;
@@ -19,16 +21,21 @@
 
 /**
  * Entry hosts that a caller should use: those of its own availability zone, which also hold the
- * nearest backend servers, or all of them where too few are left there.
+ * nearest backend servers, or all of them where too few are left there. Callers of a closed zone go
+ * to the entry hosts of the open ones, whose backend servers serve them then.
  *
  * @example
  * chooseEntryHosts({ entryHosts, availabilityZone: 'yoichi', random });
  */
 export function chooseEntryHosts(options: ChooseEntryHostsOptions): EntryHost[] {
   const { entryHosts, availabilityZone, random, limit = DEFAULT_LIMIT } = options;
+  const closed = new Set(options.closedZones);
   const live = entryHosts.filter((host) => !host.stopping);
   const near = live.filter((host) => host.availabilityZone === availabilityZone);
-  const chosen = near.length >= MIN_ZONE_HOSTS ? near : live;
+  const open = live.filter((host) => !closed.has(host.availabilityZone));
+  const others = open.length >= MIN_ZONE_HOSTS ? open : live;
+  const useZone = near.length >= MIN_ZONE_HOSTS && !closed.has(availabilityZone);
+  const chosen = useZone ? near : others;
   while (chosen.length > limit) chosen.splice(pickIndex(random, chosen.length), 1);
   return chosen;
 }
--- a/src/gateway/Limits.test.ts
+++ b/src/gateway/Limits.test.ts
@@ -153,6 +153,16 @@
     expect(choose([...near, ...far], 1)).toHaveLength(1);
   });
 
+  it('are those of open zones for callers of a closed one', () => {
+    const hosts = chooseEntryHosts({
+      entryHosts: [...near, ...far],
+      availabilityZone: 'perth',
+      closedZones: ['perth'],
+      random: createRandom(1),
+    });
+    expect(hosts.map((host) => host.id)).toEqual(['e-3', 'e-4']);
+  });
+
   it('stay known when the last control host is lost', () => {
     const view = new EntryHostView();
     view.update('c-1', near);
--- a/src/gateway/RetryBudget.ts
+++ b/src/gateway/RetryBudget.ts
@@ -12,7 +12,7 @@
 }
 
 /** Part of the bound that is used: entry hosts see calls of one window at different times. */
-const SAFETY_SHARE = 0.75;
+const SAFETY_SHARE = 0.9;
 
 /**
  * Budget of further attempts for each service in a sliding window. Every entry host spends at
@@ -36,11 +36,11 @@
     RetryBudget.of(this.calls, service).add(nowMs);
   }
 
-  /** Takes one further attempt if the budget allows it. */
-  tryTake(service: string, nowMs: number): boolean {
+  /** Takes one further attempt if the share of the budget that is open to it allows it. */
+  tryTake(service: string, nowMs: number, share = 1): boolean {
     const { windowMs } = this.options;
     const spent = RetryBudget.of(this.retries, service);
-    if (spent.count(nowMs, windowMs) + 1 > this.allowance(service, nowMs)) return false;
+    if (spent.count(nowMs, windowMs) + 1 > this.allowance(service, nowMs) * share) return false;
     spent.add(nowMs);
     return true;
   }
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -166,7 +166,8 @@
   /** Entry hosts that a caller should use; empty while this host knows none. */
   entryHostsFor(availabilityZone: string): EntryHost[] {
     const entryHosts = this.entryHosts.hosts();
-    return chooseEntryHosts({ entryHosts, availabilityZone, random: this.random });
+    const { closedZones } = this.routing;
+    return chooseEntryHosts({ entryHosts, availabilityZone, closedZones, random: this.random });
   }
 
   /** True where callers are served. */
