--- /dev/null
+++ b/src/control/EntrySessions.test.ts
@@ -0,0 +1,47 @@
+import { describe, expect, it } from 'vitest';
+import { ControlMessageType } from '../common/Messages.js';
+import { createEntryHost } from '../gateway/fixtures.js';
+import { EntrySessions } from './EntrySessions.js';
+
+const SILENCE_MS = 650;
+
+function createPing() {
+  return {
+    type: ControlMessageType.Ping,
+    pingId: 1,
+    appliedIndex: 0,
+    subscribe: false,
+    stopping: false,
+  } as const;
+}
+
+describe('EntrySessions', () => {
+  const listedIds = (sessions: EntrySessions, nowMs: number) => {
+    const message = sessions.listMessage(nowMs);
+    return message.type === ControlMessageType.EntryHosts
+      ? message.entryHosts.map((host) => host.id)
+      : [];
+  };
+
+  it('stop listing a host that freezes, and list it again only when it is steady', () => {
+    const sessions = new EntrySessions({ listedSilenceMs: SILENCE_MS });
+    sessions.hello(1, createEntryHost('e-1'), 0);
+    expect(listedIds(sessions, 600)).toEqual(['e-1']);
+    expect(listedIds(sessions, 700)).toEqual([]);
+    sessions.ping(1, createPing(), 5_000);
+    expect(listedIds(sessions, 5_000)).toEqual([]);
+    sessions.ping(1, createPing(), 6_500);
+    expect(listedIds(sessions, 6_500)).toEqual([]);
+    sessions.ping(1, createPing(), 7_000);
+    expect(listedIds(sessions, 7_000)).toEqual(['e-1']);
+  });
+
+  it('list a host that restarted at once', () => {
+    const sessions = new EntrySessions({ listedSilenceMs: SILENCE_MS });
+    sessions.hello(1, createEntryHost('e-1'), 0);
+    sessions.close(1);
+    expect(listedIds(sessions, 100)).toEqual([]);
+    sessions.hello(2, createEntryHost('e-1'), 200);
+    expect(listedIds(sessions, 200)).toEqual(['e-1']);
+  });
+});
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -37,10 +37,16 @@
   readonly listedSilenceMs?: number;
 }
 
+/** A host that fell silent, as when it froze, is listed again after this much steadiness. */
+const RELIST_AFTER_MS = 2_000;
+
 /** Live entry hosts as one control host sees them; soft state. */
 export class EntrySessions {
   private readonly listedSilenceMs: number;
 
+  /** Hosts that fell silent: infinite while they are, then when they are listed again. */
+  private readonly silentUntilMs = new Map<string, number>();
+
   /** Ids that the last list named. */
   private listedIds = '';
 
@@ -136,9 +142,24 @@
     };
   }
 
-  /** Sessions that have been heard of late. */
+  /** Sessions that have been heard of late, and steadily since they last fell silent. */
   private listed(nowMs: number): EntrySession[] {
-    return this.list().filter((session) => nowMs - session.lastSeenMs <= this.listedSilenceMs);
+    return this.list().filter((session) => {
+      const { id } = session.entryHost;
+      if (nowMs - session.lastSeenMs > this.listedSilenceMs) {
+        this.silentUntilMs.set(id, Number.POSITIVE_INFINITY);
+        return false;
+      }
+      const silentUntilMs = this.silentUntilMs.get(id);
+      if (silentUntilMs === undefined) return true;
+      if (silentUntilMs === Number.POSITIVE_INFINITY) {
+        this.silentUntilMs.set(id, nowMs + RELIST_AFTER_MS);
+        return false;
+      }
+      if (nowMs < silentUntilMs) return false;
+      this.silentUntilMs.delete(id);
+      return true;
+    });
   }
 
   subscribers(): EntrySession[] {
