--- /dev/null
+++ b/src/control/RegistryFlow.test.ts
@@ -0,0 +1,149 @@
+import { describe, expect, it } from 'vitest';
+import { BackendState } from '../common/backends/Types.js';
+import { ControlMessageType, type FromControlMessage } from '../common/Messages.js';
+import { createBackend, createEntryHost } from '../gateway/fixtures.js';
+import { EntrySessions } from './EntrySessions.js';
+import { RaftState } from './raft/RaftState.js';
+import { RegistryFlow } from './RegistryFlow.js';
+import { ControlEffectType, type ControlEffect } from './Types.js';
+
+const VOTERS = ['a', 'b', 'c'].map((id) => ({ id, address: id, port: 1 }));
+
+/** Control host `a` as a follower that hears its leader, with one entry host per session. */
+function createHost(sessionIds: readonly number[] = [1, 2]) {
+  const raft = new RaftState({
+    id: 'a',
+    instanceId: 'instance-a',
+    hardState: { term: 1, votedFor: null },
+    snapshot: {
+      index: 0,
+      term: 0,
+      membership: { voters: VOTERS, learners: [] },
+      bytes: new Uint8Array(),
+    },
+    entries: [],
+  });
+  raft.leaderHeardAtMs = 0;
+  const sessions = new EntrySessions();
+  const effects: ControlEffect[] = [];
+  const flow = new RegistryFlow({ raft, sessions, emit: (effect) => effects.push(effect) });
+  flow.begin(0);
+  sessionIds.forEach((id) => {
+    sessions.hello(id, createEntryHost(`e-${id}`), 0);
+    flow.watch(id);
+  });
+  effects.length = 0;
+  const pushes = () =>
+    effects.flatMap((effect) =>
+      effect.type === ControlEffectType.SendSession
+        ? [{ sessionId: effect.sessionId, message: effect.message }]
+        : [],
+    );
+  const batchId = (message: FromControlMessage) =>
+    message.type === ControlMessageType.Backends ? message.batchId : -1;
+  return {
+    raft,
+    flow,
+    effects,
+    pushes,
+    answers: () =>
+      effects.flatMap((effect) =>
+        effect.type === ControlEffectType.AnswerAnnouncement
+          ? [{ requestId: effect.requestId, confirmed: effect.confirmed }]
+          : [],
+      ),
+    relayed: () =>
+      effects.flatMap((effect) =>
+        effect.type === ControlEffectType.SendControl ? [effect.to] : [],
+      ),
+    acknowledge: (sessionId: number) => {
+      const push = pushes().find((sent) => sent.sessionId === sessionId)!;
+      flow.acknowledge(sessionId, batchId(push.message));
+    },
+    confirmFrom: (from: string) => {
+      const push = pushes()[0]!;
+      flow.betweenControl({
+        type: ControlMessageType.BackendRelayAck,
+        from,
+        batchId: batchId(push.message),
+      });
+    },
+  };
+}
+
+const READY = createBackend('b-1');
+const DRAINING = createBackend('b-1', { state: BackendState.Draining, sequence: 2 });
+
+describe('RegistryFlow', () => {
+  it('tells entry hosts and control hosts of a new backend server', () => {
+    const host = createHost();
+    host.flow.announce('r-1', READY);
+    expect(host.pushes().map((push) => push.sessionId)).toEqual([1, 2]);
+    expect(host.relayed()).toEqual(['b', 'c']);
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
+  });
+
+  it('pushes nothing for an announcement that changes nothing', () => {
+    const host = createHost();
+    host.flow.announce('r-1', READY);
+    host.effects.length = 0;
+    host.flow.announce('r-2', createBackend('b-1', { sequence: 2 }));
+    expect(host.pushes()).toEqual([]);
+  });
+
+  it('confirms a departure once a majority and every live entry host know it', () => {
+    const host = createHost();
+    host.flow.announce('r-1', DRAINING);
+    expect(host.answers()).toEqual([]);
+    host.acknowledge(1);
+    host.confirmFrom('b');
+    expect(host.answers()).toEqual([]);
+    host.acknowledge(2);
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
+  });
+
+  it('never confirms a departure that only this control host knows', () => {
+    const host = createHost();
+    host.flow.announce('r-1', DRAINING);
+    host.acknowledge(1);
+    host.acknowledge(2);
+    host.flow.begin(700);
+    host.flow.tick();
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: false }]);
+  });
+
+  it('waits for no entry host that has been silent or has left', () => {
+    const host = createHost();
+    host.flow.begin(1_500);
+    host.flow.announce('r-1', DRAINING);
+    host.confirmFrom('c');
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
+    const left = createHost();
+    left.flow.announce('r-2', DRAINING);
+    left.confirmFrom('c');
+    left.acknowledge(1);
+    left.flow.closeSession(2);
+    expect(left.answers()).toEqual([{ requestId: 'r-2', confirmed: true }]);
+  });
+
+  it('confirms nothing while it is cut off from the leader', () => {
+    const host = createHost();
+    host.flow.begin(host.raft.timing.electionTimeoutMs);
+    host.flow.announce('r-1', READY);
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: false }]);
+  });
+
+  it('takes a repeated departure for what it is and confirms it again', () => {
+    const host = createHost();
+    host.flow.announce('r-1', DRAINING);
+    host.confirmFrom('b');
+    host.acknowledge(1);
+    host.acknowledge(2);
+    host.effects.length = 0;
+    host.flow.announce('r-2', DRAINING);
+    host.confirmFrom('b');
+    host.acknowledge(1);
+    host.acknowledge(2);
+    expect(host.answers()).toEqual([{ requestId: 'r-2', confirmed: true }]);
+  });
+});
