Short election timeout until a leader was heard; links retry sooner

Cause: after a power loss of all hosts the first pre-vote often came before the other control hosts listened, and the next one waited a whole timeout; gateways waited up to 0.4 s for their next attempt to connect.

--- a/src/control/raft/Election.ts
+++ b/src/control/raft/Election.ts
@@ -7,21 +7,18 @@
 } from './Types.js';
 import type { RaftState } from './RaftState.js';
 
-/** Sets the next election time between one and two election timeouts from now. */
-export function resetElectionTimer(state: RaftState, random: number): void {
-  state.electionAtMs = state.nowMs + state.timing.electionTimeoutMs * (1 + random);
-}
-
-/** First election time after a start, as a share of the election timeout. */
-const FIRST_ELECTION_SHARE = 0.25;
+/** Election timeout before any leader was heard, as a share of the ordinary one. */
+const FIRST_ELECTION_SHARE = 0.15;
 
 /**
- * Sets the first election time after a start. It is short, since nothing is served before there is
- * a leader; a pre-vote keeps a host that comes back from disturbing a leader that lives.
+ * Sets the next election time between one and two election timeouts from now. Before any leader
+ * was heard the timeout is short, since nothing is served until there is one; a pre-vote keeps a
+ * host that comes back from disturbing a leader that lives.
  */
-export function startElectionTimer(state: RaftState, random: number): void {
-  const spreadMs = state.timing.electionTimeoutMs * FIRST_ELECTION_SHARE;
-  state.electionAtMs = state.nowMs + spreadMs * (1 + random);
+export function resetElectionTimer(state: RaftState, random: number): void {
+  const heard = state.leaderHeardAtMs > Number.NEGATIVE_INFINITY;
+  const timeoutMs = state.timing.electionTimeoutMs * (heard ? 1 : FIRST_ELECTION_SHARE);
+  state.electionAtMs = state.nowMs + timeoutMs * (1 + random);
 }
 
 /** Reports the role, term and leader. */
--- a/src/control/raft/RaftNode.ts
+++ b/src/control/raft/RaftNode.ts
@@ -5,7 +5,7 @@
   handlePreVoteReply,
   handleVote,
   handleVoteReply,
-  startElectionTimer,
+  resetElectionTimer,
   startPreVote,
 } from './Election.js';
 import { RaftState, type RaftOptions } from './RaftState.js';
@@ -44,7 +44,7 @@
 }
 
 function handleTick(state: RaftState, event: EventOf<RaftEventType.Tick>): void {
-  if (state.electionAtMs === 0) startElectionTimer(state, event.random);
+  if (state.electionAtMs === 0) resetElectionTimer(state, event.random);
   if (state.role === RaftRole.Leader) {
     checkQuorum(state);
     if (state.role === RaftRole.Leader && state.nowMs >= state.heartbeatAtMs) {
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -33,7 +33,7 @@
 
 /** Timing where a restored path must be in use again within three seconds. */
 export const FAST_LINK_TIMING: LinkTiming = {
-  retryMaxMs: 400,
+  retryMaxMs: 120,
   heartbeatMs: 400,
   silenceMaxMs: 1_400,
   connectTimeoutMs: 700,
