Second copies only where there is room; queues are no good first choice

Ruled out: too few probes; the loads of all asked candidates were full. Change: a second copy needs a backend server at its usual speed with a free slot; a queue is taken only after every round of probes.

--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -68,6 +68,9 @@
 /** Share of the time to the objective that an expected answer may take to be good at once. */
 const GOOD_SHARE = 0.85;
 
+/** A good backend server has a free slot and works at about its usual speed. */
+const GOOD_WORK = 1.3;
+
 /** Cost of missing the objective, in the unit of expected milliseconds. */
 const LATE_COST_MS = 1_000;
 
@@ -171,7 +174,8 @@
       return false;
     }
     const leftMs = call.objectiveAtMs - this.options.nowMs();
-    return this.expectedMs(view, call) <= leftMs * GOOD_SHARE;
+    const workMs = this.options.work.workMs(call.service);
+    return this.expectedMs(view, call) <= Math.min(leftMs * GOOD_SHARE, workMs * GOOD_WORK);
   }
 
   /** Best of all that answered, if it can finish in time. */
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -54,6 +54,9 @@
 /** Part of the retry budget that second copies may use; the rest is for calls that failed. */
 const SECOND_COPY_BUDGET_SHARE = 0.7;
 
+/** A second copy needs a backend server that works at its usual speed: it may not add a queue. */
+const SECOND_COPY_MAX_WORK = 1.5;
+
 /** Backend servers that turn calls away at random may take the next one: come back at once. */
 const RETRY_AFTER_SHED_MS = 15;
 
@@ -153,11 +156,14 @@
   private async hedge(): Promise<void> {
     const { options, call } = this;
     if (this.running.size !== 1 || this.mayHaveRun >= call.route.attemptsMax) return;
-    if (!options.budget.tryTake(call.service, options.nowMs(), SECOND_COPY_BUDGET_SHARE)) {
+    const nowMs = options.nowMs();
+    if (!options.budget.mayTake(call.service, nowMs, SECOND_COPY_BUDGET_SHARE)) {
       this.log('second_copy_refused', { reason: 'retry budget' });
       return;
     }
-    await this.launch('second copy');
+    const maxExpectedMs = options.work.workMs(call.service) * SECOND_COPY_MAX_WORK;
+    const sent = await this.launch('second copy', maxExpectedMs);
+    if (sent) options.budget.spend(call.service, options.nowMs());
   }
 
   private async onResult(
@@ -262,7 +268,7 @@
   }
 
   /** Picks a backend server and sends an attempt; false where none was found. */
-  private async launch(cause = 'first'): Promise<boolean> {
+  private async launch(cause = 'first', maxExpectedMs = Infinity): Promise<boolean> {
     const { options, call } = this;
     const pick = await options.picker.pick(call, this.service, this.tried);
     if (!pick.view) {
@@ -278,6 +284,10 @@
       return false;
     }
     const { view } = pick;
+    if (pick.expectedMs > maxExpectedMs) {
+      this.log('second_copy_refused', { reason: 'no free backend', expectedMs: pick.expectedMs });
+      return false;
+    }
     const nowMs = options.nowMs();
     const remainingMs = Math.floor(call.dueAtMs - nowMs);
     if (!call.isWanted() || remainingMs <= 0) return false;
--- a/src/gateway/Dispatcher.test.ts
+++ b/src/gateway/Dispatcher.test.ts
@@ -132,6 +132,16 @@
     expect(world.sent).toEqual(['b-4']);
   });
 
+  it('goes on asking while only queues were found, even short ones', async () => {
+    const queue = { running: 3, waiting: 0, slots: 3, slowdown: 1 };
+    const health = Object.fromEntries(
+      ['b-1', 'b-2', 'b-3'].map((id) => [id, createHealth(id, { load: queue })]),
+    );
+    const world = createDispatchWorld({ backends: BACKENDS, health, attempts: [answerAfter(90)] });
+    await world.run();
+    expect(world.sent).toEqual(['b-4']);
+  });
+
   it('is met by a second copy when a slow phase begins in the middle of a call', async () => {
     const world = createDispatchWorld({
       backends: BACKENDS,
@@ -143,6 +153,20 @@
     expect(world.cancelled).toEqual([world.sent[0]]);
   });
 
+  it('costs no second copy where every other backend server is slow or full', async () => {
+    const full = { running: 3, waiting: 6, slots: 3, slowdown: 1 };
+    const health = Object.fromEntries(
+      ['b-2', 'b-3', 'b-4'].map((id) => [id, createHealth(id, { load: full })]),
+    );
+    const world = createDispatchWorld({
+      backends: BACKENDS,
+      health,
+      attempts: [answerAfter(700), answerAfter(90)],
+    });
+    await world.run();
+    expect(world.sent).toEqual(['b-1']);
+  });
+
   it('costs no second copy beyond the retry budget', async () => {
     const world = createDispatchWorld({
       backends: BACKENDS,
--- a/src/gateway/RetryBudget.ts
+++ b/src/gateway/RetryBudget.ts
@@ -36,15 +36,24 @@
     RetryBudget.of(this.calls, service).add(nowMs);
   }
 
-  /** Takes one further attempt if the share of the budget that is open to it allows it. */
+  /** True where a share of the budget allows one further attempt. */
+  mayTake(service: string, nowMs: number, share = 1): boolean {
+    const spent = RetryBudget.of(this.retries, service).count(nowMs, this.options.windowMs);
+    return spent + 1 <= this.allowance(service, nowMs) * share;
+  }
+
+  /** Takes one further attempt if a share of the budget allows it. */
   tryTake(service: string, nowMs: number, share = 1): boolean {
-    const { windowMs } = this.options;
-    const spent = RetryBudget.of(this.retries, service);
-    if (spent.count(nowMs, windowMs) + 1 > this.allowance(service, nowMs) * share) return false;
-    spent.add(nowMs);
+    if (!this.mayTake(service, nowMs, share)) return false;
+    this.spend(service, nowMs);
     return true;
   }
 
+  /** Counts one further attempt that was made. */
+  spend(service: string, nowMs: number): void {
+    RetryBudget.of(this.retries, service).add(nowMs);
+  }
+
   /** Further attempts that this host may make in the window that ends now. */
   allowance(service: string, nowMs: number): number {
     const { ratio, windowMs, slack, startedAtMs } = this.options;
