--- a/src/bin/egretctl.ts
+++ b/src/bin/egretctl.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import { ExplainCommand } from '../ctl/ExplainCommand.js';
 import * as lists from '../ctl/ListCommands.js';
 import * as settings from '../ctl/SettingsCommands.js';
 import { ZoneInCommand, ZoneListCommand, ZoneOutCommand } from '../ctl/ZoneCommands.js';
@@ -13,6 +14,7 @@
   ZoneOutCommand,
   ZoneInCommand,
   ZoneListCommand,
+  ExplainCommand,
   lists.ServicesCommand,
   lists.BackendsCommand,
   lists.EntriesCommand,
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -2,6 +2,7 @@
 import type { BackendPool } from './BackendPool.js';
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
+import type { DecisionLog } from './DispatchTypes.js';
 import type { Call, HealthReport } from './Types.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
@@ -15,6 +16,7 @@
   readonly work: WorkEstimates;
   readonly probe: ProbePort;
   readonly nowMs: () => number;
+  readonly log: DecisionLog;
 }
 
 /** Why no backend server was picked. */
@@ -145,17 +147,29 @@
 
   /** Takes in a probe's answer; false where nothing may be sent there. */
   private noteProbe(view: BackendView, report: HealthReport | null): boolean {
+    const { log } = this.options;
     const now = this.options.nowMs();
+    const { id: backend, service } = view.record;
     if (!report) {
       view.avoid(now);
+      log('probe_unanswered', { backend, service, pausedMs: view.avoidUntilMs - now });
       return false;
     }
     if (report.backendId !== undefined && report.backendId !== view.record.id) {
       // Another backend server has the address now.
       view.avoid(now);
+      log('probe_misdirected', { backend, service, answeredBy: report.backendId });
       return false;
     }
+    const wasCold = view.isCold(now);
+    const wasUnwell = view.unwell;
     view.noteHealth(report, now);
+    if (!wasCold && view.isCold(now)) {
+      log('backend_cold', { backend, service, coldLeftMs: view.coldUntilMs - now });
+    }
+    if (wasUnwell !== view.unwell) {
+      log('backend_health', { backend, service, healthy: report.healthy });
+    }
     return this.options.pool.isUsable(view);
   }
 
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -1,3 +1,4 @@
+import type { LogEvent } from '../common/LogEvents.js';
 import { RouteKind, type RoutedService } from '../common/routing/Types.js';
 import { NoPickReason } from './BackendPicker.js';
 import type { BackendView } from './BackendView.js';
@@ -348,7 +349,7 @@
   }
 
   private log(
-    event: string,
+    event: LogEvent,
     fields: Readonly<Record<string, string | number | boolean | undefined>>,
   ): void {
     this.options.log(event, { call: this.call.callId, route: this.call.route.name, ...fields });
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -1,3 +1,4 @@
+import type { LogEvent } from '../common/LogEvents.js';
 import type { BackendPicker } from './BackendPicker.js';
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
@@ -10,7 +11,7 @@
 
 /** Log of decisions. */
 export type DecisionLog = (
-  event: string,
+  event: LogEvent,
   fields: Readonly<Record<string, string | number | boolean | undefined>>,
 ) => void;
 
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -134,7 +134,7 @@
       setTimer(PROBE_MS, () => resolve(known === undefined ? createHealth(id) : known));
     });
   };
-  const picker = new BackendPicker({ pool, cold, work, probe, nowMs: () => nowMs });
+  const picker = new BackendPicker({ pool, cold, work, probe, nowMs: () => nowMs, log: () => {} });
   const dispatcher = new Dispatcher({
     picker,
     cold,
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -13,6 +13,7 @@
 import { BackendPool } from '../BackendPool.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { Dispatcher } from '../Dispatcher.js';
+import type { DecisionLog } from '../DispatchTypes.js';
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { RoutingInForce } from '../RoutingInForce.js';
@@ -107,7 +108,7 @@
     this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
     const { random } = this;
     const nowMs = () => this.clock.nowMs();
-    const log = (event: string, fields: Parameters<LineLog['line']>[1]) => {
+    const log: DecisionLog = (event, fields) => {
       this.metrics.noteDecision(event);
       options.log.line(event, fields);
     };
@@ -123,6 +124,7 @@
       work,
       probe: (view, service) => this.client.probe(view, service),
       nowMs,
+      log,
     });
     const dispatcher = new Dispatcher({
       picker,
--- /dev/null
+++ b/src/runtime/LineLog.test.ts
@@ -0,0 +1,52 @@
+import { describe, expect, it } from 'vitest';
+import { LineLog } from './LineLog.js';
+
+describe('LineLog', () => {
+  it('counts what is beyond the lines of a second', async () => {
+    let nowMs = 0;
+    const written: string[] = [];
+    const log = new LineLog({
+      base: { host: 'a' },
+      linesPerSecond: 2,
+      nowMs: () => nowMs,
+      wallMs: () => 0,
+      write: (text, done) => {
+        written.push(text);
+        done();
+      },
+    });
+    for (let line = 0; line < 5; line += 1) log.line('call_late', { call: line });
+    nowMs = 1_000;
+    log.line('call_late', { call: 5 });
+    await log.flush();
+    const lines = written.join('').trim().split('\n');
+    expect(lines).toHaveLength(4);
+    expect(lines[2]).toContain('event=lines_suppressed host=a of=call_late count=3');
+  });
+
+  it('loses lines instead of time when nobody reads, and counts them', async () => {
+    let release = () => {};
+    const written: string[] = [];
+    const log = new LineLog({
+      base: {},
+      linesPerSecond: Infinity,
+      write: (text, done) => {
+        written.push(text);
+        release = done;
+      },
+    });
+    const startedAtMs = performance.now();
+    log.line('call_late', { text: 'x'.repeat(100_000) });
+    const flushed = log.flush();
+    for (let line = 0; line < 10_000; line += 1) log.line('call_late', { call: line });
+    expect(performance.now() - startedAtMs).toBeLessThan(2_000);
+    expect(written).toHaveLength(1);
+    release();
+    await flushed;
+    log.line('call_late', { call: 'after' });
+    const rest = log.flush();
+    release();
+    await rest;
+    expect(written.join('')).toMatch(/event=lines_dropped .*count=\d{4}/);
+  });
+});
