--- a/src/bin/egretctl.ts
+++ b/src/bin/egretctl.ts
@@ -2,6 +2,7 @@
 import { ExplainCommand } from '../ctl/ExplainCommand.js';
 import * as lists from '../ctl/ListCommands.js';
 import * as settings from '../ctl/SettingsCommands.js';
+import * as routing from '../ctl/RoutingCommands.js';
 import { ZoneInCommand, ZoneListCommand, ZoneOutCommand } from '../ctl/ZoneCommands.js';
 import { runProgram } from './Program.js';
 
@@ -14,6 +15,10 @@
   ZoneOutCommand,
   ZoneInCommand,
   ZoneListCommand,
+  routing.RoutingShowCommand,
+  routing.RoutingApplyCommand,
+  routing.RoutingCloseZoneCommand,
+  routing.RoutingOpenZoneCommand,
   ExplainCommand,
   lists.ServicesCommand,
   lists.BackendsCommand,
--- a/src/bin/programs.test.ts
+++ b/src/bin/programs.test.ts
@@ -6,6 +6,7 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { Cluster } from '../../standin/Cluster.js';
 import { ADMIN_TOKEN, buildTree, OTARU } from '../../standin/Deployments.js';
+import { createRoute, createTable } from '../common/routing/fixtures.js';
 
 const DIST = fileURLToPath(new URL('../../dist/src/bin/', import.meta.url));
 const EXAMPLES = fileURLToPath(new URL('../../examples/', import.meta.url));
@@ -106,6 +107,43 @@
     expect(history.output).toContain('conflict');
   });
 
+  it('shows and changes the routing, and closes zones for every service', async () => {
+    const file = path.join(folder, 'routing.jsonc');
+    const table = createTable([createRoute('read')]);
+    const apply = async (baseVersion: number, version: number) => {
+      const change = { baseVersion, version, edit: { table } };
+      await writeFile(file, `// routing\n${JSON.stringify(change)}`);
+      return run('egretctl', 'routing', 'apply', file, ...operator);
+    };
+    expect((await apply(0, 5)).output).toContain('accepted version=5 repeated=false');
+    expect((await apply(0, 5)).output).toContain('accepted version=5 repeated=true');
+    expect(await apply(0, 6)).toMatchObject({ code: 3 });
+    expect(await apply(5, 4)).toMatchObject({ code: 1 });
+    const closed = await run('egretctl', 'routing', 'close-zone', 'yoichi', ...operator);
+    expect(closed).toMatchObject({ code: 0 });
+    const shown = await run('egretctl', 'routing', 'show', ...operator);
+    expect(shown.output).toContain('version=5');
+    expect(shown.output).toContain('closedZones=yoichi');
+    expect(shown.output).toContain('read calls.example/read/ kind=idempotent');
+    expect(await run('egretctl', 'routing', 'open-zone', 'yoichi', ...operator)).toMatchObject({
+      code: 0,
+    });
+    const audit = await run('egretctl', 'audit', ...operator);
+    expect(audit.output).toContain('/system/routing');
+    expect(audit.output).toContain('/system/closedZones/yoichi');
+  });
+
+  it('tells the story of one call from log files', async () => {
+    const file = path.join(folder, 'gateway.log');
+    const line = 'time=2026-01-01T00:00:00.000Z event=call_refused program=gateway host=a';
+    await writeFile(file, `${line} call=c-1 reason=overloaded\n${line} call=c-2 reason=cold\n`);
+    const told = await run('egretctl', 'explain', 'c-1', file);
+    expect(told).toMatchObject({ code: 0 });
+    expect(told.output).toContain('reason=overloaded');
+    expect(told.output).not.toContain('reason=cold');
+    expect(await run('egretctl', 'explain', 'none', file)).toMatchObject({ code: 1 });
+  });
+
   it('projects the use of a zone change, and keeps the last zone open', async () => {
     const out = (zone: string) => run('egretctl', 'zone', 'out', zone, ...operator);
     const first = await out('yoichi');
--- a/src/control/RegistryFlow.ts
+++ b/src/control/RegistryFlow.ts
@@ -73,7 +73,7 @@
     const current = this.registry.get(record.id) ?? record;
     const batchId = this.spread(change, [current]);
     if (current.state === BackendState.Ready) {
-      this.answer(requestId, this.hasQuorum(), current, 'announced');
+      this.confirm(requestId, current);
       return;
     }
     this.awaitDeparture(requestId, batchId, current);
@@ -229,14 +229,14 @@
     return acked >= log.quorum && log.membership.voters.length > 0;
   }
 
-  private answer(
-    requestId: string,
-    confirmed: boolean,
-    record: BackendRecord,
-    event: string,
-  ): void {
+  /** Answers the announcement of a backend server that takes work. */
+  private confirm(requestId: string, record: BackendRecord): void {
+    const confirmed = this.hasQuorum();
     this.options.emit({ type: ControlEffectType.AnswerAnnouncement, requestId, confirmed });
-    if (!confirmed) this.log('announcement_refused', { backend: record.id, event });
+    if (!confirmed) {
+      const leader = this.options.raft.leaderId ?? 'none';
+      this.log('announcement_refused', { backend: record.id, sequence: record.sequence, leader });
+    }
   }
 
   private takeBatchId(): number {
