--- a/src/gateway/Dispatcher.test.ts
+++ b/src/gateway/Dispatcher.test.ts
@@ -237,3 +237,95 @@
     expect(world.sent).toEqual([]);
   });
 });
+
+describe('the log line of each decision', () => {
+  const lineOf = (world: ReturnType<typeof createDispatchWorld>, event: string) =>
+    world.logged.find((line) => line.event === event)?.fields;
+
+  it('tells the pick with the load that decided it and its age', async () => {
+    const world = createDispatchWorld({ backends: BACKENDS, attempts: [answerAfter(90)] });
+    await world.run();
+    expect(lineOf(world, 'attempt_sent')).toMatchObject({
+      call: 'call-1',
+      route: 'read',
+      cause: 'first',
+      service: 'alpha',
+      zone: 'perth',
+      running: 0,
+      waiting: 0,
+      slowdown: 1,
+      loadAgeMs: 0,
+      probes: 2,
+    });
+  });
+
+  it('tells how an attempt failed and whether the call may have run', async () => {
+    const world = createDispatchWorld({
+      backends: BACKENDS,
+      attempts: [{ afterMs: 7, result: UNKNOWN }],
+      route: NON_IDEMPOTENT,
+    });
+    await world.run();
+    expect(lineOf(world, 'attempt_failed')).toMatchObject({
+      call: 'call-1',
+      backend: world.sent[0],
+      outcome: AttemptResultType.Unknown,
+      reason: 'ECONNRESET',
+      elapsedMs: 7,
+    });
+  });
+
+  it('tells the loads behind a refusal', async () => {
+    const load = { running: 3, waiting: 40, slots: 3, slowdown: 7 };
+    const world = createDispatchWorld({
+      backends: [BACKENDS[0]!],
+      health: { 'b-1': createHealth('b-1', { load }) },
+      attempts: [answerAfter(1)],
+    });
+    await world.run();
+    const fields = lineOf(world, 'no_backend');
+    expect(fields).toMatchObject({ call: 'call-1', reason: 'overloaded', probes: 1 });
+    expect(fields?.loads).toMatch(/^3\+40\/3\*7=\d+$/);
+  });
+
+  it('tells an attempt that outlasted its call', async () => {
+    const world = createDispatchWorld({
+      backends: BACKENDS,
+      attempts: [answerAfter(5_000)],
+      route: NON_IDEMPOTENT,
+    });
+    await world.run();
+    expect(lineOf(world, 'attempt_overdue')).toMatchObject({ backend: world.sent[0] });
+  });
+
+  it('tells why a late call got no second copy', async () => {
+    const world = createDispatchWorld({
+      backends: BACKENDS,
+      attempts: [answerAfter(700)],
+      retryRatio: 0,
+    });
+    await world.run();
+    expect(lineOf(world, 'second_copy_refused')).toMatchObject({ reason: 'retry budget' });
+  });
+
+  it('tells what a probe changed', async () => {
+    const health = {
+      'b-1': null,
+      'b-2': createHealth('b-7'),
+      'b-3': createHealth('b-3', { healthy: false, coldLeftMs: 2_000 }),
+    };
+    const world = createDispatchWorld({
+      backends: BACKENDS.slice(0, 3),
+      health,
+      attempts: [answerAfter(90)],
+    });
+    await world.run();
+    expect(lineOf(world, 'probe_unanswered')).toMatchObject({ backend: 'b-1' });
+    expect(lineOf(world, 'probe_misdirected')).toMatchObject({
+      backend: 'b-2',
+      answeredBy: 'b-7',
+    });
+    expect(lineOf(world, 'backend_cold')).toMatchObject({ backend: 'b-3', coldLeftMs: 2_000 });
+    expect(lineOf(world, 'backend_health')).toMatchObject({ backend: 'b-3', healthy: false });
+  });
+});
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -1,4 +1,5 @@
 import { BackendState, type BackendRecord } from '../common/backends/Types.js';
+import type { LogEvent } from '../common/LogEvents.js';
 import type { EntryHost } from '../common/Placement.js';
 import { createRandom } from '../common/Random.js';
 import { createRoute, createService } from '../common/routing/fixtures.js';
@@ -8,7 +9,7 @@
 import type { BackendView } from './BackendView.js';
 import { ColdLimiter } from './ColdLimiter.js';
 import { Dispatcher } from './Dispatcher.js';
-import type { DispatchOutcome } from './DispatchTypes.js';
+import type { DecisionLog, DispatchOutcome } from './DispatchTypes.js';
 import { RetryBudget } from './RetryBudget.js';
 import {
   AttemptResultType,
@@ -125,6 +126,8 @@
     startedAtMs: 0,
   });
   const work = new WorkEstimates();
+  const logged: { event: LogEvent; fields: Readonly<Record<string, unknown>> }[] = [];
+  const log: DecisionLog = (event, fields) => logged.push({ event, fields });
   const probes: string[] = [];
   const probe = (view: BackendView): Promise<HealthReport | null> => {
     const { id } = view.record;
@@ -134,7 +137,7 @@
       setTimer(PROBE_MS, () => resolve(known === undefined ? createHealth(id) : known));
     });
   };
-  const picker = new BackendPicker({ pool, cold, work, probe, nowMs: () => nowMs, log: () => {} });
+  const picker = new BackendPicker({ pool, cold, work, probe, nowMs: () => nowMs, log });
   const dispatcher = new Dispatcher({
     picker,
     cold,
@@ -142,7 +145,7 @@
     work,
     nowMs: () => nowMs,
     setTimer,
-    log: () => {},
+    log,
   });
   const sent: string[] = [];
   const cancelled: string[] = [];
@@ -191,6 +194,7 @@
     pool,
     cold,
     budget,
+    logged,
     probes,
     sent,
     cancelled,
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -50,6 +50,8 @@
 
   coldLeftMs = 0;
 
+  workMs: number;
+
   private sequence = 0;
 
   private port = 0;
@@ -58,6 +60,7 @@
 
   constructor(private readonly options: ProviderBackendOptions) {
     this.mood = options.mood ?? BackendMood.Answer;
+    this.workMs = options.workMs ?? 1;
   }
 
   async start(): Promise<void> {
@@ -115,7 +118,7 @@
       budgetMs: Number(incoming.headers['x-deadline-ms']),
     });
     response.setHeader('X-Response-Signature', `mark-of-${this.options.id}`);
-    setTimeout(() => this.answers[this.mood](response), this.options.workMs ?? 1);
+    setTimeout(() => this.answers[this.mood](response), this.workMs);
   }
 
   private readonly answers: Record<BackendMood, (response: ServerResponse) => void> = {
