--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -9,6 +9,7 @@
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
 import type { LineLog } from '../../runtime/LineLog.js';
 import { createNonce } from '../../runtime/LinkAuth.js';
+import { MetricsListener } from '../../runtime/MetricsListener.js';
 import { BackendPicker } from '../BackendPicker.js';
 import { BackendPool } from '../BackendPool.js';
 import { ColdLimiter } from '../ColdLimiter.js';
@@ -93,7 +94,7 @@
 
   private readonly readinessServer: Server;
 
-  private metricsServer: Server | undefined;
+  private metricsListener: MetricsListener | undefined;
 
   private watch: ControlWatch | undefined;
 
@@ -181,7 +182,12 @@
     const { callers, readiness, metrics, log, id } = this.options;
     this.boundPort = await listen(this.callerServer, callers.address, callers.port);
     await listen(this.readinessServer, readiness.address, readiness.port);
-    if (metrics) await this.startMetrics(metrics);
+    if (metrics) {
+      const onFailed = (error: unknown) => log.line('metrics_failed', { detail: String(error) });
+      const { registry } = this.metrics;
+      this.metricsListener = new MetricsListener({ ...metrics, registry, onFailed });
+      await this.metricsListener.start();
+    }
     this.watch = new ControlWatch({
       self: () => this.self(),
       secret: this.options.secret,
@@ -221,9 +227,10 @@
   dispose(): void {
     this.watch?.dispose();
     this.client.dispose();
-    [this.callerServer, this.readinessServer, this.metricsServer].forEach((server) => {
-      if (server) closeServer(server).catch(() => {});
+    [this.callerServer, this.readinessServer].forEach((server) => {
+      closeServer(server).catch(() => {});
     });
+    this.metricsListener?.stop().catch(() => {});
   }
 
   /** Waits until every call has its final answer, or until the time is up. */
@@ -322,24 +329,6 @@
     response.end();
   }
 
-  private async startMetrics(at: ListenAddress & { readonly path: string }): Promise<void> {
-    const { registry } = this.metrics;
-    const server = createServer((request, response) => {
-      registry.metrics().then(
-        (text) => {
-          response.writeHead(200, { 'Content-Type': registry.contentType });
-          response.end(text);
-        },
-        (error: unknown) => {
-          this.options.log.line('metrics_failed', { detail: String(error) });
-          response.destroy();
-        },
-      );
-    });
-    this.metricsServer = server;
-    await listen(server, at.address, at.port);
-  }
-
   private registerGauges(): void {
     const { metrics, pool, client, routing } = this;
     metrics.gauge('egret_backends', 'Backend servers known.', () => pool.size);
--- /dev/null
+++ b/src/runtime/MetricsListener.ts
@@ -0,0 +1,59 @@
+import { createServer, type Server } from 'node:http';
+import type { Registry } from 'prom-client';
+import { closeServer, listen } from './HttpJson.js';
+
+/** Options of a {@link MetricsListener}. */
+export interface MetricsListenerOptions {
+  readonly registry: Registry;
+  readonly address: string;
+  readonly port: number;
+  readonly path: string;
+  /** Told of everything that fails; metrics never end a process. */
+  readonly onFailed: (error: unknown) => void;
+}
+
+/** Serves metrics in Prometheus text. */
+export class MetricsListener {
+  private readonly server: Server;
+
+  private boundPort = 0;
+
+  constructor(private readonly options: MetricsListenerOptions) {
+    const { registry, path, onFailed } = options;
+    this.server = createServer((request, response) => {
+      if ((request.url ?? '').split('?')[0] !== path) {
+        response.writeHead(404, { 'Content-Length': 0 });
+        response.end();
+        return;
+      }
+      registry.metrics().then(
+        (text) => {
+          response.writeHead(200, { 'Content-Type': registry.contentType });
+          response.end(text);
+        },
+        (error: unknown) => {
+          onFailed(error);
+          response.destroy();
+        },
+      );
+    });
+  }
+
+  get port(): number {
+    return this.boundPort;
+  }
+
+  /** Starts to listen; a port that can't be had is reported and leaves the process as it is. */
+  async start(): Promise<void> {
+    const { address, port, onFailed } = this.options;
+    try {
+      this.boundPort = await listen(this.server, address, port);
+    } catch (error) {
+      onFailed(error);
+    }
+  }
+
+  stop(): Promise<void> {
+    return closeServer(this.server);
+  }
+}
