One copy of line formatting and of the metrics answer; an unused method gone

Cause: reading the whole change: LineLog and Logger formatted key=value pairs each for itself, MetricsListener and AdminListener answered with metrics each for itself, and ColdLimiter.forget had no caller. Ruled out: the listed same-shape pairs are declarations of typed messages. Change: LinePairs and SendMetrics serve both; behaviour as before.

--- a/src/gateway/ColdLimiter.ts
+++ b/src/gateway/ColdLimiter.ts
@@ -50,10 +50,6 @@
     this.sentAtMs.set(view.record.id, sent);
   }
 
-  forget(id: string): void {
-    this.sentAtMs.delete(id);
-  }
-
   private recent(id: string, nowMs: number): number[] {
     return (this.sentAtMs.get(id) ?? []).filter((atMs) => nowMs - atMs < WINDOW_MS);
   }
--- a/src/runtime/AdminListener.ts
+++ b/src/runtime/AdminListener.ts
@@ -2,6 +2,7 @@
 import type { Registry } from 'prom-client';
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import { answerParserErrors, closeServer, sendError, sendJson } from './HttpJson.js';
+import { sendMetrics } from './SendMetrics.js';
 
 /** Handler of one path. */
 export type AdminHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -47,15 +48,6 @@
       const ready = this.options.isReady();
       sendJson(response, ready ? 200 : 503, { status: ready ? 'ready' : 'not-ready' });
     },
-    '/metrics': (request, response) => {
-      const { registry } = this.options;
-      registry.metrics().then(
-        (text) => {
-          response.writeHead(200, { 'Content-Type': registry.contentType });
-          response.end(text);
-        },
-        () => response.destroy(),
-      );
-    },
+    '/metrics': (request, response) => sendMetrics(response, this.options.registry),
   };
 }
--- a/src/runtime/LineLog.ts
+++ b/src/runtime/LineLog.ts
@@ -1,7 +1,5 @@
 import { write } from 'node:fs';
-
-/** Values of one log line. */
-export type LineFields = Readonly<Record<string, string | number | boolean | undefined>>;
+import { formatPairs, type LineFields } from './LinePairs.js';
 
 /** Options of a {@link LineLog}. */
 export interface LineLogOptions {
@@ -27,15 +25,11 @@
 
 const WINDOW_MS = 1_000;
 
-const NEEDS_QUOTES = /[\s"=]/;
-
 /** Decimal places of logged numbers. */
 const NUMBER_SCALE = 100;
 
-function formatValue(value: string | number | boolean): string {
-  if (typeof value === 'number') return String(Math.round(value * NUMBER_SCALE) / NUMBER_SCALE);
-  const text = String(value);
-  return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
+function roundedText(value: number): string {
+  return String(Math.round(value * NUMBER_SCALE) / NUMBER_SCALE);
 }
 
 const STANDARD_OUTPUT = 1;
@@ -78,10 +72,7 @@
 
   /** Formats fields as key=value pairs. */
   static format(fields: LineFields): string {
-    return Object.entries(fields)
-      .filter(([, value]) => value !== undefined)
-      .map(([key, value]) => `${key}=${formatValue(value!)}`)
-      .join(' ');
+    return formatPairs(fields, roundedText);
   }
 
   /** Writes one event. */
--- a/src/runtime/Logger.ts
+++ b/src/runtime/Logger.ts
@@ -1,8 +1,9 @@
 import { createConsola, type ConsolaInstance } from 'consola';
 import { LogLevel } from '../common/ProcessSettings.js';
+import { formatPairs, quoteValue, type LineFields } from './LinePairs.js';
 
 /** Values of one log line. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+export type LogFields = LineFields;
 
 /** Log of one process: one line of key=value pairs for each event. */
 export interface Logger {
@@ -19,13 +20,6 @@
   [LogLevel.Debug]: 4,
 };
 
-const NEEDS_QUOTES = /[\s"=]/;
-
-function formatValue(value: string | number | boolean): string {
-  const text = String(value);
-  return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
-}
-
 /**
  * Formats one event as key=value pairs.
  *
@@ -33,10 +27,7 @@
  * formatLine('started', { port: 80 }); // 'event=started port=80'
  */
 export function formatLine(event: string, fields: LogFields = {}): string {
-  const pairs = Object.entries(fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([key, value]) => `${key}=${formatValue(value!)}`);
-  return [`event=${formatValue(event)}`, ...pairs].join(' ');
+  return [`event=${quoteValue(event)}`, formatPairs(fields, String)].join(' ').trimEnd();
 }
 
 /** Options of {@link createLogger}. */
--- a/src/runtime/MetricsListener.ts
+++ b/src/runtime/MetricsListener.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { Registry } from 'prom-client';
 import { closeServer, listen } from './HttpJson.js';
+import { sendMetrics } from './SendMetrics.js';
 
 /** Options of a {@link MetricsListener}. */
 export interface MetricsListenerOptions {
@@ -26,16 +27,7 @@
         response.end();
         return;
       }
-      registry.metrics().then(
-        (text) => {
-          response.writeHead(200, { 'Content-Type': registry.contentType });
-          response.end(text);
-        },
-        (error: unknown) => {
-          onFailed(error);
-          response.destroy();
-        },
-      );
+      sendMetrics(response, registry, onFailed);
     });
   }
 
--- /dev/null
+++ b/src/runtime/SendMetrics.ts
@@ -0,0 +1,20 @@
+import type { ServerResponse } from 'node:http';
+import type { Registry } from 'prom-client';
+
+/** Answers a request with the metrics in Prometheus text. */
+export function sendMetrics(
+  response: ServerResponse,
+  registry: Registry,
+  onFailed: (error: unknown) => void = () => {},
+): void {
+  registry.metrics().then(
+    (text) => {
+      response.writeHead(200, { 'Content-Type': registry.contentType });
+      response.end(text);
+    },
+    (error: unknown) => {
+      onFailed(error);
+      response.destroy();
+    },
+  );
+}
