A control host outlives a disk that refuses writes

Cause: any failed write was fatal (DurableSender.onFailed), and the provider's restart met the same full disk. Ruled out: memory (23.4 MB of 350) and the clock steps (other machines).

Change: DataFolder repeats a refused write every 100 ms until the disk takes it. What an earlier try left behind is cut off first and all bytes are written again, since a failed sync may have lost them. Until then nothing is acknowledged, as with a stalled disk; the host goes on following. Faults of the program itself stay fatal, and a release of the folder waits for no disk.

The test (torn write, lost sync) fails without the change.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -45,6 +45,8 @@
   control_link_opened: 'A link to another control host is open.',
   control_link_lost: 'A link to another control host broke.',
   control_started: 'The process listens; with the log it found.',
+  disk_refusing: 'The disk refuses writes; this host acknowledges nothing until it takes them.',
+  disk_taking: 'The disk takes writes again; with how long it refused them.',
   control_stopped: 'A planned stop ends.',
   control_request_failed: 'Handling a request failed in an unexpected way.',
   // Every process.
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -197,6 +197,9 @@
       initialize: options.initialize,
       identity: options.identity,
       supervised: options.supervised,
+      onRefusing: (error) =>
+        options.logger.error('disk_refusing', { host: file.id, detail: String(error) }),
+      onTaking: (refusedMs) => options.logger.info('disk_taking', { host: file.id, refusedMs }),
     });
     const { instanceId, hardState, snapshot, entries } = storage.stored;
     const reducer = new ControlReducer({
--- a/src/control/server/DurableSender.ts
+++ b/src/control/server/DurableSender.ts
@@ -8,7 +8,7 @@
   readonly send: (to: string, message: RaftMessage) => void;
   readonly onPersisted: (index: number, generation: number) => void;
   readonly onSnapshotSaved: (snapshot: Snapshot, received: boolean) => void;
-  /** A failed write ends the process: what is durable is no longer known. */
+  /** A write that failed for good ends the process: what is durable is no longer known. */
   readonly onFailed: (error: unknown) => void;
 }
 
--- a/src/control/storage/DataFolder.test.ts
+++ b/src/control/storage/DataFolder.test.ts
@@ -1,7 +1,15 @@
-import { appendFile, mkdtemp, readFile, rm, truncate, writeFile } from 'node:fs/promises';
+import {
+  appendFile,
+  mkdtemp,
+  open as openFile,
+  readFile,
+  rm,
+  truncate,
+  writeFile,
+} from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createRandom, pickIndex } from '../../common/Random.js';
 import { CommandType } from '../Commands.js';
 import { RaftEffectType, type LogEntry, type PersistEffect } from '../raft/Types.js';
@@ -55,6 +63,73 @@
     await again.close();
   });
 
+  describe('on a disk that refuses writes', () => {
+    afterEach(() => vi.restoreAllMocks());
+
+    async function handlePrototype() {
+      const handle = await openFile(folder, 'r');
+      await handle.close();
+      return Object.getPrototypeOf(handle) as {
+        writeFile: (bytes: Uint8Array) => Promise<void>;
+        datasync: () => Promise<void>;
+      };
+    }
+
+    const refusal = (code: string) => Object.assign(new Error(code), { code });
+
+    it('goes on once the disk takes writes, without what a torn write left behind', async () => {
+      const refused: unknown[] = [];
+      const taking: number[] = [];
+      const data = await DataFolder.open({
+        folder,
+        initialize: true,
+        onRefusing: (error) => refused.push(error),
+        onTaking: (refusedMs) => taking.push(refusedMs),
+      });
+      await data.persist(createWrite({ entries: [createEntry(1)] }));
+      const prototype = await handlePrototype();
+      const whole = prototype.writeFile;
+      vi.spyOn(prototype, 'writeFile').mockImplementationOnce(async function torn(
+        this: unknown,
+        bytes: Uint8Array,
+      ) {
+        await whole.call(this, bytes.subarray(0, 7));
+        throw refusal('ENOSPC');
+      });
+      await data.persist(createWrite({ entries: [createEntry(2)] }));
+      vi.spyOn(prototype, 'datasync').mockRejectedValueOnce(refusal('EIO'));
+      await data.persist(createWrite({ entries: [createEntry(3)] }));
+      await data.close();
+      expect(refused).toHaveLength(2);
+      expect(taking).toHaveLength(2);
+      const again = await open(false);
+      expect(again.stored.entries.map((entry) => entry.index)).toEqual([1, 2, 3]);
+      await again.close();
+    });
+
+    it('acknowledges nothing meanwhile and waits for no disk once it is released', async () => {
+      const data = await open();
+      const prototype = await handlePrototype();
+      vi.spyOn(prototype, 'datasync').mockRejectedValue(refusal('ENOSPC'));
+      const write = data.persist(createWrite({ entries: [createEntry(1)] }));
+      const outcome = write.then(
+        () => 'acknowledged',
+        () => 'failed',
+      );
+      await data.close();
+      expect(await outcome).toBe('failed');
+    });
+
+    it('reports what is no refusal of the disk at once', async () => {
+      const data = await open();
+      const prototype = await handlePrototype();
+      vi.spyOn(prototype, 'datasync').mockRejectedValueOnce(refusal('EBADF'));
+      const write = data.persist(createWrite({ entries: [createEntry(1)] }));
+      await expect(write).rejects.toThrow('EBADF');
+      await data.close();
+    });
+  });
+
   it('takes over the lock of a lost process whose number another one has by now', async () => {
     const data = await open();
     await data.close();
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -2,6 +2,7 @@
 import { existsSync } from 'node:fs';
 import { mkdir, open, readFile, rename, rm, writeFile, type FileHandle } from 'node:fs/promises';
 import path from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Packr } from 'msgpackr';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { HardState, LogEntry, PersistEffect, Snapshot } from '../raft/Types.js';
@@ -27,6 +28,19 @@
    * belongs to a process that is gone, even if another one has its number by now.
    */
   readonly supervised?: boolean;
+  /** Told when the disk begins to refuse writes, and when it takes them again. */
+  readonly onRefusing?: (error: unknown) => void;
+  readonly onTaking?: (refusedMs: number) => void;
+}
+
+/** Pause before a write that the disk refused is tried again. */
+const REFUSED_RETRY_MS = 100;
+
+/** Errors of a disk that is full or faulty for a while; others are faults of this program. */
+const REFUSALS: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT', 'EIO', 'EROFS', 'EAGAIN']);
+
+function isRefusal(error: unknown): boolean {
+  return REFUSALS.has((error as NodeJS.ErrnoException).code ?? '');
 }
 
 /** Write that waits for the next sync. */
@@ -55,7 +69,12 @@
       `The data folder ${folder} is in use by process ${holder}.`,
     );
   }
-  await writeFile(file, `${process.pid}\n`);
+  try {
+    await writeFile(file, `${process.pid}\n`);
+  } catch (error) {
+    // Under a supervisor nobody reads the lock, so a full disk needn't keep the host from following.
+    if (!supervised || !isRefusal(error)) throw error;
+  }
 }
 
 async function syncFolder(folder: string): Promise<void> {
@@ -171,11 +190,23 @@
   /** Syncs done so far, exported as a metric. */
   syncs = 0;
 
+  /** Since when the disk refuses writes; undefined while it takes them. */
+  private refusingSinceMs: number | undefined;
+
+  /** A folder that is being released waits for no disk. */
+  private closing = false;
+
+  private readonly folder: string;
+
   private constructor(
-    private readonly folder: string,
+    private readonly options: DataFolderOptions,
     private handle: FileHandle,
     readonly stored: StoredState,
-  ) {}
+    /** Bytes of the log that are known to be synced. */
+    private durableBytes: number,
+  ) {
+    this.folder = options.folder;
+  }
 
   /**
    * Opens and locks a data folder and reads its state.
@@ -198,7 +229,8 @@
     if (contents.validBytes < bytes.length) await handle.truncate(contents.validBytes);
     await handle.sync();
     await syncFolder(folder);
-    return new DataFolder(folder, handle, { instanceId, hardState, snapshot, entries });
+    const stored = { instanceId, hardState, snapshot, entries };
+    return new DataFolder(options, handle, stored, contents.validBytes);
   }
 
   persist(write: PersistEffect): Promise<void> {
@@ -211,12 +243,15 @@
   }
 
   saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
-    const saved = this.operations.then(() => this.replaceLog(snapshot, readTail));
+    const saved = this.operations.then(() =>
+      this.insist(() => this.replaceLog(snapshot, readTail)),
+    );
     this.operations = saved.catch(() => {});
     return saved;
   }
 
   async close(): Promise<void> {
+    this.closing = true;
     await this.operations;
     await this.handle.close();
     await rm(path.join(this.folder, LOCK_FILE), { force: true });
@@ -224,22 +259,55 @@
 
   private async replaceLog(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
     await replaceFile(this.folder, SNAPSHOT_FILE, encodeFrame(codec.pack(snapshot)));
-    await replaceFile(this.folder, LOG_FILE, encodeTail(readTail()));
+    const tail = encodeTail(readTail());
+    await replaceFile(this.folder, LOG_FILE, tail);
     await this.handle.close();
     this.handle = await open(path.join(this.folder, LOG_FILE), 'a');
+    this.durableBytes = tail.length;
   }
 
   /** Writes and syncs everything queued, one sync for the whole batch. */
   private async writeBatch(): Promise<void> {
     const batch = this.queue;
     this.queue = [];
+    const bytes = Buffer.concat(batch.map((write) => write.bytes));
     try {
-      await this.handle.writeFile(Buffer.concat(batch.map((write) => write.bytes)));
-      await this.handle.datasync();
+      await this.insist(() => this.append(bytes));
       this.syncs += 1;
       batch.forEach((write) => write.done());
     } catch (error) {
       batch.forEach((write) => write.failed(error));
     }
   }
+
+  /** Appends to the log; whatever an earlier try left behind is cut off first. */
+  private async append(bytes: Buffer): Promise<void> {
+    if (this.refusingSinceMs !== undefined) await this.handle.truncate(this.durableBytes);
+    await this.handle.writeFile(bytes);
+    await this.handle.datasync();
+    this.durableBytes += bytes.length;
+  }
+
+  /**
+   * Repeats an operation until the disk takes it. A host whose disk refuses writes acknowledges
+   * nothing, like one whose disk stalls, but goes on following; ending it would not mend the disk.
+   * A failed sync may have lost the bytes, so a try always writes all of them again.
+   */
+  private async insist(operation: () => Promise<void>): Promise<void> {
+    try {
+      await operation();
+    } catch (error) {
+      if (!isRefusal(error) || this.closing) throw error;
+      if (this.refusingSinceMs === undefined) {
+        this.refusingSinceMs = performance.now();
+        this.options.onRefusing?.(error);
+      }
+      await sleep(REFUSED_RETRY_MS);
+      await this.insist(operation);
+      return;
+    }
+    if (this.refusingSinceMs === undefined) return;
+    this.options.onTaking?.(performance.now() - this.refusingSinceMs);
+    this.refusingSinceMs = undefined;
+  }
 }
