--- a/src/common/ProcessSettings.ts
+++ b/src/common/ProcessSettings.ts
@@ -1,5 +1,5 @@
 import Result from 'true-myth/result';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseJsonc } from './Jsonc.js';
 import { checkDocument, checkTree, type SettingsFault } from './SettingsTree.js';
 import { treeSchema } from './SettingsSchema.js';
--- a/src/common/SettingsSchema.ts
+++ b/src/common/SettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { PolicyName, Role, WhenStale, ZoneState } from './Enums.js';
 
 const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
--- a/src/common/SettingsTree.ts
+++ b/src/common/SettingsTree.ts
@@ -1,5 +1,5 @@
 import Result from 'true-myth/result';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { ZoneState } from './Enums.js';
 import { EgretError, ErrorKind } from './Errors.js';
 import {
--- a/src/control/server/AdminApi.ts
+++ b/src/control/server/AdminApi.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import { API_PREFIX } from '../../common/Constants.js';
 import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
 import { checkDocument } from '../../common/SettingsTree.js';
--- a/src/control/server/RoutingSchemas.ts
+++ b/src/control/server/RoutingSchemas.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { RouteKind } from '../../common/routing/Types.js';
 
 const name = z.string().min(1).max(253);
