--- a/src/control/RegistryFlow.test.ts
+++ b/src/control/RegistryFlow.test.ts
@@ -45,6 +45,10 @@
     raft,
     flow,
     effects,
+    lineOf: (event: string) =>
+      effects.flatMap((effect) =>
+        effect.type === ControlEffectType.Log && effect.event === event ? [effect.fields] : [],
+      )[0],
     pushes,
     answers: () =>
       effects.flatMap((effect) =>
@@ -74,6 +78,58 @@
 const READY = createBackend('b-1');
 const DRAINING = createBackend('b-1', { state: BackendState.Draining, sequence: 2 });
 
+describe('the log line of each decision', () => {
+  it('tells what an announcement changed', () => {
+    const host = createHost();
+    host.flow.announce('r-1', READY);
+    expect(host.lineOf('backend_changed')).toMatchObject({
+      backend: 'b-1',
+      service: READY.service,
+      zone: READY.availabilityZone,
+      state: BackendState.Ready,
+      sequence: 1,
+      bornMs: READY.bornMs,
+    });
+  });
+
+  it('tells who knew of a departure that was confirmed, and of one that was not', () => {
+    const known = createHost();
+    known.flow.announce('r-1', DRAINING);
+    known.confirmFrom('b');
+    known.acknowledge(1);
+    known.acknowledge(2);
+    expect(known.lineOf('backend_departure')).toEqual({
+      backend: 'b-1',
+      confirmed: true,
+      controlHosts: 2,
+      entryHostsMissing: 0,
+    });
+    const unknown = createHost();
+    unknown.flow.announce('r-1', DRAINING);
+    unknown.flow.begin(700);
+    unknown.flow.tick();
+    expect(unknown.lineOf('backend_departure')).toMatchObject({
+      confirmed: false,
+      controlHosts: 1,
+    });
+  });
+
+  it('tells why an announcement was not confirmed', () => {
+    const host = createHost();
+    host.flow.begin(host.raft.timing.electionTimeoutMs);
+    host.flow.announce('r-1', READY);
+    expect(host.lineOf('announcement_refused')).toMatchObject({ backend: 'b-1', sequence: 1 });
+  });
+
+  it('tells which backend servers were forgotten', () => {
+    const host = createHost();
+    host.flow.announce('r-1', READY);
+    host.flow.begin(600_000);
+    host.flow.tick();
+    expect(host.lineOf('backend_expired')).toEqual({ ids: 'b-1' });
+  });
+});
+
 describe('RegistryFlow', () => {
   it('tells entry hosts and control hosts of a new backend server', () => {
     const host = createHost();
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -7,6 +7,7 @@
   type AttemptPort,
   type DispatcherOptions,
   type DispatchOutcome,
+  type PickInputs,
 } from './DispatchTypes.js';
 import { EventQueue } from './EventQueue.js';
 import {
@@ -36,8 +37,7 @@
 interface RunningAttempt {
   readonly handle: AttemptHandle;
   readonly sentAtMs: number;
-  readonly expectedMs: number;
-  readonly slowdown: number;
+  readonly inputs: PickInputs;
 }
 
 /** Sends that may be undone without having run, before the call is given up. */
@@ -146,7 +146,7 @@
       this.log('attempt_overdue', {
         backend: view.record.id,
         elapsedMs: this.options.nowMs() - attempt.sentAtMs,
-        expectedMs: attempt.expectedMs,
+        ...attempt.inputs,
       });
     });
     if (this.mayHaveRun === 0) return this.giveUp();
@@ -179,13 +179,14 @@
     if (result.type === AttemptResultType.Answer) {
       return this.onAnswer(view, result.answer, attempt, elapsedMs);
     }
-    this.noteFailure(view, result, elapsedMs);
+    this.noteFailure(view, result, attempt, elapsedMs);
     return this.tryAgain();
   }
 
   private noteFailure(
     view: BackendView,
     result: Exclude<AttemptResult, { type: AttemptResultType.Answer }>,
+    attempt: RunningAttempt,
     elapsedMs: number,
   ): void {
     const nowMs = this.options.nowMs();
@@ -203,12 +204,7 @@
     } else {
       view.noteFailure(nowMs);
     }
-    this.log('attempt_failed', {
-      backend: view.record.id,
-      outcome: result.type,
-      reason: result.reason,
-      elapsedMs,
-    });
+    this.logFailure(view, result.type, attempt, elapsedMs);
   }
 
   private async onAnswer(
@@ -224,21 +220,41 @@
     if (answer.statusCode < 500 && genuine) {
       view.noteSuccess();
       const bytes = answer.body.length;
-      options.work.note(call.service, call.route.name, elapsedMs, attempt.slowdown, bytes);
-      return { type: DispatchOutcomeType.Answer, answer, backendId: view.record.id };
+      const slowdown = attempt.inputs.slowdown ?? 1;
+      options.work.note(call.service, call.route.name, elapsedMs, slowdown, bytes);
+      return CallRun.answered(view, answer, attempt);
     }
     view.noteFailure(nowMs);
     this.lastReason = genuine ? `status ${answer.statusCode}` : 'answer without its mark';
+    this.logFailure(view, AttemptResultType.Answer, attempt, elapsedMs);
+    const more = await this.tryAgain();
+    if (more === undefined || !genuine) return more;
+    // Nothing better is to be had: the backend server's own failure goes to the caller.
+    return CallRun.answered(view, answer, attempt);
+  }
+
+  private static answered(
+    view: BackendView,
+    answer: BackendAnswer,
+    { inputs }: RunningAttempt,
+  ): DispatchOutcome {
+    return { type: DispatchOutcomeType.Answer, answer, backendId: view.record.id, inputs };
+  }
+
+  /** The line holds what decided the pick, since lines of picks that went well are sampled. */
+  private logFailure(
+    view: BackendView,
+    outcome: AttemptResultType,
+    attempt: RunningAttempt,
+    elapsedMs: number,
+  ): void {
     this.log('attempt_failed', {
       backend: view.record.id,
-      outcome: 'answer',
+      outcome,
       reason: this.lastReason,
       elapsedMs,
+      ...attempt.inputs,
     });
-    const more = await this.tryAgain();
-    if (more === undefined || !genuine) return more;
-    // Nothing better is to be had: the backend server's own failure goes to the caller.
-    return { type: DispatchOutcomeType.Answer, answer, backendId: view.record.id };
   }
 
   /** Sends the call once more if it may be; otherwise ends it once nothing is under way. */
@@ -299,20 +315,16 @@
     view.inFlight += 1;
     view.sentSinceLoad += 1;
     const handle = this.send(view, remainingMs);
-    const slowdown = view.load?.slowdown ?? 1;
-    this.running.set(view, { handle, sentAtMs: nowMs, expectedMs: pick.expectedMs, slowdown });
+    const { expectedMs, probes, loadAgeMs } = pick;
+    const { running, waiting, slowdown } = view.load ?? {};
+    const inputs = { cause, expectedMs, probes, loadAgeMs, running, waiting, slowdown };
+    this.running.set(view, { handle, sentAtMs: nowMs, inputs });
     this.log('attempt_sent', {
-      cause,
       backend: view.record.id,
       service: call.service,
       zone: view.record.availabilityZone,
-      expectedMs: pick.expectedMs,
-      probes: pick.probes,
-      loadAgeMs: pick.loadAgeMs,
-      running: view.load?.running,
-      waiting: view.load?.waiting,
-      slowdown: view.load?.slowdown,
       remainingMs,
+      ...inputs,
     });
     handle.result.then(
       (result) => this.steps.push({ type: StepType.Result, view, result }),
@@ -344,7 +356,8 @@
   private cancel(attempt: RunningAttempt, view: BackendView): void {
     const elapsedMs = this.options.nowMs() - attempt.sentAtMs;
     view.inFlight -= 1;
-    if (elapsedMs > attempt.expectedMs * OVERDUE_RATIO) view.noteFailure(this.options.nowMs());
+    if (elapsedMs > attempt.inputs.expectedMs * OVERDUE_RATIO)
+      view.noteFailure(this.options.nowMs());
     attempt.handle.cancel();
   }
 
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -15,6 +15,19 @@
   fields: Readonly<Record<string, string | number | boolean | undefined>>,
 ) => void;
 
+/** What decided the choice of a backend server, for the log. */
+export interface PickInputs {
+  /** First attempt, retry or second copy. */
+  readonly cause: string;
+  readonly expectedMs: number;
+  readonly probes: number;
+  /** Age of the load below. */
+  readonly loadAgeMs: number;
+  readonly running: number | undefined;
+  readonly waiting: number | undefined;
+  readonly slowdown: number | undefined;
+}
+
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
   readonly picker: BackendPicker;
@@ -44,6 +57,7 @@
       readonly type: DispatchOutcomeType.Answer;
       readonly answer: BackendAnswer;
       readonly backendId: string;
+      readonly inputs: PickInputs;
     }
   | {
       readonly type: DispatchOutcomeType.Refused;
--- a/src/gateway/Dispatcher.test.ts
+++ b/src/gateway/Dispatcher.test.ts
@@ -272,6 +272,12 @@
       outcome: AttemptResultType.Unknown,
       reason: 'ECONNRESET',
       elapsedMs: 7,
+      // Lines of picks are sampled, so a failure tells its pick itself.
+      cause: 'first',
+      probes: 2,
+      loadAgeMs: 0,
+      running: 0,
+      slowdown: 1,
     });
   });
 
@@ -295,7 +301,18 @@
       route: NON_IDEMPOTENT,
     });
     await world.run();
-    expect(lineOf(world, 'attempt_overdue')).toMatchObject({ backend: world.sent[0] });
+    expect(lineOf(world, 'attempt_overdue')).toMatchObject({
+      backend: world.sent[0],
+      cause: 'first',
+      probes: 2,
+      loadAgeMs: 0,
+    });
+  });
+
+  it('hands the inputs of the pick on with the answer, for the line of a late one', async () => {
+    const world = createDispatchWorld({ backends: BACKENDS, attempts: [answerAfter(90)] });
+    const { outcome } = await world.run();
+    expect(outcome).toMatchObject({ inputs: { cause: 'first', probes: 2, slowdown: 1 } });
   });
 
   it('tells why a late call got no second copy', async () => {
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -150,6 +150,7 @@
           backend: outcome.backendId,
           status: outcome.answer.statusCode,
           routing: this.options.routing.version,
+          ...(late ? outcome.inputs : {}),
         });
         this.answer(response, outcome.answer);
         break;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -104,6 +104,8 @@
 
   private boundPort = 0;
 
+  private boundReadinessPort = 0;
+
   constructor(private readonly options: GatewayServerOptions) {
     this.clock = options.clock ?? systemClock;
     this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
@@ -166,6 +168,10 @@
     return this.boundPort;
   }
 
+  get readinessPort(): number {
+    return this.boundReadinessPort;
+  }
+
   /** Entry hosts that a caller should use; empty while this host knows none. */
   entryHostsFor(availabilityZone: string): EntryHost[] {
     const entryHosts = this.entryHosts.hosts();
@@ -181,7 +187,8 @@
   async start(): Promise<void> {
     const { callers, readiness, metrics, log, id } = this.options;
     this.boundPort = await listen(this.callerServer, callers.address, callers.port);
-    await listen(this.readinessServer, readiness.address, readiness.port);
+    const { address, port } = readiness;
+    this.boundReadinessPort = await listen(this.readinessServer, address, port);
     if (metrics) {
       const onFailed = (error: unknown) => log.line('metrics_failed', { detail: String(error) });
       const { registry } = this.metrics;
