Log levels for gateways and control hosts

Cause: the cost of logs could not be shown or lowered, since these programs wrote every event whatever the settings.

Calm success is sampled at info and whole at debug. LogLevel moved to the enums, so that no settings schema is loaded for it.

--- a/bench/workers/ControlRole.ts
+++ b/bench/workers/ControlRole.ts
@@ -1,4 +1,5 @@
-import { LogLevel, ProgramKind } from '../../src/common/ProcessSettings.js';
+import { LogLevel } from '../../src/common/Enums.js';
+import { ProgramKind } from '../../src/common/ProcessSettings.js';
 import { ControlServer } from '../../src/control/server/ControlServer.js';
 import { silentLogger } from '../../src/runtime/Logger.js';
 import type { StartControlParams } from './Protocol.js';
--- a/bench/workers/EntriesRole.ts
+++ b/bench/workers/EntriesRole.ts
@@ -1,4 +1,5 @@
-import { LogLevel, ProgramKind } from '../../src/common/ProcessSettings.js';
+import { LogLevel } from '../../src/common/Enums.js';
+import { ProgramKind } from '../../src/common/ProcessSettings.js';
 import { EntryServer } from '../../src/entry/server/EntryServer.js';
 import { silentLogger } from '../../src/runtime/Logger.js';
 import { BENCH_SECRET } from './ControlRole.js';
--- a/src/common/Enums.ts
+++ b/src/common/Enums.ts
@@ -39,3 +39,11 @@
   Refuse = 'refuse',
   Serve = 'serve',
 }
+
+/** Levels of the log, most severe first. */
+export enum LogLevel {
+  Error = 'error',
+  Warn = 'warn',
+  Info = 'info',
+  Debug = 'debug',
+}
--- /dev/null
+++ b/src/common/LogLevels.test.ts
@@ -0,0 +1,22 @@
+import { describe, expect, it } from 'vitest';
+import { LogLevel } from './Enums.js';
+import { LOG_EVENTS } from './LogEvents.js';
+import { isWritten, lineLimits } from './LogLevels.js';
+
+describe('log levels', () => {
+  const written = (level: LogLevel) =>
+    Object.keys(LOG_EVENTS).filter((event) => isWritten(event, level));
+
+  it('add events from the most severe on', () => {
+    expect(written(LogLevel.Error)).toContain('process_failed');
+    expect(written(LogLevel.Error)).not.toContain('call_refused');
+    expect(written(LogLevel.Warn)).toContain('call_refused');
+    expect(written(LogLevel.Warn)).not.toContain('call_answered');
+    expect(written(LogLevel.Info)).toEqual(Object.keys(LOG_EVENTS));
+  });
+
+  it('sample calm success unless every line is wanted', () => {
+    expect(lineLimits(LogLevel.Info)).toEqual({ attempt_sent: 2, call_answered: 2 });
+    expect(lineLimits(LogLevel.Debug).call_answered).toBeGreaterThan(100);
+  });
+});
--- /dev/null
+++ b/src/common/LogLevels.ts
@@ -0,0 +1,61 @@
+import { LogLevel } from './Enums.js';
+import type { LogEvent } from './LogEvents.js';
+
+/** Levels from the most to the least severe. */
+const ORDER: readonly LogLevel[] = [LogLevel.Error, LogLevel.Warn, LogLevel.Info, LogLevel.Debug];
+
+/** Events that aren't of level `info`. */
+const EVENT_LEVELS: Partial<Record<string, LogLevel>> = {
+  call_crashed: LogLevel.Error,
+  control_request_failed: LogLevel.Error,
+  disk_refusing: LogLevel.Error,
+  metrics_failed: LogLevel.Error,
+  process_failed: LogLevel.Error,
+  lines_dropped: LogLevel.Error,
+  call_failed: LogLevel.Warn,
+  call_late: LogLevel.Warn,
+  call_refused: LogLevel.Warn,
+  call_timed_out: LogLevel.Warn,
+  call_unrouted: LogLevel.Warn,
+  attempt_failed: LogLevel.Warn,
+  attempt_overdue: LogLevel.Warn,
+  no_backend: LogLevel.Warn,
+  announcement_malformed: LogLevel.Warn,
+  announcement_refused: LogLevel.Warn,
+  control_lost: LogLevel.Warn,
+  control_link_lost: LogLevel.Warn,
+  join_failed: LogLevel.Warn,
+  link_refused: LogLevel.Warn,
+  message_refused: LogLevel.Warn,
+  routing_malformed: LogLevel.Warn,
+  lines_suppressed: LogLevel.Warn,
+} satisfies Partial<Record<LogEvent, LogLevel>>;
+
+/** Lines per second of events that stand for ordinary success. */
+const CALM_LINES_PER_SECOND = 2;
+
+/** Lines per second of calm success where every one is wanted; a gateway serves fewer calls. */
+const EVERY_CALM_LINE_PER_SECOND = 1_000;
+
+const CALM_EVENTS: readonly LogEvent[] = ['attempt_sent', 'call_answered'];
+
+/**
+ * True where an event is written at a level.
+ *
+ * @example
+ * isWritten('call_late', LogLevel.Error); // false
+ */
+export function isWritten(event: string, level: LogLevel): boolean {
+  return ORDER.indexOf(EVENT_LEVELS[event] ?? LogLevel.Info) <= ORDER.indexOf(level);
+}
+
+/**
+ * Lines per second of single events: calm success is sampled at `info` and whole at `debug`.
+ *
+ * @example
+ * lineLimits(LogLevel.Info).call_answered; // 2
+ */
+export function lineLimits(level: LogLevel): Readonly<Record<string, number>> {
+  const limit = level === LogLevel.Debug ? EVERY_CALM_LINE_PER_SECOND : CALM_LINES_PER_SECOND;
+  return Object.fromEntries(CALM_EVENTS.map((event) => [event, limit]));
+}
--- a/src/common/ProcessSettings.ts
+++ b/src/common/ProcessSettings.ts
@@ -1,17 +1,10 @@
 import Result from 'true-myth/result';
 import * as z from 'zod';
+import { LogLevel } from './Enums.js';
 import { parseJsonc } from './Jsonc.js';
 import { checkDocument, checkTree, type SettingsFault } from './SettingsTree.js';
 import { treeSchema } from './SettingsSchema.js';
 
-/** Levels of the log, most severe first. */
-export enum LogLevel {
-  Error = 'error',
-  Warn = 'warn',
-  Info = 'info',
-  Debug = 'debug',
-}
-
 /** Program that a settings file belongs to. */
 export enum ProgramKind {
   Entry = 'entry',
--- a/src/runtime/LineLog.ts
+++ b/src/runtime/LineLog.ts
@@ -1,14 +1,16 @@
 import { write } from 'node:fs';
+import { LogLevel } from '../common/Enums.js';
+import { isWritten, lineLimits } from '../common/LogLevels.js';
 import { formatPairs, type LineFields } from './LinePairs.js';
 
 /** Options of a {@link LineLog}. */
 export interface LineLogOptions {
   /** Fields that stand on every line. */
   readonly base: LineFields;
+  /** Least severe level that is written; `info` by default. */
+  readonly level?: LogLevel;
   /** Lines of one event in a second before further ones are only counted. */
   readonly linesPerSecond?: number;
-  /** Other limits for single events, lines per second. */
-  readonly limits?: Readonly<Record<string, number>>;
   /** Writes lines in the background; to standard output by default. */
   readonly write?: (text: string, done: () => void) => void;
   readonly nowMs?: () => number;
@@ -66,8 +68,14 @@
 
   private readonly prefix: string;
 
+  private readonly level: LogLevel;
+
+  private readonly limits: Readonly<Record<string, number>>;
+
   constructor(private readonly options: LineLogOptions) {
     this.prefix = LineLog.format(options.base);
+    this.level = options.level ?? LogLevel.Info;
+    this.limits = lineLimits(this.level);
   }
 
   /** Formats fields as key=value pairs. */
@@ -77,10 +85,10 @@
 
   /** Writes one event. */
   line(event: string, fields: LineFields = {}): void {
+    if (!isWritten(event, this.level)) return;
     const nowMs = this.options.nowMs?.() ?? performance.now();
     const window = this.windowOf(event, nowMs);
-    const limit =
-      this.options.limits?.[event] ?? this.options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND;
+    const limit = this.limits[event] ?? this.options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND;
     if (window.lines >= limit) {
       window.suppressed += 1;
       return;
--- a/src/runtime/Logger.ts
+++ b/src/runtime/Logger.ts
@@ -1,5 +1,5 @@
 import { createConsola, type ConsolaInstance } from 'consola';
-import { LogLevel } from '../common/ProcessSettings.js';
+import { LogLevel } from '../common/Enums.js';
 import { formatPairs, quoteValue, type LineFields } from './LinePairs.js';
 
 /** Values of one log line. */
