A start of all hosts begins with the backend servers known before

Change: a control host saves the backend servers that take work (0.5 s after a change, at least every 2 s, checksum, replaced as a whole) and hands them to gateways after a start as provisional: for 1.8 s at most, replaced by any word of this or a later incarnation, never relayed, never merged, and not used when older than 8 s (living hosts remember departures for 15 s and always know better). A gateway that has just started lets calls wait for routing, at most 0.35 s and three tenths of their time, and answers "no routing" with a Retry-After of 150 ms.

Ruled out: handing out routing that no quorum confirmed; keeping backend servers in the replicated log (an entry for each announcement).

--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -199,6 +199,7 @@
     },
     [ControlEffectType.SendControl]: () => {},
     [ControlEffectType.AnswerAnnouncement]: () => {},
+    [ControlEffectType.SaveBackends]: () => {},
     [ControlEffectType.RoleChanged]: () => {},
     [ControlEffectType.Log]: () => {},
   };
--- a/src/common/LogLevels.ts
+++ b/src/common/LogLevels.ts
@@ -12,6 +12,7 @@
   metrics_failed: LogLevel.Error,
   process_failed: LogLevel.Error,
   lines_dropped: LogLevel.Error,
+  backends_unsaved: LogLevel.Warn,
   call_failed: LogLevel.Warn,
   call_late: LogLevel.Warn,
   call_refused: LogLevel.Warn,
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -171,6 +171,8 @@
   readonly records: readonly BackendRecord[];
   /** Backend servers that have been silent for long. */
   readonly expiredIds: readonly string[];
+  /** True for records from before a restart, which only stand in for what is not yet known. */
+  readonly provisional?: boolean;
 }
 
 /** Confirms that an entry host dispatches by a batch. */
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -174,6 +174,8 @@
     },
     [ControlEventType.Join]: (event: EventOf<ControlEventType.Join>) =>
       this.autoMembership?.join(event.member, event.nowMs),
+    [ControlEventType.BackendsRestored]: (event: EventOf<ControlEventType.BackendsRestored>) =>
+      this.backends.restore(event.records),
     [ControlEventType.Stop]: () => this.runRaftEffects(this.raft.stepDown()),
   };
 
--- a/src/control/RegistryFlow.test.ts
+++ b/src/control/RegistryFlow.test.ts
@@ -130,6 +130,73 @@
   });
 });
 
+describe('what was known before all control hosts started again', () => {
+  const restoredTo = (host: ReturnType<typeof createHost>) =>
+    host
+      .pushes()
+      .flatMap(({ sessionId, message }) =>
+        message.type === ControlMessageType.Backends && message.provisional
+          ? [{ sessionId, ids: message.records.map((record) => record.id) }]
+          : [],
+      );
+
+  it('is handed to entry hosts as provisional and to nobody else', () => {
+    const host = createHost([1]);
+    host.flow.restore([createBackend('b-1'), createBackend('b-2')]);
+    host.flow.watch(2);
+    expect(restoredTo(host)).toEqual([
+      { sessionId: 1, ids: ['b-1', 'b-2'] },
+      { sessionId: 2, ids: ['b-1', 'b-2'] },
+    ]);
+    host.flow.onControlLink('b');
+    expect(host.relayed()).toEqual([]);
+    expect(host.flow.registry.size).toBe(0);
+  });
+
+  it('gives way to any word of the backend server', () => {
+    const host = createHost([1]);
+    host.flow.restore([createBackend('b-1'), createBackend('b-2')]);
+    host.flow.announce('r-1', READY);
+    host.effects.length = 0;
+    host.flow.watch(2);
+    expect(restoredTo(host)).toEqual([{ sessionId: 2, ids: ['b-2'] }]);
+  });
+
+  it('is not handed out later than announcements would have come', () => {
+    const host = createHost([1]);
+    host.flow.restore([READY]);
+    host.effects.length = 0;
+    host.flow.begin(1_600);
+    host.flow.watch(2);
+    expect(restoredTo(host)).toEqual([]);
+  });
+
+  it('lets a goodbye bind although only the restored record names the backend server', () => {
+    const host = createHost();
+    host.flow.restore([READY]);
+    host.effects.length = 0;
+    host.flow.goodbye('r-1', 'b-1', undefined);
+    expect(host.flow.registry.get('b-1')?.state).toBe(BackendState.Gone);
+    expect(host.answers()).toEqual([]);
+    host.confirmFrom('b');
+    host.acknowledge(1);
+    host.acknowledge(2);
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
+  });
+
+  it('is saved soon after a change, without those that left', () => {
+    const host = createHost();
+    host.flow.begin(5_000);
+    host.flow.announce('r-1', READY);
+    host.flow.announce('r-2', createBackend('b-2', { state: BackendState.Draining }));
+    host.flow.tick();
+    const saves = host.effects.flatMap((effect) =>
+      effect.type === ControlEffectType.SaveBackends ? [effect.records.map(({ id }) => id)] : [],
+    );
+    expect(saves).toEqual([['b-1']]);
+  });
+});
+
 describe('RegistryFlow', () => {
   it('tells entry hosts and control hosts of a new backend server', () => {
     const host = createHost();
--- a/src/control/RegistryFlow.ts
+++ b/src/control/RegistryFlow.ts
@@ -12,6 +12,7 @@
 import type { EntrySessions } from './EntrySessions.js';
 import type { RaftState } from './raft/RaftState.js';
 import { RaftRole } from './raft/Types.js';
+import { RestoredBackends } from './RestoredBackends.js';
 import { ControlEffectType, type ControlEffect } from './Types.js';
 
 /** Collaborators of a {@link RegistryFlow}. */
@@ -41,6 +42,10 @@
 /** Interval of the search for silent backend servers. */
 const EXPIRY_INTERVAL_MS = 1_000;
 
+/** What is known is saved this soon after a change, and this often without one. */
+const SAVE_CHANGED_MS = 500;
+const SAVE_INTERVAL_MS = 2_000;
+
 /**
  * Announcements at one control host. Every control host holds all of them; a departure is
  * confirmed only when a majority of the control hosts and every live entry host here know it.
@@ -57,6 +62,13 @@
 
   private expireAtMs = 0;
 
+  private readonly restored = new RestoredBackends();
+
+  private savedAtMs = 0;
+
+  /** True where something changed since the last save. */
+  private unsaved = false;
+
   private nowMs = 0;
 
   constructor(private readonly options: RegistryFlowOptions) {
@@ -67,8 +79,17 @@
     this.nowMs = nowMs;
   }
 
+  /** Takes in what was known before this process started. */
+  restore(records: readonly BackendRecord[]): void {
+    if (records.length === 0) return;
+    this.restored.load(records, this.nowMs);
+    this.log('backends_restored', { count: records.length });
+    this.watchers.forEach((sessionId) => this.sendRestored(sessionId));
+  }
+
   /** Handles an announcement that arrived at this host. */
   announce(requestId: string, record: BackendRecord): void {
+    this.restored.take(record.id);
     const change = this.registry.announce(record, this.nowMs);
     const current = this.registry.get(record.id) ?? record;
     const batchId = this.spread(change, [current]);
@@ -81,6 +102,8 @@
 
   /** Handles a goodbye that arrived at this host. */
   goodbye(requestId: string, id: string, bornMs: number | undefined): void {
+    const restored = this.restored.take(id);
+    if (restored) this.registry.announce(restored, this.nowMs);
     const record = this.registry.goodbye(id, bornMs);
     if (!record) {
       this.options.emit({
@@ -102,6 +125,7 @@
       records: this.registry.records(),
       expiredIds: [],
     });
+    this.sendRestored(sessionId);
   }
 
   closeSession(sessionId: number): void {
@@ -131,10 +155,14 @@
       this.settleDepartures();
       return;
     }
+    message.records.forEach(({ id }) => this.restored.take(id));
     const changed = message.records.filter(
       (record) => this.registry.announce(record, this.nowMs) === RegistryChange.Changed,
     );
-    if (changed.length > 0) this.push(changed, []);
+    if (changed.length > 0) {
+      this.unsaved = true;
+      this.push(changed, []);
+    }
     this.options.emit({
       type: ControlEffectType.SendControl,
       to: message.from,
@@ -148,6 +176,7 @@
 
   tick(): void {
     this.settleDepartures();
+    this.saveWhenDue();
     if (this.nowMs < this.expireAtMs) return;
     this.expireAtMs = this.nowMs + EXPIRY_INTERVAL_MS;
     const expiredIds = this.registry.expire(this.nowMs);
@@ -173,6 +202,7 @@
       raft.log.othersThan(raft.id).forEach((member) => this.relay(member.id, batchId, records));
     }
     if (change === RegistryChange.Changed) {
+      this.unsaved = true;
       records.forEach((record) =>
         this.log('backend_changed', {
           backend: record.id,
@@ -189,6 +219,29 @@
     return batchId;
   }
 
+  /** Saves what may take work, so that a start of all hosts at once doesn't begin with nothing. */
+  private saveWhenDue(): void {
+    const intervalMs = this.unsaved ? SAVE_CHANGED_MS : SAVE_INTERVAL_MS;
+    if (this.registry.size === 0 || this.nowMs - this.savedAtMs < intervalMs) return;
+    this.savedAtMs = this.nowMs;
+    this.unsaved = false;
+    const ready = this.registry.records().filter((record) => record.state === BackendState.Ready);
+    const records = [...ready, ...this.restored.current(this.nowMs)];
+    this.options.emit({ type: ControlEffectType.SaveBackends, records });
+  }
+
+  private sendRestored(sessionId: number): void {
+    const records = this.restored.current(this.nowMs);
+    if (records.length === 0) return;
+    this.sendSession(sessionId, {
+      type: ControlMessageType.Backends,
+      batchId: 0,
+      records,
+      expiredIds: [],
+      provisional: true,
+    });
+  }
+
   private awaitDeparture(requestId: string, batchId: number, record: BackendRecord): void {
     const fresh = this.options.sessions.fresh(this.nowMs - SESSION_FRESH_MS);
     this.pending.push({
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -84,6 +84,7 @@
   BetweenControl = 'between-control',
   ControlLinkOpened = 'control-link-opened',
   Join = 'join',
+  BackendsRestored = 'backends-restored',
   Stop = 'stop',
 }
 
@@ -141,6 +142,11 @@
         readonly random: number;
       }
     | { readonly type: ControlEventType.Join; readonly member: Member }
+    | {
+        /** What the process knew before it started; posted once, at the start. */
+        readonly type: ControlEventType.BackendsRestored;
+        readonly records: readonly BackendRecord[];
+      }
     | { readonly type: ControlEventType.Stop }
   );
 
@@ -152,6 +158,7 @@
   AnswerAdmin = 'answer-admin',
   SendControl = 'send-control',
   AnswerAnnouncement = 'answer-announcement',
+  SaveBackends = 'save-backends',
   RoleChanged = 'role-changed',
   Log = 'log',
 }
@@ -191,6 +198,11 @@
       /** False where this host can't make the announcement known; another host may. */
       readonly confirmed: boolean;
     }
+  | {
+      /** Keeps what is known of backend servers for the next start; may be skipped. */
+      readonly type: ControlEffectType.SaveBackends;
+      readonly records: readonly BackendRecord[];
+    }
   | {
       readonly type: ControlEffectType.RoleChanged;
       readonly role: RaftRole;
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -21,6 +21,7 @@
 import type { RaftTiming } from '../raft/RaftState.js';
 import type { Member, RaftMessage } from '../raft/Types.js';
 import type { AutoMembershipOptions } from '../AutoMembership.js';
+import { BackendsFile } from '../storage/BackendsFile.js';
 import { DataFolder } from '../storage/DataFolder.js';
 import {
   ControlEffectType,
@@ -95,6 +96,8 @@
 
   private readonly sender: DurableSender;
 
+  private readonly backendsFile: BackendsFile;
+
   private readonly sessions = new Map<number, ServerSession>();
 
   /** Administration requests without an answer. */
@@ -176,6 +179,9 @@
         ),
       onFailed: (error) => options.onFatal(error),
     });
+    this.backendsFile = new BackendsFile(file.dataFolder, (error) =>
+      logger.warn('backends_unsaved', { host: file.id, detail: String(error) }),
+    );
     const api = new AdminApi((request, tokenHash) => this.submitAdmin(request, tokenHash));
     this.admin = new AdminListener({
       server: this.adminHttp,
@@ -239,6 +245,8 @@
     this.boundPort = await listen(this.http, file.listen.address, file.listen.port);
     const { adminListen } = file;
     this.boundAdminPort = await listen(this.adminHttp, adminListen.address, adminListen.port);
+    const records = await this.backendsFile.load(this.clock.wallMs());
+    this.post({ type: ControlEventType.BackendsRestored, records });
     this.syncLinks();
     this.timer = setInterval(() => this.tick(), TICK_MS);
     if (this.options.seeds) {
@@ -434,6 +442,9 @@
     [ControlEffectType.AnswerAnnouncement]: (
       effect: EffectOf<ControlEffectType.AnswerAnnouncement>,
     ) => this.announcementWaiters.get(effect.requestId)?.(effect.confirmed),
+    [ControlEffectType.SaveBackends]: (effect: EffectOf<ControlEffectType.SaveBackends>) => {
+      this.backendsFile.save(effect.records, this.clock.wallMs());
+    },
     [ControlEffectType.RoleChanged]: (effect: EffectOf<ControlEffectType.RoleChanged>) =>
       this.options.logger.info('role_changed', {
         host: this.options.file.id,
--- /dev/null
+++ b/src/control/storage/BackendsFile.test.ts
@@ -0,0 +1,43 @@
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { createBackend } from '../../gateway/fixtures.js';
+import { BackendsFile } from './BackendsFile.js';
+
+describe('BackendsFile', () => {
+  let folder = '';
+  const failures: unknown[] = [];
+  const records = [createBackend('b-1'), createBackend('b-2')];
+
+  beforeEach(async () => {
+    failures.length = 0;
+    folder = await mkdtemp(path.join(tmpdir(), 'egret-backends-'));
+  });
+
+  afterEach(() => rm(folder, { recursive: true, force: true }));
+
+  const create = (at = folder) => new BackendsFile(at, (error) => failures.push(error));
+
+  it('gives back what was saved a moment ago, and nothing older', async () => {
+    await create().save(records, 100_000);
+    expect(await create().load(102_000)).toEqual(records);
+    expect(await create().load(120_000)).toEqual([]);
+    // A clock that was set back tells no age.
+    expect(await create().load(80_000)).toEqual([]);
+  });
+
+  it('gives nothing where the file is missing or torn', async () => {
+    expect(await create().load(0)).toEqual([]);
+    await create().save(records, 0);
+    const file = path.join(folder, 'backends.bin');
+    const bytes = await readFile(file);
+    await writeFile(file, bytes.subarray(0, bytes.length - 3));
+    expect(await create().load(0)).toEqual([]);
+  });
+
+  it('reports a disk that takes nothing, and goes on', async () => {
+    await create(path.join(folder, 'missing')).save(records, 0);
+    expect(failures).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/src/control/storage/BackendsFile.ts
@@ -0,0 +1,52 @@
+import { readFile } from 'node:fs/promises';
+import path from 'node:path';
+import { Packr } from 'msgpackr';
+import type { BackendRecord } from '../../common/backends/Types.js';
+import { replaceFile } from './ReplaceFile.js';
+import { decodeFrame, encodeFrame } from './WalCodec.js';
+
+const BACKENDS_FILE = 'backends.bin';
+
+/**
+ * Older records aren't used. Living hosts remember departures for 15 s, so that they always know
+ * better than what another one restores.
+ */
+const AGE_MAX_MS = 8_000;
+
+const codec = new Packr({ useRecords: false });
+
+interface SavedBackends {
+  readonly savedAtMs: number;
+  readonly records: readonly BackendRecord[];
+}
+
+/** Backend servers that a control host knew, kept beside its log for the next start. */
+export class BackendsFile {
+  private saving = false;
+
+  constructor(
+    private readonly folder: string,
+    private readonly onFailed: (error: unknown) => void,
+  ) {}
+
+  /** Saves the records unless an earlier save is still under way; a later one follows anyway. */
+  save(records: readonly BackendRecord[], wallMs: number): Promise<void> {
+    if (this.saving) return Promise.resolve();
+    this.saving = true;
+    const saved: SavedBackends = { savedAtMs: wallMs, records };
+    return replaceFile(this.folder, BACKENDS_FILE, encodeFrame(codec.pack(saved)))
+      .catch((error: unknown) => this.onFailed(error))
+      .finally(() => {
+        this.saving = false;
+      });
+  }
+
+  /** Reads the records; none where the file is missing, torn or of another time. */
+  async load(wallMs: number): Promise<readonly BackendRecord[]> {
+    const bytes = await readFile(path.join(this.folder, BACKENDS_FILE)).catch(() => undefined);
+    const payload = bytes ? decodeFrame(bytes, 0) : undefined;
+    if (!payload) return [];
+    const { savedAtMs, records } = codec.unpack(payload) as SavedBackends;
+    return Math.abs(wallMs - savedAtMs) <= AGE_MAX_MS ? records : [];
+  }
+}
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -1,11 +1,12 @@
 import { randomUUID } from 'node:crypto';
 import { existsSync } from 'node:fs';
-import { mkdir, open, readFile, rename, rm, writeFile, type FileHandle } from 'node:fs/promises';
+import { mkdir, open, readFile, rm, writeFile, type FileHandle } from 'node:fs/promises';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Packr } from 'msgpackr';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { HardState, LogEntry, PersistEffect, Snapshot } from '../raft/Types.js';
+import { replaceFile, syncFolder } from './ReplaceFile.js';
 import type { LogTail, Storage, StoredState } from './Types.js';
 import { decodeFrame, decodeLog, encodeFrame, encodeRecord, WalRecordType } from './WalCodec.js';
 
@@ -77,23 +78,6 @@
   }
 }
 
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
-  await handle.sync();
-  await handle.close();
-}
-
-/** Replaces a file so that a crash leaves either the old or the new one. */
-async function replaceFile(folder: string, name: string, bytes: Uint8Array): Promise<void> {
-  const temporary = path.join(folder, `${name}.new`);
-  const handle = await open(temporary, 'w');
-  await handle.writeFile(bytes);
-  await handle.sync();
-  await handle.close();
-  await rename(temporary, path.join(folder, name));
-  await syncFolder(folder);
-}
-
 /** Identity of a data folder; undefined where it is empty. */
 export async function storedIdentity(folder: string): Promise<string | undefined> {
   const file = path.join(folder, IDENTITY_FILE);
--- a/src/gateway/BackendPool.ts
+++ b/src/gateway/BackendPool.ts
@@ -59,10 +59,11 @@
     const changed: BackendView[] = [];
     records.forEach((record) => {
       const known = this.views.get(record.id);
-      if (known && !isNewer(record, known.record)) return;
+      if (known && !BackendPool.replaces(record, known)) return;
       const view = known ?? new BackendView(record);
       if (known) this.unlink(known);
       view.renew(record, nowMs);
+      view.provisional = false;
       this.views.set(record.id, view);
       this.link(view);
       if (record.state === BackendState.Gone) this.goneAtMs.set(record.id, nowMs);
@@ -73,6 +74,28 @@
     return changed;
   }
 
+  /** Takes in records from before a restart where nothing else is known; returns how many. */
+  applyProvisional(records: readonly BackendRecord[], nowMs: number): number {
+    const unknown = records.filter(({ id }) => !this.views.has(id));
+    unknown.forEach((record) => {
+      const view = new BackendView(record);
+      view.renew(record, nowMs);
+      view.provisional = true;
+      this.views.set(record.id, view);
+      this.link(view);
+    });
+    return unknown.length;
+  }
+
+  /** Drops what is still provisional and returns the ids. */
+  dropProvisional(): string[] {
+    const ids = [...this.views.values()]
+      .filter((view) => view.provisional)
+      .map((view) => view.record.id);
+    this.expire(ids);
+    return ids;
+  }
+
   /** Drops backend servers that have been silent towards every control host. */
   expire(ids: readonly string[]): void {
     ids.forEach((id) => {
@@ -105,6 +128,11 @@
     };
   }
 
+  private static replaces(record: BackendRecord, known: BackendView): boolean {
+    if (known.provisional) return !isNewer(known.record, record);
+    return isNewer(record, known.record);
+  }
+
   private rank(views: readonly BackendView[]): BackendView[] {
     const { random } = this.options;
     return views
--- a/src/gateway/BackendView.ts
+++ b/src/gateway/BackendView.ts
@@ -43,6 +43,9 @@
   /** True where it calls itself unwell; its own word alone doesn't rule it out. */
   unwell = false;
 
+  /** Known only from before a restart; replaced by any word of this or a later incarnation. */
+  provisional = false;
+
   /** Set where another incarnation has the id's address. */
   superseded = false;
 
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -21,6 +21,8 @@
   readonly log: DecisionLog;
   /** True from the start of a planned stop. */
   readonly isStopping: () => boolean;
+  /** Waits for a moment where the gateway has just started; at once otherwise. */
+  readonly untilStarted: (budgetMs: number) => Promise<void>;
   readonly createId: () => string;
 }
 
@@ -30,6 +32,9 @@
 /** Time kept back from the caller's deadline for the answer's way to it. */
 const ANSWER_MARGIN_MS = 15;
 
+/** Where no routing is known here, another gateway may know one: come back soon. */
+const RETRY_UNKNOWN_MS = 150;
+
 /** Answer headers that are set anew. */
 const OWN_ANSWER_HEADERS = new Set(['content-length']);
 
@@ -71,9 +76,13 @@
     const arrivedAtMs = options.nowMs();
     const head = options.profile.readCall(request.headers);
     const callId = head.callId ?? options.createId();
+    const callerMs = head.budgetMs ?? DEFAULT_BUDGET_MS;
+    await options.untilStarted(callerMs);
     const { index, table } = options.routing;
     if (!index || !table) {
-      this.refuse(response, callId, new EgretError(ErrorKind.NotCurrent, 'No routing is known.'));
+      const again = { retryAfterMs: RETRY_UNKNOWN_MS };
+      const unknown = new EgretError(ErrorKind.NotCurrent, 'No routing is known.', again);
+      this.refuse(response, callId, unknown);
       return;
     }
     const route = index.match(request.headers.host ?? '', request.url ?? '/');
@@ -90,7 +99,7 @@
       this.refuse(response, callId, new EgretError(kind, 'The call can not be served.'));
       return;
     }
-    const budgetMs = Math.min(head.budgetMs ?? DEFAULT_BUDGET_MS, route.timeoutMs);
+    const budgetMs = Math.min(callerMs, route.timeoutMs);
     const call: Call = {
       callId,
       route: read.type === 'long' ? { ...route, attemptsMax: 1 } : route,
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ControlMessageType, type FromControlMessage } from '../../common/Messages.js';
+import type { BackendRecord } from '../../common/backends/Types.js';
 import type { EntryHost } from '../../common/Placement.js';
 import { createRandom, type RandomSource } from '../../common/Random.js';
 import type { RoutingView } from '../../common/routing/Types.js';
@@ -18,6 +19,7 @@
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { RoutingInForce } from '../RoutingInForce.js';
+import { StartupGate } from '../StartupGate.js';
 import type { WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
 import { BackendClient } from './BackendClient.js';
@@ -65,6 +67,12 @@
 
 const STOP_POLL_MS = 20;
 
+/**
+ * Backend servers from before a restart are dropped after this time unless they are heard: their
+ * announcements come every 1.5 s, and a departure must bind within 2 s of its confirmation.
+ */
+const PROVISIONAL_MS = 1_800;
+
 /** Shortest idle time of a caller's connection, before any routing is known. */
 const DEFAULT_IDLE_MS = 15_000;
 
@@ -88,8 +96,12 @@
 
   private readonly client: BackendClient;
 
+  private readonly gate: StartupGate;
+
   private readonly calls: CallServer;
 
+  private provisionalTimer: NodeJS.Timeout | undefined;
+
   private readonly callerServer: Server;
 
   private readonly readinessServer: Server;
@@ -111,6 +123,10 @@
     this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
     const { random } = this;
     const nowMs = () => this.clock.nowMs();
+    const setTimer = (delayMs: number, fire: () => void) => {
+      const timer = setTimeout(fire, delayMs);
+      return () => clearTimeout(timer);
+    };
     const log: DecisionLog = (event, fields) => {
       this.metrics.noteDecision(event);
       options.log.line(event, fields);
@@ -135,12 +151,10 @@
       budget: this.budget,
       work,
       nowMs,
-      setTimer: (delayMs, fire) => {
-        const timer = setTimeout(fire, delayMs);
-        return () => clearTimeout(timer);
-      },
+      setTimer,
       log,
     });
+    this.gate = new StartupGate({ nowMs, setTimer });
     this.calls = new CallServer({
       profile: options.profile,
       routing: this.routing,
@@ -150,6 +164,7 @@
       nowMs,
       log,
       isStopping: () => this.stopping,
+      untilStarted: (budgetMs) => this.gate.pass(budgetMs),
       createId: createNonce,
     });
     this.callerServer = createServer(
@@ -233,6 +248,7 @@
   /** Ends the host at once. */
   dispose(): void {
     this.watch?.dispose();
+    clearTimeout(this.provisionalTimer);
     this.client.dispose();
     [this.callerServer, this.readinessServer].forEach((server) => {
       closeServer(server).catch(() => {});
@@ -275,6 +291,10 @@
     [ControlMessageType.Backends]: (
       message: Extract<FromControlMessage, { type: ControlMessageType.Backends }>,
     ) => {
+      if (message.provisional) {
+        this.applyProvisional(message.records);
+        return;
+      }
       const changed = this.pool.apply(message.records, this.clock.nowMs());
       changed.forEach(({ record, coldUntilMs }) =>
         this.options.log.line('backend_learned', {
@@ -320,7 +340,21 @@
     this.noteReadiness();
   }
 
+  private applyProvisional(records: readonly BackendRecord[]): void {
+    const count = this.pool.applyProvisional(records, this.clock.nowMs());
+    if (count === 0) return;
+    this.options.log.line('backends_provisional', { count });
+    this.provisionalTimer ??= setTimeout(() => {
+      const ids = this.pool.dropProvisional();
+      if (ids.length > 0) this.options.log.line('provisional_dropped', { ids: ids.join(',') });
+      this.provisionalTimer = undefined;
+      this.noteReadiness();
+    }, PROVISIONAL_MS);
+    this.noteReadiness();
+  }
+
   private noteReadiness(): void {
+    if (this.isReady) this.gate.open();
     if (this.wasReady === this.isReady) return;
     this.wasReady = this.isReady;
     this.options.log.line(this.isReady ? 'gateway_ready' : 'gateway_not_ready', {
