Links try again every 40 ms at first

Change: ten attempts 40 ms apart, then growing to the bound as before. A host that stays away costs what it did before from the first half second on.

--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -12,11 +12,14 @@
 import type { Logger } from './Logger.js';
 import { checkMessage, type MessageFields } from './MessageCheck.js';
 import { decodeMessage, encodeMessage } from './MessageCodec.js';
+import { RetryDelays } from './RetryDelays.js';
 
 /** Timing of a link. */
 export interface LinkTiming {
   /** Longest time between two attempts to connect. */
   readonly retryMaxMs: number;
+  /** Attempts at the shortest interval before it grows: hosts that start together find each other. */
+  readonly quickRetries: number;
   readonly heartbeatMs: number;
   /** Silence after which the link counts as broken. */
   readonly silenceMaxMs: number;
@@ -26,6 +29,7 @@
 /** Timing for hosts that are seldom out of reach. */
 const DEFAULT_LINK_TIMING: LinkTiming = {
   retryMaxMs: 1_000,
+  quickRetries: 1,
   heartbeatMs: 1_000,
   silenceMaxMs: 3_000,
   connectTimeoutMs: 2_000,
@@ -34,6 +38,7 @@
 /** Timing where a restored path must be in use again within three seconds. */
 export const FAST_LINK_TIMING: LinkTiming = {
   retryMaxMs: 120,
+  quickRetries: 10,
   heartbeatMs: 400,
   silenceMaxMs: 1_400,
   connectTimeoutMs: 700,
@@ -70,7 +75,7 @@
   Closed,
 }
 
-const FIRST_RETRY_MS = 50;
+const FIRST_RETRY_MS = 40;
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 /** Header of a masked WebSocket frame of ordinary size. */
 const FRAME_BYTES = 8;
@@ -83,7 +88,7 @@
 
   private response: ChallengeResponse | undefined;
 
-  private retryMs = FIRST_RETRY_MS;
+  private readonly retryDelays: RetryDelays;
 
   private retryTimer: NodeJS.Timeout | undefined;
 
@@ -102,6 +107,11 @@
 
   constructor(private readonly options: MessageClientOptions) {
     this.timing = options.timing ?? DEFAULT_LINK_TIMING;
+    this.retryDelays = new RetryDelays({
+      firstMs: FIRST_RETRY_MS,
+      maxMs: this.timing.retryMaxMs,
+      quick: this.timing.quickRetries,
+    });
     this.connect();
   }
 
@@ -185,7 +195,7 @@
       }
       this.ticket = greeting.ticket;
       this.state = LinkState.Open;
-      this.retryMs = FIRST_RETRY_MS;
+      this.retryDelays.reset();
       this.startHeartbeat(socket);
       this.options.onOpen();
     },
@@ -217,7 +227,6 @@
     this.ticket = '';
     if (wasOpen) this.options.onClose();
     if (this.disposed) return;
-    this.retryTimer = setTimeout(() => this.connect(), this.retryMs);
-    this.retryMs = Math.min(this.timing.retryMaxMs, this.retryMs * 2);
+    this.retryTimer = setTimeout(() => this.connect(), this.retryDelays.next());
   }
 }
