Pick policies to compare with: two choices and round robin

Cause: picks just in time had never been compared on these machines with the ways that ask nobody.

The blind ones go by a host's own calls in flight, keep the rate of cold backend servers and never try one twice for a call.

--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -2,7 +2,7 @@
 import type { BackendPool } from './BackendPool.js';
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
-import type { DecisionLog } from './DispatchTypes.js';
+import { NoPickReason, type DecisionLog, type Pick, type Picker } from './DispatchTypes.js';
 import type { Call, HealthReport } from './Types.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
@@ -19,34 +19,6 @@
   readonly log: DecisionLog;
 }
 
-/** Why no backend server was picked. */
-export enum NoPickReason {
-  /** None is announced, open and unused by the call. */
-  None = 'no-backend',
-  /** None of those that answered can finish in time. */
-  Full = 'overloaded',
-  /** Only cold ones are left, and their rate is used up. */
-  Cold = 'cold',
-  /** None answered a probe. */
-  Silent = 'unreachable',
-}
-
-/** Result of picking a backend server. */
-export type Pick =
-  | {
-      readonly view: BackendView;
-      readonly expectedMs: number;
-      readonly probes: number;
-      readonly loadAgeMs: number;
-    }
-  | {
-      readonly view: null;
-      readonly reason: NoPickReason;
-      readonly probes: number;
-      /** Loads of those that answered, for the log. */
-      readonly loads: string;
-    };
-
 /** Search for a backend server under way. */
 interface Search {
   readonly local: BackendView[];
@@ -86,7 +58,7 @@
  * Picks a backend server just in time: a few candidates are asked for their load right before the
  * call is sent, since a load that is older than a few milliseconds says little.
  */
-export class BackendPicker {
+export class BackendPicker implements Picker {
   constructor(private readonly options: BackendPickerOptions) {}
 
   pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<Pick> {
--- /dev/null
+++ b/src/gateway/BlindPicker.test.ts
@@ -0,0 +1,75 @@
+import { describe, expect, it } from 'vitest';
+import { createRandom } from '../common/Random.js';
+import { createRoute, createService } from '../common/routing/fixtures.js';
+import { BackendPool } from './BackendPool.js';
+import {
+  BlindPicker,
+  chooseOfTwo,
+  createRotation,
+  type BlindPickerOptions,
+} from './BlindPicker.js';
+import { ColdLimiter } from './ColdLimiter.js';
+import { NoPickReason } from './DispatchTypes.js';
+import { createBackend, createEntryHost } from './fixtures.js';
+import type { Call } from './Types.js';
+import { WorkEstimates } from './WorkEstimates.js';
+
+const IDS = ['b-1', 'b-2', 'b-3', 'b-4'];
+
+function createPicker(choose: BlindPickerOptions['choose'], ids: readonly string[] = IDS) {
+  const pool = new BackendPool({ availabilityZone: 'perth', random: createRandom(7) });
+  pool.apply(
+    ids.map((id) => createBackend(id)),
+    0,
+  );
+  const cold = new ColdLimiter({ selfId: 'entry-1' });
+  cold.setEntryHosts([createEntryHost('entry-1')]);
+  const picker = new BlindPicker({ pool, cold, work: new WorkEstimates(), nowMs: () => 0, choose });
+  const route = createRoute('read');
+  const call: Call = {
+    callId: 'call-1',
+    route,
+    service: 'alpha',
+    arrivedAtMs: 0,
+    dueAtMs: 1_000,
+    objectiveAtMs: 250,
+    isWanted: () => true,
+  };
+  const pick = (tried: readonly string[] = []) =>
+    picker.pick(call, createService('alpha'), new Set(tried));
+  return { pool, cold, pick };
+}
+
+describe('picks without asking', () => {
+  it('take backend servers in turn', async () => {
+    const { pick } = createPicker(createRotation());
+    const picks = await Promise.all(Array.from({ length: 8 }, () => pick()));
+    expect(picks.map(({ view }) => view?.record.id)).toEqual([...IDS, ...IDS]);
+  });
+
+  it('take the less busy of two', async () => {
+    const { pool, pick } = createPicker(chooseOfTwo, ['b-1', 'b-2']);
+    pool.get('b-1')!.inFlight = 3;
+    const picks = await Promise.all(Array.from({ length: 20 }, () => pick()));
+    expect(new Set(picks.map(({ view }) => view?.record.id))).toEqual(new Set(['b-2']));
+  });
+
+  it('never send one call twice to the same backend server', async () => {
+    const { pick } = createPicker(chooseOfTwo);
+    const { view } = await pick(['b-1', 'b-2', 'b-3']);
+    expect(view?.record.id).toBe('b-4');
+  });
+
+  it('keep the rate of cold backend servers', async () => {
+    const { pool, cold, pick } = createPicker(chooseOfTwo, ['b-1']);
+    const view = pool.get('b-1')!;
+    view.noteCold(3_000, 0);
+    Array.from({ length: 30 }).forEach(() => cold.note(view, 0));
+    expect(await pick()).toMatchObject({ view: null, reason: NoPickReason.Cold });
+  });
+
+  it('tell that nobody is announced', async () => {
+    const { pick } = createPicker(chooseOfTwo, []);
+    expect(await pick()).toMatchObject({ view: null, reason: NoPickReason.None });
+  });
+});
--- /dev/null
+++ b/src/gateway/BlindPicker.ts
@@ -0,0 +1,59 @@
+import type { RoutedService } from '../common/routing/Types.js';
+import type { BackendPool } from './BackendPool.js';
+import type { BackendView } from './BackendView.js';
+import type { ColdLimiter } from './ColdLimiter.js';
+import { NoPickReason, type Pick, type Picker } from './DispatchTypes.js';
+import type { Call } from './Types.js';
+import type { WorkEstimates } from './WorkEstimates.js';
+
+/** Options of a {@link BlindPicker}. */
+export interface BlindPickerOptions {
+  readonly pool: BackendPool;
+  readonly cold: ColdLimiter;
+  readonly work: WorkEstimates;
+  readonly nowMs: () => number;
+  /** Chooses among backend servers that may take the call; the order is random. */
+  readonly choose: (views: readonly BackendView[], service: string) => BackendView;
+}
+
+/** Power of two choices: of the first two, the one with fewer own calls in flight. */
+export function chooseOfTwo(views: readonly BackendView[]): BackendView {
+  const [first, second] = views;
+  return second && second.inFlight < first!.inFlight ? second : first!;
+}
+
+/** Creates a rotation over the backend servers of each service. */
+export function createRotation(): BlindPickerOptions['choose'] {
+  const turns = new Map<string, number>();
+  return (views, service) => {
+    const sorted = [...views].sort((a, b) => (a.record.id < b.record.id ? -1 : 1));
+    const turn = turns.get(service) ?? 0;
+    turns.set(service, turn + 1);
+    return sorted[turn % sorted.length]!;
+  };
+}
+
+/**
+ * Picks without asking, by what this host knows of its own calls. Kept as the measure that picks
+ * just in time are compared with, and for backend servers that tell no load.
+ */
+export class BlindPicker implements Picker {
+  constructor(private readonly options: BlindPickerOptions) {}
+
+  pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<Pick> {
+    const { pool, cold, work, choose } = this.options;
+    const nowMs = this.options.nowMs();
+    const { local, remote } = pool.candidates({ service: service.name, nowMs, tried });
+    const open = [...local, ...remote].filter(
+      (view) => !view.isCold(nowMs) || cold.hasRoom(view, service.coldPerSecond, nowMs),
+    );
+    if (open.length === 0) {
+      const known = local.length + remote.length > 0;
+      const reason = known ? NoPickReason.Cold : NoPickReason.None;
+      return Promise.resolve({ view: null, reason, probes: 0, loads: '' });
+    }
+    const view = choose(open, service.name);
+    const expectedMs = view.expectedMs(work.workMs(call.service), nowMs);
+    return Promise.resolve({ view, expectedMs, probes: 0, loadAgeMs: nowMs - view.loadAtMs });
+  }
+}
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -1,9 +1,9 @@
 import type { LogEvent } from '../common/LogEvents.js';
 import { RouteKind, type RoutedService } from '../common/routing/Types.js';
-import { NoPickReason } from './BackendPicker.js';
 import type { BackendView } from './BackendView.js';
 import {
   DispatchOutcomeType,
+  NoPickReason,
   type AttemptPort,
   type DispatcherOptions,
   type DispatchOutcome,
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -1,9 +1,9 @@
 import type { LogEvent } from '../common/LogEvents.js';
-import type { BackendPicker } from './BackendPicker.js';
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
 import type { RetryBudget } from './RetryBudget.js';
-import type { AttemptHandle, BackendAnswer } from './Types.js';
+import type { RoutedService } from '../common/routing/Types.js';
+import type { AttemptHandle, BackendAnswer, Call } from './Types.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
 /** Sends one attempt of a call. */
@@ -15,6 +15,48 @@
   fields: Readonly<Record<string, string | number | boolean | undefined>>,
 ) => void;
 
+/** Why no backend server was picked. */
+export enum NoPickReason {
+  /** None is announced, open and unused by the call. */
+  None = 'no-backend',
+  /** None of those that answered can finish in time. */
+  Full = 'overloaded',
+  /** Only cold ones are left, and their rate is used up. */
+  Cold = 'cold',
+  /** None answered a probe. */
+  Silent = 'unreachable',
+}
+
+/** Result of picking a backend server. */
+export type Pick =
+  | {
+      readonly view: BackendView;
+      readonly expectedMs: number;
+      readonly probes: number;
+      readonly loadAgeMs: number;
+    }
+  | {
+      readonly view: null;
+      readonly reason: NoPickReason;
+      readonly probes: number;
+      /** Loads of those that answered, for the log. */
+      readonly loads: string;
+    };
+
+/** Chooses a backend server for one attempt. */
+export interface Picker {
+  pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<Pick>;
+}
+
+/** Ways to choose a backend server; the names are those of the settings. */
+export enum PickPolicy {
+  /** Asks a few candidates for their load right before the call is sent. */
+  JustInTime = 'just-in-time',
+  /** The less busy of two by own calls in flight. */
+  TwoChoices = 'two-choices',
+  RoundRobin = 'round-robin',
+}
+
 /** What decided the choice of a backend server, for the log. */
 export interface PickInputs {
   /** First attempt, retry or second copy. */
@@ -30,7 +72,7 @@
 
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
-  readonly picker: BackendPicker;
+  readonly picker: Picker;
   readonly cold: ColdLimiter;
   readonly budget: RetryBudget;
   readonly work: WorkEstimates;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -15,7 +15,8 @@
 import { BackendPool } from '../BackendPool.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { Dispatcher } from '../Dispatcher.js';
-import type { DecisionLog } from '../DispatchTypes.js';
+import { BlindPicker, chooseOfTwo, createRotation } from '../BlindPicker.js';
+import { PickPolicy, type DecisionLog, type Picker } from '../DispatchTypes.js';
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { RoutingInForce } from '../RoutingInForce.js';
@@ -48,6 +49,8 @@
   /** False where the control hosts' own addresses can't be reached, as in tests. */
   readonly followMembership?: boolean;
   readonly profile: WireProfile;
+  /** How backend servers are picked; just in time by default. */
+  readonly policy?: PickPolicy;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Time from the stop signal to the end of the process at the latest. */
   readonly stopMs: number;
@@ -137,14 +140,7 @@
     this.budget = new RetryBudget({ ...options.budget, startedAtMs: nowMs() });
     this.client = new BackendClient({ profile: options.profile });
     const work = new WorkEstimates();
-    const picker = new BackendPicker({
-      pool: this.pool,
-      cold: this.cold,
-      work,
-      probe: (view, service) => this.client.probe(view, service),
-      nowMs,
-      log,
-    });
+    const picker = this.createPicker(options.policy ?? PickPolicy.JustInTime, work, log);
     const dispatcher = new Dispatcher({
       picker,
       cold: this.cold,
@@ -264,6 +260,22 @@
     await this.finishCalls(lastAtMs);
   }
 
+  private createPicker(policy: PickPolicy, work: WorkEstimates, log: DecisionLog): Picker {
+    const { pool, cold, client } = this;
+    const base = { pool, cold, work, nowMs: () => this.clock.nowMs() };
+    const create: Record<PickPolicy, () => Picker> = {
+      [PickPolicy.JustInTime]: () =>
+        new BackendPicker({
+          ...base,
+          probe: (view, service) => client.probe(view, service),
+          log,
+        }),
+      [PickPolicy.TwoChoices]: () => new BlindPicker({ ...base, choose: chooseOfTwo }),
+      [PickPolicy.RoundRobin]: () => new BlindPicker({ ...base, choose: createRotation() }),
+    };
+    return create[policy]();
+  }
+
   private self(): EntryHost {
     const { id, callers, availabilityZone, readiness } = this.options;
     return {
