Calls that end every backend server are found and stopped by all gateways together

Cause: a call that crashes each backend server which runs it comes again at any gateway; each gateway alone would have let it end several more. Only the product's own entry program had a quarantine, for each host by itself.

Change: a gateway whose connection breaks while a call runs asks the backend server 120 ms later whether it lives; an end is told to all gateways through a control host. A call under suspicion is sent once, without retry or second copy. After three ends of different incarnations, each at least 250 ms apart, it is answered "not run" for a minute. Ends at one moment count once, so that a lost zone condemns nobody; a good answer clears the call. Fingerprints are worked out only while any call is under suspicion.

Ruled out: the entry program's quarantine as it is (two ends, ten minutes, no distinction of mass failures) would condemn popular reads after a lost zone.

Tests of the load pattern without a network: ends spread over four gateways, resets, a mass failure, good ends, repeated reports; the control host's relay; the dispatcher's report.

--- a/fuzz/ControlCluster.ts
+++ b/fuzz/ControlCluster.ts
@@ -1,3 +1,4 @@
+import type { FromControlMessage } from '../src/common/Messages.js';
 import { createRandom } from '../src/common/Random.js';
 import type { EgretError } from '../src/common/Errors.js';
 import type { ChangeResult } from '../src/control/AgreedState.js';
@@ -10,6 +11,7 @@
 
 /** Options of a {@link ControlCluster}. */
 export interface ControlClusterOptions {
+  readonly sendSession?: (sessionId: number, message: FromControlMessage) => void;
   readonly count?: number;
   readonly seed?: number;
   readonly snapshotEvery?: number;
@@ -41,7 +43,7 @@
 
   private nextChange = 1;
 
-  constructor(options: ControlClusterOptions = {}) {
+  constructor(private readonly options: ControlClusterOptions = {}) {
     this.random = createRandom(options.seed ?? 1);
     this.network = new Network(this.timeline, this.random, {
       minDelayMs: 0.5,
@@ -81,7 +83,7 @@
         this.network.send(id, to, () =>
           this.hosts.get(to)?.handle({ type: ControlEventType.RaftMessage, message }),
         ),
-      sendSession: () => {},
+      sendSession: this.options.sendSession ?? (() => {}),
     });
     this.hosts.set(id, host);
     return host;
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -7,6 +7,8 @@
   attempt_overdue: 'The time of the call ran out while this attempt was under way.',
   no_backend: 'No backend server was picked; with the loads of those that answered.',
   second_copy_refused: 'An idempotent call was late and got no second copy; with the reason.',
+  call_suspected: 'A backend server ended while it ran a call; with what is known of such calls.',
+  call_quarantined: 'The call has ended several backend servers and is not sent; it has not run.',
   call_answered: 'The answer of a backend server goes to the caller within the objective.',
   call_late: 'The answer of a backend server goes to the caller after the objective.',
   call_refused: 'The call has not run and never will; with when to come back.',
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -21,6 +21,7 @@
   Routing = 'routing',
   Backends = 'backends',
   BackendsAck = 'backends-ack',
+  CrashReport = 'crash-report',
   BackendRelay = 'backend-relay',
   BackendRelayAck = 'backend-relay-ack',
 }
@@ -181,6 +182,14 @@
   readonly batchId: number;
 }
 
+/** A backend server ended while it ran a call; the control host tells every other entry host. */
+export interface CrashReportMessage {
+  readonly type: ControlMessageType.CrashReport;
+  readonly fingerprint: string;
+  readonly backendId: string;
+  readonly bornMs: number;
+}
+
 /** Passes announcements on to another control host. */
 export interface BackendRelayMessage {
   readonly type: ControlMessageType.BackendRelay;
@@ -207,7 +216,8 @@
   | ClaimMessage
   | SettleMessage
   | WatchMessage
-  | BackendsAckMessage;
+  | BackendsAckMessage
+  | CrashReportMessage;
 
 /** Messages from a control host to an entry host. */
 export type FromControlMessage =
@@ -218,4 +228,5 @@
   | ClaimReplyMessage
   | SettleReplyMessage
   | RoutingMessage
-  | BackendsMessage;
+  | BackendsMessage
+  | CrashReportMessage;
--- a/src/control/ControlReducer.test.ts
+++ b/src/control/ControlReducer.test.ts
@@ -1,11 +1,30 @@
 import { describe, expect, it } from 'vitest';
 import { ControlCluster, valueAt } from '../../fuzz/ControlCluster.js';
+import { ControlMessageType, type FromControlMessage } from '../common/Messages.js';
+import { createEntryHost } from '../gateway/fixtures.js';
 import { AuditOutcome } from './AgreedState.js';
 import { DEFAULT_RAFT_TIMING } from './raft/RaftState.js';
-import { AdminRequestType } from './Types.js';
+import { AdminRequestType, ControlEventType } from './Types.js';
 
 const MINUTES_MS = 180_000;
 
+/** Control host with watching entry hosts, and what it sends them. */
+function createSessions(sessionIds: readonly number[]) {
+  const sent: { sessionId: number; message: FromControlMessage }[] = [];
+  const cluster = new ControlCluster({
+    sendSession: (sessionId, message) => sent.push({ sessionId, message }),
+  });
+  const host = cluster.leader();
+  sessionIds.forEach((sessionId) => {
+    const entryHost = createEntryHost(`e-${sessionId}`);
+    const hello = { type: ControlMessageType.Hello, entryHost } as const;
+    host.handle({ type: ControlEventType.SessionMessage, sessionId, message: hello });
+    const watch = { type: ControlMessageType.Watch, routingIndex: 0 } as const;
+    host.handle({ type: ControlEventType.SessionMessage, sessionId, message: watch });
+  });
+  return { host, sent };
+}
+
 describe('control hosts', () => {
   it('keeps an old leader that is cut off for minutes from acknowledging anything', () => {
     const cluster = new ControlCluster({ snapshotEvery: 120 });
@@ -84,6 +103,15 @@
     expect(elected.length).toBeGreaterThanOrEqual(18);
   });
 
+  it('tell every entry host but the reporter of a call that ended a backend server', () => {
+    const { host, sent } = createSessions([1, 2, 3]);
+    const report = { fingerprint: 'GET /read/x', backendId: 'b-1', bornMs: 7 };
+    const message = { type: ControlMessageType.CrashReport, ...report } as const;
+    host.handle({ type: ControlEventType.SessionMessage, sessionId: 2, message });
+    const told = sent.filter((one) => one.message.type === ControlMessageType.CrashReport);
+    expect(told).toEqual([1, 3].map((sessionId) => ({ sessionId, message })));
+  });
+
   it('does not hasten an election against a leader that lives', () => {
     const cluster = new ControlCluster();
     const leader = cluster.leader();
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -244,6 +244,13 @@
       sessionId: number,
       message: SessionMessageOf<ControlMessageType.BackendsAck>,
     ) => this.backends.acknowledge(sessionId, message.batchId),
+    [ControlMessageType.CrashReport]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.CrashReport>,
+    ) =>
+      [...this.watchers]
+        .filter((other) => other !== sessionId)
+        .forEach((other) => this.sendSession(other, message)),
   };
 
   private emit(effect: ControlEffect): void {
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -91,6 +91,11 @@
   },
   [ControlMessageType.Watch]: { routingIndex: FieldType.Number },
   [ControlMessageType.BackendsAck]: { batchId: FieldType.Number },
+  [ControlMessageType.CrashReport]: {
+    fingerprint: FieldType.String,
+    backendId: FieldType.String,
+    bornMs: FieldType.Number,
+  },
 };
 
 /** Required fields of the messages to entry hosts. */
--- a/src/gateway/BlindPicker.test.ts
+++ b/src/gateway/BlindPicker.test.ts
@@ -33,6 +33,7 @@
     arrivedAtMs: 0,
     dueAtMs: 1_000,
     objectiveAtMs: 250,
+    fingerprint: () => 'GET /read/x',
     isWanted: () => true,
   };
   const pick = (tried: readonly string[] = []) =>
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -203,6 +203,9 @@
       view.avoid(nowMs);
     } else {
       view.noteFailure(nowMs);
+      if (result.type === AttemptResultType.Unknown) {
+        this.options.crashes.noteBroken(view, this.call.fingerprint);
+      }
     }
     this.logFailure(view, result.type, attempt, elapsedMs);
   }
@@ -219,6 +222,7 @@
     const genuine = answer.statusCode >= 300 || answer.authentic;
     if (answer.statusCode < 500 && genuine) {
       view.noteSuccess();
+      options.crashes.noteSound(call.fingerprint);
       const bytes = answer.body.length;
       const slowdown = attempt.inputs.slowdown ?? 1;
       options.work.note(call.service, call.route.name, elapsedMs, slowdown, bytes);
--- /dev/null
+++ b/src/gateway/CrashWatch.test.ts
@@ -0,0 +1,115 @@
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { describe, expect, it } from 'vitest';
+import { BackendView } from './BackendView.js';
+import { CallStanding, type CrashReport } from './CrashSuspects.js';
+import { CrashWatch } from './CrashWatch.js';
+import { createBackend } from './fixtures.js';
+
+const CALL = () => 'GET /read/poison';
+const OTHER = () => 'GET /read/other';
+
+/** Several entry hosts that hear each other's reports, and backend servers that are dead or alive. */
+function createWorld(hosts: number) {
+  let nowMs = 0;
+  let timers: { atMs: number; fire: () => void }[] = [];
+  const dead = new Set<string>();
+  const told: CrashReport[] = [];
+  const logged: string[] = [];
+  const watches: CrashWatch[] = Array.from(
+    { length: hosts },
+    (unused, own) =>
+      new CrashWatch({
+        nowMs: () => nowMs,
+        setTimer: (delayMs, fire) => {
+          timers.push({ atMs: nowMs + delayMs, fire });
+          return () => {};
+        },
+        isAlive: (view) => Promise.resolve(!dead.has(view.record.id)),
+        tell: (report) => {
+          told.push(report);
+          watches.forEach((watch, at) => at !== own && watch.note(report));
+        },
+        log: (event) => logged.push(event),
+      }),
+  );
+  const advance = async (spanMs: number) => {
+    nowMs += spanMs;
+    const due = timers.filter((timer) => timer.atMs <= nowMs);
+    timers = timers.filter((timer) => timer.atMs > nowMs);
+    due.forEach((timer) => timer.fire());
+    await nextTurn();
+  };
+  return {
+    watches,
+    told,
+    logged,
+    advance,
+    /** A call ends the backend server that runs it; its entry host notices. */
+    crash: async (host: number, id: string, call = CALL) => {
+      dead.add(id);
+      watches[host]!.noteBroken(new BackendView(createBackend(id)), call);
+      await advance(500);
+    },
+    /** Many backend servers end at the same moment, each with the same call running. */
+    crashTogether: async (ids: readonly string[]) => {
+      ids.forEach((id) => dead.add(id));
+      ids.forEach((id, at) =>
+        watches[at % watches.length]!.noteBroken(new BackendView(createBackend(id)), CALL),
+      );
+      await advance(500);
+    },
+    reset: async (host: number, id: string) => {
+      watches[host]!.noteBroken(new BackendView(createBackend(id)), CALL);
+      await advance(500);
+    },
+  };
+}
+
+describe('a call that ends every backend server that runs it', () => {
+  it('is quarantined at all entry hosts after the third end, wherever it came', async () => {
+    const world = createWorld(4);
+    await world.crash(0, 'b-1');
+    expect(world.watches.map((watch) => watch.standingOf(CALL))).toEqual(
+      Array(4).fill(CallStanding.Suspect),
+    );
+    await world.crash(1, 'b-2');
+    await world.crash(2, 'b-3');
+    expect(world.watches.map((watch) => watch.standingOf(CALL))).toEqual(
+      Array(4).fill(CallStanding.Quarantined),
+    );
+    expect(world.watches[3]!.standingOf(OTHER)).toBe(CallStanding.Clear);
+    expect(world.told).toHaveLength(3);
+    expect(new Set(world.logged)).toEqual(new Set(['call_suspected']));
+  });
+
+  it('is not suspected for a connection that was only reset', async () => {
+    const world = createWorld(2);
+    await world.reset(0, 'b-1');
+    expect(world.watches[0]!.standingOf(CALL)).toBe(CallStanding.Clear);
+    expect(world.told).toEqual([]);
+  });
+
+  it('is not taken for the cause where many end at once, as when a zone is lost', async () => {
+    const world = createWorld(3);
+    await world.crashTogether(['b-1', 'b-2', 'b-3', 'b-4', 'b-5', 'b-6']);
+    expect(world.watches[0]!.standingOf(CALL)).toBe(CallStanding.Suspect);
+  });
+
+  it('is clear again once it ran to a good end, or did not come for a minute', async () => {
+    const world = createWorld(1);
+    await world.crash(0, 'b-1');
+    world.watches[0]!.noteSound(CALL);
+    expect(world.watches[0]!.standingOf(CALL)).toBe(CallStanding.Clear);
+    await world.crash(0, 'b-2');
+    await world.advance(61_000);
+    expect(world.watches[0]!.standingOf(CALL)).toBe(CallStanding.Clear);
+  });
+
+  it('counts one incarnation once, whoever reports it', async () => {
+    const world = createWorld(2);
+    await world.crash(0, 'b-1');
+    await world.crash(1, 'b-1');
+    await world.crash(0, 'b-1');
+    expect(world.watches[0]!.standingOf(CALL)).toBe(CallStanding.Suspect);
+  });
+});
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -70,12 +70,20 @@
   readonly slowdown: number | undefined;
 }
 
+/** Learns how running calls ended. */
+export interface CrashObserver {
+  noteBroken(view: BackendView, fingerprint: () => string): void;
+  noteSound(fingerprint: () => string): void;
+}
+
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
   readonly picker: Picker;
   readonly cold: ColdLimiter;
   readonly budget: RetryBudget;
   readonly work: WorkEstimates;
+  /** Told of connections that broke while a call was running, and of calls that ended well. */
+  readonly crashes: CrashObserver;
   readonly nowMs: () => number;
   readonly setTimer: (delayMs: number, fire: () => void) => () => void;
   readonly log: DecisionLog;
--- a/src/gateway/Dispatcher.test.ts
+++ b/src/gateway/Dispatcher.test.ts
@@ -281,6 +281,15 @@
     });
   });
 
+  it('reports a backend server whose connection broke, for crashing calls to be found', async () => {
+    const world = createDispatchWorld({
+      backends: BACKENDS,
+      attempts: [{ afterMs: 7, result: UNKNOWN }, answerAfter(90)],
+    });
+    await world.run();
+    expect(world.broken).toEqual([world.sent[0]]);
+  });
+
   it('tells the loads behind a refusal', async () => {
     const load = { running: 3, waiting: 40, slots: 3, slowdown: 7 };
     const world = createDispatchWorld({
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -66,6 +66,8 @@
   readonly dueAtMs: number;
   /** Time by which an answer has its full value. */
   readonly objectiveAtMs: number;
+  /** Identifies equal calls; worked out only when it is needed. */
+  readonly fingerprint: () => string;
   /** True while the caller is still there. */
   isWanted(): boolean;
 }
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -129,6 +129,7 @@
   const logged: { event: LogEvent; fields: Readonly<Record<string, unknown>> }[] = [];
   const log: DecisionLog = (event, fields) => logged.push({ event, fields });
   const probes: string[] = [];
+  const broken: string[] = [];
   const probe = (view: BackendView): Promise<HealthReport | null> => {
     const { id } = view.record;
     probes.push(id);
@@ -143,6 +144,7 @@
     cold,
     budget,
     work,
+    crashes: { noteBroken: (view) => broken.push(view.record.id), noteSound: () => {} },
     nowMs: () => nowMs,
     setTimer,
     log,
@@ -159,6 +161,7 @@
     arrivedAtMs: nowMs,
     dueAtMs: nowMs + (options.budgetMs ?? 1_200),
     objectiveAtMs: nowMs + route.objectiveMs,
+    fingerprint: () => 'GET /read/x',
     isWanted: () => wanted,
   });
   const send = (view: BackendView) => {
@@ -196,6 +199,7 @@
     budget,
     logged,
     probes,
+    broken,
     sent,
     cancelled,
     advanceTo,
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -1,7 +1,10 @@
+import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { Route, RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
+import { CallStanding } from '../CrashSuspects.js';
+import type { CrashWatch } from '../CrashWatch.js';
 import type { Dispatcher } from '../Dispatcher.js';
 import { DispatchOutcomeType, type DecisionLog, type DispatchOutcome } from '../DispatchTypes.js';
 import type { RoutingInForce } from '../RoutingInForce.js';
@@ -22,6 +25,7 @@
   /** True from the start of a planned stop. */
   readonly isStopping: () => boolean;
   /** Waits for a moment where the gateway has just started; at once otherwise. */
+  readonly crashes: CrashWatch;
   readonly untilStarted: (budgetMs: number) => Promise<void>;
   readonly createId: () => string;
 }
@@ -35,12 +39,20 @@
 /** Where no routing is known here, another gateway may know one: come back soon. */
 const RETRY_UNKNOWN_MS = 150;
 
+/** A call in quarantine may be tried again after the time in which it is forgotten. */
+const RETRY_QUARANTINED_MS = 60_000;
+
 /** Answer headers that are set anew. */
 const OWN_ANSWER_HEADERS = new Set(['content-length']);
 
 /** Request headers that are set anew, beside those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length'];
 
+/** Identifies equal calls. */
+function fingerprintOf(method = '', target = '', body = Buffer.alloc(0)): string {
+  return createHash('sha256').update(`${method} ${target}\0`).update(body).digest('base64url');
+}
+
 /** Serves callers: finds the route, dispatches, passes the answer on. */
 export class CallServer {
   /** Requests without a final answer. */
@@ -100,13 +112,24 @@
       return;
     }
     const budgetMs = Math.min(callerMs, route.timeoutMs);
+    const fingerprint = () => fingerprintOf(request.method, request.url, read.body);
+    const standing = options.crashes.standingOf(fingerprint);
+    if (standing === CallStanding.Quarantined) {
+      const again = { retryAfterMs: RETRY_QUARANTINED_MS };
+      options.log('call_quarantined', { call: callId, route: route.name });
+      const error = new EgretError(ErrorKind.Overloaded, 'The call ends servers.', again);
+      this.refuse(response, callId, error);
+      return;
+    }
+    const once = read.type === 'long' || standing === CallStanding.Suspect;
     const call: Call = {
       callId,
-      route: read.type === 'long' ? { ...route, attemptsMax: 1 } : route,
+      route: once ? { ...route, attemptsMax: 1 } : route,
       service: service.name,
       arrivedAtMs,
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs,
+      fingerprint,
       isWanted: () => !response.destroyed && !response.closed,
     };
     const rest = read.type === 'long' ? request : null;
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -5,6 +5,7 @@
 } from '../../common/Messages.js';
 import type { Disposable } from '../../common/Disposable.js';
 import type { EntryHost } from '../../common/Placement.js';
+import type { CrashReport } from '../CrashSuspects.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
 import { FieldType, type MessageFields } from '../../runtime/MessageCheck.js';
@@ -44,6 +45,11 @@
     records: FieldType.Object,
     expiredIds: FieldType.Object,
   },
+  [ControlMessageType.CrashReport]: {
+    fingerprint: FieldType.String,
+    backendId: FieldType.String,
+    bornMs: FieldType.Number,
+  },
 };
 
 /** Heartbeats; three missed ones take an entry host out of the directory. */
@@ -84,6 +90,12 @@
     this.clients.forEach((client) => this.sendPing(client));
   }
 
+  /** Tells the other entry hosts, over any control host. */
+  report(report: CrashReport): void {
+    const open = [...this.clients.values()].find((client) => client.isOpen);
+    open?.send({ type: ControlMessageType.CrashReport, ...report });
+  }
+
   dispose(): void {
     clearInterval(this.timer);
     this.clients.forEach((client) => client.dispose());
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -13,7 +13,9 @@
 import { MetricsListener } from '../../runtime/MetricsListener.js';
 import { BackendPicker } from '../BackendPicker.js';
 import { BackendPool } from '../BackendPool.js';
+import type { BackendView } from '../BackendView.js';
 import { ColdLimiter } from '../ColdLimiter.js';
+import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
 import { BlindPicker, chooseOfTwo, createRotation } from '../BlindPicker.js';
 import { PickPolicy, type DecisionLog, type Picker } from '../DispatchTypes.js';
@@ -101,6 +103,8 @@
 
   private readonly gate: StartupGate;
 
+  private readonly crashes: CrashWatch;
+
   private readonly calls: CallServer;
 
   private provisionalTimer: NodeJS.Timeout | undefined;
@@ -141,11 +145,19 @@
     this.client = new BackendClient({ profile: options.profile });
     const work = new WorkEstimates();
     const picker = this.createPicker(options.policy ?? PickPolicy.JustInTime, work, log);
+    this.crashes = new CrashWatch({
+      nowMs,
+      setTimer,
+      isAlive: (view) => this.isAlive(view),
+      tell: (report) => this.watch?.report(report),
+      log,
+    });
     const dispatcher = new Dispatcher({
       picker,
       cold: this.cold,
       budget: this.budget,
       work,
+      crashes: this.crashes,
       nowMs,
       setTimer,
       log,
@@ -160,6 +172,7 @@
       nowMs,
       log,
       isStopping: () => this.stopping,
+      crashes: this.crashes,
       untilStarted: (budgetMs) => this.gate.pass(budgetMs),
       createId: createNonce,
     });
@@ -276,6 +289,12 @@
     return create[policy]();
   }
 
+  /** Asks a backend server whether it is there; any answer will do. */
+  private async isAlive(view: BackendView): Promise<boolean> {
+    const service = this.routing.index?.service(view.record.service);
+    return service === undefined || (await this.client.probe(view, service)) !== null;
+  }
+
   private self(): EntryHost {
     const { id, callers, availabilityZone, readiness } = this.options;
     return {
@@ -323,6 +342,9 @@
       this.pool.expire(message.expiredIds);
       this.noteReadiness();
     },
+    [ControlMessageType.CrashReport]: (
+      message: Extract<FromControlMessage, { type: ControlMessageType.CrashReport }>,
+    ) => this.crashes.note(message),
     [ControlMessageType.EntryHosts]: (
       message: Extract<FromControlMessage, { type: ControlMessageType.EntryHosts }>,
       control: string,
