Pongs leave out the voters that the entry host knows

Change: a ping names the membership that the gateway follows; the pong then leaves its voters out. Entry hosts that name none get them as before.

Ruled out: rarer heartbeats (departures wait for silent gateways by them) and large answers (they cross zones as before).

Test: voters only for another membership.

--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -41,6 +41,8 @@
   /** True where the control host should push changes to this entry host. */
   readonly subscribe: boolean;
   readonly stopping: boolean;
+  /** Membership that the entry host knows; a pong doesn't repeat its voters. */
+  readonly membershipIndex?: number;
 }
 
 /** Control host as entry hosts reach it. */
@@ -58,6 +60,7 @@
   readonly newestSettingsIndex: number;
   readonly leaderId: string | null;
   readonly membershipIndex: number;
+  /** Empty where the ping names this membership. */
   readonly voters: readonly VoterAddress[];
   /** True where this host is a voter itself. */
   readonly isVoter: boolean;
--- a/src/control/ControlReducer.test.ts
+++ b/src/control/ControlReducer.test.ts
@@ -112,6 +112,30 @@
     expect(told).toEqual([1, 3].map((sessionId) => ({ sessionId, message })));
   });
 
+  it('name the voters only to an entry host that knows another membership', () => {
+    const { host, sent } = createSessions([1]);
+    const ping = (known: number) => {
+      sent.length = 0;
+      host.handle({
+        type: ControlEventType.SessionMessage,
+        sessionId: 1,
+        message: {
+          type: ControlMessageType.Ping,
+          pingId: 1,
+          appliedIndex: 0,
+          subscribe: false,
+          stopping: false,
+          membershipIndex: known,
+        },
+      });
+      const [pong] = sent.map((one) => one.message);
+      return pong?.type === ControlMessageType.Pong ? pong.voters.length : undefined;
+    };
+    const { membershipIndex } = host.reducer.raft.state.log;
+    expect(ping(membershipIndex - 1)).toBe(3);
+    expect(ping(membershipIndex)).toBe(0);
+  });
+
   it('does not hasten an election against a leader that lives', () => {
     const cluster = new ControlCluster();
     const leader = cluster.leader();
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -429,13 +429,15 @@
     this.sessions.ping(sessionId, message, this.nowMs);
     if (!before) return;
     const { state } = this.raft;
+    const { membershipIndex } = state.log;
     this.sendSession(sessionId, {
       type: ControlMessageType.Pong,
       pingId: message.pingId,
       newestSettingsIndex: this.newestSettingsIndex(),
       leaderId: state.leaderId,
-      membershipIndex: state.log.membershipIndex,
-      voters: state.log.membership.voters,
+      membershipIndex,
+      // Pongs are most of the traffic between zones on a calm day.
+      voters: message.membershipIndex === membershipIndex ? [] : state.log.membership.voters,
       isVoter: state.isVoter,
     });
     if (message.subscribe && message.appliedIndex < this.agreed.settingsIndex) {
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -119,6 +119,7 @@
       appliedIndex: this.options.routingIndex(),
       subscribe: false,
       stopping: this.options.self().stopping,
+      membershipIndex: this.membershipIndex,
     });
   }
 
