--- /dev/null
+++ b/bench/Picks.ts
@@ -0,0 +1,57 @@
+import { PickPolicy } from '../src/gateway/DispatchTypes.js';
+import { RoutedWorld, type LoadPhase } from '../standin/RoutedWorld.js';
+import { readOption } from './Options.js';
+import { printResult, printTable, type BenchRow } from './Table.js';
+
+/** Shapes of a day, as multiples of the usual rate. */
+const SHAPES: Readonly<Record<string, readonly (readonly [forMs: number, times: number])[]>> = {
+  calm: [[10_000, 1]],
+  burst: [
+    [3_000, 1],
+    [5_000, 2],
+    [4_000, 1],
+  ],
+};
+
+/**
+ * Compares pick policies on simulated gateways and backend servers, in simulated time.
+ *
+ * Options, with Otaru's largest service as default: `--shape calm|burst`, `--policies`, `--rate`
+ * (calls/s), `--gateways`, `--backends`, `--slots`, `--work` (ms), `--objective` (ms), `--deadline`
+ * (ms), `--slow-share`, `--slow-times`, `--slow-spell` (ms), `--seed`.
+ */
+export async function benchPicks(args: readonly string[]): Promise<void> {
+  const number = (name: string, fallback: number) =>
+    Number(readOption(args, name, String(fallback)));
+  const shape = readOption(args, '--shape', 'calm');
+  const rate = number('--rate', 107);
+  const phases: LoadPhase[] = (SHAPES[shape] ?? SHAPES.calm!).map(([forMs, times]) => ({
+    forMs,
+    callsPerSecond: rate * times,
+  }));
+  const chosen = readOption(args, '--policies', Object.values(PickPolicy).join(',')).split(',');
+  const rows: BenchRow[] = [];
+  for (const policy of chosen as PickPolicy[]) {
+    const world = new RoutedWorld({
+      policy,
+      phases,
+      seed: number('--seed', 7),
+      gateways: number('--gateways', 20),
+      backends: number('--backends', 19),
+      slots: number('--slots', 3),
+      queueMax: number('--queue', 12),
+      workMs: number('--work', 90),
+      objectiveMs: number('--objective', 250),
+      deadlineMs: number('--deadline', 1_200),
+      slowShare: number('--slow-share', 0.25),
+      slowTimes: number('--slow-times', 7),
+      slowSpellMs: number('--slow-spell', 500),
+    });
+    // One world after the other, so that each has the processor for itself.
+    // eslint-disable-next-line no-await-in-loop
+    const result = await world.run();
+    rows.push({ policy, ...result });
+  }
+  printTable(rows);
+  rows.forEach((row) => printResult('picks', { shape, ...row }));
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import { benchControl } from './Control.js';
 import { benchMeasuring } from './Measuring.js';
 import { benchOverhead } from './Overhead.js';
+import { benchPicks } from './Picks.js';
 import { benchPolicies } from './Policies.js';
 import { benchSlopes } from './Slopes.js';
 import { benchZone } from './Zone.js';
@@ -9,6 +10,7 @@
 const BENCHES: Readonly<Record<string, (args: readonly string[]) => Promise<void>>> = {
   overhead: benchOverhead,
   policies: benchPolicies,
+  picks: benchPicks,
   zone: benchZone,
   measuring: benchMeasuring,
   control: benchControl,
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -11,15 +11,14 @@
 import type { LineLog } from '../../runtime/LineLog.js';
 import { createNonce } from '../../runtime/LinkAuth.js';
 import { MetricsListener } from '../../runtime/MetricsListener.js';
-import { BackendPicker } from '../BackendPicker.js';
 import { BackendPool } from '../BackendPool.js';
 import type { BackendView } from '../BackendView.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
-import { BlindPicker, chooseOfTwo, createRotation } from '../BlindPicker.js';
-import { PickPolicy, type DecisionLog, type Picker } from '../DispatchTypes.js';
+import { PickPolicy, type DecisionLog } from '../DispatchTypes.js';
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
+import { createPicker } from '../Pickers.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { RoutingInForce } from '../RoutingInForce.js';
 import { StartupGate } from '../StartupGate.js';
@@ -144,7 +143,14 @@
     this.budget = new RetryBudget({ ...options.budget, startedAtMs: nowMs() });
     this.client = new BackendClient({ profile: options.profile });
     const work = new WorkEstimates();
-    const picker = this.createPicker(options.policy ?? PickPolicy.JustInTime, work, log);
+    const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
+      pool: this.pool,
+      cold: this.cold,
+      work,
+      probe: (view, service) => this.client.probe(view, service),
+      nowMs,
+      log,
+    });
     this.crashes = new CrashWatch({
       nowMs,
       setTimer,
@@ -273,22 +279,6 @@
     await this.finishCalls(lastAtMs);
   }
 
-  private createPicker(policy: PickPolicy, work: WorkEstimates, log: DecisionLog): Picker {
-    const { pool, cold, client } = this;
-    const base = { pool, cold, work, nowMs: () => this.clock.nowMs() };
-    const create: Record<PickPolicy, () => Picker> = {
-      [PickPolicy.JustInTime]: () =>
-        new BackendPicker({
-          ...base,
-          probe: (view, service) => client.probe(view, service),
-          log,
-        }),
-      [PickPolicy.TwoChoices]: () => new BlindPicker({ ...base, choose: chooseOfTwo }),
-      [PickPolicy.RoundRobin]: () => new BlindPicker({ ...base, choose: createRotation() }),
-    };
-    return create[policy]();
-  }
-
   /** Asks a backend server whether it is there; any answer will do. */
   private async isAlive(view: BackendView): Promise<boolean> {
     const service = this.routing.index?.service(view.record.service);
