The fuzzer plays control hosts and gateways of routed services

Change: a world of three control hosts with their real reducer, gateways with their real pool and routing, backend servers and an operator, in virtual time, under crashes, losses of all memory, cuts of every group, restarted gateways, departures behind a cut or just before a loss of power, and operators that race. The oracle holds departures (2 s), changes in force (2 s), no way back within a gateway's life, one winner of a base version, and nothing acknowledged lost after recovery. Four planted defects must be caught: a quorum of one, changes that look at no base, departures confirmed without a majority, provisional records that are kept.

--- a/fuzz/ControlCluster.ts
+++ b/fuzz/ControlCluster.ts
@@ -11,7 +11,8 @@
 
 /** Options of a {@link ControlCluster}. */
 export interface ControlClusterOptions {
-  readonly sendSession?: (sessionId: number, message: FromControlMessage) => void;
+  readonly sendSession?: (sessionId: number, message: FromControlMessage, from: string) => void;
+  readonly entrySilenceMs?: number;
   readonly count?: number;
   readonly seed?: number;
   readonly snapshotEvery?: number;
@@ -83,7 +84,12 @@
         this.network.send(id, to, () =>
           this.hosts.get(to)?.handle({ type: ControlEventType.RaftMessage, message }),
         ),
-      sendSession: this.options.sendSession ?? (() => {}),
+      sendSession: (sessionId, message) => this.options.sendSession?.(sessionId, message, id),
+      sendControl: (to, message) =>
+        this.network.send(id, to, () =>
+          this.hosts.get(to)?.handle({ type: ControlEventType.BetweenControl, message }),
+        ),
+      entrySilenceMs: this.options.entrySilenceMs,
     });
     this.hosts.set(id, host);
     return host;
--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -16,7 +16,8 @@
   type ControlEvent,
 } from '../src/control/Types.js';
 import type { EgretError } from '../src/common/Errors.js';
-import type { FromControlMessage } from '../src/common/Messages.js';
+import type { BackendRecord } from '../src/common/backends/Types.js';
+import type { BetweenControlMessage, FromControlMessage } from '../src/common/Messages.js';
 import type { Timeline } from './Timeline.js';
 
 /** Durable part of a control host. */
@@ -25,6 +26,8 @@
   hardState: HardState;
   snapshot: Snapshot | null;
   entries: LogEntry[];
+  /** Backend servers kept for the next start. */
+  backends: { readonly savedAtMs: number; readonly records: readonly BackendRecord[] };
 }
 
 /** Surroundings of a {@link ControlHost}. */
@@ -39,8 +42,15 @@
   readonly snapshotEvery: number;
   readonly sendRaft: (to: string, message: RaftMessage) => void;
   readonly sendSession: (sessionId: number, message: FromControlMessage) => void;
+  /** Sends to another control host beside the replicated log; dropped by default. */
+  readonly sendControl?: (to: string, message: BetweenControlMessage) => void;
+  /** Silence after which an entry host is no longer listed. */
+  readonly entrySilenceMs?: number;
 }
 
+/** Records older than this aren't restored, as in the process shell. */
+const BACKENDS_AGE_MAX_MS = 8_000;
+
 type EffectOf<T extends ControlEffectType> = Extract<ControlEffect, { type: T }>;
 type Untimed<E> = E extends unknown ? Omit<E, 'nowMs' | 'wallMs'> : never;
 
@@ -67,6 +77,8 @@
 
   private readonly answers = new Map<string, AdminAnswer>();
 
+  private readonly announcements = new Map<string, (confirmed: boolean) => void>();
+
   private nextRequest = 1;
 
   private disks = 0;
@@ -76,6 +88,11 @@
     this.start();
   }
 
+  /** Rises with every start and end. */
+  get life(): number {
+    return this.run;
+  }
+
   /** Gives the host an empty disk with a new identity. */
   replaceDisk(): void {
     this.disks += 1;
@@ -84,6 +101,7 @@
       hardState: { term: 0, votedFor: null },
       snapshot: null,
       entries: [],
+      backends: { savedAtMs: 0, records: [] },
     };
   }
 
@@ -108,7 +126,11 @@
       },
       initialSettings: tree,
       snapshotEvery,
+      entrySilenceMs: this.options.entrySilenceMs,
     });
+    const { savedAtMs, records } = this.disk.backends;
+    const fresh = this.options.timeline.nowMs - savedAtMs <= BACKENDS_AGE_MAX_MS;
+    if (fresh) this.handle({ type: ControlEventType.BackendsRestored, records });
     this.tick(this.run);
   }
 
@@ -116,6 +138,26 @@
     this.alive = false;
     this.run += 1;
     this.answers.clear();
+    this.announcements.clear();
+  }
+
+  /** Takes an announcement; the answer may never come. */
+  announce(record: BackendRecord, answer: (confirmed: boolean) => void): void {
+    const requestId = this.await(answer);
+    this.handle({ type: ControlEventType.Announce, requestId, record });
+  }
+
+  /** Takes a goodbye. */
+  goodbye(id: string, bornMs: number, answer: (confirmed: boolean) => void): void {
+    const requestId = this.await(answer);
+    this.handle({ type: ControlEventType.Goodbye, requestId, id, bornMs });
+  }
+
+  private await(answer: (confirmed: boolean) => void): string {
+    const requestId = String(this.nextRequest);
+    this.nextRequest += 1;
+    this.announcements.set(requestId, answer);
+    return requestId;
   }
 
   handle(event: Untimed<ControlEvent>): void {
@@ -197,9 +239,19 @@
       this.answers.get(effect.requestId)?.(effect.body, effect.error);
       this.answers.delete(effect.requestId);
     },
-    [ControlEffectType.SendControl]: () => {},
-    [ControlEffectType.AnswerAnnouncement]: () => {},
-    [ControlEffectType.SaveBackends]: () => {},
+    [ControlEffectType.SendControl]: (effect: EffectOf<ControlEffectType.SendControl>) =>
+      this.options.sendControl?.(effect.to, effect.message),
+    [ControlEffectType.AnswerAnnouncement]: (
+      effect: EffectOf<ControlEffectType.AnswerAnnouncement>,
+    ) => {
+      this.announcements.get(effect.requestId)?.(effect.confirmed);
+      this.announcements.delete(effect.requestId);
+    },
+    [ControlEffectType.SaveBackends]: (effect: EffectOf<ControlEffectType.SaveBackends>) =>
+      this.afterSync(0, () => {
+        const { nowMs } = this.options.timeline;
+        this.disk.backends = { savedAtMs: nowMs, records: effect.records };
+      }),
     [ControlEffectType.RoleChanged]: () => {},
     [ControlEffectType.Log]: () => {},
   };
--- /dev/null
+++ b/fuzz/GatewayModel.ts
@@ -0,0 +1,110 @@
+import { createRandom } from '../src/common/Random.js';
+import {
+  ControlMessageType,
+  type FromControlMessage,
+  type ToControlMessage,
+} from '../src/common/Messages.js';
+import { BackendPool } from '../src/gateway/BackendPool.js';
+import { createEntryHost } from '../src/gateway/fixtures.js';
+import { RoutingInForce } from '../src/gateway/RoutingInForce.js';
+import type { Timeline } from './Timeline.js';
+
+/** Options of a {@link GatewayModel}. */
+export interface GatewayModelOptions {
+  readonly id: string;
+  readonly timeline: Timeline;
+  readonly send: (control: string, message: ToControlMessage) => void;
+}
+
+/** As in the process shell. */
+const PING_MS = 200;
+const PROVISIONAL_MS = 1_800;
+
+/** Gateway without sockets and calls: what it believes, and what it tells control hosts. */
+export class GatewayModel {
+  pool = new BackendPool({ availabilityZone: 'perth', random: createRandom(1) });
+
+  routing = new RoutingInForce(createRandom(1));
+
+  alive = true;
+
+  /** Time of the last start. */
+  startedAtMs = 0;
+
+  /** Rises with every start. */
+  life = 0;
+
+  /** Control hosts with an open link. */
+  readonly links = new Set<string>();
+
+  constructor(private readonly options: GatewayModelOptions) {
+    this.tick(this.life);
+  }
+
+  crash(): void {
+    this.alive = false;
+    this.life += 1;
+    this.links.clear();
+  }
+
+  start(): void {
+    this.pool = new BackendPool({ availabilityZone: 'perth', random: createRandom(1) });
+    this.routing = new RoutingInForce(createRandom(1));
+    this.alive = true;
+    this.startedAtMs = this.options.timeline.nowMs;
+    this.tick(this.life);
+  }
+
+  /** A link to a control host opened. */
+  onOpen(control: string): void {
+    this.links.add(control);
+    const { id, send } = this.options;
+    send(control, { type: ControlMessageType.Hello, entryHost: createEntryHost(id) });
+    this.ping(control);
+    send(control, { type: ControlMessageType.Watch, routingIndex: this.routing.logIndex });
+  }
+
+  receive(message: FromControlMessage, control: string): void {
+    const { nowMs } = this.options.timeline;
+    if (message.type === ControlMessageType.Routing) {
+      if (this.routing.apply(message.view)) this.pool.closeZones(message.view.closedZones);
+      return;
+    }
+    if (message.type !== ControlMessageType.Backends) return;
+    if (message.provisional) {
+      this.takeProvisional(message.records);
+      return;
+    }
+    this.pool.apply(message.records, nowMs);
+    this.pool.expire(message.expiredIds);
+    const { batchId } = message;
+    if (batchId > 0) {
+      this.options.send(control, { type: ControlMessageType.BackendsAck, batchId });
+    }
+  }
+
+  private takeProvisional(records: Parameters<BackendPool['applyProvisional']>[0]): void {
+    const { timeline } = this.options;
+    const { life } = this;
+    if (this.pool.applyProvisional(records, timeline.nowMs) === 0) return;
+    timeline.after(PROVISIONAL_MS, () => {
+      if (life === this.life) this.pool.dropProvisional();
+    });
+  }
+
+  private ping(control: string): void {
+    this.options.send(control, {
+      type: ControlMessageType.Ping,
+      pingId: 1,
+      appliedIndex: this.routing.logIndex,
+      subscribe: false,
+      stopping: false,
+    });
+  }
+
+  private tick(life: number): void {
+    if (life !== this.life || !this.alive) return;
+    this.links.forEach((control) => this.ping(control));
+    this.options.timeline.after(PING_MS, () => this.tick(life));
+  }
+}
--- a/fuzz/Mutations.ts
+++ b/fuzz/Mutations.ts
@@ -25,7 +25,7 @@
 type Patched = Record<string, unknown>;
 
 /** Replaces a method of a class until disposed. */
-function patch(type: { prototype: object }, name: string, replacement: unknown): Disposable {
+export function patch(type: { prototype: object }, name: string, replacement: unknown): Disposable {
   const prototype = type.prototype as Patched;
   const original = Object.getOwnPropertyDescriptor(prototype, name)!;
   const isGetter = original.get !== undefined;
--- a/fuzz/main.ts
+++ b/fuzz/main.ts
@@ -1,5 +1,6 @@
 import { Command, Option } from 'clipanion';
 import { ExitCode, runProgram } from '../src/bin/Program.js';
+import { firstBroken } from './RoutedRunner.js';
 import { renderTrace, runFuzz } from './Runner.js';
 
 /** Longer fuzz runs than the tests have time for. */
@@ -15,7 +16,27 @@
 
   runs = Option.String('--runs', '200', { description: 'Worlds to try' });
 
+  routed = Option.Boolean('--routed', false, {
+    description: 'Control hosts and gateways of routed services; one seed for each run',
+  });
+
   async execute(): Promise<number> {
+    return this.routed ? this.fuzzRouted() : this.fuzzCalls();
+  }
+
+  private async fuzzRouted(): Promise<number> {
+    const first = Number(this.seed);
+    const runs = Number(this.runs);
+    const broken = await firstBroken(first, runs);
+    if (broken) this.context.stdout.write(`${broken.message}\n`);
+    const failed = broken !== undefined;
+    this.context.stdout.write(
+      `result name=fuzz-routed seed=${first} runs=${runs} failed=${failed}\n`,
+    );
+    return failed ? ExitCode.Failed : ExitCode.Ok;
+  }
+
+  private async fuzzCalls(): Promise<number> {
     const seed = Number(this.seed);
     const startedAtMs = performance.now();
     const result = await runFuzz({ seed, runs: Number(this.runs) });
