--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -24,8 +24,8 @@
   readonly log: DecisionLog;
   /** True from the start of a planned stop. */
   readonly isStopping: () => boolean;
-  /** Waits for a moment where the gateway has just started; at once otherwise. */
   readonly crashes: CrashWatch;
+  /** Waits for a moment where the gateway has just started; at once otherwise. */
   readonly untilStarted: (budgetMs: number) => Promise<void>;
   readonly createId: () => string;
 }
