One piece of code where the change had written a second

Cause, found by reading the whole change again: values of metrics were added in three ways (addGauge serves all), calls were identified in two (Fingerprint), log lines were handed to links by two equal adapters (LineLog.asLogger), the fields of messages to gateways stood beside CONTROL_FIELDS, the rule for cold backend servers stood in both pickers and the limiter kept a sliding window of its own beside WindowCount (ColdLimiter.mayTake), models of the fuzzer copied times that the product owns, a simulated answer was written out beside its fixture. The number of voters was decided in the folder that only translates; it is in AutoMembership now. DataFolder kept a field that its options hold.

Behaviour is unchanged, but for the fingerprint on call_suspected lines, which for short requests without a body is now method and target instead of a hash.

--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -1,5 +1,6 @@
 import type { SettingsTree } from '../src/common/SettingsSchema.js';
 import type { RandomSource } from '../src/common/Random.js';
+import { isRestorable } from '../src/control/RestoredBackends.js';
 import { ControlReducer } from '../src/control/ControlReducer.js';
 import type {
   HardState,
@@ -48,9 +49,6 @@
   readonly entrySilenceMs?: number;
 }
 
-/** Records older than this aren't restored, as in the process shell. */
-const BACKENDS_AGE_MAX_MS = 8_000;
-
 type EffectOf<T extends ControlEffectType> = Extract<ControlEffect, { type: T }>;
 type Untimed<E> = E extends unknown ? Omit<E, 'nowMs' | 'wallMs'> : never;
 
@@ -129,8 +127,8 @@
       entrySilenceMs: this.options.entrySilenceMs,
     });
     const { savedAtMs, records } = this.disk.backends;
-    const fresh = this.options.timeline.nowMs - savedAtMs <= BACKENDS_AGE_MAX_MS;
-    if (fresh) this.handle({ type: ControlEventType.BackendsRestored, records });
+    const restorable = isRestorable(savedAtMs, this.options.timeline.nowMs);
+    if (restorable) this.handle({ type: ControlEventType.BackendsRestored, records });
     this.tick(this.run);
   }
 
--- a/fuzz/GatewayModel.ts
+++ b/fuzz/GatewayModel.ts
@@ -1,10 +1,11 @@
+import { ENTRY_PING_MS } from '../src/common/Constants.js';
 import { createRandom } from '../src/common/Random.js';
 import {
   ControlMessageType,
   type FromControlMessage,
   type ToControlMessage,
 } from '../src/common/Messages.js';
-import { BackendPool } from '../src/gateway/BackendPool.js';
+import { BackendPool, PROVISIONAL_MS } from '../src/gateway/BackendPool.js';
 import { createEntryHost } from '../src/gateway/fixtures.js';
 import { RoutingInForce } from '../src/gateway/RoutingInForce.js';
 import type { Timeline } from './Timeline.js';
@@ -16,10 +17,6 @@
   readonly send: (control: string, message: ToControlMessage) => void;
 }
 
-/** As in the process shell. */
-const PING_MS = 200;
-const PROVISIONAL_MS = 1_800;
-
 /** Gateway without sockets and calls: what it believes, and what it tells control hosts. */
 export class GatewayModel {
   pool = new BackendPool({ availabilityZone: 'perth', random: createRandom(1) });
@@ -105,6 +102,6 @@
   private tick(life: number): void {
     if (life !== this.life || !this.alive) return;
     this.links.forEach((control) => this.ping(control));
-    this.options.timeline.after(PING_MS, () => this.tick(life));
+    this.options.timeline.after(ENTRY_PING_MS, () => this.tick(life));
   }
 }
--- a/fuzz/RoutedFuzzWorld.ts
+++ b/fuzz/RoutedFuzzWorld.ts
@@ -1,4 +1,5 @@
 import { BackendState, type BackendRecord } from '../src/common/backends/Types.js';
+import { ENTRY_SILENCE_MS } from '../src/common/Constants.js';
 import { createRandom, pickIndex, type RandomSource } from '../src/common/Random.js';
 import { createTable } from '../src/common/routing/fixtures.js';
 import { AdminRequestType, ControlEventType } from '../src/control/Types.js';
@@ -42,7 +43,6 @@
 const FINISH_MS = 8_000;
 const ANSWER_MS = 1_000;
 const LINK_CHECK_MS = 100;
-const ENTRY_SILENCE_MS = 650;
 
 /** Control hosts, gateways, backend servers and an operator under faults, with the promises checked. */
 export class RoutedFuzzWorld {
--- a/src/common/Constants.ts
+++ b/src/common/Constants.ts
@@ -34,6 +34,12 @@
 /** Most fingerprints that the quarantine remembers. */
 export const QUARANTINE_CAPACITY = 10_000;
 
+/** Interval of the heartbeats of entry hosts of routed services. */
+export const ENTRY_PING_MS = 200;
+
+/** Three missed heartbeats take such an entry host out of the directory. */
+export const ENTRY_SILENCE_MS = 650;
+
 /** Header names of the system, in the lower case of Node's parser. */
 export enum HeaderName {
   Outcome = 'egret-outcome',
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -22,6 +22,11 @@
 /** Entries by which a joining host may trail when it becomes a voter. */
 const MAX_JOIN_LAG = 8;
 
+/** Voters of which a majority is left after the losses that are to be borne at once. */
+export function votersFor(hostsLostAtOnce: number, founders: number): number {
+  return Math.max(founders, 2 * hostsLostAtOnce + 1);
+}
+
 /** A member that has heard no leader for this long may have been dropped while it was cut off. */
 const MEMBER_SILENCE_MS = 3_000;
 
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http';
-import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+import { Registry, collectDefaultMetrics } from 'prom-client';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
 import {
@@ -12,6 +12,7 @@
 import { AdminListener } from '../../runtime/AdminListener.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { EventLoop } from '../../runtime/EventLoop.js';
+import { addGauge } from '../../runtime/Gauges.js';
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
@@ -475,17 +476,8 @@
 
   private registerMetrics(): void {
     collectDefaultMetrics({ register: this.registry });
-    const gauge = (name: string, help: string, read: () => number) => {
-      const created = new Gauge({
-        name,
-        help,
-        registers: [this.registry],
-        collect() {
-          this.set(read());
-        },
-      });
-      return created;
-    };
+    const gauge = (name: string, help: string, read: () => number) =>
+      addGauge(this.registry, name, help, read);
     const { reducer, storage, loop } = this;
     gauge('egret_control_term', 'Current term.', () => reducer.raft.state.term);
     gauge('egret_control_commit_index', 'Commit index.', () => reducer.raft.state.commitIndex);
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -63,6 +63,13 @@
   [ControlMessageType.BackendRelayAck]: { from: FieldType.String, batchId: FieldType.Number },
 };
 
+/** Fields of a report, which control hosts pass on as it came. */
+const CRASH_REPORT_FIELDS = {
+  fingerprint: FieldType.String,
+  backendId: FieldType.String,
+  bornMs: FieldType.Number,
+} as const;
+
 /** Required fields of the messages from entry hosts. */
 export const ENTRY_FIELDS: MessageFields = {
   [ControlMessageType.Hello]: { entryHost: FieldType.Object },
@@ -91,11 +98,7 @@
   },
   [ControlMessageType.Watch]: { routingIndex: FieldType.Number },
   [ControlMessageType.BackendsAck]: { batchId: FieldType.Number },
-  [ControlMessageType.CrashReport]: {
-    fingerprint: FieldType.String,
-    backendId: FieldType.String,
-    bornMs: FieldType.Number,
-  },
+  [ControlMessageType.CrashReport]: CRASH_REPORT_FIELDS,
 };
 
 /** Required fields of the messages to entry hosts. */
@@ -127,4 +130,5 @@
     records: FieldType.Object,
     expiredIds: FieldType.Object,
   },
+  [ControlMessageType.CrashReport]: CRASH_REPORT_FIELDS,
 };
--- a/src/control/storage/BackendsFile.ts
+++ b/src/control/storage/BackendsFile.ts
@@ -2,17 +2,12 @@
 import path from 'node:path';
 import { Packr } from 'msgpackr';
 import type { BackendRecord } from '../../common/backends/Types.js';
+import { isRestorable } from '../RestoredBackends.js';
 import { replaceFile } from './ReplaceFile.js';
 import { decodeFrame, encodeFrame } from './WalCodec.js';
 
 const BACKENDS_FILE = 'backends.bin';
 
-/**
- * Older records aren't used. Living hosts remember departures for 15 s, so that they always know
- * better than what another one restores.
- */
-const AGE_MAX_MS = 8_000;
-
 const codec = new Packr({ useRecords: false });
 
 interface SavedBackends {
@@ -47,6 +42,6 @@
     const payload = bytes ? decodeFrame(bytes, 0) : undefined;
     if (!payload) return [];
     const { savedAtMs, records } = codec.unpack(payload) as SavedBackends;
-    return Math.abs(wallMs - savedAtMs) <= AGE_MAX_MS ? records : [];
+    return isRestorable(savedAtMs, wallMs) ? records : [];
   }
 }
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -180,17 +180,13 @@
   /** A folder that is being released waits for no disk. */
   private closing = false;
 
-  private readonly folder: string;
-
   private constructor(
     private readonly options: DataFolderOptions,
     private handle: FileHandle,
     readonly stored: StoredState,
     /** Bytes of the log that are known to be synced. */
     private durableBytes: number,
-  ) {
-    this.folder = options.folder;
-  }
+  ) {}
 
   /**
    * Opens and locks a data folder and reads its state.
@@ -238,15 +234,15 @@
     this.closing = true;
     await this.operations;
     await this.handle.close();
-    await rm(path.join(this.folder, LOCK_FILE), { force: true });
+    await rm(path.join(this.options.folder, LOCK_FILE), { force: true });
   }
 
   private async replaceLog(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
-    await replaceFile(this.folder, SNAPSHOT_FILE, encodeFrame(codec.pack(snapshot)));
+    await replaceFile(this.options.folder, SNAPSHOT_FILE, encodeFrame(codec.pack(snapshot)));
     const tail = encodeTail(readTail());
-    await replaceFile(this.folder, LOG_FILE, tail);
+    await replaceFile(this.options.folder, LOG_FILE, tail);
     await this.handle.close();
-    this.handle = await open(path.join(this.folder, LOG_FILE), 'a');
+    this.handle = await open(path.join(this.options.folder, LOG_FILE), 'a');
     this.durableBytes = tail.length;
   }
 
--- a/src/entry/server/CallIntake.ts
+++ b/src/entry/server/CallIntake.ts
@@ -1,8 +1,8 @@
-import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { v4 as uuidV4 } from 'uuid';
 import { HeaderName } from '../../common/Constants.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
+import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { headerOf } from '../../runtime/HttpJson.js';
 import type { ArrivedCall } from '../Types.js';
 import type { CallContext } from './CallContext.js';
@@ -13,7 +13,6 @@
 
 const MAX_TIMEOUT_MS = 3_600_000;
 const MAX_CALLER_ID_LENGTH = 64;
-const MAX_PLAIN_FINGERPRINT_LENGTH = 200;
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** What is known about the listener that a call arrived at. */
@@ -53,22 +52,6 @@
   throw new EgretError(ErrorKind.BadRequest, detail);
 }
 
-/** Identifies equal requests. */
-function fingerprintOf(
-  method: string,
-  url: string,
-  body: Buffer | null,
-  bodyBytes: number,
-): string {
-  const plain = `${method} ${url}`;
-  const short = plain.length <= MAX_PLAIN_FINGERPRINT_LENGTH;
-  if (short && body !== null && body.length === 0) return plain;
-  const hash = createHash('sha256').update(plain).update('\0');
-  if (body === null) hash.update(String(bodyBytes));
-  else hash.update(body);
-  return hash.digest('base64url');
-}
-
 /** Reads a body of known, small size; a client that pauses too long is refused. */
 function readBody(request: IncomingMessage, bodyBytes: number, idleMs: number): Promise<Buffer> {
   return new Promise((resolve, reject) => {
@@ -112,7 +95,7 @@
     service,
     method,
     idempotencyKey: headerOf(request, HeaderName.IdempotencyKey) ?? null,
-    fingerprint: fingerprintOf(method, url, body, streamedBytes ?? -1),
+    fingerprint: fingerprintOf(method, url, body, streamedBytes),
     timeoutMs: parseTimeoutMs(headerOf(request, HeaderName.TimeoutMs)),
     callerId,
     forwarded,
--- a/src/entry/server/EntryMetrics.ts
+++ b/src/entry/server/EntryMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import { addGauge } from '../../runtime/Gauges.js';
 import type { EntryReducer } from '../EntryReducer.js';
 import { CounterName } from '../Types.js';
 
@@ -64,14 +65,7 @@
   private addGauges(reducer: EntryReducer): void {
     const { registry } = this;
     const gauge = (name: string, help: string, read: () => number) =>
-      new Gauge({
-        name,
-        help,
-        registers: [registry],
-        collect() {
-          this.set(read());
-        },
-      });
+      addGauge(registry, name, help, read);
     gauge('egret_settings_revision', 'Applied revision.', () => reducer.status().revision);
     gauge('egret_settings_current', '1 while the settings are known to be current.', () =>
       Number(reducer.status().current),
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -147,8 +147,8 @@
 
   private mayTake(view: BackendView, service: RoutedService): boolean {
     const now = this.options.nowMs();
-    if (!this.options.pool.isUsable(view)) return false;
-    return !view.isCold(now) || this.options.cold.hasRoom(view, service.coldPerSecond, now);
+    const { pool, cold } = this.options;
+    return pool.isUsable(view) && cold.mayTake(view, service.coldPerSecond, now);
   }
 
   private expectedMs(view: BackendView, call: Call): number {
--- a/src/gateway/BackendPool.ts
+++ b/src/gateway/BackendPool.ts
@@ -21,6 +21,12 @@
 /** A goodbye is remembered so long, so that a late announcement doesn't undo it. */
 const GONE_KEPT_MS = 60_000;
 
+/**
+ * Backend servers from before a restart are dropped after this time unless they are heard: their
+ * announcements come every 1.5 s, and a departure must bind within 2 s of its confirmation.
+ */
+export const PROVISIONAL_MS = 1_800;
+
 /** How strongly failures in the recent past make a backend server a later choice. */
 const FAILURE_RANK = 6;
 
--- a/src/gateway/BlindPicker.ts
+++ b/src/gateway/BlindPicker.ts
@@ -44,8 +44,8 @@
     const { pool, cold, work, choose } = this.options;
     const nowMs = this.options.nowMs();
     const { local, remote } = pool.candidates({ service: service.name, nowMs, tried });
-    const open = [...local, ...remote].filter(
-      (view) => !view.isCold(nowMs) || cold.hasRoom(view, service.coldPerSecond, nowMs),
+    const open = [...local, ...remote].filter((view) =>
+      cold.mayTake(view, service.coldPerSecond, nowMs),
     );
     if (open.length === 0) {
       const known = local.length + remote.length > 0;
--- a/src/gateway/ColdLimiter.ts
+++ b/src/gateway/ColdLimiter.ts
@@ -1,6 +1,7 @@
 import type { EntryHost } from '../common/Placement.js';
 import { rankByRendezvous } from '../common/Rendezvous.js';
 import type { BackendView } from './BackendView.js';
+import { WindowCount } from './WindowCount.js';
 
 /** Options of a {@link ColdLimiter}. */
 export interface ColdLimiterOptions {
@@ -20,8 +21,8 @@
 export class ColdLimiter {
   private entryHosts: readonly EntryHost[] = [];
 
-  /** Times of the calls within the last second, by backend server. */
-  private readonly sentAtMs = new Map<string, number[]>();
+  /** Calls within the last second, by backend server. */
+  private readonly sent = new Map<string, WindowCount>();
 
   constructor(private readonly options: ColdLimiterOptions) {}
 
@@ -37,21 +38,24 @@
     return Math.max(1, Math.floor(coldPerSecond / owners));
   }
 
-  /** True where one more call fits now. */
+  /** True where one more call may go there now: it is warm, or its rate has room. */
+  mayTake(view: BackendView, coldPerSecond: number, nowMs: number): boolean {
+    return !view.isCold(nowMs) || this.hasRoom(view, coldPerSecond, nowMs);
+  }
+
+  /** True where one more call fits into the rate now. */
   hasRoom(view: BackendView, coldPerSecond: number, nowMs: number): boolean {
-    const sent = this.recent(view.record.id, nowMs);
-    return sent.length < this.allowance(view, coldPerSecond);
+    const sent = this.sent.get(view.record.id)?.count(nowMs, WINDOW_MS) ?? 0;
+    return sent < this.allowance(view, coldPerSecond);
   }
 
   /** Counts a call that is sent now; also for warm ones, which may turn out to be cold. */
   note(view: BackendView, nowMs: number): void {
-    const sent = this.recent(view.record.id, nowMs);
-    sent.push(nowMs);
-    this.sentAtMs.set(view.record.id, sent);
-  }
-
-  private recent(id: string, nowMs: number): number[] {
-    return (this.sentAtMs.get(id) ?? []).filter((atMs) => nowMs - atMs < WINDOW_MS);
+    const sent = this.sent.get(view.record.id) ?? new WindowCount();
+    this.sent.set(view.record.id, sent);
+    // Warm ones are never asked for their count, so that old times must go here.
+    sent.count(nowMs, WINDOW_MS);
+    sent.add(nowMs);
   }
 
   /** Hosts of the backend server's own zone first, then the others. */
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -1,8 +1,8 @@
-import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { Route, RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
+import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { CallStanding } from '../CrashSuspects.js';
 import type { CrashWatch } from '../CrashWatch.js';
 import type { Dispatcher } from '../Dispatcher.js';
@@ -48,11 +48,6 @@
 /** Request headers that are set anew, beside those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length'];
 
-/** Identifies equal calls. */
-function fingerprintOf(method = '', target = '', body = Buffer.alloc(0)): string {
-  return createHash('sha256').update(`${method} ${target}\0`).update(body).digest('base64url');
-}
-
 /** Serves callers: finds the route, dispatches, passes the answer on. */
 export class CallServer {
   /** Requests without a final answer. */
@@ -112,7 +107,7 @@
       return;
     }
     const budgetMs = Math.min(callerMs, route.timeoutMs);
-    const fingerprint = () => fingerprintOf(request.method, request.url, read.body);
+    const fingerprint = () => fingerprintOf(request.method ?? 'GET', request.url ?? '/', read.body);
     const standing = options.crashes.standingOf(fingerprint);
     if (standing === CallStanding.Quarantined) {
       const again = { retryAfterMs: RETRY_QUARANTINED_MS };
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -3,12 +3,13 @@
   type FromControlMessage,
   type PongMessage,
 } from '../../common/Messages.js';
+import { ENTRY_PING_MS } from '../../common/Constants.js';
 import type { Disposable } from '../../common/Disposable.js';
 import type { EntryHost } from '../../common/Placement.js';
 import type { CrashReport } from '../CrashSuspects.js';
+import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
-import { FieldType, type MessageFields } from '../../runtime/MessageCheck.js';
 import { FAST_LINK_TIMING, MessageClient } from '../../runtime/MessageClient.js';
 
 /** Address of a control host on the port for the system's own processes. */
@@ -31,30 +32,6 @@
   readonly onLost: (control: string) => void;
 }
 
-/** Fields that messages from control hosts must have. */
-const WATCH_FIELDS: MessageFields = {
-  [ControlMessageType.Pong]: {
-    pingId: FieldType.Number,
-    membershipIndex: FieldType.Number,
-    voters: FieldType.Object,
-  },
-  [ControlMessageType.EntryHosts]: { entryHosts: FieldType.Object },
-  [ControlMessageType.Routing]: { view: FieldType.Object },
-  [ControlMessageType.Backends]: {
-    batchId: FieldType.Number,
-    records: FieldType.Object,
-    expiredIds: FieldType.Object,
-  },
-  [ControlMessageType.CrashReport]: {
-    fingerprint: FieldType.String,
-    backendId: FieldType.String,
-    bornMs: FieldType.Number,
-  },
-};
-
-/** Heartbeats; three missed ones take an entry host out of the directory. */
-const PING_INTERVAL_MS = 200;
-
 /** Without any link for this long, the seeds are tried again. */
 const SEEDS_AFTER_MS = 1_500;
 
@@ -76,7 +53,7 @@
 
   constructor(private readonly options: ControlWatchOptions) {
     this.sync(options.seeds());
-    this.timer = setInterval(() => this.tick(), PING_INTERVAL_MS);
+    this.timer = setInterval(() => this.tick(), ENTRY_PING_MS);
   }
 
   /** Links that are open. */
@@ -144,7 +121,7 @@
       role: LinkRole.Entry,
       secret,
       logger,
-      fields: WATCH_FIELDS,
+      fields: CONTROL_FIELDS,
       timing: FAST_LINK_TIMING,
       onOpen: () => {
         logger.info('control_regained', { control: key });
--- a/src/gateway/server/GatewayMetrics.ts
+++ b/src/gateway/server/GatewayMetrics.ts
@@ -1,4 +1,5 @@
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Counter, Histogram, Registry } from 'prom-client';
+import { addGauge } from '../../runtime/Gauges.js';
 import type { DispatchOutcomeType } from '../DispatchTypes.js';
 
 /** Buckets around the objectives of a quarter of a second to a second and a half. */
@@ -58,12 +59,7 @@
 
   /** Adds a value that is read when the metrics are. */
   gauge(name: string, help: string, read: () => number): void {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect: () => gauge.set(read()),
-    });
+    addGauge(this.registry, name, help, read);
   }
 
   private routeLabel(route: string): string {
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -11,7 +11,7 @@
 import type { LineLog } from '../../runtime/LineLog.js';
 import { createNonce } from '../../runtime/LinkAuth.js';
 import { MetricsListener } from '../../runtime/MetricsListener.js';
-import { BackendPool } from '../BackendPool.js';
+import { BackendPool, PROVISIONAL_MS } from '../BackendPool.js';
 import type { BackendView } from '../BackendView.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
@@ -73,12 +73,6 @@
 
 const STOP_POLL_MS = 20;
 
-/**
- * Backend servers from before a restart are dropped after this time unless they are heard: their
- * announcements come every 1.5 s, and a departure must bind within 2 s of its confirmation.
- */
-const PROVISIONAL_MS = 1_800;
-
 /** Shortest idle time of a caller's connection, before any routing is known. */
 const DEFAULT_IDLE_MS = 15_000;
 
@@ -233,12 +227,7 @@
     this.watch = new ControlWatch({
       self: () => this.self(),
       secret: this.options.secret,
-      logger: {
-        error: (event, fields) => log.line(event, fields),
-        warn: (event, fields) => log.line(event, fields),
-        info: (event, fields) => log.line(event, fields),
-        debug: () => {},
-      },
+      logger: log.asLogger(),
       seeds: this.options.seeds,
       followMembership: this.options.followMembership,
       routingIndex: () => this.routing.logIndex,
--- a/src/runtime/LineLog.ts
+++ b/src/runtime/LineLog.ts
@@ -1,6 +1,7 @@
 import { write } from 'node:fs';
 import { LogLevel } from '../common/Enums.js';
 import { isWritten, lineLimits } from '../common/LogLevels.js';
+import type { Logger } from './Logger.js';
 import { formatPairs, type LineFields } from './LinePairs.js';
 
 /** Options of a {@link LineLog}. */
@@ -83,6 +84,12 @@
     return formatPairs(fields, roundedText);
   }
 
+  /** The same log for parts that choose a level for each line; here the event has it. */
+  asLogger(): Logger {
+    const line = (event: string, fields?: LineFields) => this.line(event, fields);
+    return { error: line, warn: line, info: line, debug: () => {} };
+  }
+
   /** Writes one event. */
   line(event: string, fields: LineFields = {}): void {
     if (!isWritten(event, this.level)) return;
--- a/standin/RoutedWorld.ts
+++ b/standin/RoutedWorld.ts
@@ -11,7 +11,12 @@
   type AttemptPort,
   type PickPolicy,
 } from '../src/gateway/DispatchTypes.js';
-import { createBackend, createEntryHost, createHealth } from '../src/gateway/fixtures.js';
+import {
+  createAnswer,
+  createBackend,
+  createEntryHost,
+  createHealth,
+} from '../src/gateway/fixtures.js';
 import { createPicker } from '../src/gateway/Pickers.js';
 import { RetryBudget } from '../src/gateway/RetryBudget.js';
 import { AttemptResultType, type AttemptResult } from '../src/gateway/Types.js';
@@ -186,19 +191,7 @@
           this.timeline.after(HOP_MS, () =>
             resolve(
               answered
-                ? {
-                    type: AttemptResultType.Answer,
-                    answer: {
-                      statusCode: 200,
-                      statusMessage: 'OK',
-                      rawHeaders: [],
-                      authentic: true,
-                      load,
-                      body: Buffer.alloc(0),
-                      framed: true,
-                      rest: null,
-                    },
-                  }
+                ? createAnswer({ load, body: Buffer.alloc(0) })
                 : { type: AttemptResultType.NotRun, reason: 'full', load },
             ),
           ),
