Gateway logs answers that its callers did not get, with the side that closed the connection

A call whose connection the gateway itself closed left the same line as a caller that gave up, or none at all: Node's server emits no event for an answer that waits behind another one on its connection. No behaviour changes.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -15,6 +15,8 @@
   call_failed: 'The call may have run, and there is no usable answer.',
   call_timed_out: 'The call may have run, and its timeout expired.',
   call_abandoned: 'The caller disconnected.',
+  answer_undelivered:
+    'A connection closed before an answer on it was sent completely; with the side that closed it.',
   call_crashed: 'Handling a call failed with an unexpected error.',
   // State of a gateway.
   probe_unanswered: 'A backend server did not answer a probe; its backoff lasts pausedMs.',
--- a/src/common/LogLevels.ts
+++ b/src/common/LogLevels.ts
@@ -13,6 +13,7 @@
   process_failed: LogLevel.Error,
   lines_dropped: LogLevel.Error,
   backends_unsaved: LogLevel.Warn,
+  answer_undelivered: LogLevel.Warn,
   call_quarantined: LogLevel.Warn,
   call_suspected: LogLevel.Warn,
   call_failed: LogLevel.Warn,
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -3,6 +3,7 @@
 import type { Route, RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
+import type { ClosedBy, HttpConnections } from '../../runtime/HttpConnections.js';
 import { CallStanding } from '../CrashSuspects.js';
 import type { CrashWatch } from '../CrashWatch.js';
 import type { Dispatcher } from '../Dispatcher.js';
@@ -28,6 +29,8 @@
   /** Waits briefly for routing if the gateway has just started; otherwise resolves at once. */
   readonly waitUntilReady: (budgetMs: number) => Promise<void>;
   readonly createId: () => string;
+  /** Connections of the callers. */
+  readonly connections: HttpConnections;
 }
 
 /** Time budget of a call whose caller sends no deadline. */
@@ -72,12 +75,26 @@
     response.once('close', () => {
       this.openCount -= 1;
     });
+    this.options.connections.follow(request, response, (closedBy) => {
+      if (closedBy) this.logUndelivered(request, closedBy);
+    });
     this.serve(request, response).catch((error: unknown) => {
       this.options.log('call_crashed', { detail: String(error) });
       response.destroy();
     });
   }
 
+  /** Logs an answer that its caller did not get completely. */
+  private logUndelivered(request: IncomingMessage, closedBy: ClosedBy): void {
+    const { callId } = this.options.profile.readCall(request.headers);
+    this.options.log('answer_undelivered', {
+      call: callId,
+      closedBy,
+      target: request.url,
+      stopping: this.options.isStopping(),
+    });
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { options } = this;
     const arrivedAtMs = options.nowMs();
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -7,6 +7,7 @@
 import { createRandom, type RandomSource } from '../../common/Random.js';
 import type { RoutingView } from '../../common/routing/Types.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
+import { HttpConnections } from '../../runtime/HttpConnections.js';
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
 import type { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
 import { createNonce } from '../../runtime/LinkAuth.js';
@@ -168,6 +169,10 @@
       log,
     });
     this.gate = new StartupGate({ nowMs, setTimer });
+    this.callerServer = createServer(
+      { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
+      (request, response) => this.calls.handle(request, response),
+    );
     this.calls = new CallServer({
       profile: options.profile,
       routing: this.routing,
@@ -180,11 +185,8 @@
       crashes: this.crashes,
       waitUntilReady: (budgetMs) => this.gate.wait(budgetMs),
       createId: createNonce,
+      connections: new HttpConnections(this.callerServer),
     });
-    this.callerServer = createServer(
-      { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
-      (request, response) => this.calls.handle(request, response),
-    );
     answerParserErrors(this.callerServer);
     this.callerServer.on('connection', (socket: Socket) => socket.setNoDelay(true));
     this.readinessServer = createServer((request, response) =>
