--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -52,9 +52,15 @@
 
   workMs: number;
 
+  /** Body of complete answers. */
+  body: string | Buffer = BODY;
+
+  /** Requests that run and whose connection is open. */
+  openRequests = 0;
+
   private sequence = 0;
 
-  private port = 0;
+  private boundPort = 0;
 
   private readonly server = createServer((incoming, response) => this.handle(incoming, response));
 
@@ -63,8 +69,12 @@
     this.workMs = options.workMs ?? 1;
   }
 
+  get port(): number {
+    return this.boundPort;
+  }
+
   async start(): Promise<void> {
-    this.port = await listen(this.server, '127.0.0.1', 0);
+    this.boundPort = await listen(this.server, '127.0.0.1', 0);
   }
 
   stop(): Promise<void> {
@@ -117,12 +127,17 @@
       body,
       budgetMs: Number(incoming.headers['x-deadline-ms']),
     });
+    this.openRequests += 1;
+    response.once('close', () => {
+      this.openRequests -= 1;
+    });
     response.setHeader('X-Response-Signature', `mark-of-${this.options.id}`);
-    setTimeout(() => this.answers[this.behaviour](response), this.workMs);
+    const { behaviour } = this;
+    setTimeout(() => this.answers[behaviour](response), this.workMs);
   }
 
   private readonly answers: Record<BackendBehaviour, (response: ServerResponse) => void> = {
-    [BackendBehaviour.Answer]: (response) => response.end(BODY),
+    [BackendBehaviour.Answer]: (response) => response.end(this.body),
     [BackendBehaviour.Shed]: (response) => response.end(),
     [BackendBehaviour.LoseAnswer]: (response) => response.socket?.resetAndDestroy(),
     [BackendBehaviour.ForeignAnswer]: (response) => {
@@ -136,7 +151,7 @@
     },
     [BackendBehaviour.Unframed]: (response) => {
       response.useChunkedEncodingByDefault = false;
-      response.end(BODY);
+      response.end(this.body);
     },
     [BackendBehaviour.Hang]: () => {},
   };
