A caller's connection ends only after the answers to all requests admitted on it

What callers saw: around a planned stop, and behind an answer without a length, a pipelined request that a backend server had run ended with a closed connection and no answer; a slow reader's answers were cut; a call still open at the end of a stop ended the same way.

Cause, one for all: the end of a connection was decided from one answer, without regard to the others on the same connection. Node dispatches pipelined requests at once, drops what is queued behind an answer with Connection: close or without a length, reports no event for queued answers when the socket closes, and takes a connection for idle as soon as end() was called on its answer (closeIdleConnections, which close() calls too). A parser error was answered ahead of the answers due.

Change: HttpConnections holds the answers due on each connection. During a stop only the last one says Connection: close; a request that arrives behind one that will say so is not handled, and its caller sends it again. Connections end with a half-close and are read until the caller closes, for a second at most. Calls that are open at the end of a stop are answered 504. An answer without a length that was reset resets the caller's connection, as a plain end would mark it complete.

Ruled out: one request of a connection at a time (callers that pipeline would wait two to three work times).

--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -70,6 +70,11 @@
   readonly fingerprint: () => string;
   /** True while the caller is connected. */
   isCallerConnected(): boolean;
+  /**
+   * True if an answer without a length can be sent: it ends with the connection, so that answers to
+   * later requests on the connection would be lost.
+   */
+  acceptsUnframedAnswer(): boolean;
 }
 
 /** Kinds of attempt results. */
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -166,6 +166,7 @@
     objectiveAtMs: nowMs + route.objectiveMs,
     fingerprint: () => 'GET /read/x',
     isCallerConnected: () => connected,
+    acceptsUnframedAnswer: () => true,
   });
   const send = (view: BackendView) => {
     const { id } = view.record;
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -51,10 +51,18 @@
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length'];
 
+/** Request whose answer is not yet sent completely. */
+interface OpenRequest {
+  /** True once the answer was sent or its connection has closed. */
+  isEnded: boolean;
+  /** Cancels the attempts of the call. */
+  abandon: () => void;
+}
+
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
-  /** Number of requests without a final answer. */
-  private openCount = 0;
+  /** Requests whose answer is not yet sent completely. */
+  private readonly openRequests = new Map<ServerResponse, OpenRequest>();
 
   private readonly ownRequestHeaders: ReadonlySet<string>;
 
@@ -66,21 +74,35 @@
   }
 
   get openCalls(): number {
-    return this.openCount;
+    return this.openRequests.size;
   }
 
   /** Handles one request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    this.openCount += 1;
-    response.once('close', () => {
-      this.openCount -= 1;
-    });
-    this.options.connections.follow(request, response, (closedBy) => {
+    const open: OpenRequest = { isEnded: false, abandon: () => {} };
+    const admitted = this.options.connections.admit(request, response, (closedBy) => {
+      this.openRequests.delete(response);
+      open.isEnded = true;
+      open.abandon();
       if (closedBy) this.logUndelivered(request, closedBy);
     });
-    this.serve(request, response).catch((error: unknown) => {
+    if (!admitted) return;
+    this.openRequests.set(response, open);
+    this.serve(request, response, open).catch((error: unknown) => {
       this.options.log('call_crashed', { detail: String(error) });
-      response.destroy();
+      this.options.connections.abort(response, { reset: false });
+    });
+  }
+
+  /** Answers all calls without an answer, at the end of a planned stop. */
+  endOpenCalls(): void {
+    [...this.openRequests].forEach(([response, open]) => {
+      if (response.headersSent) return;
+      const callId = this.options.profile.readCall(response.req.headers).callId ?? '';
+      const reason = 'the host stops';
+      this.options.log('call_timed_out', { call: callId, reason });
+      this.refuse(response, callId, new EgretError(ErrorKind.DeadlineExceeded, `${reason}.`));
+      open.abandon();
     });
   }
 
@@ -95,7 +117,11 @@
     });
   }
 
-  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    open: OpenRequest,
+  ): Promise<void> {
     const { options } = this;
     const arrivedAtMs = options.nowMs();
     const head = options.profile.readCall(request.headers);
@@ -142,18 +168,20 @@
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs,
       fingerprint,
-      isCallerConnected: () => !response.destroyed && !response.closed,
+      isCallerConnected: () => !open.isEnded,
+      acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
     const rest = read.type === 'long' ? request : null;
-    const outcome = await this.dispatch(call, service, request, response, read.body, rest);
-    this.finish(call, route, response, outcome);
+    const outcome = await this.dispatch(call, service, request, open, read.body, rest);
+    // At the end of a planned stop the call has been answered.
+    if (!response.headersSent) this.finish(call, route, response, outcome);
   }
 
   private dispatch(
     call: Call,
     service: RoutedService,
     request: IncomingMessage,
-    response: ServerResponse,
+    open: OpenRequest,
     body: Buffer,
     bodyRest: IncomingMessage | null,
   ): Promise<DispatchOutcome> {
@@ -172,7 +200,10 @@
           bodyRest,
           remainingMs,
         }),
-      (abandon) => response.once('close', abandon),
+      (abandon) => {
+        Object.assign(open, { abandon });
+        if (open.isEnded) abandon();
+      },
     );
   }
 
@@ -231,8 +262,11 @@
       headers.push('Content-Length', String(body.length));
     }
     // It is unknown here whether an unframed body is complete, so no framing may mark its end.
-    if (!answer.framed) response.useChunkedEncodingByDefault = false;
-    if (this.options.isStopping()) headers.push('Connection', 'close');
+    const { connections } = this.options;
+    if (!answer.framed) {
+      response.useChunkedEncodingByDefault = false;
+      connections.endWith(response);
+    } else if (connections.endsConnection(response)) headers.push('Connection', 'close');
     response.writeHead(answer.statusCode, answer.statusMessage, headers);
     if (!rest) {
       response.end(body);
@@ -244,7 +278,7 @@
       onData: (chunk) => response.write(chunk),
       onEnd: () => response.end(),
       // A truncated answer must not look complete.
-      onBroken: () => response.destroy(),
+      onBroken: () => connections.abort(response, { reset: !answer.framed }),
     });
   }
 
@@ -276,7 +310,7 @@
     if (error.retryAfterMs !== undefined) {
       headers.push('Retry-After', profile.retryAfter(error.retryAfterMs));
     }
-    if (this.options.isStopping()) headers.push('Connection', 'close');
+    if (this.options.connections.endsConnection(response)) headers.push('Connection', 'close');
     response.writeHead(error.statusCode, headers);
     response.end(text);
   }
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -72,6 +72,9 @@
 /** Share of the stop time after which calls in progress are no longer awaited. */
 const FINISH_SHARE = 0.93;
 
+/** Share of the stop time after which answers are no longer awaited by their callers' connections. */
+const FLUSH_SHARE = 0.97;
+
 const STOP_POLL_MS = 20;
 
 /** Shortest idle timeout of a caller's connection, used until a routing table arrives. */
@@ -101,6 +104,8 @@
 
   private readonly crashes: CrashWatch;
 
+  private readonly connections: HttpConnections;
+
   private readonly calls: CallServer;
 
   private provisionalTimer: NodeJS.Timeout | undefined;
@@ -173,6 +178,10 @@
       { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
       (request, response) => this.calls.handle(request, response),
     );
+    this.connections = new HttpConnections({
+      server: this.callerServer,
+      isStopping: () => this.stopping,
+    });
     this.calls = new CallServer({
       profile: options.profile,
       routing: this.routing,
@@ -185,9 +194,9 @@
       crashes: this.crashes,
       waitUntilReady: (budgetMs) => this.gate.wait(budgetMs),
       createId: createNonce,
-      connections: new HttpConnections(this.callerServer),
+      connections: this.connections,
     });
-    answerParserErrors(this.callerServer);
+    answerParserErrors(this.callerServer, this.connections);
     this.callerServer.on('connection', (socket: Socket) => socket.setNoDelay(true));
     this.readinessServer = createServer((request, response) =>
       this.answerReadiness(request, response),
@@ -249,8 +258,9 @@
     this.watch?.ping();
     await sleep(stopMs * LINGER_SHARE);
     this.callerServer.close();
-    const lastAtMs = startedAtMs + stopMs * FINISH_SHARE;
-    await this.finishCalls(lastAtMs);
+    await this.drainConnections(startedAtMs + stopMs * FINISH_SHARE);
+    this.calls.endOpenCalls();
+    await this.drainConnections(startedAtMs + stopMs * FLUSH_SHARE);
     log.line('gateway_stopped', { host: id, openCalls: this.calls.openCalls });
     this.dispose();
     await log.flush();
@@ -267,12 +277,12 @@
     this.metricsListener?.stop().catch(() => {});
   }
 
-  /** Waits until every call has its final answer, or until `lastAtMs`. */
-  private async finishCalls(lastAtMs: number): Promise<void> {
-    this.callerServer.closeIdleConnections();
-    if (this.calls.openCalls === 0 || this.clock.nowMs() >= lastAtMs) return;
+  /** Waits until all answers are sent and their connections closed, or until `lastAtMs`. */
+  private async drainConnections(lastAtMs: number): Promise<void> {
+    this.connections.closeIdle();
+    if (this.connections.size === 0 || this.clock.nowMs() >= lastAtMs) return;
     await sleep(STOP_POLL_MS);
-    await this.finishCalls(lastAtMs);
+    await this.drainConnections(lastAtMs);
   }
 
   /** Probes a backend server; any usable answer counts, whatever its health. */
--- /dev/null
+++ b/src/runtime/HttpConnections.test.ts
@@ -0,0 +1,202 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, describe, expect, it } from 'vitest';
+import { RawClient } from '../../standin/RawClient.js';
+import { ClosedBy, HttpConnections } from './HttpConnections.js';
+import { closeServer, listen } from './HttpJson.js';
+
+const HOST = '127.0.0.1';
+
+/** Request that the test server holds until the test answers it. */
+interface HeldRequest {
+  readonly path: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** Server whose requests are answered by the test, with its connections. */
+class TestServer {
+  readonly held: HeldRequest[] = [];
+
+  readonly dropped: string[] = [];
+
+  readonly ended: (ClosedBy | null)[] = [];
+
+  stopping = false;
+
+  readonly server: Server = createServer((request, response) => {
+    const path = request.url ?? '';
+    const admitted = this.connections.admit(request, response, (by) => this.ended.push(by));
+    if (admitted) this.held.push({ path, request, response });
+    else this.dropped.push(path);
+  });
+
+  readonly connections: HttpConnections;
+
+  port = 0;
+
+  constructor(lingerMs?: number) {
+    this.connections = new HttpConnections({
+      server: this.server,
+      isStopping: () => this.stopping,
+      lingerMs,
+    });
+  }
+
+  async start(): Promise<void> {
+    this.port = await listen(this.server, HOST, 0);
+  }
+
+  answer(path: string, body: string | Buffer = path): void {
+    const { response } = this.held.find((item) => item.path === path)!;
+    const headers: Record<string, string | number> = { 'Content-Length': body.length };
+    if (this.connections.endsConnection(response)) headers.Connection = 'close';
+    response.writeHead(200, headers);
+    response.end(body);
+  }
+}
+
+function get(client: RawClient, ...paths: string[]): void {
+  client.get(paths, () => ({ Host: 'x' }));
+}
+
+/** Bodies received so far; each is the path of its request. */
+function bodiesOf(client: RawClient): string[] {
+  return [...client.received.matchAll(/\r\n\r\n(\/[a-z]+)/g)].map((match) => match[1]!);
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  const untilMs = Date.now() + 10_000;
+  while (!condition()) {
+    if (Date.now() > untilMs) throw new Error('The condition was not met within 10 s.');
+    // Polling is the loop's purpose.
+    // eslint-disable-next-line no-await-in-loop
+    await delay(5);
+  }
+}
+
+describe('HttpConnections', () => {
+  const servers: TestServer[] = [];
+  const clients: RawClient[] = [];
+
+  afterEach(async () => {
+    clients.splice(0).forEach((client) => client.close());
+    await Promise.all(servers.splice(0).map(({ server }) => closeServer(server)));
+  });
+
+  async function createPair(options: { lingerMs?: number; allowHalfOpen?: boolean } = {}) {
+    const server = new TestServer(options.lingerMs);
+    servers.push(server);
+    await server.start();
+    const client = new RawClient(server.port, options);
+    clients.push(client);
+    return { server, client };
+  }
+
+  // Guards against answers lost behind one that ends the connection.
+  it('sends all pipelined answers during a planned stop, the last one with Connection: close', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a', '/b', '/c');
+    await waitUntil(() => server.held.length === 3);
+    server.stopping = true;
+    ['/a', '/c', '/b'].forEach((path) => server.answer(path));
+    await waitUntil(() => client.ended);
+    expect(bodiesOf(client)).toEqual(['/a', '/b', '/c']);
+    expect(client.received.match(/Connection: close/g)).toHaveLength(1);
+    expect(server.ended).toEqual([null, null, null]);
+  });
+
+  // Guards against a request that is passed on although its connection is about to end.
+  it('admits no request behind another one during a planned stop', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a');
+    await waitUntil(() => server.held.length === 1);
+    server.stopping = true;
+    get(client, '/b');
+    await waitUntil(() => server.dropped.length === 1);
+    server.answer('/a');
+    await waitUntil(() => client.ended);
+    expect(bodiesOf(client)).toEqual(['/a']);
+    expect(client.received).toContain('Connection: close');
+  });
+
+  it('admits a request behind an answer whose head is already sent', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a');
+    await waitUntil(() => server.held.length === 1);
+    const [{ response }] = server.held as [HeldRequest];
+    response.writeHead(200, { 'Content-Length': 4 });
+    response.write('/a');
+    server.stopping = true;
+    get(client, '/b');
+    await waitUntil(() => server.held.length === 2);
+    response.end('/a');
+    server.answer('/b');
+    await waitUntil(() => client.ended);
+    expect(bodiesOf(client)).toEqual(['/a', '/b']);
+  });
+
+  // Guards against Node's own check, which takes a connection for idle once `end` was called.
+  it('keeps a connection open while answers are still being sent', async () => {
+    const { server, client } = await createPair();
+    const body = Buffer.alloc(1024 * 1024, 'x');
+    const paths = Array.from({ length: 32 }, (unused, index) => `/p${index}`);
+    get(client, ...paths);
+    await waitUntil(() => server.held.length > 0);
+    client.socket.pause();
+    const answered = new Set<string>();
+    const answerAll = () =>
+      server.held
+        .filter(({ path }) => !answered.has(path))
+        .forEach(({ path }) => {
+          answered.add(path);
+          server.answer(path, body);
+        });
+    answerAll();
+    await delay(50);
+    server.server.close();
+    server.connections.closeIdle();
+    client.socket.resume();
+    await waitUntil(() => {
+      answerAll();
+      return server.ended.length === paths.length;
+    });
+    expect(server.ended).toEqual(paths.map(() => null));
+    await waitUntil(() => client.receivedBytes > paths.length * body.length);
+    expect(client.broken).toBe(false);
+  });
+
+  it('reports to each waiting answer that the client closed the connection', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a', '/b', '/c');
+    await waitUntil(() => server.held.length === 3);
+    client.socket.destroy();
+    await waitUntil(() => server.ended.length === 3);
+    expect(server.ended).toEqual([ClosedBy.Client, ClosedBy.Client, ClosedBy.Client]);
+    expect(server.connections.size).toBe(0);
+  });
+
+  it('reports that the host closed a connection with answers due', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a', '/b');
+    await waitUntil(() => server.held.length === 2);
+    server.connections.abort(server.held[0]!.response, { reset: true });
+    await waitUntil(() => server.ended.length === 2);
+    expect(server.ended).toEqual([ClosedBy.Host, ClosedBy.Host]);
+    await waitUntil(() => client.broken);
+  });
+
+  it('ends idle connections, and reads on until the client closes or the time is over', async () => {
+    const { server, client } = await createPair({ lingerMs: 50, allowHalfOpen: true });
+    get(client, '/a');
+    await waitUntil(() => server.held.length === 1);
+    server.answer('/a');
+    await waitUntil(() => server.ended.length === 1);
+    server.connections.closeIdle();
+    await waitUntil(() => client.ended);
+    get(client, '/late');
+    await waitUntil(() => server.dropped.length === 1);
+    expect(client.broken).toBe(false);
+    await waitUntil(() => server.connections.size === 0);
+  });
+});
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -10,52 +10,152 @@
 /** Called once an answer was sent, or with the side that closed its connection before. */
 export type AnswerEnded = (closedBy: ClosedBy | null) => void;
 
-/** Answers of one connection that are not yet sent completely, in the order of their requests. */
-type DueAnswers = Map<ServerResponse, AnswerEnded>;
+/** Options of {@link HttpConnections}. */
+export interface HttpConnectionsOptions {
+  readonly server: Server;
+  /** True from the start of a planned stop; each connection then ends after its last answer. */
+  readonly isStopping: () => boolean;
+  /** Time for which a client may take to close its side after this host has closed its own. */
+  readonly lingerMs?: number;
+}
+
+/** State of one connection. */
+interface Connection {
+  readonly socket: Socket;
+  /** Answers that are not yet sent completely, in the order of their requests. */
+  readonly due: Map<ServerResponse, AnswerEnded>;
+  /** True once the connection ends after the answers that are due. */
+  ending: boolean;
+}
+
+const DEFAULT_LINGER_MS = 1_000;
 
-/** Connections of an HTTP server, with the answers that are due on each. */
+/**
+ * Connections of an HTTP server whose clients may send requests before earlier ones are answered.
+ * A connection ends only after the answers to all admitted requests, since Node's server drops the
+ * answers behind one that says `Connection: close`, and closes connections as idle while an answer
+ * is still being sent.
+ */
 export class HttpConnections {
-  private readonly connections = new Map<Socket, DueAnswers>();
+  private readonly connections = new Map<Socket, Connection>();
 
-  constructor(server: Server) {
+  constructor(private readonly options: HttpConnectionsOptions) {
+    const { server } = options;
     server.on('connection', (socket: Socket) => this.add(socket));
+    // `close` of the server calls this too.
+    Object.assign(server, { closeIdleConnections: () => this.closeIdle() });
+  }
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.connections.size;
   }
 
   /**
-   * Follows the answer to a request; `onEnded` is called when it has been sent, or when its
-   * connection is closed before.
+   * Admits a request; `onEnded` is called when its answer has been sent, or when its connection is
+   * closed before. Returns false if the connection ends before an answer to this request: it must
+   * not be handled, and its client sends it again on another connection.
    *
    * @example
-   * connections.follow(request, response, (closedBy) => log('answer_ended', { closedBy }));
+   * if (!connections.admit(request, response, () => calls.delete(id))) return;
    */
-  follow(request: IncomingMessage, response: ServerResponse, onEnded: AnswerEnded): void {
-    const due = this.connections.get(request.socket);
-    if (!due) return;
-    due.set(response, onEnded);
+  admit(request: IncomingMessage, response: ServerResponse, onEnded: AnswerEnded): boolean {
+    const connection = this.connections.get(request.socket);
+    if (!connection) return false;
+    const last = [...connection.due.keys()].at(-1);
+    if (this.options.isStopping() && last && !last.headersSent) connection.ending = true;
+    if (connection.ending) {
+      request.resume();
+      return false;
+    }
+    connection.due.set(response, onEnded);
     response.once('close', () => {
-      if (response.writableFinished) HttpConnections.finish(due, response, null);
+      if (response.writableFinished) this.finish(connection, response, null);
+    });
+    return true;
+  }
+
+  /** True if requests that arrived later on the connection wait for this answer. */
+  hasAnswersBehind(response: ServerResponse): boolean {
+    const due = this.connections.get(response.req.socket)?.due;
+    return due !== undefined && due.has(response) && [...due.keys()].at(-1) !== response;
+  }
+
+  /**
+   * True if the answer is the last one on its connection and must say `Connection: close`. No
+   * further request of the connection is admitted then.
+   */
+  endsConnection(response: ServerResponse): boolean {
+    const connection = this.connections.get(response.req.socket);
+    if (!connection || this.hasAnswersBehind(response)) return false;
+    if (this.options.isStopping()) connection.ending = true;
+    return connection.ending;
+  }
+
+  /** Admits no further request on the connection of an answer whose end is that of the connection. */
+  endWith(response: ServerResponse): void {
+    const connection = this.connections.get(response.req.socket);
+    if (connection) connection.ending = true;
+  }
+
+  /** Ends a connection after the answers that are due; returns false if none is due. */
+  endAfterDueAnswers(socket: Socket): boolean {
+    const connection = this.connections.get(socket);
+    if (!connection || connection.due.size === 0) return false;
+    connection.ending = true;
+    return true;
+  }
+
+  /** Closes an answer's connection at once; `reset` marks a body without a length as incomplete. */
+  abort(response: ServerResponse, options: { readonly reset: boolean }): void {
+    const { socket } = response.req;
+    this.endWith(response);
+    if (options.reset) socket.resetAndDestroy();
+    else socket.destroy();
+  }
+
+  /** Ends the connections on which no answer is due. */
+  closeIdle(): void {
+    this.connections.forEach((connection, socket) => {
+      if (connection.due.size > 0 || connection.ending) return;
+      connection.ending = true;
+      this.end(socket);
     });
   }
 
   private add(socket: Socket): void {
-    const due: DueAnswers = new Map();
-    this.connections.set(socket, due);
+    const connection: Connection = { socket, due: new Map(), ending: false };
+    this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
-      const closedByClient = socket.readableEnded || socket.errored !== null;
-      const closedBy = closedByClient ? ClosedBy.Client : ClosedBy.Host;
+      const closedBy = connection.ending ? ClosedBy.Host : ClosedBy.Client;
       // Node's server emits no event for answers that wait behind another one.
-      [...due.keys()].forEach((response) => HttpConnections.finish(due, response, closedBy));
+      [...connection.due.keys()].forEach((response) => this.finish(connection, response, closedBy));
     });
+    // Node calls this after an answer that ends the connection.
+    Object.assign(socket, { destroySoon: () => this.end(socket) });
+  }
+
+  /**
+   * Closes the sending side. The receiving side is read until the client closes it: closing it with
+   * unread bytes resets the connection, and the part of an answer not yet received would be lost.
+   */
+  private end(socket: Socket): void {
+    if (socket.destroyed || socket.writableEnded) return;
+    const { lingerMs = DEFAULT_LINGER_MS } = this.options;
+    const timer = setTimeout(() => socket.destroy(), lingerMs);
+    socket.once('close', () => clearTimeout(timer));
+    socket.end();
   }
 
-  private static finish(
-    due: DueAnswers,
+  private finish(
+    connection: Connection,
     response: ServerResponse,
     closedBy: ClosedBy | null,
   ): void {
-    const onEnded = due.get(response);
-    due.delete(response);
+    const onEnded = connection.due.get(response);
+    connection.due.delete(response);
     onEnded?.(closedBy);
+    if (connection.ending && connection.due.size === 0) this.end(connection.socket);
   }
 }
--- a/src/runtime/HttpJson.ts
+++ b/src/runtime/HttpJson.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { HeaderName, MAX_JSON_BODY_BYTES } from '../common/Constants.js';
 import { EgretError, ErrorKind } from '../common/Errors.js';
+import type { HttpConnections } from './HttpConnections.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -72,13 +73,17 @@
   ERR_HTTP_REQUEST_TIMEOUT: ErrorKind.SlowClient,
 };
 
-/** Sends an error answer to requests that the HTTP parser rejects. */
-export function answerParserErrors(server: Server): void {
+/**
+ * Sends an error answer to requests that the HTTP parser rejects. If answers to earlier requests are
+ * due on the connection, it ends after them without one: the error answer would take their place.
+ */
+export function answerParserErrors(server: Server, connections?: HttpConnections): void {
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
     }
+    if (connections?.endAfterDueAnswers(socket)) return;
     const kind = PARSER_ERRORS[error.code ?? ''] ?? ErrorKind.BadRequest;
     const refusal = new EgretError(kind, `The request is malformed (${error.code ?? 'parser'}).`);
     const text = JSON.stringify(refusal.toBody());
--- a/standin/RoutedWorld.ts
+++ b/standin/RoutedWorld.ts
@@ -219,6 +219,7 @@
       objectiveAtMs: nowMs + objectiveMs,
       fingerprint: () => '',
       isCallerConnected: () => true,
+      acceptsUnframedAnswer: () => true,
     };
     const dispatcher = this.dispatchers[pickIndex(this.random, this.dispatchers.length)]!;
     dispatcher
