Entry host ends a caller's connection only after the answers due on it

What callers saw: a planned stop of an entry host after a caller with pipelined calls had left lasted for ten minutes, as the calls behind the first were never removed. Their attempts were not cancelled either.

Node emits no close event for an answer that waits behind another one; connections were closed without regard to answers that are not sent yet, and peers' connections without an end at all.

Change: HttpConnections for callers and peers. Answers of a stopping host say Connection: close, so that callers move on before their connections are closed.

--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -33,6 +33,8 @@
   readonly selfId: string;
   readonly onHeaders: () => void;
   readonly onEnded: (end: AttemptEnd) => void;
+  /** True if the answer must say `Connection: close`. */
+  readonly endsConnection: () => boolean;
   /** Returns the status of this host's pool, sent with the answers to forwarded calls. */
   readonly poolStatus: () => PoolStatus | null;
 }
@@ -254,6 +256,7 @@
     if (status) {
       headers.push('Egret-Pool', `${status.freeSlots},${status.slots},${status.queued}`);
     }
+    if (this.options.endsConnection()) headers.push('Connection', 'close');
     call.response.writeHead(statusCode, headers as unknown as http.OutgoingHttpHeaders);
   }
 
--- a/src/entry/server/CallContext.ts
+++ b/src/entry/server/CallContext.ts
@@ -34,6 +34,8 @@
   readonly cancelledIds: Set<number>;
   /** Attempt whose answer is sent to the caller. */
   answeringId: number | null;
+  /** True once the answer was sent or its connection has closed. */
+  answerEnded: boolean;
   /** True once the head of the answer was sent. */
   headSent: boolean;
   /** Range of the first answer, to which the offsets of a continuation are relative. */
--- a/src/entry/server/CallIntake.ts
+++ b/src/entry/server/CallIntake.ts
@@ -122,6 +122,7 @@
     attempts: new Map(),
     cancelledIds: new Set(),
     answeringId: null,
+    answerEnded: false,
     headSent: false,
     baseRange: { firstByte: 0, lastByte: null },
     etag: null,
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -11,6 +11,7 @@
 import { AdminListener } from '../../runtime/AdminListener.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { EventLoop } from '../../runtime/EventLoop.js';
+import { HttpConnections } from '../../runtime/HttpConnections.js';
 import {
   answerParserErrors,
   closeServer,
@@ -77,17 +78,19 @@
 
 /** Sends an error answer, or closes the connection if an answer has already begun. */
 function refuseRequest(
+  connections: HttpConnections,
   request: IncomingMessage,
   response: ServerResponse,
   error: EgretError,
   requestId?: string,
 ): void {
   if (response.headersSent || response.destroyed) {
-    response.destroy();
+    connections.abort(response);
     return;
   }
   // The unread rest of the body would be parsed as the next request.
-  if (!request.complete) response.setHeader('Connection', 'close');
+  if (!request.complete) connections.endWith(response);
+  if (connections.endsConnection(response)) response.setHeader('Connection', 'close');
   sendError(response, error, requestId);
 }
 
@@ -105,6 +108,10 @@
 
   private readonly peerHttp: Server;
 
+  private readonly callerConnections: HttpConnections;
+
+  private readonly peerConnections: HttpConnections;
+
   private readonly peerServer: MessageServer;
 
   private readonly peerLinks: PeerLinks;
@@ -140,6 +147,9 @@
     this.callerHttp = listeners.callerHttp;
     this.peerHttp = listeners.peerHttp;
     this.self = self;
+    const isStopping = () => this.self.stopping;
+    this.callerConnections = new HttpConnections({ server: this.callerHttp, isStopping });
+    this.peerConnections = new HttpConnections({ server: this.peerHttp, isStopping });
     this.clock = options.clock ?? systemClock;
     this.reducer = new EntryReducer({
       self,
@@ -276,9 +286,8 @@
     logger.info('entry_stopping', { host: file.id, validMs: directoryValidMs });
     await delay(directoryValidMs);
     this.callerHttp.close();
-    this.callerHttp.closeIdleConnections();
     const untilMs = this.clock.nowMs() + DRAIN_WAIT_MS;
-    await this.poll(() => this.calls.size === 0, untilMs);
+    await this.poll(() => this.hasDrained(), untilMs);
     const settledByMs = this.clock.nowMs() + SETTLE_WAIT_MS;
     await this.poll(() => this.reducer.status().unsettledClaims === 0, settledByMs);
     await this.close();
@@ -300,6 +309,12 @@
     ]);
   }
 
+  /** True once every call has ended and its caller's connection is closed. */
+  private hasDrained(): boolean {
+    this.callerConnections.closeIdle();
+    return this.calls.size === 0 && this.callerConnections.size === 0;
+  }
+
   private async poll(done: () => boolean, untilMs: number): Promise<void> {
     while (!done() && this.clock.nowMs() < untilMs) {
       // Polling is the loop's purpose.
@@ -334,8 +349,8 @@
   }
 
   private attachListeners(): void {
-    answerParserErrors(this.callerHttp);
-    answerParserErrors(this.peerHttp);
+    answerParserErrors(this.callerHttp, this.callerConnections);
+    answerParserErrors(this.peerHttp, this.peerConnections);
     this.callerHttp.on('request', (request: IncomingMessage, response: ServerResponse) =>
       this.onCallerRequest(request, response, false),
     );
@@ -352,11 +367,13 @@
     response: ServerResponse,
     expectsContinue: boolean,
   ): void {
+    if (!this.callerConnections.admit(request, response)) return;
     if (request.url?.startsWith(`${API_PREFIX}/`)) this.onApiRequest(request, response);
     else this.onCall(request, response, null, expectsContinue);
   }
 
   private onPeerRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.peerConnections.admit(request, response)) return;
     const [peerId, ticket] = (headerOf(request, HeaderName.Peer) ?? '').split(' ');
     const session = this.peerServer.sessionOfTicket(ticket ?? '');
     if (!session || session.clientId !== peerId) {
@@ -398,7 +415,12 @@
     const { services } = this.reducer.settings.catalog;
     const maxBodyBytesOf = (service: string) => services.get(service)?.settings.maxBodyBytes;
     const refuse = (error: unknown) =>
-      refuseRequest(request, response, toEgretError(error, ErrorKind.BadRequest));
+      refuseRequest(
+        this.connectionsOf(peerId !== null),
+        request,
+        response,
+        toEgretError(error, ErrorKind.BadRequest),
+      );
     try {
       const bodyIdleMs = this.options.file.headTimeoutMs;
       const options = { callId, nowMs, peerId, expectsContinue, bodyIdleMs, maxBodyBytesOf };
@@ -413,9 +435,10 @@
   private startCall({ call, context }: ReceivedCall): void {
     const { callId, response } = context;
     this.calls.set(callId, context);
-    response.once('close', () => {
+    this.connectionsOf(context.forwarded).whenEnded(response, (closedBy) => {
       this.metrics.observe(context.service, this.clock.nowMs() - context.arrivedAtMs);
-      if (!response.writableFinished) {
+      context.answerEnded = true;
+      if (closedBy) {
         this.dispatch(this.timed({ type: EntryEventType.CallerDisconnected, callId }));
       }
       this.removeIfDone(context);
@@ -423,8 +446,17 @@
     this.dispatch(this.timed({ type: EntryEventType.CallArrived, call }));
   }
 
+  private connectionsOf(forwarded: boolean): HttpConnections {
+    return forwarded ? this.peerConnections : this.callerConnections;
+  }
+
+  /** True if the answer to a call must say `Connection: close`. */
+  private endsConnection({ forwarded, response }: CallContext): boolean {
+    return this.connectionsOf(forwarded).endsConnection(response);
+  }
+
   private removeIfDone(context: CallContext): void {
-    if (context.response.closed && context.attempts.size === 0) this.calls.delete(context.callId);
+    if (context.answerEnded && context.attempts.size === 0) this.calls.delete(context.callId);
   }
 
   private startAttempt(effect: StartAttemptEffect): void {
@@ -455,6 +487,7 @@
       onHeaders: () =>
         this.dispatch(this.timed({ type: EntryEventType.AttemptHeaders, callId, attemptId })),
       onEnded: (end) => this.onAttemptEnded(call, attemptId, end),
+      endsConnection: () => this.endsConnection(call),
       poolStatus: () => this.reducer.pools.get(call.service)?.status(this.clock.nowMs()) ?? null,
     });
     call.attempts.set(attemptId, attempt);
@@ -520,18 +553,23 @@
     },
     [EntryEffectType.RefuseCall]: (effect: EffectOf<EntryEffectType.RefuseCall>) => {
       const call = this.calls.get(effect.callId);
-      if (call) refuseRequest(call.request, call.response, effect.error, call.requestId);
+      if (!call) return;
+      const { request, response, requestId, forwarded } = call;
+      refuseRequest(this.connectionsOf(forwarded), request, response, effect.error, requestId);
     },
     [EntryEffectType.ReplayCall]: (effect: EffectOf<EntryEffectType.ReplayCall>) => {
       const call = this.calls.get(effect.callId);
       if (!call || call.response.destroyed) return;
       const { statusCode, rawHeaders, body } = effect.answer;
       const headers = [...rawHeaders, 'Egret-Request-Id', call.requestId, 'Egret-Replayed', 'true'];
+      if (this.endsConnection(call)) headers.push('Connection', 'close');
       call.response.writeHead(statusCode, headers as unknown as Record<string, string>);
       call.response.end(body);
     },
-    [EntryEffectType.AbortAnswer]: (effect: EffectOf<EntryEffectType.AbortAnswer>) =>
-      this.calls.get(effect.callId)?.response.destroy(),
+    [EntryEffectType.AbortAnswer]: (effect: EffectOf<EntryEffectType.AbortAnswer>) => {
+      const call = this.calls.get(effect.callId);
+      if (call) this.connectionsOf(call.forwarded).abort(call.response);
+    },
     [EntryEffectType.CloseTarget]: (effect: EffectOf<EntryEffectType.CloseTarget>) =>
       this.agents.close(effect.targetId),
     [EntryEffectType.Log]: (effect: EffectOf<EntryEffectType.Log>) =>
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -51,18 +51,10 @@
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length'];
 
-/** Request whose answer is not yet sent completely. */
-interface OpenRequest {
-  /** True once the answer was sent or its connection has closed. */
-  isEnded: boolean;
-  /** Cancels the attempts of the call. */
-  abandon: () => void;
-}
-
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
-  /** Requests whose answer is not yet sent completely. */
-  private readonly openRequests = new Map<ServerResponse, OpenRequest>();
+  /** Answers that are not yet sent completely, with a function that cancels the call's attempts. */
+  private readonly openRequests = new Map<ServerResponse, () => void>();
 
   private readonly ownRequestHeaders: ReadonlySet<string>;
 
@@ -79,30 +71,28 @@
 
   /** Handles one request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const open: OpenRequest = { isEnded: false, abandon: () => {} };
-    const admitted = this.options.connections.admit(request, response, (closedBy) => {
+    const { connections } = this.options;
+    if (!connections.admit(request, response)) return;
+    this.openRequests.set(response, () => {});
+    connections.whenEnded(response, (closedBy) => {
       this.openRequests.delete(response);
-      open.isEnded = true;
-      open.abandon();
       if (closedBy) this.logUndelivered(request, closedBy);
     });
-    if (!admitted) return;
-    this.openRequests.set(response, open);
-    this.serve(request, response, open).catch((error: unknown) => {
+    this.serve(request, response).catch((error: unknown) => {
       this.options.log('call_crashed', { detail: String(error) });
-      this.options.connections.abort(response, { reset: false });
+      connections.abort(response);
     });
   }
 
   /** Answers all calls without an answer, at the end of a planned stop. */
   endOpenCalls(): void {
-    [...this.openRequests].forEach(([response, open]) => {
+    [...this.openRequests].forEach(([response, abandon]) => {
       if (response.headersSent) return;
       const callId = this.options.profile.readCall(response.req.headers).callId ?? '';
       const reason = 'the host stops';
       this.options.log('call_timed_out', { call: callId, reason });
       this.refuse(response, callId, new EgretError(ErrorKind.DeadlineExceeded, `${reason}.`));
-      open.abandon();
+      abandon();
     });
   }
 
@@ -117,11 +107,7 @@
     });
   }
 
-  private async serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-    open: OpenRequest,
-  ): Promise<void> {
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { options } = this;
     const arrivedAtMs = options.nowMs();
     const head = options.profile.readCall(request.headers);
@@ -168,11 +154,11 @@
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs,
       fingerprint,
-      isCallerConnected: () => !open.isEnded,
+      isCallerConnected: () => options.connections.isDue(response),
       acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
     const rest = read.type === 'long' ? request : null;
-    const outcome = await this.dispatch(call, service, request, open, read.body, rest);
+    const outcome = await this.dispatch(call, service, request, response, read.body, rest);
     // At the end of a planned stop the call has been answered.
     if (!response.headersSent) this.finish(call, route, response, outcome);
   }
@@ -181,11 +167,11 @@
     call: Call,
     service: RoutedService,
     request: IncomingMessage,
-    open: OpenRequest,
+    response: ServerResponse,
     body: Buffer,
     bodyRest: IncomingMessage | null,
   ): Promise<DispatchOutcome> {
-    const { dispatcher, client } = this.options;
+    const { dispatcher, client, connections } = this.options;
     const rawHeaders = copyEndToEnd(request.rawHeaders, this.ownRequestHeaders);
     return dispatcher.run(
       call,
@@ -201,8 +187,8 @@
           remainingMs,
         }),
       (abandon) => {
-        Object.assign(open, { abandon });
-        if (open.isEnded) abandon();
+        if (connections.isDue(response)) this.openRequests.set(response, abandon);
+        connections.whenEnded(response, abandon);
       },
     );
   }
@@ -298,7 +284,7 @@
     if (error.kind === ErrorKind.NotFound || error.kind === ErrorKind.NotCurrent) {
       log('call_unrouted', { call: callId, kind: error.kind, detail: error.detail });
     }
-    if (response.destroyed) return;
+    if (response.destroyed || response.headersSent) return;
     const text = JSON.stringify(error.toBody(callId));
     const headers = [
       'Content-Type',
--- a/src/runtime/HttpConnections.test.ts
+++ b/src/runtime/HttpConnections.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { RawClient } from '../../standin/RawClient.js';
 import { ClosedBy, HttpConnections } from './HttpConnections.js';
-import { closeServer, listen } from './HttpJson.js';
+import { answerParserErrors, closeServer, listen } from './HttpJson.js';
 
 const HOST = '127.0.0.1';
 
@@ -26,9 +26,12 @@
 
   readonly server: Server = createServer((request, response) => {
     const path = request.url ?? '';
-    const admitted = this.connections.admit(request, response, (by) => this.ended.push(by));
-    if (admitted) this.held.push({ path, request, response });
-    else this.dropped.push(path);
+    if (!this.connections.admit(request, response)) {
+      this.dropped.push(path);
+      return;
+    }
+    this.held.push({ path, request, response });
+    this.connections.whenEnded(response, (closedBy) => this.ended.push(closedBy));
   });
 
   readonly connections: HttpConnections;
@@ -186,6 +189,34 @@
     await waitUntil(() => client.broken);
   });
 
+  // Guards against an error answer that takes the place of the answer to an earlier request.
+  it('sends the answers that are due before it ends a connection with a malformed request', async () => {
+    const { server, client } = await createPair();
+    answerParserErrors(server.server, server.connections);
+    get(client, '/a', '/b');
+    await waitUntil(() => server.held.length === 2);
+    client.socket.write('no request\r\n\r\n');
+    await delay(20);
+    ['/a', '/b'].forEach((path) => server.answer(path));
+    await waitUntil(() => client.ended);
+    expect(client.statusCodes).toEqual([200, 200]);
+    expect(bodiesOf(client)).toEqual(['/a', '/b']);
+  });
+
+  // Guards against an aborted answer that takes the answers ahead of it along.
+  it('sends the answers ahead of an aborted one', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a', '/b', '/c');
+    await waitUntil(() => server.held.length === 3);
+    server.connections.abort(server.held[1]!.response);
+    await delay(20);
+    server.answer('/a');
+    await waitUntil(() => server.ended.length === 3);
+    expect(server.ended).toEqual([null, ClosedBy.Host, ClosedBy.Host]);
+    await waitUntil(() => client.ended);
+    expect(bodiesOf(client)).toEqual(['/a']);
+  });
+
   it('ends idle connections, and reads on until the client closes or the time is over', async () => {
     const { server, client } = await createPair({ lingerMs: 50, allowHalfOpen: true });
     get(client, '/a');
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -23,7 +23,7 @@
 interface Connection {
   readonly socket: Socket;
   /** Answers that are not yet sent completely, in the order of their requests. */
-  readonly due: Map<ServerResponse, AnswerEnded>;
+  readonly due: Map<ServerResponse, AnswerEnded[]>;
   /** True once the connection ends after the answers that are due. */
   ending: boolean;
 }
@@ -52,14 +52,13 @@
   }
 
   /**
-   * Admits a request; `onEnded` is called when its answer has been sent, or when its connection is
-   * closed before. Returns false if the connection ends before an answer to this request: it must
+   * Admits a request. Returns false if its connection ends before an answer to it: the request must
    * not be handled, and its client sends it again on another connection.
    *
    * @example
-   * if (!connections.admit(request, response, () => calls.delete(id))) return;
+   * if (!connections.admit(request, response)) return;
    */
-  admit(request: IncomingMessage, response: ServerResponse, onEnded: AnswerEnded): boolean {
+  admit(request: IncomingMessage, response: ServerResponse): boolean {
     const connection = this.connections.get(request.socket);
     if (!connection) return false;
     const last = [...connection.due.keys()].at(-1);
@@ -68,13 +67,31 @@
       request.resume();
       return false;
     }
-    connection.due.set(response, onEnded);
+    connection.due.set(response, []);
     response.once('close', () => {
       if (response.writableFinished) this.finish(connection, response, null);
     });
     return true;
   }
 
+  /**
+   * Calls the listener once the answer has been sent or its connection has closed before; at once if
+   * the connection has closed already.
+   *
+   * @example
+   * connections.whenEnded(response, (closedBy) => log('answer_ended', { closedBy }));
+   */
+  whenEnded(response: ServerResponse, listener: AnswerEnded): void {
+    const listeners = this.connections.get(response.req.socket)?.due.get(response);
+    if (listeners) listeners.push(listener);
+    else listener(ClosedBy.Client);
+  }
+
+  /** True until the answer has been sent or its connection has closed. */
+  isDue(response: ServerResponse): boolean {
+    return this.connections.get(response.req.socket)?.due.has(response) ?? false;
+  }
+
   /** True if requests that arrived later on the connection wait for this answer. */
   hasAnswersBehind(response: ServerResponse): boolean {
     const due = this.connections.get(response.req.socket)?.due;
@@ -106,12 +123,16 @@
     return true;
   }
 
-  /** Closes an answer's connection at once; `reset` marks a body without a length as incomplete. */
-  abort(response: ServerResponse, options: { readonly reset: boolean }): void {
+  /**
+   * Closes an answer's connection once the answers before it are sent; `reset` marks a body without
+   * a length as incomplete.
+   */
+  abort(response: ServerResponse, { reset = false }: { readonly reset?: boolean } = {}): void {
     const { socket } = response.req;
+    const close = () => (reset ? socket.resetAndDestroy() : socket.destroy());
     this.endWith(response);
-    if (options.reset) socket.resetAndDestroy();
-    else socket.destroy();
+    if (response.socket) close();
+    else response.once('socket', close);
   }
 
   /** Ends the connections on which no answer is due. */
@@ -153,9 +174,9 @@
     response: ServerResponse,
     closedBy: ClosedBy | null,
   ): void {
-    const onEnded = connection.due.get(response);
+    const listeners = connection.due.get(response) ?? [];
     connection.due.delete(response);
-    onEnded?.(closedBy);
+    listeners.forEach((listener) => listener(closedBy));
     if (connection.ending && connection.due.size === 0) this.end(connection.socket);
   }
 }
