Tests of answers without end at the gateway: what already holds

Sound before any change, now tested: heads, header lines, status lines, garbage, chunk extensions and trailers without end, bodies that trickle below the size of the buffer, and 64 probes at once with each of these. A call that may have run gets 502 or 504 by its deadline, the connection is closed, other calls are served meanwhile.

--- /dev/null
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -0,0 +1,236 @@
+import http from 'node:http';
+import type { Socket } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { waitUntil } from '../../../standin/Cluster.js';
+import { RawBackend, writeEndlessly } from '../../../standin/RawBackend.js';
+import { createService } from '../../common/routing/fixtures.js';
+import type { Route } from '../../common/routing/Types.js';
+import { BackendView } from '../BackendView.js';
+import { createBackend } from '../fixtures.js';
+import { BackendClient } from './BackendClient.js';
+import {
+  TEST_PROFILE,
+  createHead,
+  createReply,
+  startTestGateway,
+  type TestGateway,
+} from './fixtures.js';
+
+type AnswerCall = (socket: Socket, callId: string) => void;
+
+const LINE = 'x'.repeat(16 * 1024);
+const CHUNK = `${(16 * 1024).toString(16)}\r\n${LINE}\r\n`;
+const CHUNKED = 'Transfer-Encoding: chunked';
+
+/** Route timeout in these tests. */
+const TIMEOUT_MS = 600;
+
+/** Time after a deadline by which everything has ended, on a busy machine. */
+const SLACK_MS = 900;
+
+/** Bytes that the host and the buffers of two sockets may accept of an answer that it discards. */
+const ACCEPTED_BYTES_MAX = 16 * 1024 * 1024;
+
+/** Answer as a caller receives it. */
+interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** False if the connection closed before the end of the answer. */
+  readonly complete: boolean;
+  readonly elapsedMs: number;
+}
+
+interface CallOptions {
+  readonly method?: string;
+  readonly budgetMs?: number;
+}
+
+let lastCallId = 0;
+
+/** Sends a call on a connection of its own; a status of 0 means that none arrived. */
+function call(port: number, path: string, options: CallOptions = {}): Promise<Answer> {
+  const { method = 'GET', budgetMs } = options;
+  const startedAtMs = performance.now();
+  lastCallId += 1;
+  const headers: Record<string, string> = {
+    Host: 'calls.example',
+    'Call-Id': `c-${lastCallId}`,
+    ...(budgetMs === undefined ? {} : { 'Budget-Ms': String(budgetMs) }),
+  };
+  return new Promise((resolve) => {
+    const request = http.request({ host: '127.0.0.1', port, path, method, headers, agent: false });
+    const elapsedMs = () => performance.now() - startedAtMs;
+    let answered = false;
+    let failed = false;
+    request.on('error', () => {
+      failed = true;
+      if (answered) return;
+      resolve({ status: 0, headers: {}, body: '', complete: false, elapsedMs: elapsedMs() });
+    });
+    request.on('response', (response) => {
+      answered = true;
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', () => {});
+      response.on('close', () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString('latin1'),
+          // The parser takes any end of a body without length for its end, even a reset.
+          complete: response.complete && !failed,
+          elapsedMs: elapsedMs(),
+        }),
+      );
+    });
+    request.end();
+  });
+}
+
+let gateway: TestGateway | undefined;
+
+/** Starts a gateway whose service `alpha` has one backend server with the given answers. */
+async function start(answerCall: AnswerCall, route: Partial<Route> = {}) {
+  const backend = new RawBackend(createReply(answerCall));
+  await backend.start();
+  gateway = await startTestGateway({
+    alpha: { 'b-1': backend },
+    route: { timeoutMs: TIMEOUT_MS, ...route },
+  });
+  return { backend, port: gateway.port };
+}
+
+afterEach(async () => {
+  await gateway?.stop();
+  gateway = undefined;
+});
+
+const closedWithin = (backend: RawBackend, timeoutMs: number) =>
+  waitUntil(() => backend.openConnections === 0, 'the backend connection to close', timeoutMs);
+
+describe('an answer that never ends', () => {
+  const unanswered: [string, AnswerCall][] = [
+    ['informational heads', (socket) => writeEndlessly(socket, 'HTTP/1.1 102 Processing\r\n\r\n')],
+    [
+      'a header line',
+      (socket, callId) => {
+        socket.write(createHead({ callId }).slice(0, -2));
+        socket.write('X-Long: ');
+        writeEndlessly(socket, LINE);
+      },
+    ],
+    [
+      'header lines',
+      (socket, callId) => {
+        socket.write(createHead({ callId }).slice(0, -2));
+        writeEndlessly(socket, 'X-More: y\r\n');
+      },
+    ],
+    ['a status line', (socket) => writeEndlessly(socket, `HTTP/1.1 200 ${LINE}`)],
+    [
+      'a slow status line',
+      (socket) => {
+        socket.write('HTTP/1.1 200 ');
+        writeEndlessly(socket, 'x', 5);
+      },
+    ],
+    ['garbage before the head', (socket) => writeEndlessly(socket, LINE)],
+    [
+      'a chunk extension',
+      (socket, callId) => {
+        socket.write(`${createHead({ callId, headers: [CHUNKED] })}5;x=`);
+        writeEndlessly(socket, LINE);
+      },
+    ],
+    [
+      'a trailer',
+      (socket, callId) => {
+        socket.write(`${createHead({ callId, headers: [CHUNKED] })}3\r\nabc\r\n0\r\n`);
+        writeEndlessly(socket, 'X-More: y\r\n');
+      },
+    ],
+    [
+      'a body that trickles, below the size of the buffer',
+      (socket, callId) => {
+        socket.write(createHead({ callId, headers: [CHUNKED] }));
+        writeEndlessly(socket, '1\r\nx\r\n', 5);
+      },
+    ],
+    [
+      'a body without length that trickles',
+      (socket, callId) => {
+        socket.write(createHead({ callId }));
+        writeEndlessly(socket, 'x', 5);
+      },
+    ],
+  ];
+
+  // Guards against calls that hang, buffers without a limit and connections left open.
+  it.each(unanswered)('in %s ends in 502 or 504 by the deadline', async (name, answerCall) => {
+    const { backend, port } = await start(answerCall);
+    const answered = call(port, '/order/x', { method: 'POST' });
+    await waitUntil(() => backend.requestsFor('/order/x').length === 1, 'the call to arrive');
+    const others = await Promise.all([1, 2, 3, 4].map(() => call(port, '/other/x')));
+    const answer = await answered;
+    expect([502, 504]).toContain(answer.status);
+    expect(answer.headers.signature).toBeUndefined();
+    expect(answer.elapsedMs).toBeLessThan(TIMEOUT_MS + SLACK_MS);
+    await closedWithin(backend, SLACK_MS);
+    expect(backend.bytesWritten).toBeLessThan(ACCEPTED_BYTES_MAX);
+    expect(backend.requestsFor('/order/x')).toHaveLength(1);
+    others.forEach((other) => expect(other).toMatchObject({ status: 200, body: 'whole' }));
+  });
+});
+
+describe('probes', () => {
+  const PROBES = 64;
+  const PROBE_TIMEOUT_MS = 60;
+
+  const answers: [string, (socket: Socket) => void][] = [
+    ['head', (socket) => writeEndlessly(socket, 'HTTP/1.1 102 Processing\r\n\r\n')],
+    [
+      'header line',
+      (socket) => {
+        socket.write('HTTP/1.1 200 OK\r\nX-Long: ');
+        writeEndlessly(socket, LINE);
+      },
+    ],
+    [
+      'body',
+      (socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}\r\n\r\n`);
+        writeEndlessly(socket, CHUNK);
+      },
+    ],
+    [
+      'slow body',
+      (socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}\r\n\r\n`);
+        writeEndlessly(socket, '1\r\nx\r\n', 5);
+      },
+    ],
+  ];
+
+  // Guards against probes that pile up, each with a connection and a buffer of its own.
+  it.each(answers)(
+    'with an endless %s find no usable answer and are closed',
+    async (name, reply) => {
+      const backend = new RawBackend(reply);
+      await backend.start();
+      const client = new BackendClient({ profile: TEST_PROFILE, probeTimeoutMs: PROBE_TIMEOUT_MS });
+      const record = createBackend('b-1', { address: '127.0.0.1', port: backend.port });
+      const view = new BackendView(record);
+      const startedAtMs = performance.now();
+      const reports = await Promise.all(
+        Array.from({ length: PROBES }, () => client.probe(view, createService())),
+      );
+      expect(reports.every((report) => report === null)).toBe(true);
+      expect(performance.now() - startedAtMs).toBeLessThan(PROBE_TIMEOUT_MS + SLACK_MS);
+      await closedWithin(backend, SLACK_MS);
+      expect(backend.bytesWritten / PROBES).toBeLessThan(ACCEPTED_BYTES_MAX);
+      client.dispose();
+      await backend.stop();
+    },
+  );
+});
