A reset in a long answer without length no longer looks like its end

Callers saw a success whose body was cut: an answer without Content-Length or chunks, longer than 256 KiB, whose backend server reset the connection.

Cause: on an error of the socket, the parser is told to finish, so a body that ends with its connection counts as complete. AttemptRun took that end, and CallServer ended its own connection in order, which is the end of the body for the caller too. Short answers were not affected: the error settles them first.

Fix: an error before the end of the answer marks the attempt as broken, and an unframed answer that breaks is reset towards the caller. An answer with a length or chunks still ends with a plain close, since its framing shows the cut.

Before: "in a long body without length that is reset looks cut" failed (complete: true); with the first half alone, it still failed.

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -38,6 +38,9 @@
 
   private cancelled = false;
 
+  /** True after an error before the end of the answer; the parser may still report an end. */
+  private broken = false;
+
   constructor(
     agent: http.Agent,
     private readonly profile: WireProfile,
@@ -78,9 +81,10 @@
         onConnect();
       });
     });
-    this.request.on('error', (error: NodeJS.ErrnoException) =>
-      this.fail(error.code ?? error.message),
-    );
+    this.request.on('error', (error: NodeJS.ErrnoException) => {
+      this.broken = true;
+      this.fail(error.code ?? error.message);
+    });
     this.request.on('response', (response) => this.onResponse(response));
     if (body.length > 0) this.request.write(body);
     if (bodyRest) bodyRest.pipe(this.request);
@@ -163,7 +167,7 @@
         const end = (complete: boolean) => {
           if (!open) return;
           open = false;
-          if (complete && !this.cancelled) onEnd();
+          if (complete && !this.cancelled && !this.broken) onEnd();
           else onBroken();
         };
         response.on('data', (chunk: Buffer) => {
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -226,8 +226,11 @@
     rest.read({
       onData: (chunk) => response.write(chunk),
       onEnd: () => response.end(),
-      // A truncated answer must not look complete.
-      onBroken: () => response.destroy(),
+      // A truncated answer must not look complete; without framing, only a reset marks it.
+      onBroken: () => {
+        if (answer.framed) response.destroy();
+        else response.socket?.resetAndDestroy();
+      },
     });
   }
 
--- a/src/gateway/server/EndlessAnswer.test.ts
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -181,6 +181,15 @@
     expect(backend.requestsFor('/order/x')).toHaveLength(1);
     others.forEach((other) => expect(other).toMatchObject({ status: 200, body: 'whole' }));
   });
+
+  // Guards against a reset that is taken for the end of a body without length.
+  it('in a long body without length that is reset looks cut', async () => {
+    const { port } = await start((socket, callId) => {
+      socket.write(createHead({ callId }) + LINE.repeat(40));
+      setTimeout(() => socket.resetAndDestroy(), 100);
+    });
+    expect(await call(port, '/read/x')).toMatchObject({ status: 200, complete: false });
+  });
 });
 
 describe('probes', () => {
