A long answer ends with its call: at the deadline and when the caller leaves

Callers would see a stream that outlives the route's timeout; backend servers stayed at work for callers that had left, and their connections stayed open for ever. The same for a long error answer that was dropped for a retry.

Cause: an answer longer than 256 KiB settles its attempt, and the call then no longer has it to cancel. No timer was left, a caller that left only paused the backend connection, and a dropped error answer stayed paused.

Fix: each attempt has an end 200 ms after its deadline, until its connection is free again; AnswerRest has a cancel, called when the caller's connection closes before the answer was sent, or when the answer is not used. An answer whose connection ended while a retry was picked is reported as broken, where it was waited for without end.

Ruled out: callers that read slowly make the host buffer without limit (the backend connection is paused, "is read no faster than the caller reads").

Before: every case of "is cut at the deadline", "is cancelled once the caller leaves", "is read no faster" and "in a long error answer" failed. After: all passed. npx vitest run src/gateway/server/EndlessAnswer.test.ts

--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -232,7 +232,10 @@
     this.lastFailureReason = genuine ? `status ${answer.statusCode}` : 'answer without its mark';
     this.logFailure(view, AttemptResultType.Answer, attempt, elapsedMs);
     const retryOutcome = await this.retryOrFinish();
-    if (retryOutcome === undefined || !genuine) return retryOutcome;
+    if (retryOutcome === undefined || !genuine) {
+      answer.rest?.cancel();
+      return retryOutcome;
+    }
     // No further attempt is possible: the backend server's error answer goes to the caller.
     return CallRun.toOutcome(view, answer, attempt);
   }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -109,6 +109,8 @@
     readonly onBroken: () => void;
   }): void;
   resume(): void;
+  /** Closes the connection to the backend server unless the answer is complete. */
+  cancel(): void;
 }
 
 /** Result of one attempt. */
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -25,6 +25,9 @@
 /** Answers up to this size are buffered, so that the call can be retried if one is truncated. */
 const BUFFERED_ANSWER_MAX_BYTES = 256 * 1024;
 
+/** Time after its deadline by which an answer that has begun must end. */
+const ANSWER_GRACE_MS = 200;
+
 /** One request to a backend server and its answer. */
 export class AttemptRun {
   readonly result: Promise<AttemptResult>;
@@ -71,6 +74,8 @@
       setHost: false,
       headers: headers as unknown as http.OutgoingHttpHeaders,
     });
+    const endTimer = setTimeout(() => this.request.destroy(), remainingMs + ANSWER_GRACE_MS);
+    this.request.once('close', () => clearTimeout(endTimer));
     this.request.on('socket', (socket) => {
       if (!socket.connecting) {
         this.sent = true;
@@ -176,9 +181,12 @@
         response.on('end', () => end(response.complete));
         response.on('error', () => end(false));
         response.on('close', () => end(response.complete));
-        response.resume();
+        // The connection may have ended before this call.
+        if (response.destroyed) end(false);
+        else response.resume();
       },
       resume: () => response.resume(),
+      cancel: () => this.request.destroy(),
     };
   }
 }
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -202,7 +202,10 @@
   }
 
   private answer(response: ServerResponse, answer: BackendAnswer): void {
-    if (response.destroyed) return;
+    if (response.destroyed) {
+      answer.rest?.cancel();
+      return;
+    }
     const headers = copyEndToEnd(answer.rawHeaders, OWN_ANSWER_HEADERS);
     const { body, rest } = answer;
     const declared = CallServer.declaredLength(answer);
@@ -223,6 +226,9 @@
     }
     response.write(body);
     response.on('drain', () => rest.resume());
+    response.once('close', () => {
+      if (!response.writableFinished) rest.cancel();
+    });
     rest.read({
       onData: (chunk) => response.write(chunk),
       onEnd: () => response.end(),
--- a/src/gateway/server/EndlessAnswer.test.ts
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../../standin/Cluster.js';
 import { RawBackend, writeEndlessly } from '../../../standin/RawBackend.js';
@@ -12,6 +13,7 @@
   TEST_PROFILE,
   createHead,
   createReply,
+  soundReply,
   startTestGateway,
   type TestGateway,
 } from './fixtures.js';
@@ -44,13 +46,15 @@
 interface CallOptions {
   readonly method?: string;
   readonly budgetMs?: number;
+  /** Called with the first bytes of the answer's body. */
+  readonly onBody?: (request: http.ClientRequest, response: http.IncomingMessage) => void;
 }
 
 let lastCallId = 0;
 
 /** Sends a call on a connection of its own; a status of 0 means that none arrived. */
 function call(port: number, path: string, options: CallOptions = {}): Promise<Answer> {
-  const { method = 'GET', budgetMs } = options;
+  const { method = 'GET', budgetMs, onBody } = options;
   const startedAtMs = performance.now();
   lastCallId += 1;
   const headers: Record<string, string> = {
@@ -71,6 +75,7 @@
     request.on('response', (response) => {
       answered = true;
       const chunks: Buffer[] = [];
+      response.once('data', () => onBody?.(request, response));
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
       response.on('error', () => {});
       response.on('close', () =>
@@ -182,6 +187,55 @@
     others.forEach((other) => expect(other).toMatchObject({ status: 200, body: 'whole' }));
   });
 
+  const bodies: [string, AnswerCall][] = [
+    [
+      'chunks',
+      (socket, callId) => {
+        socket.write(createHead({ callId, headers: [CHUNKED] }));
+        writeEndlessly(socket, CHUNK);
+      },
+    ],
+    [
+      'a body without length',
+      (socket, callId) => {
+        socket.write(createHead({ callId }));
+        writeEndlessly(socket, LINE);
+      },
+    ],
+    [
+      'a long body that then trickles',
+      (socket, callId) => {
+        socket.write(createHead({ callId, headers: [CHUNKED] }) + CHUNK.repeat(20));
+        writeEndlessly(socket, '1\r\nx\r\n', 5);
+      },
+    ],
+    [
+      'a long body without length that then trickles',
+      (socket, callId) => {
+        socket.write(createHead({ callId }) + LINE.repeat(20));
+        writeEndlessly(socket, 'x', 5);
+      },
+    ],
+    [
+      'a long body that then stops',
+      (socket, callId) => {
+        socket.write(createHead({ callId, headers: [CHUNKED] }) + CHUNK.repeat(20));
+      },
+    ],
+  ];
+
+  // Guards against streams that outlive the deadline, and against ones that then look complete.
+  it.each(bodies)('in %s is cut at the deadline and looks cut', async (name, answerCall) => {
+    const { backend, port } = await start(answerCall);
+    const answered = call(port, '/read/x');
+    await waitUntil(() => backend.requestsFor('/read/x').length === 1, 'the call to arrive');
+    const others = await Promise.all([1, 2, 3, 4].map(() => call(port, '/other/x')));
+    const answer = await Promise.race([answered, delay(TIMEOUT_MS + SLACK_MS)]);
+    expect(answer).toMatchObject({ status: 200, complete: false });
+    await closedWithin(backend, SLACK_MS);
+    others.forEach((other) => expect(other).toMatchObject({ status: 200, body: 'whole' }));
+  });
+
   // Guards against a reset that is taken for the end of a body without length.
   it('in a long body without length that is reset looks cut', async () => {
     const { port } = await start((socket, callId) => {
@@ -190,6 +244,51 @@
     });
     expect(await call(port, '/read/x')).toMatchObject({ status: 200, complete: false });
   });
+
+  // Guards against a backend server that is kept at work, and a slot, after the caller has left.
+  it.each(bodies)('in %s is cancelled once the caller leaves', async (name, answerCall) => {
+    const { backend, port } = await start(answerCall, { timeoutMs: 30_000 });
+    await call(port, '/read/x', { onBody: (request) => request.destroy() });
+    await closedWithin(backend, SLACK_MS);
+    await waitUntil(() => gateway!.openCalls() === 0, 'the call to end', SLACK_MS);
+  });
+
+  // Guards against a host that reads on while the caller reads nothing.
+  it('is read no faster than the caller reads', async () => {
+    const { backend, port } = await start((socket, callId) => {
+      socket.write(createHead({ callId, headers: [CHUNKED] }));
+      writeEndlessly(socket, CHUNK);
+    });
+    call(port, '/read/x', { onBody: (request, response) => response.pause() }).catch(() => {});
+    await waitUntil(() => backend.requestsFor('/read/x').length === 1, 'the call to arrive');
+    await closedWithin(backend, TIMEOUT_MS + SLACK_MS);
+    expect(backend.bytesWritten).toBeLessThan(ACCEPTED_BYTES_MAX);
+  });
+
+  // Guards against the answer of a failed attempt that is dropped half read.
+  it('in a long error answer is closed when the call is answered by another server', async () => {
+    const failing = new RawBackend(
+      createReply((socket, callId) => {
+        socket.write(createHead({ callId, status: '500 Failed', headers: [CHUNKED] }));
+        writeEndlessly(socket, CHUNK);
+      }),
+    );
+    const sound = new RawBackend(soundReply);
+    await Promise.all([failing.start(), sound.start()]);
+    gateway = await startTestGateway({
+      alpha: { 'b-1': failing, 'b-2': sound },
+      route: { timeoutMs: 30_000 },
+    });
+    const { port } = gateway;
+    const answers = await Promise.all([1, 2, 3, 4, 5, 6].map(() => call(port, '/read/x')));
+    answers.forEach((answer) => expect(answer).toMatchObject({ status: 200, body: 'whole' }));
+    expect(failing.requestsFor('/read/x').length).toBeGreaterThan(0);
+    await waitUntil(
+      () => failing.requestsFor('/read/x').every(({ connection }) => connection.closed),
+      'the connections of the dropped answers to close',
+      SLACK_MS,
+    );
+  });
 });
 
 describe('probes', () => {
