The body of a refusal is read within limits

A backend server that refused a call and then sent a body without end kept a connection of the host open and its reader busy for ever. The caller had its 503.

Cause: AttemptRun.onResponse resumed the answer and settled the attempt, so nothing was left to cancel it.

Fix: the connection is closed after 16 KiB or 250 ms of such a body.

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -28,6 +28,12 @@
 /** Time after its deadline by which an answer that has begun must end. */
 const ANSWER_GRACE_MS = 200;
 
+/** Largest body of a refusal that is read, so that its connection can be used again. */
+const REFUSAL_MAX_BYTES = 16 * 1024;
+
+/** Longest wait for the end of such a body. */
+const REFUSAL_END_TIMEOUT_MS = 250;
+
 /** One request to a backend server and its answer. */
 export class AttemptRun {
   readonly result: Promise<AttemptResult>;
@@ -116,7 +122,7 @@
       return;
     }
     if (head.notRun) {
-      response.resume();
+      this.discard(response);
       const reason = `not run, status ${statusCode}`;
       this.settle({ type: AttemptResultType.NotRun, reason, load: head.load });
       return;
@@ -124,6 +130,17 @@
     this.collect(response, head);
   }
 
+  /** Reads the rest of a refusal within limits. */
+  private discard(response: IncomingMessage): void {
+    let bodyBytes = 0;
+    response.on('data', (chunk: Buffer) => {
+      bodyBytes += chunk.length;
+      if (bodyBytes > REFUSAL_MAX_BYTES) this.request.destroy();
+    });
+    const timer = setTimeout(() => this.request.destroy(), REFUSAL_END_TIMEOUT_MS);
+    this.request.once('close', () => clearTimeout(timer));
+  }
+
   /** Buffers the body until it is complete or too long to buffer. */
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
     const chunks: Buffer[] = [];
--- a/src/gateway/server/EndlessAnswer.test.ts
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -187,6 +187,34 @@
     others.forEach((other) => expect(other).toMatchObject({ status: 200, body: 'whole' }));
   });
 
+  const refusals: [string, AnswerCall][] = [
+    [
+      'fast',
+      (socket, callId) => {
+        const headers = ['Not-Run: 1', CHUNKED];
+        socket.write(createHead({ callId, status: '503 Full', headers }));
+        writeEndlessly(socket, CHUNK);
+      },
+    ],
+    [
+      'slow',
+      (socket, callId) => {
+        const headers = ['Not-Run: 1', CHUNKED];
+        socket.write(createHead({ callId, status: '503 Full', headers }));
+        writeEndlessly(socket, '1\r\nx\r\n', 5);
+      },
+    ],
+  ];
+
+  // Guards against a connection that is read for ever once its call was refused.
+  it.each(refusals)('in the body of a refusal, %s, is closed soon', async (name, answerCall) => {
+    const { backend, port } = await start(answerCall, { timeoutMs: 30_000 });
+    const answer = await call(port, '/order/x', { method: 'POST' });
+    expect(answer.status).toBe(503);
+    await closedWithin(backend, SLACK_MS);
+    expect(backend.bytesWritten).toBeLessThan(ACCEPTED_BYTES_MAX);
+  });
+
   const bodies: [string, AnswerCall][] = [
     [
       'chunks',
