Bytes behind a complete answer no longer fail its call

Callers saw 502 for a call that had run and whose whole answer had arrived, when bytes that can't be parsed followed it in the same packet. Where the call isn't idempotent, its answer was lost.

Cause: the parser reports the complete answer and the error in one run; the error event comes before the end event of the body, and settled the attempt.

Fix: an error after the end of the answer doesn't settle the attempt. The end event follows, since a complete answer isn't destroyed with its connection.

Before: "in the same packet don't affect the call: garbage" and "endless garbage" failed with 502. After: passed. npx vitest run src/gateway/server/EndlessAnswer.test.ts

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -42,6 +42,8 @@
 
   private readonly request: http.ClientRequest;
 
+  private response: IncomingMessage | undefined;
+
   /** True once a byte may have left this host. */
   private sent = false;
 
@@ -93,6 +95,8 @@
       });
     });
     this.request.on('error', (error: NodeJS.ErrnoException) => {
+      // Bytes that can't be parsed behind a complete answer don't affect it.
+      if (this.response?.complete) return;
       this.broken = true;
       this.fail(error.code ?? error.message);
     });
@@ -114,6 +118,7 @@
   }
 
   private onResponse(response: IncomingMessage): void {
+    this.response = response;
     const { statusCode = 0, headers } = response;
     const head = this.profile.readAnswer(statusCode, headers);
     if (head.callId !== this.attempt.callId && !head.notRun) {
--- a/src/gateway/server/EndlessAnswer.test.ts
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -11,6 +11,7 @@
 import { BackendClient } from './BackendClient.js';
 import {
   TEST_PROFILE,
+  createCompleteAnswer,
   createHead,
   createReply,
   soundReply,
@@ -319,6 +320,32 @@
   });
 });
 
+describe('bytes behind a complete answer', () => {
+  const surplus: [string, AnswerCall][] = [
+    ['garbage', (socket) => socket.write(LINE)],
+    ['endless garbage', (socket) => writeEndlessly(socket, LINE)],
+    ['endless empty lines', (socket) => writeEndlessly(socket, '\r\n'.repeat(8_192))],
+    ['a second answer', (socket, callId) => socket.write(createCompleteAnswer(callId, 'again'))],
+    ['a half head', (socket) => socket.write('HTTP/1.1 503 Full\r\nNot-Run: 1\r\n')],
+    [
+      'endless informational heads',
+      (socket) => writeEndlessly(socket, 'HTTP/1.1 102 Processing\r\n\r\n'),
+    ],
+  ];
+
+  // Guards against a whole answer that is dropped because of what follows it.
+  it.each(surplus)('in the same packet don’t affect the call: %s', async (name, writeSurplus) => {
+    const { port } = await start((socket, callId) => {
+      socket.cork();
+      socket.write(createCompleteAnswer(callId));
+      writeSurplus(socket, callId);
+      process.nextTick(() => socket.uncork());
+    });
+    const answer = await call(port, '/order/x', { method: 'POST' });
+    expect(answer).toMatchObject({ status: 200, body: 'whole', complete: true });
+  });
+});
+
 describe('probes', () => {
   const PROBES = 64;
   const PROBE_TIMEOUT_MS = 60;
