Bytes that are no part of an answer are limited

A backend server that sends empty lines before the head, or a chunk size of endless zeros, had all its bytes read until the deadline (142 MB in 600 ms over loopback), which takes processor time from other calls. Nothing was buffered.

Cause: the parser limits heads, trailers and chunk extensions, but skips empty lines and leading zeros, and starts its count anew for each informational head.

Fix: AnswerGuard counts the bytes of a connection since the last part of the answer's head or body, and closes it beyond 1 MiB. Probes close a connection after 64 KiB of a health answer's body.

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,4 +1,5 @@
 import http, { type IncomingMessage } from 'node:http';
+import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import type { BackendView } from '../BackendView.js';
 import {
   AttemptResultType,
@@ -42,6 +43,8 @@
 
   private readonly request: http.ClientRequest;
 
+  private readonly guard: AnswerGuard;
+
   private response: IncomingMessage | undefined;
 
   /** True once a byte may have left this host. */
@@ -82,6 +85,7 @@
       setHost: false,
       headers: headers as unknown as http.OutgoingHttpHeaders,
     });
+    this.guard = new AnswerGuard(this.request);
     const endTimer = setTimeout(() => this.request.destroy(), remainingMs + ANSWER_GRACE_MS);
     this.request.once('close', () => clearTimeout(endTimer));
     this.request.on('socket', (socket) => {
@@ -171,6 +175,7 @@
     };
     const onBroken = () => this.fail('answer cut short');
     const onData = (chunk: Buffer) => {
+      this.guard.noteProgress();
       chunks.push(chunk);
       bodyBytes += chunk.length;
       if (bodyBytes <= BUFFERED_ANSWER_MAX_BYTES) return;
@@ -198,6 +203,7 @@
           else onBroken();
         };
         response.on('data', (chunk: Buffer) => {
+          this.guard.noteProgress();
           if (!onData(chunk)) response.pause();
         });
         response.on('end', () => end(response.complete));
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
 import type { AttemptHandle, HealthReport, WireProfile } from '../Types.js';
@@ -13,6 +14,9 @@
 
 const DEFAULT_PROBE_TIMEOUT_MS = 60;
 
+/** Largest body of a health answer; its headers hold all that is used. */
+const HEALTH_BODY_MAX_BYTES = 64 * 1024;
+
 /** Maximum number of idle connections kept for one backend server. */
 const FREE_SOCKETS_MAX = 4;
 
@@ -58,6 +62,7 @@
         setHost: false,
         headers: { Host: `${view.record.address}:${view.record.port}` },
       });
+      const guard = new AnswerGuard(request);
       const timer = setTimeout(() => {
         resolve(null);
         request.destroy();
@@ -76,12 +81,17 @@
           return;
         }
         const report = profile.readHealth(statusCode, headers);
+        let bodyBytes = 0;
+        response.on('data', (chunk: Buffer) => {
+          guard.noteProgress();
+          bodyBytes += chunk.length;
+          if (bodyBytes > HEALTH_BODY_MAX_BYTES) request.destroy();
+        });
         response.on('error', () => finish(null));
         response.on('end', () => {
           // The socket is free again only after this event.
           setImmediate(() => finish(report));
         });
-        response.resume();
       });
       request.end();
     });
--- a/src/gateway/server/EndlessAnswer.test.ts
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -141,6 +141,7 @@
         writeEndlessly(socket, 'x', 5);
       },
     ],
+    ['empty lines before the head', (socket) => writeEndlessly(socket, '\r\n'.repeat(8_192))],
     ['garbage before the head', (socket) => writeEndlessly(socket, LINE)],
     [
       'a chunk extension',
@@ -149,6 +150,13 @@
         writeEndlessly(socket, LINE);
       },
     ],
+    [
+      'a chunk size',
+      (socket, callId) => {
+        socket.write(createHead({ callId, headers: [CHUNKED] }));
+        writeEndlessly(socket, '0'.repeat(16 * 1024));
+      },
+    ],
     [
       'a trailer',
       (socket, callId) => {
@@ -251,6 +259,13 @@
         socket.write(createHead({ callId, headers: [CHUNKED] }) + CHUNK.repeat(20));
       },
     ],
+    [
+      'an endless chunk size after a long body',
+      (socket, callId) => {
+        socket.write(createHead({ callId, headers: [CHUNKED] }) + CHUNK.repeat(20));
+        writeEndlessly(socket, '0'.repeat(16 * 1024));
+      },
+    ],
   ];
 
   // Guards against streams that outlive the deadline, and against ones that then look complete.
