A pooled connection on which bytes arrive is closed and never used again

Callers would see 502, or the answer of an earlier call, for a call on a kept connection on which the backend server had sent bytes while it was idle. Endless bytes were read and dropped as long as the server sent them.

Cause: nothing listens on an idle connection of http.Agent, but it keeps reading.

Fix: GuardedAgent closes an idle connection on its first byte. The pool drops a closed connection only in a later turn, so a call may still be given one: no byte of it is written then, and the attempt is reported as not sent instead of "may have run". That holds for connections that the server closes, too.

--- /dev/null
+++ b/src/gateway/server/AttemptRun.test.ts
@@ -0,0 +1,46 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { RawBackend } from '../../../standin/RawBackend.js';
+import { GuardedAgent } from '../../runtime/GuardedAgent.js';
+import { BackendView } from '../BackendView.js';
+import { createBackend } from '../fixtures.js';
+import { AttemptResultType, type AttemptResult } from '../Types.js';
+import { AttemptRun } from './AttemptRun.js';
+import { TEST_PROFILE, soundReply } from './fixtures.js';
+
+const agent = new GuardedAgent({ keepAlive: true, scheduling: 'lifo' });
+const backend = new RawBackend(soundReply);
+
+function attempt(callId: string): Promise<AttemptResult> {
+  const record = createBackend('b-1', { address: '127.0.0.1', port: backend.port });
+  const request = {
+    method: 'POST',
+    target: '/order/x',
+    rawHeaders: ['Call-Id', callId],
+    callId,
+    body: Buffer.alloc(0),
+    bodyRest: null,
+    remainingMs: 1_000,
+  };
+  return new AttemptRun(agent, TEST_PROFILE, new BackendView(record), request, () => {}).result;
+}
+
+afterEach(async () => {
+  agent.destroy();
+  await backend.stop();
+});
+
+describe('an attempt on a pooled connection that was closed right before', () => {
+  // Guards against a call that ends as "may have run" though no byte of it was written.
+  it('is reported as not sent', async () => {
+    await backend.start();
+    await Promise.all([attempt('c-1'), attempt('c-2')]);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    const idle = Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
+    expect(idle).toHaveLength(2);
+    idle.at(-1)!.destroy();
+    expect((await attempt('c-3')).type).toBe(AttemptResultType.NotSent);
+    expect(backend.requests).toHaveLength(2);
+  });
+});
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -90,7 +90,8 @@
     this.request.once('close', () => clearTimeout(endTimer));
     this.request.on('socket', (socket) => {
       if (!socket.connecting) {
-        this.sent = true;
+        // A pooled connection may have been closed right before its reuse.
+        this.sent = socket.writable;
         return;
       }
       socket.once('connect', () => {
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { GuardedAgent } from '../../runtime/GuardedAgent.js';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
 import type { AttemptHandle, HealthReport, WireProfile } from '../Types.js';
@@ -34,7 +35,7 @@
   /** Connections opened so far. */
   connects = 0;
 
-  private readonly agent = new http.Agent({
+  private readonly agent = new GuardedAgent({
     keepAlive: true,
     keepAliveMsecs: TCP_KEEP_ALIVE_DELAY_MS,
     maxFreeSockets: FREE_SOCKETS_MAX,
--- a/src/gateway/server/EndlessAnswer.test.ts
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -359,6 +359,23 @@
     const answer = await call(port, '/order/x', { method: 'POST' });
     expect(answer).toMatchObject({ status: 200, body: 'whole', complete: true });
   });
+
+  // Guards against later calls that are sent on a connection whose bytes are out of step.
+  it.each(surplus)('on an idle connection close it: %s', async (name, writeSurplus) => {
+    const { backend, port } = await start((socket, callId) => {
+      socket.write(createCompleteAnswer(callId));
+      setTimeout(() => writeSurplus(socket, callId), 30);
+    });
+    await call(port, '/order/x', { method: 'POST' });
+    const [first] = backend.connections;
+    await waitUntil(() => first!.closed, 'the connection to close', SLACK_MS);
+    expect(backend.bytesWritten).toBeLessThan(ACCEPTED_BYTES_MAX);
+    backend.reply = soundReply;
+    const answers = await Promise.all(
+      [1, 2, 3].map(() => call(port, '/order/x', { method: 'POST' })),
+    );
+    answers.forEach((answer) => expect(answer).toMatchObject({ status: 200, body: 'whole' }));
+  });
 });
 
 describe('probes', () => {
