--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -222,6 +222,7 @@
     if (!answer.framed && this.isIdempotent && !call.acceptsUnframedAnswer()) {
       this.lastFailureReason = 'answer without a length ahead of other answers';
       this.logFailure(view, AttemptResultType.Answer, attempt, elapsedMs);
+      answer.rest?.cancel();
       return this.retryOrFinish();
     }
     const genuine = answer.statusCode >= 300 || answer.authentic;
@@ -237,7 +238,10 @@
     this.lastFailureReason = genuine ? `status ${answer.statusCode}` : 'answer without its mark';
     this.logFailure(view, AttemptResultType.Answer, attempt, elapsedMs);
     const retryOutcome = await this.retryOrFinish();
-    if (retryOutcome === undefined || !genuine) return retryOutcome;
+    if (retryOutcome === undefined || !genuine) {
+      answer.rest?.cancel();
+      return retryOutcome;
+    }
     // No further attempt is possible: the backend server's error answer goes to the caller.
     return CallRun.toOutcome(view, answer, attempt);
   }
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,4 +1,5 @@
 import http, { type IncomingMessage } from 'node:http';
+import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import type { BackendView } from '../BackendView.js';
 import {
   AttemptResultType,
@@ -25,6 +26,15 @@
 /** Answers up to this size are buffered, so that the call can be retried if one is truncated. */
 const BUFFERED_ANSWER_MAX_BYTES = 256 * 1024;
 
+/** Time after its deadline by which an answer that has begun must end. */
+const ANSWER_GRACE_MS = 200;
+
+/** Largest body of a refusal that is read, so that its connection can be used again. */
+const REFUSAL_MAX_BYTES = 16 * 1024;
+
+/** Longest wait for the end of such a body. */
+const REFUSAL_END_TIMEOUT_MS = 250;
+
 /** One request to a backend server and its answer. */
 export class AttemptRun {
   readonly result: Promise<AttemptResult>;
@@ -33,11 +43,18 @@
 
   private readonly request: http.ClientRequest;
 
+  private readonly guard: AnswerGuard;
+
+  private response: IncomingMessage | undefined;
+
   /** True once a byte may have left this host. */
   private sent = false;
 
   private cancelled = false;
 
+  /** True after an error before the end of the answer; the parser may still report an end. */
+  private broken = false;
+
   constructor(
     agent: http.Agent,
     private readonly profile: WireProfile,
@@ -68,9 +85,13 @@
       setHost: false,
       headers: headers as unknown as http.OutgoingHttpHeaders,
     });
+    this.guard = new AnswerGuard(this.request);
+    const endTimer = setTimeout(() => this.request.destroy(), remainingMs + ANSWER_GRACE_MS);
+    this.request.once('close', () => clearTimeout(endTimer));
     this.request.on('socket', (socket) => {
       if (!socket.connecting) {
-        this.sent = true;
+        // A pooled connection may have been closed right before its reuse.
+        this.sent = socket.writable;
         return;
       }
       socket.once('connect', () => {
@@ -78,9 +99,12 @@
         onConnect();
       });
     });
-    this.request.on('error', (error: NodeJS.ErrnoException) =>
-      this.fail(error.code ?? error.message),
-    );
+    this.request.on('error', (error: NodeJS.ErrnoException) => {
+      // Bytes that can't be parsed behind a complete answer don't affect it.
+      if (this.response?.complete) return;
+      this.broken = true;
+      this.fail(error.code ?? error.message);
+    });
     this.request.on('response', (response) => this.onResponse(response));
     if (body.length > 0) this.request.write(body);
     if (bodyRest) bodyRest.pipe(this.request);
@@ -99,6 +123,7 @@
   }
 
   private onResponse(response: IncomingMessage): void {
+    this.response = response;
     const { statusCode = 0, headers } = response;
     const head = this.profile.readAnswer(statusCode, headers);
     if (head.callId !== this.attempt.callId && !head.notRun) {
@@ -107,7 +132,7 @@
       return;
     }
     if (head.notRun) {
-      response.resume();
+      this.discard(response);
       const reason = `not run, status ${statusCode}`;
       this.settle({ type: AttemptResultType.NotRun, reason, load: head.load });
       return;
@@ -115,6 +140,17 @@
     this.collect(response, head);
   }
 
+  /** Reads the rest of a refusal within limits. */
+  private discard(response: IncomingMessage): void {
+    let bodyBytes = 0;
+    response.on('data', (chunk: Buffer) => {
+      bodyBytes += chunk.length;
+      if (bodyBytes > REFUSAL_MAX_BYTES) this.request.destroy();
+    });
+    const timer = setTimeout(() => this.request.destroy(), REFUSAL_END_TIMEOUT_MS);
+    this.request.once('close', () => clearTimeout(timer));
+  }
+
   /** Buffers the body until it is complete or too long to buffer. */
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
     const chunks: Buffer[] = [];
@@ -140,6 +176,7 @@
     };
     const onBroken = () => this.fail('answer cut short');
     const onData = (chunk: Buffer) => {
+      this.guard.noteProgress();
       chunks.push(chunk);
       bodyBytes += chunk.length;
       if (bodyBytes <= BUFFERED_ANSWER_MAX_BYTES) return;
@@ -163,18 +200,22 @@
         const end = (complete: boolean) => {
           if (!open) return;
           open = false;
-          if (complete && !this.cancelled) onEnd();
+          if (complete && !this.cancelled && !this.broken) onEnd();
           else onBroken();
         };
         response.on('data', (chunk: Buffer) => {
+          this.guard.noteProgress();
           if (!onData(chunk)) response.pause();
         });
         response.on('end', () => end(response.complete));
         response.on('error', () => end(false));
         response.on('close', () => end(response.complete));
-        response.resume();
+        // The connection may have ended before this call.
+        if (response.destroyed) end(false);
+        else response.resume();
       },
       resume: () => response.resume(),
+      cancel: () => this.request.destroy(),
     };
   }
 }
