A closed data folder rejects writes with an error of its own kind

What callers saw: a control host that stopped ended with an unhandled EBADF "file closed", and with exit code 1 where the process treats it as fatal. A write in that moment could also be acknowledged after the lock of the folder had been released.

Cause: close() awaited the operations that were queued when it was called. A write queued while it waited was appended to the handle after, or beside, its close.

Evidence: DataFolder.test.ts "once it is closed" on the code before: "expected Error: file closed { … } to match object { kind: 'storage-closed' }" and "expected 'acknowledged' to be 'storage-closed'". Both pass with this change. The sync that the first write waits for is held back in the test, so it needs no luck with timing.

Why it works: the folder counts as closed from the call of close(), in the same turn in which the last operation is read, so that no operation can be queued behind it. Writes queued before are completed.

--- a/src/common/Errors.ts
+++ b/src/common/Errors.ts
@@ -30,6 +30,7 @@
   DataCorrupt = 'data-corrupt',
   DataLocked = 'data-locked',
   StorageFailed = 'storage-failed',
+  StorageClosed = 'storage-closed',
 }
 
 /** Static properties of an error kind. */
@@ -179,6 +180,11 @@
     statusCode: 500,
     remedy: 'Check the disk, its free space and permissions, then start the process again.',
   },
+  [ErrorKind.StorageClosed]: {
+    statusCode: 503,
+    remedy: 'Use another control host; this one is stopping.',
+    retryAfterMs: 0,
+  },
 };
 
 /** Body of an error answer that the system itself generates. */
--- a/src/control/storage/DataFolder.test.ts
+++ b/src/control/storage/DataFolder.test.ts
@@ -1,19 +1,12 @@
-import {
-  appendFile,
-  mkdtemp,
-  open as openFile,
-  readFile,
-  rm,
-  truncate,
-  writeFile,
-} from 'node:fs/promises';
+import { appendFile, mkdtemp, readFile, rm, truncate, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { createRandom, pickIndex } from '../../common/Random.js';
 import { CommandType } from '../Commands.js';
-import { RaftEffectType, type LogEntry, type PersistEffect } from '../raft/Types.js';
+import { RaftEffectType, type LogEntry, type PersistEffect, type Snapshot } from '../raft/Types.js';
 import { DataFolder } from './DataFolder.js';
+import { createDiskError, fileHandlePrototype } from './fixtures.js';
 
 function createEntry(index: number): LogEntry {
   const command = { type: CommandType.Noop } as const;
@@ -63,19 +56,63 @@
     await reopened.close();
   });
 
-  describe('on a disk that refuses writes', () => {
+  function createSnapshot(index: number): Snapshot {
+    const membership = { voters: [], learners: [] };
+    return { index, term: 1, membership, bytes: new Uint8Array([1]) };
+  }
+
+  describe('once it is closed', () => {
     afterEach(() => vi.restoreAllMocks());
 
-    async function handlePrototype() {
-      const handle = await openFile(folder, 'r');
-      await handle.close();
-      return Object.getPrototypeOf(handle) as {
-        writeFile: (bytes: Uint8Array) => Promise<void>;
-        datasync: () => Promise<void>;
-      };
-    }
+    const readTail = () => ({ hardState: { term: 1, votedFor: null }, entries: [] });
+
+    // Guards against a write to a file handle that is closed, or that another process has reopened.
+    it('rejects writes and snapshots with an error of its own kind', async () => {
+      const data = await open();
+      await data.close();
+      const write = createWrite({ entries: [createEntry(1)] });
+      await expect(data.persist(write)).rejects.toMatchObject({ kind: 'storage-closed' });
+      const saved = data.saveSnapshot(createSnapshot(1), readTail);
+      await expect(saved).rejects.toMatchObject({ kind: 'storage-closed' });
+      await data.close();
+      const reopened = await open(false);
+      expect(reopened.stored).toMatchObject({ snapshot: null, entries: [] });
+      await reopened.close();
+    });
+
+    // Guards against a batch that is written after the operations that close waits for.
+    it('completes the writes queued before and rejects those queued while it waits', async () => {
+      const data = await open();
+      const prototype = await fileHandlePrototype(folder);
+      const { datasync } = prototype;
+      let release = () => {};
+      const blocked = new Promise<void>((resolve) => {
+        release = resolve;
+      });
+      vi.spyOn(prototype, 'datasync').mockImplementationOnce(async function syncLate(
+        this: unknown,
+      ) {
+        await blocked;
+        await datasync.call(this);
+      });
+      const first = data.persist(createWrite({ entries: [createEntry(1)] }));
+      const second = data.persist(createWrite({ entries: [createEntry(2)] }));
+      const closed = data.close();
+      const late = data.persist(createWrite({ entries: [createEntry(3)] })).then(
+        () => 'acknowledged',
+        (error: unknown) => (error as { kind?: string }).kind,
+      );
+      release();
+      await Promise.all([first, second, closed]);
+      expect(await late).toBe('storage-closed');
+      const reopened = await open(false);
+      expect(reopened.stored.entries.map((entry) => entry.index)).toEqual([1, 2]);
+      await reopened.close();
+    });
+  });
 
-    const createDiskError = (code: string) => Object.assign(new Error(code), { code });
+  describe('on a disk that refuses writes', () => {
+    afterEach(() => vi.restoreAllMocks());
 
     it('retries refused writes and removes the bytes of a torn write', async () => {
       const refused: unknown[] = [];
@@ -87,7 +124,7 @@
         onWritesAccepted: (refusedMs) => refusedForMs.push(refusedMs),
       });
       await data.persist(createWrite({ entries: [createEntry(1)] }));
-      const prototype = await handlePrototype();
+      const prototype = await fileHandlePrototype(folder);
       const originalWriteFile = prototype.writeFile;
       vi.spyOn(prototype, 'writeFile').mockImplementationOnce(async function writeTorn(
         this: unknown,
@@ -109,7 +146,7 @@
 
     it('does not acknowledge a refused write and fails it once the folder is closed', async () => {
       const data = await open();
-      const prototype = await handlePrototype();
+      const prototype = await fileHandlePrototype(folder);
       vi.spyOn(prototype, 'datasync').mockRejectedValue(createDiskError('ENOSPC'));
       const write = data.persist(createWrite({ entries: [createEntry(1)] }));
       const outcome = write.then(
@@ -122,7 +159,7 @@
 
     it('fails a write at once on an error that is not a disk refusal', async () => {
       const data = await open();
-      const prototype = await handlePrototype();
+      const prototype = await fileHandlePrototype(folder);
       vi.spyOn(prototype, 'datasync').mockRejectedValueOnce(createDiskError('EBADF'));
       const write = data.persist(createWrite({ entries: [createEntry(1)] }));
       await expect(write).rejects.toThrow('EBADF');
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -177,8 +177,8 @@
   /** Time at which the disk started to refuse writes; undefined while it accepts them. */
   private refusingSinceMs: number | undefined;
 
-  /** True once the folder is being closed; refused writes then fail without a retry. */
-  private closing = false;
+  /** Settles once the folder is closed; refused writes fail without a retry from its begin on. */
+  private closed: Promise<void> | undefined;
 
   private constructor(
     private readonly options: DataFolderOptions,
@@ -214,6 +214,7 @@
   }
 
   persist(write: PersistEffect): Promise<void> {
+    if (this.closed) return Promise.reject(this.closedError());
     return new Promise((done, failed) => {
       this.queue.push({ bytes: encodeWrite(write), done, failed });
       // The first write of a batch schedules it; later ones join until it begins.
@@ -223,6 +224,7 @@
   }
 
   saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
+    if (this.closed) return Promise.reject(this.closedError());
     const saved = this.operations.then(() =>
       this.retryWhileRefused(() => this.replaceLog(snapshot, readTail)),
     );
@@ -230,13 +232,22 @@
     return saved;
   }
 
-  async close(): Promise<void> {
-    this.closing = true;
+  close(): Promise<void> {
+    this.closed ??= this.release();
+    return this.closed;
+  }
+
+  private async release(): Promise<void> {
     await this.operations;
     await this.handle.close();
     await rm(path.join(this.options.folder, LOCK_FILE), { force: true });
   }
 
+  private closedError(): EgretError {
+    const detail = `The data folder ${this.options.folder} is closed.`;
+    return new EgretError(ErrorKind.StorageClosed, detail);
+  }
+
   private async replaceLog(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
     await replaceFile(this.options.folder, SNAPSHOT_FILE, encodeFrame(codec.pack(snapshot)));
     const tail = encodeTail(readTail());
@@ -277,7 +288,7 @@
     try {
       await operation();
     } catch (error) {
-      if (!isDiskRefusal(error) || this.closing) throw error;
+      if (!isDiskRefusal(error) || this.closed) throw error;
       if (this.refusingSinceMs === undefined) {
         this.refusingSinceMs = performance.now();
         this.options.onWritesRefused?.(error);
--- a/src/control/storage/Types.ts
+++ b/src/control/storage/Types.ts
@@ -24,6 +24,9 @@
   persist(write: PersistEffect): Promise<void>;
   /** Saves a snapshot durably and drops the log entries that it covers. */
   saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void>;
-  /** Waits for the queued writes, then releases the folder. */
+  /**
+   * Waits for the queued writes, then releases the folder. From the first call on, a data folder
+   * rejects writes and snapshots with an EgretError of kind storage-closed.
+   */
   close(): Promise<void>;
 }
