A control host that stops handles nothing after its last event

What callers saw: "file closed" (EBADF) as an unhandled rejection, twice, after a control host had stopped; a real process reports process_failed and exits with 1 in place of 0. A backend server's announcement that was queued at the stop was confirmed, although no other process received it.

Cause: a closed js-csp channel still returns its buffered events. After the step-down a queued tick found the election timer expired, so that a host that is its own majority started an election, voted for itself and appended an entry: two writes, on a folder that was being closed. Messages and completions went the same way. A write that the disk refused until the end was reported as fatal, too.

Ruled out: the reducer's answer to the stop writes nothing (the term stays the same); sessions that close post into a closed loop. Read in the source, not run: nothing was sent to peers, since a terminated link drops messages.

Evidence: EventLoop.test.ts and ControlServer.test.ts on the code before: "expected [ 1, 4, 2, 3 ] to deeply equal []", "expected true to be false" (leader again after the stop; announcement confirmed) and "expected [ Error: ENOSPC ] to deeply equal []". All pass with this change.

Why it works: the event loop ends first and drops what it holds; then the sender ends, so that no write begins and no message that waits for a write is sent; only then the host steps down. Requests whose events were dropped are answered as not served. Writes queued before are completed.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -53,6 +53,7 @@
   control_started: 'The process is listening; with the term and last index of its log.',
   disk_refusing: 'The disk rejects writes; until it accepts them, this host acknowledges nothing.',
   disk_taking: 'The disk accepts writes again; with how long it rejected them.',
+  write_abandoned: 'A write failed after the host began to stop; it was never acknowledged.',
   control_stopped: 'A planned stop ends.',
   control_request_failed: 'Handling a request failed with an unexpected error.',
   // Every process.
--- a/src/common/LogLevels.ts
+++ b/src/common/LogLevels.ts
@@ -31,6 +31,7 @@
   link_refused: LogLevel.Warn,
   message_refused: LogLevel.Warn,
   routing_malformed: LogLevel.Warn,
+  write_abandoned: LogLevel.Warn,
   lines_suppressed: LogLevel.Warn,
 } satisfies Partial<Record<LogEvent, LogLevel>>;
 
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -119,6 +119,9 @@
 
   private startedAtMs = 0;
 
+  /** Settles once the stop has ended; undefined before it begins. */
+  private stopped: Promise<void> | undefined;
+
   private boundPort = 0;
 
   private boundAdminPort = 0;
@@ -185,6 +188,8 @@
           this.withTimes({ type: ControlEventType.SnapshotSaved, snapshot, received }),
         ),
       onFailed: (error) => options.onFatal(error),
+      onAbandoned: (error) =>
+        logger.warn('write_abandoned', { host: file.id, detail: String(error) }),
     });
     this.backendsFile = options.observer
       ? null
@@ -278,11 +283,22 @@
     });
   }
 
-  async stop(): Promise<void> {
+  /**
+   * Steps down and ends. From the first call on nothing is handled, written, sent or confirmed;
+   * writes queued before are completed.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.end();
+    return this.stopped;
+  }
+
+  private async end(): Promise<void> {
     clearInterval(this.timer);
     clearInterval(this.joinTimer);
-    this.runEffects(this.reducer.reduce(this.withTimes({ type: ControlEventType.Stop })));
     this.loop.dispose();
+    this.sender.dispose();
+    this.runEffects(this.reducer.reduce(this.withTimes({ type: ControlEventType.Stop })));
+    this.failPendingRequests();
     this.links.dispose();
     this.messages.dispose();
     await this.admin.stop();
@@ -291,6 +307,13 @@
     this.options.logger.info('control_stopped', { host: this.options.file.id });
   }
 
+  /** Answers the requests whose events were not handled before the stop. */
+  private failPendingRequests(): void {
+    const error = new EgretError(ErrorKind.NoQuorum, 'The control host is stopping.');
+    [...this.pendingAdminRequests.values()].forEach((answer) => answer({ body: null, error }));
+    [...this.pendingAnnouncements.values()].forEach((answer) => answer(false));
+  }
+
   /** Handles an announcement; resolves with false if another control host should be tried. */
   announce(record: BackendRecord): Promise<boolean> {
     return this.submitAnnouncement((requestId) =>
@@ -337,7 +360,7 @@
       const type = ControlEventType.Admin;
       if (!this.post({ type, requestId, tokenHash, request, actor })) {
         clearTimeout(timer);
-        refuse('The control host is overloaded.');
+        refuse(`The control host is ${this.stopped ? 'stopping' : 'overloaded'}.`);
       }
     });
   }
--- /dev/null
+++ b/src/control/server/fixtures.ts
@@ -0,0 +1,33 @@
+import { LogLevel } from '../../common/Enums.js';
+import { ProgramKind } from '../../common/ProcessSettings.js';
+import { silentLogger } from '../../runtime/Logger.js';
+import { ControlServer, type ControlServerOptions } from './ControlServer.js';
+
+const ADDRESS = '127.0.0.1';
+
+/** Opens a control host that is the only voter of its cluster, for tests. */
+export function openSingleControl(
+  dataFolder: string,
+  changes: Partial<ControlServerOptions> = {},
+): Promise<ControlServer> {
+  return ControlServer.open({
+    file: {
+      program: ProgramKind.Control,
+      id: 'control-1',
+      availabilityZone: 'perth',
+      listen: { address: ADDRESS, port: 0 },
+      adminListen: { address: ADDRESS, port: 0 },
+      dataFolder,
+      secretFile: '',
+      initialVoters: [{ id: 'control-1', address: ADDRESS, port: 1 }],
+      logLevel: LogLevel.Error,
+    },
+    secret: 'secret',
+    logger: silentLogger,
+    initialize: true,
+    onFatal: (error) => {
+      throw error;
+    },
+    ...changes,
+  });
+}
--- a/src/runtime/EventLoop.ts
+++ b/src/runtime/EventLoop.ts
@@ -45,15 +45,18 @@
     if (!csp.offer(this.channel, event)) this.completions.push(event);
   }
 
+  /** Ends the loop; events and completions that are still queued are not handled. */
   dispose(): void {
     this.closed = true;
+    this.completions.length = 0;
     this.channel.close();
   }
 
   private *run(): Generator {
     for (;;) {
       const event = (yield csp.take(this.channel)) as E | null;
-      if (event === csp.CLOSED) return;
+      // A closed channel still returns its buffered events.
+      if (event === csp.CLOSED || this.closed) return;
       this.options.handle(event as E);
       while (this.completions.length > 0) {
         this.options.handle(this.completions.shift()!);
