A stopping control host awaits the save of its backend servers

What callers would see: a file that appears in the data folder after the folder's lock was released, beside the process that opened it next; an incomplete temporary file if the process exits in between.

Cause: the stop did not wait for a save in progress.

Evidence: BackendsFile.test.ts "completes a save in progress when it is closed, and begins no other" did not run on the code before, which had no close ("file.close is not a function"); it passes now.

--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -303,6 +303,7 @@
     this.messages.dispose();
     await this.admin.stop();
     await closeServer(this.http);
+    await this.backendsFile?.close();
     await this.storage.close();
     this.options.logger.info('control_stopped', { host: this.options.file.id });
   }
--- a/src/control/storage/BackendsFile.test.ts
+++ b/src/control/storage/BackendsFile.test.ts
@@ -40,4 +40,18 @@
     await create(path.join(folder, 'missing')).save(records, 0);
     expect(failures).toHaveLength(1);
   });
+
+  // Guards against a file that appears in the folder after another process may have opened it.
+  it('completes a save in progress when it is closed, and begins no other', async () => {
+    const file = create();
+    let saved = false;
+    const saving = file.save(records, 100_000).then(() => {
+      saved = true;
+    });
+    await file.close();
+    expect(saved).toBe(true);
+    await saving;
+    await file.save([], 200_000);
+    expect(await create().load(101_000)).toEqual(records);
+  });
 });
--- a/src/control/storage/BackendsFile.ts
+++ b/src/control/storage/BackendsFile.ts
@@ -17,7 +17,10 @@
 
 /** File in the data folder with the backend servers registered before a restart. */
 export class BackendsFile {
-  private saving = false;
+  /** Settles once the save in progress has ended; undefined while there is none. */
+  private saving: Promise<void> | undefined;
+
+  private closed = false;
 
   constructor(
     private readonly folder: string,
@@ -26,14 +29,20 @@
 
   /** Saves the records, unless a save is in progress: saves are periodic, so another follows. */
   save(records: readonly BackendRecord[], wallMs: number): Promise<void> {
-    if (this.saving) return Promise.resolve();
-    this.saving = true;
+    if (this.saving || this.closed) return Promise.resolve();
     const saved: SavedBackends = { savedAtMs: wallMs, records };
-    return replaceFile(this.folder, BACKENDS_FILE, encodeFrame(codec.pack(saved)))
+    this.saving = replaceFile(this.folder, BACKENDS_FILE, encodeFrame(codec.pack(saved)))
       .catch((error: unknown) => this.onFailed(error))
       .finally(() => {
-        this.saving = false;
+        this.saving = undefined;
       });
+    return this.saving;
+  }
+
+  /** Waits for a save in progress; later ones are skipped. */
+  async close(): Promise<void> {
+    this.closed = true;
+    await this.saving;
   }
 
   /** Reads the records; returns none if the file is missing, torn or not recent. */
