Links that are disposed deliver nothing and are not opened again

What callers would see: after a planned stop a gateway applies routing and backend servers that it received before, and both kinds of host log links that they closed themselves as lost (control_lost, control_link_lost). A link that is opened after the end stays open and reconnects while the process runs.

Cause: a terminated WebSocket still emits the messages that it has read and its close event. RaftLinks.sync, PeerLinks.send and PeerLinks.whenOpen open links after dispose, and the answer to a join request that arrives after the stop calls sync.

Ruled out: a message on a disposed link is not sent, since the socket is closing. Read in the source, not run: nothing was confirmed on such a message, since the event loops of control and entry hosts have ended.

Why it works: client and server check for their own disposal before every callback, and the collections of links before they open one. Owners that remove a single link report the loss themselves, now once in place of twice.

--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -392,6 +392,7 @@
       .forEach((target) => {
         requestJoin(target, member, secret).then(
           (membership) => {
+            if (this.stopped) return;
             if (!membership || state.log.membership.voters.length > 0) return;
             if (state.log.lastIndex > 0 || membership.voters.length === 0) return;
             state.log.adoptMembership(membership);
--- a/src/control/server/RaftLinks.ts
+++ b/src/control/server/RaftLinks.ts
@@ -22,10 +22,13 @@
   /** Address and port that each link was opened to, by member id. */
   private readonly addresses = new Map<string, string>();
 
+  private disposed = false;
+
   constructor(private readonly options: RaftLinksOptions) {}
 
   /** Opens links to new or moved members and closes those to removed ones. */
   sync(members: readonly Member[]): void {
+    if (this.disposed) return;
     const membersById = new Map(members.map((member) => [member.id, member]));
     this.clients.forEach((client, id) => {
       const member = membersById.get(id);
@@ -43,6 +46,7 @@
   }
 
   dispose(): void {
+    this.disposed = true;
     this.clients.forEach((client) => client.dispose());
   }
 
--- a/src/entry/server/PeerLinks.ts
+++ b/src/entry/server/PeerLinks.ts
@@ -26,10 +26,13 @@
 export class PeerLinks implements Disposable {
   private readonly links = new Map<string, PeerLink>();
 
+  private disposed = false;
+
   constructor(private readonly options: PeerLinksOptions) {}
 
   /** Sends a message once the link is open; drops it if that takes too long. */
   send(peer: EntryHost, message: PeerMessage): void {
+    if (this.disposed) return;
     const link = this.ensure(peer.id, peer.address, peer.peerPort);
     if (link.client.send(message)) return;
     this.whenOpen(peer.id, peer.address, peer.peerPort, (ticket) => {
@@ -39,6 +42,10 @@
 
   /** Calls back with the ticket of the open link, or an empty one if it doesn't open in time. */
   whenOpen(id: string, address: string, port: number, done: (ticket: string) => void): void {
+    if (this.disposed) {
+      done('');
+      return;
+    }
     const link = this.ensure(id, address, port);
     if (link.client.isOpen) {
       done(link.client.ticket);
@@ -58,6 +65,7 @@
   }
 
   dispose(): void {
+    this.disposed = true;
     this.links.forEach((link) => link.client.dispose());
     this.links.clear();
   }
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -81,7 +81,7 @@
 /** Header size of a masked WebSocket frame with a payload of 126 to 65,535 bytes. */
 const FRAME_BYTES = 8;
 
-/** Authenticated WebSocket link that reconnects until it is disposed. */
+/** Authenticated WebSocket link that reconnects until it is disposed, and then calls back no more. */
 export class MessageClient implements Disposable {
   private socket: WebSocket | undefined;
 
@@ -117,12 +117,12 @@
   }
 
   get isOpen(): boolean {
-    return this.state === LinkState.Open;
+    return this.state === LinkState.Open && !this.disposed;
   }
 
   /** Sends a message; false if the link is down or the server reads too slowly. */
   send(message: object): boolean {
-    if (!this.socket || this.state !== LinkState.Open) return false;
+    if (!this.socket || this.state !== LinkState.Open || this.disposed) return false;
     if (this.socket.bufferedAmount > MAX_BUFFERED_BYTES) {
       this.socket.terminate();
       return false;
@@ -163,6 +163,8 @@
   }
 
   private receive(socket: WebSocket, data: RawData): void {
+    // A terminated socket still emits the messages that it has read.
+    if (this.disposed) return;
     this.receivedAtMs = performance.now();
     this.countTraffic(data as Buffer);
     const decoded = decodeMessage(data as Buffer);
@@ -226,8 +228,8 @@
     const wasOpen = this.state === LinkState.Open;
     this.state = LinkState.Closed;
     this.ticket = '';
-    if (wasOpen) this.options.onClose();
     if (this.disposed) return;
+    if (wasOpen) this.options.onClose();
     this.retryTimer = setTimeout(() => this.connect(), this.retryDelays.next());
   }
 }
--- a/src/runtime/MessageServer.ts
+++ b/src/runtime/MessageServer.ts
@@ -57,7 +57,7 @@
   socket.send(encodeMessage(message));
 }
 
-/** Accepts authenticated WebSocket links on an HTTP server. */
+/** Accepts authenticated WebSocket links on an HTTP server; calls back no more once disposed. */
 export class MessageServer implements Disposable {
   private readonly server = new WebSocketServer({
     noServer: true,
@@ -72,6 +72,8 @@
 
   private nextSessionId = 1;
 
+  private disposed = false;
+
   constructor(private readonly options: MessageServerOptions) {}
 
   /** Handles the upgrade requests of an HTTP server. */
@@ -87,6 +89,7 @@
   }
 
   dispose(): void {
+    this.disposed = true;
     this.sockets.forEach((socket) => socket.terminate());
     this.server.close();
   }
@@ -102,6 +105,7 @@
     });
     socket.once('message', (data) => {
       clearTimeout(timer);
+      if (this.disposed) return;
       const decoded = decodeMessage(toBuffer(data));
       const response = decoded.isOk ? (decoded.value as unknown as ChallengeResponse) : undefined;
       const wellFormed =
@@ -133,12 +137,14 @@
     socket.on('message', (data) => this.receive(session, socket, toBuffer(data)));
     socket.once('close', () => {
       this.tickets.delete(session.ticket);
-      this.options.onClose(session);
+      if (!this.disposed) this.options.onClose(session);
     });
     this.options.onOpen(session);
   }
 
   private receive(session: ServerSession, socket: WebSocket, bytes: Buffer): void {
+    // A terminated socket still emits the messages that it has read.
+    if (this.disposed) return;
     const checked = decodeMessage(bytes).andThen((message) =>
       checkMessage(message, this.options.fields),
     );
