A control host that stops completes the requests in progress

What callers saw: an operator's change that was accepted and on its way to the log ended with a closed connection, although seconds were allowed for the stop; the change could be in force all the same. Announcements and departures of backend servers ended in the same way.

Not a cause, but avoided: the HTTP server's own close() and closeIdleConnections() cut a response that has ended and is not yet sent.

The host leads meanwhile, so that changes are committed. Without a majority the connections are closed at the end of that time.

--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -76,6 +76,9 @@
 const TICK_MS = 20;
 const ADMIN_TIMEOUT_MS = 10_000;
 
+/** Time for requests in progress at a stop; without a majority a change is not committed at all. */
+const ADMIN_FINISH_MS = 1_000;
+
 /** Interval of the join requests of a host that is not a member. */
 const JOIN_INTERVAL_MS = 500;
 
@@ -284,8 +287,9 @@
   }
 
   /**
-   * Steps down and ends. From the first call on nothing is handled, written, sent or confirmed;
-   * writes queued before are completed.
+   * Completes the administration requests in progress, for a limited time, then steps down and
+   * ends. From then on nothing is handled, written, sent or confirmed; writes queued before are
+   * completed.
    */
   stop(): Promise<void> {
     this.stopped ??= this.end();
@@ -293,6 +297,7 @@
   }
 
   private async end(): Promise<void> {
+    await this.admin.stop(ADMIN_FINISH_MS);
     clearInterval(this.timer);
     clearInterval(this.joinTimer);
     this.loop.dispose();
@@ -301,7 +306,6 @@
     this.failPendingRequests();
     this.links.dispose();
     this.messages.dispose();
-    await this.admin.stop();
     await closeServer(this.http);
     await this.backendsFile?.close();
     await this.storage.close();
--- a/src/runtime/AdminListener.ts
+++ b/src/runtime/AdminListener.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Registry } from 'prom-client';
 import { EgretError, ErrorKind } from '../common/Errors.js';
-import { answerParserErrors, closeServer, sendError, sendJson } from './HttpJson.js';
+import { answerParserErrors, sendError, sendJson } from './HttpJson.js';
+import { ResponseTracker } from './ResponseTracker.js';
 import { sendMetrics } from './SendMetrics.js';
 
 /** Handler of one path. */
@@ -22,14 +23,18 @@
 
 /** HTTP listener for metrics, health and administration. */
 export class AdminListener {
+  private readonly responses: ResponseTracker;
+
   constructor(private readonly options: AdminListenerOptions) {
     const { server } = options;
+    this.responses = new ResponseTracker(server);
     server.on('request', (request, response) => this.onRequest(request, response));
     answerParserErrors(server);
   }
 
-  stop(): Promise<void> {
-    return closeServer(this.options.server);
+  /** Completes the requests in progress, within `finishMs`, and closes all connections. */
+  stop(finishMs = 0): Promise<void> {
+    return this.responses.finish(finishMs);
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
