A flush of the log awaits a write in progress, for a limited time

What callers saw: the last lines before the end of a process, which an investigation needs most, can be missing; and with an output that is not read, a planned stop does not end before the process is killed.

Cause: flush() resolved at once while a write was in progress, and the lines behind that write were left to a timer that the exit overtakes. Without a write in progress it waited for its own write without a limit.

Evidence: RateLimitedLog.test.ts on the code before: "expected 1 to be +0" (the flush resolved before its line was written) and "Test timed out in 60000ms" (output not read). Both pass with this change.

Why it works: a flush waits until as many lines are written as were accepted before it; while one waits, the next write follows the one before without the interval. 300 ms are the limit.

--- a/src/runtime/RateLimitedLog.ts
+++ b/src/runtime/RateLimitedLog.ts
@@ -26,6 +26,9 @@
 /** Lines are written together at this interval. */
 const FLUSH_INTERVAL_MS = 100;
 
+/** Longest wait of a flush: an output that is not read must not delay the end of a process. */
+const FLUSH_TIMEOUT_MS = 300;
+
 const WINDOW_MS = 1_000;
 
 /** Logged numbers are rounded to two decimal places. */
@@ -42,6 +45,12 @@
   write(STANDARD_OUTPUT, text, () => done());
 }
 
+/** Flush that waits until a number of lines has been written. */
+interface PendingFlush {
+  readonly lines: number;
+  readonly resolve: () => void;
+}
+
 /** Lines of one event within the current second. */
 interface EventWindow {
   startedAtMs: number;
@@ -61,6 +70,13 @@
 
   private dropped = 0;
 
+  /** Numbers of lines accepted and written since the start. */
+  private acceptedLines = 0;
+
+  private writtenLines = 0;
+
+  private pendingFlushes: PendingFlush[] = [];
+
   private writing = false;
 
   private timer: NodeJS.Timeout | undefined;
@@ -104,11 +120,19 @@
     this.append(event, fields);
   }
 
-  /** Writes the pending lines; resolves when written, or at once if a write is in progress. */
+  /** Writes the pending lines; resolves once all earlier lines are written, or after 300 ms. */
   flush(): Promise<void> {
     this.windows.forEach((window, event) => this.reportSuppressed(event, window));
+    const lines = this.acceptedLines;
+    if (this.writtenLines >= lines) return Promise.resolve();
     return new Promise((resolve) => {
-      this.writePending(resolve);
+      const timer = setTimeout(resolve, FLUSH_TIMEOUT_MS);
+      const finish = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      this.pendingFlushes.push({ lines, resolve: finish });
+      this.writePending();
     });
   }
 
@@ -139,32 +163,44 @@
     if (this.dropped > 0) {
       const droppedLine = `time=${time} event=lines_dropped ${this.prefix} count=${this.dropped}\n`;
       this.dropped = 0;
-      this.pending.push(droppedLine);
-      this.pendingBytes += droppedLine.length;
+      this.accept(droppedLine);
     }
+    this.accept(text);
+    this.scheduleWrite();
+  }
+
+  private accept(text: string): void {
     this.pending.push(text);
     this.pendingBytes += text.length;
+    this.acceptedLines += 1;
+  }
+
+  private scheduleWrite(): void {
     this.timer ??= setTimeout(() => this.writePending(), FLUSH_INTERVAL_MS).unref();
   }
 
-  private writePending(done?: () => void): void {
+  private writePending(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
-    if (this.writing || this.pending.length === 0) {
-      done?.();
-      return;
-    }
+    if (this.writing || this.pending.length === 0) return;
     this.writing = true;
     const text = this.pending.join('');
+    const lines = this.pending.length;
     this.pending = [];
     // Counts the text until it is written, so that the limit holds while the output is not read.
     (this.options.write ?? writeToStandardOutput)(text, () => {
       this.writing = false;
       this.pendingBytes -= text.length;
-      if (this.pending.length > 0) {
-        this.timer ??= setTimeout(() => this.writePending(), FLUSH_INTERVAL_MS).unref();
-      }
-      done?.();
+      this.writtenLines += lines;
+      this.resolveFlushes();
+      if (this.pendingFlushes.length > 0) this.writePending();
+      else if (this.pending.length > 0) this.scheduleWrite();
     });
   }
+
+  private resolveFlushes(): void {
+    const isDone = (flush: PendingFlush) => flush.lines <= this.writtenLines;
+    this.pendingFlushes.filter(isDone).forEach((flush) => flush.resolve());
+    this.pendingFlushes = this.pendingFlushes.filter((flush) => !isDone(flush));
+  }
 }
