A stop reads the requests that were sent before it

Cause: the listener was closed at once. Connections that the kernel has completed and the process has not accepted are reset then, and requests that are not yet read are not counted as in progress.

Evidence: ResponseTracker.test.ts "completes a request that has been sent and not yet read" on the code before: "timed out waiting for a request"; it passes now. The request and the stop happen in one turn of the test.

Why it works: the server accepts and reads for 100 ms more, while every response announces the close; requests that arrive in that time are completed like the others.

--- a/src/runtime/ResponseTracker.test.ts
+++ b/src/runtime/ResponseTracker.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -60,6 +61,20 @@
     expect(received.text).toMatch(/^HTTP\/1\.1 200 .*Connection: close.*done$/s);
   });
 
+  // Guards against a request that was sent before the stop and is dropped unread.
+  it('completes a request that has been sent and not yet read', async () => {
+    const { socket, received } = openConnection();
+    await once(socket, 'connect');
+    socket.write(HEAD);
+    const finished = tracker.finish(10_000);
+    expect(responses).toEqual([]);
+    await waitUntil(() => responses.length === 1, 'a request');
+    responses[0]!.end('done');
+    await finished;
+    await waitUntil(() => received.ended, 'the end of the connection');
+    expect(received.text).toMatch(/^HTTP\/1\.1 200 .*Connection: close.*done$/s);
+  });
+
   // Guards against Node's close, which cuts responses that have ended but are not yet sent.
   it('sends a large response in full to a slow reader', async () => {
     const { socket, received } = openConnection();
--- a/src/runtime/ResponseTracker.ts
+++ b/src/runtime/ResponseTracker.ts
@@ -1,7 +1,14 @@
 import type { Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { closeServer } from './HttpJson.js';
 
+/**
+ * Time for which a server that finishes goes on accepting: a request that was sent before may still
+ * wait in the kernel, in a connection that is not accepted or not read yet.
+ */
+const LINGER_MS = 100;
+
 /**
  * Tracks the responses in progress of an HTTP server, so that a planned stop can complete them.
  *
@@ -23,15 +30,17 @@
   }
 
   /**
-   * Accepts no more connections, waits until all responses in progress are sent, at most
-   * `timeoutMs`, and closes all connections.
+   * Stops accepting connections after a moment, waits until all responses in progress are sent, and
+   * closes all connections; takes at most `timeoutMs`, and no time at all if that is 0.
    */
   async finish(timeoutMs: number): Promise<void> {
     this.finishing = true;
     this.open.forEach((response) => ResponseTracker.endConnectionAfter(response));
+    const lingerMs = Math.min(LINGER_MS, timeoutMs);
+    if (lingerMs > 0) await sleep(lingerMs);
     // The HTTP server's own close would cut responses that have ended but are not yet sent.
     NetServer.prototype.close.call(this.server);
-    await this.waitUntilIdle(timeoutMs);
+    await this.waitUntilIdle(timeoutMs - lingerMs);
     await closeServer(this.server);
   }
 
