--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -79,7 +79,7 @@
    * the connection has closed already.
    *
    * @example
-   * connections.whenEnded(response, (closedBy) => log('answer_ended', { closedBy }));
+   * connections.whenEnded(response, () => calls.delete(callId));
    */
   whenEnded(response: ServerResponse, listener: AnswerEnded): void {
     const listeners = this.connections.get(response.req.socket)?.due.get(response);
