--- a/src/control/storage/DataFolder.test.ts
+++ b/src/control/storage/DataFolder.test.ts
@@ -10,6 +10,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { ErrorKind } from '../../common/Errors.js';
 import { createRandom, pickIndex } from '../../common/Random.js';
 import { CommandType } from '../Commands.js';
 import { RaftEffectType, type LogEntry, type PersistEffect } from '../raft/Types.js';
@@ -193,6 +194,38 @@
     await expect(open(false)).rejects.toMatchObject({ kind: 'data-corrupt' });
   });
 
+  const createLongEntry = (index: number, lengthBytes: number): LogEntry => ({
+    index,
+    term: 1,
+    command: {
+      type: CommandType.Refusal,
+      path: 'x'.repeat(lengthBytes),
+      kind: ErrorKind.Forbidden,
+      actor: 'operator',
+      atMs: 0,
+    },
+  });
+
+  // What was acknowledged must be readable, whatever its length.
+  it('reads back an entry and a snapshot of more than 16 MiB', async () => {
+    const lengthBytes = 17 * 1024 * 1024;
+    const data = await open();
+    const bytes = new Uint8Array(lengthBytes);
+    const snapshot = { index: 1, term: 1, membership: { voters: [], learners: [] }, bytes };
+    const entries = [createLongEntry(2, lengthBytes)];
+    await data.saveSnapshot(snapshot, () => ({
+      hardState: { term: 1, votedFor: null },
+      entries: [],
+    }));
+    await data.persist(createWrite({ entries }));
+    await data.persist(createWrite({ entries: [createEntry(3)] }));
+    await data.close();
+    const reopened = await open(false);
+    expect(reopened.stored.snapshot?.bytes).toHaveLength(lengthBytes);
+    expect(reopened.stored.entries.map((entry) => entry.index)).toEqual([2, 3]);
+    await reopened.close();
+  });
+
   it('refuses a damaged snapshot', async () => {
     const data = await open();
     const membership = { voters: [], learners: [] };
--- a/src/control/storage/WalCodec.ts
+++ b/src/control/storage/WalCodec.ts
@@ -25,9 +25,6 @@
 /** Header before each payload: its length and checksum. */
 const FRAME_HEADER_BYTES = 8;
 const CHECKSUM_OFFSET_BYTES = 4;
-/** Longest payload that is decoded; a frame with a greater length is invalid. */
-const MAX_PAYLOAD_BYTES = 16 * 1024 * 1024;
-
 const codec = new Packr({ useRecords: false });
 
 /**
@@ -55,9 +52,7 @@
   if (start > bytes.length) return undefined;
   const payloadBytes = bytes.readUInt32LE(offsetBytes);
   const end = start + payloadBytes;
-  if (payloadBytes === 0 || payloadBytes > MAX_PAYLOAD_BYTES || end > bytes.length) {
-    return undefined;
-  }
+  if (payloadBytes === 0 || end > bytes.length) return undefined;
   const payload = bytes.subarray(start, end);
   const expected = bytes.readUInt32LE(offsetBytes + CHECKSUM_OFFSET_BYTES);
   return crc32(payload) === expected ? payload : undefined;
