Write each batch of the log as one frame

What callers would see: after a loss of power of all hosts, a control host ended at every start with "The write-ahead log is corrupt at byte N; valid records follow", although its synced log was whole. It was then as lost as one with an emptied disk, with all it had confirmed.

Cause: a batch was written as one frame for each record, and a long batch in chunks of 512 KiB. After a loss of power each part of an unsynced write may be missing. An invalid frame followed by a valid one of the same batch looked like damage to synced data.

Ruled out: more than one unsynced batch (batches are synced one after another); damage to the batch before (it is synced and has a checksum of its own).

Why it works: a batch has one length and one checksum, so a damaged batch holds no valid frame. A valid frame after an invalid one is then a later batch, which was written only after the damaged one was synced. A frame of one record, as before, is read as a batch of one; a test covers such a log with further writes. Older programs don't read logs written by this one.

--- a/src/control/storage/DataFolder.test.ts
+++ b/src/control/storage/DataFolder.test.ts
@@ -9,12 +9,14 @@
 } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { Packr } from 'msgpackr';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { ErrorKind } from '../../common/Errors.js';
 import { createRandom, pickIndex } from '../../common/Random.js';
 import { CommandType } from '../Commands.js';
 import { RaftEffectType, type LogEntry, type PersistEffect } from '../raft/Types.js';
 import { DataFolder } from './DataFolder.js';
+import { encodeFrame, WalRecordType } from './WalCodec.js';
 
 function createEntry(index: number): LogEntry {
   const command = { type: CommandType.Noop } as const;
@@ -194,6 +196,9 @@
     await expect(open(false)).rejects.toMatchObject({ kind: 'data-corrupt' });
   });
 
+  /** Length of the chunks in which Node.js writes a long buffer to a file. */
+  const CHUNK_BYTES = 512 * 1024;
+
   const createLongEntry = (index: number, lengthBytes: number): LogEntry => ({
     index,
     term: 1,
@@ -206,6 +211,81 @@
     },
   });
 
+  // An unsynced batch whose start is lost must not hide the synced log before it.
+  it.each([
+    { name: 'the first record is torn', from: 10, to: 14 },
+    { name: 'the first chunk of a long write is missing', from: 0, to: CHUNK_BYTES },
+  ])('keeps the synced log if, of an unsynced batch, $name', async ({ from, to }) => {
+    const data = await open();
+    await data.persist(createWrite({ entries: [createEntry(1)] }));
+    const syncedBytes = (await readFile(logFile())).length;
+    const hardState = { term: 2, votedFor: 'control-2' };
+    await Promise.all([
+      data.persist(createWrite({ entries: [createLongEntry(2, CHUNK_BYTES)] })),
+      data.persist(createWrite({ hardState, truncateFrom: 2, entries: [createEntry(2)] })),
+    ]);
+    await data.close();
+    const bytes = await readFile(logFile());
+    bytes.fill(0, syncedBytes + from, syncedBytes + to);
+    await writeFile(logFile(), bytes);
+    const reopened = await open(false);
+    expect(reopened.stored.entries).toEqual([createEntry(1)]);
+    expect(reopened.stored.hardState.term).toBe(0);
+    await reopened.persist(createWrite({ entries: [createEntry(2)] }));
+    await reopened.close();
+    const last = await open(false);
+    expect(last.stored.entries).toEqual([1, 2].map(createEntry));
+    await last.close();
+  });
+
+  // Each of 300 losses of power damages random parts of the last batch, which is not yet synced.
+  it('opens with the synced log or the whole batch after any damage to an unsynced batch', async () => {
+    const random = createRandom(23);
+    await writeEntries(3);
+    const syncedLog = await readFile(logFile());
+    const data = await open(false);
+    await Promise.all(
+      [4, 5, 6, 7].map((index) => data.persist(createWrite({ entries: [createEntry(index)] }))),
+    );
+    await data.close();
+    const fullLog = await readFile(logFile());
+    for (let round = 0; round < 300; round += 1) {
+      const bytes = Buffer.from(fullLog);
+      const span = bytes.length - syncedLog.length;
+      for (let hole = 0; hole <= pickIndex(random, 3); hole += 1) {
+        const start = syncedLog.length + pickIndex(random, span);
+        bytes.fill(0, start, Math.min(bytes.length, start + 1 + pickIndex(random, span)));
+      }
+      // eslint-disable-next-line no-await-in-loop
+      await writeFile(logFile(), bytes);
+      // eslint-disable-next-line no-await-in-loop
+      const reopened = await open(false);
+      const whole = bytes.equals(fullLog);
+      expect(reopened.stored.entries).toHaveLength(whole ? 7 : 3);
+      // eslint-disable-next-line no-await-in-loop
+      await reopened.close();
+    }
+  });
+
+  it('opens a log with one frame for each record and appends to it', async () => {
+    const codec = new Packr({ useRecords: false });
+    const records = [1, 2, 3].map((index) => ({
+      type: WalRecordType.Entry,
+      entry: createEntry(index),
+    }));
+    await writeEntries(0);
+    await writeFile(
+      logFile(),
+      Buffer.concat(records.map((record) => encodeFrame(codec.pack(record)))),
+    );
+    const data = await open(false);
+    await data.persist(createWrite({ entries: [createEntry(4)] }));
+    await data.close();
+    const reopened = await open(false);
+    expect(reopened.stored.entries).toEqual([1, 2, 3, 4].map(createEntry));
+    await reopened.close();
+  });
+
   // What was acknowledged must be readable, whatever its length.
   it('reads back an entry and a snapshot of more than 16 MiB', async () => {
     const lengthBytes = 17 * 1024 * 1024;
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -8,7 +8,14 @@
 import type { HardState, LogEntry, PersistEffect, Snapshot } from '../raft/Types.js';
 import { replaceFile, syncFolder } from './ReplaceFile.js';
 import type { LogTail, Storage, StoredState } from './Types.js';
-import { decodeFrame, decodeLog, encodeFrame, encodeRecord, WalRecordType } from './WalCodec.js';
+import {
+  decodeFrame,
+  decodeLog,
+  encodeFrame,
+  encodeRecords,
+  WalRecordType,
+  type WalRecord,
+} from './WalCodec.js';
 
 const LOG_FILE = 'log.wal';
 const SNAPSHOT_FILE = 'snapshot.bin';
@@ -146,22 +153,23 @@
 
 /** Encodes the log that follows a snapshot. */
 function encodeTail(tail: LogTail): Buffer {
-  const frames = [encodeRecord({ type: WalRecordType.HardState, hardState: tail.hardState })];
-  tail.entries.forEach((entry) => frames.push(encodeRecord({ type: WalRecordType.Entry, entry })));
-  return Buffer.concat(frames);
+  const { hardState, entries } = tail;
+  return encodeFrame(
+    encodeRecords([
+      { type: WalRecordType.HardState, hardState },
+      ...entries.map((entry) => ({ type: WalRecordType.Entry, entry }) as const),
+    ]),
+  );
 }
 
-/** Encodes one write of the replicated log. */
-export function encodeWrite(write: PersistEffect): Buffer {
-  const frames: Buffer[] = [];
-  if (write.hardState) {
-    frames.push(encodeRecord({ type: WalRecordType.HardState, hardState: write.hardState }));
-  }
-  if (write.truncateFrom > 0) {
-    frames.push(encodeRecord({ type: WalRecordType.Truncate, fromIndex: write.truncateFrom }));
-  }
-  write.entries.forEach((entry) => frames.push(encodeRecord({ type: WalRecordType.Entry, entry })));
-  return Buffer.concat(frames);
+/** Encodes the records of one write; those of all writes in a batch share a frame. */
+function encodeWrite(write: PersistEffect): Buffer {
+  const { hardState, truncateFrom, entries } = write;
+  const records: WalRecord[] = [];
+  if (hardState) records.push({ type: WalRecordType.HardState, hardState });
+  if (truncateFrom > 0) records.push({ type: WalRecordType.Truncate, fromIndex: truncateFrom });
+  entries.forEach((entry) => records.push({ type: WalRecordType.Entry, entry }));
+  return encodeRecords(records);
 }
 
 /** Data folder of a control host: identity, write-ahead log with group commit, snapshot. */
@@ -246,12 +254,16 @@
     this.durableBytes = tail.length;
   }
 
-  /** Writes and syncs everything queued, one sync for the whole batch. */
+  /**
+   * Writes and syncs everything queued, as one frame: after a loss of power any part of an unsynced
+   * batch may be missing, and its checksum tells that from damage to synced data.
+   */
   private async writeBatch(): Promise<void> {
     const batch = this.queue;
     this.queue = [];
-    const bytes = Buffer.concat(batch.map((write) => write.bytes));
     try {
+      const records = Buffer.concat(batch.map((write) => write.bytes));
+      const bytes = records.length > 0 ? encodeFrame(records) : records;
       await this.retryWhileRefused(() => this.append(bytes));
       this.syncs += 1;
       batch.forEach((write) => write.done());
--- a/src/control/storage/WalCodec.ts
+++ b/src/control/storage/WalCodec.ts
@@ -18,7 +18,7 @@
 /** Result of reading a write-ahead log. */
 export interface WalContents {
   readonly records: readonly WalRecord[];
-  /** Length of the valid prefix; anything after it is a torn tail. */
+  /** Length of the valid prefix; anything after it is a torn batch. */
   readonly validBytes: number;
 }
 
@@ -58,9 +58,14 @@
   return crc32(payload) === expected ? payload : undefined;
 }
 
-/** Encodes one record of the write-ahead log. */
-export function encodeRecord(record: WalRecord): Buffer {
-  return encodeFrame(codec.pack(record));
+/**
+ * Encodes records of the write-ahead log, to be framed together by {@link encodeFrame}.
+ *
+ * @example
+ * encodeFrame(encodeRecords([record])); // a batch of one record
+ */
+export function encodeRecords(records: readonly WalRecord[]): Buffer {
+  return Buffer.concat(records.map((record) => codec.pack(record)));
 }
 
 /** True if a valid frame starts anywhere after the offset. */
@@ -72,11 +77,12 @@
 }
 
 /**
- * Decodes all records. A torn last record is ignored; an invalid record that is followed by valid
- * ones is corruption and throws an error.
+ * Decodes all records. Each frame holds the records of one batch, which was synced before the next
+ * batch was written. A torn last frame is therefore ignored, and an invalid frame that is followed
+ * by a valid one is corruption and throws an error.
  *
  * @example
- * decodeLog(encodeRecord(record)).records.length; // 1
+ * decodeLog(encodeFrame(encodeRecords([record]))).records.length; // 1
  */
 export function decodeLog(bytes: Buffer): WalContents {
   const records: WalRecord[] = [];
@@ -92,7 +98,7 @@
       }
       break;
     }
-    records.push(codec.unpack(payload) as WalRecord);
+    records.push(...(codec.unpackMultiple(payload) as WalRecord[]));
     offsetBytes += FRAME_HEADER_BYTES + payload.length;
   }
   return { records, validBytes: offsetBytes };
