Promote the replacement before the lost voter is removed

What callers would see: after a loss of power of all control hosts together with the disks that may be lost at once, no leader was elected again: no change accepted, no routing readable, and with it every confirmed change gone.

Cause: AutoMembership removed a lost voter before it promoted a learner. Between the two changes, 5 voters were 4. A change was then confirmed on 3 disks, and after the loss of 2 of them the 2 remaining voters were short of a majority for ever. The removed voter has its disk, but the others no longer count it. With 3 voters and 1 disk lost it is 2 voters and 1 remaining.

Why it works: with the replacement first, 5 voters become 6 and then 5. A majority of 6 is 4; after the loss of 2 disks 4 voters remain, and at least 2 of them hold every confirmed entry. The number of losses for which a majority remains is the same as with 4 voters. A voter that is back before its removal makes one too many; the one with the oldest acknowledgement becomes a learner, so that the number is odd again. Promotions that complete the number of voters now go before joins.

--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -1,5 +1,6 @@
 import type { SettingsTree } from '../src/common/SettingsSchema.js';
 import type { RandomSource } from '../src/common/Random.js';
+import type { AutoMembershipOptions } from '../src/control/AutoMembership.js';
 import { isRestorable } from '../src/control/RestoredBackends.js';
 import { ControlReducer } from '../src/control/ControlReducer.js';
 import type {
@@ -45,6 +46,8 @@
   readonly sendSession: (sessionId: number, message: ControlToEntryMessage) => void;
   /** Sends to another control host outside the replicated log; dropped by default. */
   readonly sendControl?: (to: string, message: ControlPeerMessage) => void;
+  /** Present if lost control hosts are replaced without an operator. */
+  readonly autoMembership?: AutoMembershipOptions;
   /** Time without a heartbeat after which an entry host is no longer listed. */
   readonly entryHeartbeatTimeoutMs?: number;
 }
@@ -124,6 +127,7 @@
       },
       initialSettings: tree,
       snapshotEvery,
+      autoMembership: this.options.autoMembership,
       entryHeartbeatTimeoutMs: this.options.entryHeartbeatTimeoutMs,
     });
     const { savedAtMs, records } = this.disk.backends;
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -46,9 +46,11 @@
 /**
  * Replaces lost control hosts. A host without state joins as a learner under a new id. Once it has
  * caught up, it replaces a voter that counts as lost: one with the address of the joining host, or
- * one that has sent no acknowledgement for `replaceAfterMs`. The lost voter is removed first, so
- * that a quorum never needs more hosts than before the loss. Hosts without a disk stay learners,
- * and so do hosts beyond the target number of voters until a voter is lost.
+ * one that has sent no acknowledgement for `replaceAfterMs`. The replacement is promoted before the
+ * lost voter is removed. There are then never fewer voters than the target, so that the loss of
+ * disks that the target allows for leaves a majority of voters that holds all committed entries.
+ * Hosts without a disk stay learners, and so do hosts beyond the target number of voters until a
+ * voter is lost.
  */
 export class AutoMembership {
   private readonly joinRequests = new Map<string, { member: Member; atMs: number }>();
@@ -75,7 +77,16 @@
     this.joinRequests.forEach(({ atMs }, id) => {
       if (nowMs - atMs > JOIN_REQUEST_LIFETIME_MS) this.joinRequests.delete(id);
     });
-    return this.admit(state) ?? this.replace(state, nowMs) ?? AutoMembership.prune(state, nowMs);
+    const { voters } = state.log.membership;
+    // Promotions that complete the number of voters go before joins, which add no safety.
+    const completing =
+      voters.length < this.targetVoters ? AutoMembership.promote(state, nowMs) : undefined;
+    return (
+      completing ??
+      this.admit(state) ??
+      this.replace(state, nowMs) ??
+      AutoMembership.prune(state, nowMs)
+    );
   }
 
   /** Admits a joining host as a learner. */
@@ -89,7 +100,17 @@
     return { voters, learners: [...others, request.member] };
   }
 
+  /** Replaces a lost voter: promotes a learner, then removes the lost voter. */
   private replace(state: RaftState, nowMs: number): Membership | undefined {
+    const { voters, learners } = state.log.membership;
+    const lost = this.lostVoter(state, nowMs);
+    if (voters.length <= this.targetVoters) return lost && AutoMembership.promote(state, nowMs);
+    if (lost) return { voters: voters.filter((voter) => voter !== lost), learners };
+    return AutoMembership.demote(state);
+  }
+
+  /** Promotes a learner that has caught up. */
+  private static promote(state: RaftState, nowMs: number): Membership | undefined {
     const { voters, learners } = state.log.membership;
     const candidate = learners.find((member) => {
       const follower = state.followers.get(member.id);
@@ -101,9 +122,6 @@
       );
     });
     if (!candidate) return undefined;
-    const lost = this.lostVoter(state, candidate, nowMs);
-    if (lost) return { voters: voters.filter((voter) => voter.id !== lost.id), learners };
-    if (voters.length >= this.targetVoters) return undefined;
     const instanceId = state.instanceIds.get(candidate.id);
     return {
       voters: [...voters, { ...candidate, instanceId }],
@@ -111,16 +129,32 @@
     };
   }
 
-  private lostVoter(state: RaftState, candidate: Member, nowMs: number): Member | undefined {
-    const { voters } = state.log.membership;
-    if (voters.length < this.targetVoters) return undefined;
+  /** Makes the voter with the oldest acknowledgement a learner; never the leader. */
+  private static demote(state: RaftState): Membership | undefined {
+    const { voters, learners } = state.log.membership;
+    const ackedAtMs = (member: Member) => state.followers.get(member.id)?.ackedAtMs ?? state.nowMs;
+    const [oldest] = voters
+      .filter((voter) => voter.id !== state.id)
+      .sort((a, b) => ackedAtMs(a) - ackedAtMs(b));
+    if (!oldest) return undefined;
+    return {
+      voters: voters.filter((voter) => voter !== oldest),
+      learners: [...learners, oldest],
+    };
+  }
+
+  private lostVoter(state: RaftState, nowMs: number): Member | undefined {
+    const { voters, learners } = state.log.membership;
+    const ackedAtMs = (member: Member) =>
+      member.id === state.id ? nowMs : (state.followers.get(member.id)?.ackedAtMs ?? nowMs);
     const others = voters.filter((voter) => voter.id !== state.id);
-    const sameAddress = others.find((voter) => voter.address === candidate.address);
-    if (sameAddress) return sameAddress;
-    return others.find((voter) => {
-      const ackedAtMs = state.followers.get(voter.id)?.ackedAtMs ?? nowMs;
-      return nowMs - ackedAtMs > this.replaceAfterMs;
-    });
+    // A host that lost its disk acknowledges under a new id at the address of the old one.
+    const replaced = others.find((voter) =>
+      [...voters, ...learners].some(
+        (member) => member.address === voter.address && ackedAtMs(member) > ackedAtMs(voter),
+      ),
+    );
+    return replaced ?? others.find((voter) => nowMs - ackedAtMs(voter) > this.replaceAfterMs);
   }
 
   /** Removes learners without an acknowledgement for twice the lifetime of a join request. */
