Delay confirmations until the wanted number of voters is reached

What callers would see: a change that was confirmed in the first moments after the first start was gone, or no leader was elected again, after the loss of as many disks as may be lost at once together with the power of all control hosts.

Cause: the first leader has 3 voters, whatever number of losses is wanted, until learners are promoted. For 2 losses at once 5 voters are needed; with 3 a change is confirmed on 2 disks.

Why it works: the leader answers a change once the committed membership has the wanted number of voters. A majority of them then holds the membership entry and with it all entries before, the change included. The wait ends after 2 s without enough voters, since an installation may have fewer hosts (test "confirm changes without enough hosts for all voters"); that time starts again with each leader. A leader that steps down answers waiting requests as it does for changes that are not yet committed. Refused changes are answered at once.

--- a/fuzz/DiskWorld.test.ts
+++ b/fuzz/DiskWorld.test.ts
@@ -28,6 +28,20 @@
     expect(violations((world) => world.runReplacement())).toEqual([]);
   });
 
+  it('keep all confirmed changes after the first start', () => {
+    expect(violations((world) => world.runFirstStart())).toEqual([]);
+  });
+
+  // Installations may have fewer hosts with disks than there should be voters.
+  it('confirm changes without enough hosts for all voters', () => {
+    const world = new DiskWorld({ seed: 1, hosts: 3 });
+    world.timeline.advance(3_000);
+    const { confirmed } = world;
+    expect(confirmed).toBeGreaterThan(0);
+    world.timeline.advance(200);
+    expect(world.confirmed).toBeGreaterThan(confirmed);
+  });
+
   it('keep all confirmed changes after random faults', () => {
     expect(violations((world) => world.run(5), [18])).toEqual([]);
     expect(violations((world) => world.run(5))).toEqual([]);
--- a/fuzz/DiskWorld.ts
+++ b/fuzz/DiskWorld.ts
@@ -126,6 +126,13 @@
     this.check();
   }
 
+  /** Loses disks and power at the first confirmation in the first seconds. */
+  runFirstStart(): void {
+    if (this.random.next() < 0.5) this.timeline.advance(this.random.next() * 1_500);
+    this.loseDisksAtConfirmation();
+    this.check();
+  }
+
   private voterIds(): string | undefined {
     return this.leader()
       ?.reducer.raft.state.log.membership.voters.map((voter) => voter.id)
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -28,6 +28,8 @@
   /** Starts a linearizable read, which ends in finishRead or failRead. */
   readonly requestRead: (readId: string) => void;
   readonly answer: (requestId: string, body: unknown, error: EgretError | null) => void;
+  /** True while applied changes are not yet on enough disks to be confirmed. */
+  readonly delaysConfirmation: () => boolean;
 }
 
 /** Times of an event. */
@@ -53,6 +55,9 @@
   /** Linearizable reads by request id. */
   private readonly pendingReads = new Map<string, AdminRequest>();
 
+  /** Confirmations of applied changes that wait for further voters, by request id. */
+  private readonly delayedConfirmations = new Map<string, unknown>();
+
   /** Local time at which a settings change was applied, by log index. */
   private readonly appliedTimes = new Map<number, number>();
 
@@ -132,6 +137,27 @@
     if (this.pendingReads.delete(readId)) this.answerNotLeader(readId);
   }
 
+  /** Confirms an applied change once it is on enough disks. */
+  private confirm(requestId: string, body: unknown): void {
+    if (this.options.delaysConfirmation()) this.delayedConfirmations.set(requestId, body);
+    else this.options.answer(requestId, body, null);
+  }
+
+  /** Sends the delayed confirmations that are due; called periodically. */
+  releaseConfirmations(): void {
+    if (this.options.delaysConfirmation() || this.delayedConfirmations.size === 0) return;
+    this.delayedConfirmations.forEach((body, requestId) =>
+      this.options.answer(requestId, body, null),
+    );
+    this.delayedConfirmations.clear();
+  }
+
+  /** Answers the delayed confirmations when the host loses leadership. */
+  failConfirmations(): void {
+    [...this.delayedConfirmations.keys()].forEach((requestId) => this.answerNotLeader(requestId));
+    this.delayedConfirmations.clear();
+  }
+
   private answerNotLeader(requestId: string): void {
     const leader = this.options.raft.state.leaderId ?? 'none';
     const detail = `This control host is not the leader (leader: ${leader}).`;
@@ -158,7 +184,7 @@
     this.options.propose(
       { ...command, actor: actor.name, atMs: this.times.wallMs },
       {
-        onApplied: ({ change }) => this.options.answer(requestId, change, null),
+        onApplied: ({ change }) => this.confirm(requestId, change),
         onLost: () => this.answerNotLeader(requestId),
       },
     );
@@ -182,8 +208,8 @@
 
   private answerRouting(requestId: string, result: RoutingResult): void {
     const kind = ROUTING_ERRORS[result.verdict];
-    const error = kind ? new EgretError(kind, `${result.detail}.`) : null;
-    this.options.answer(requestId, result, error);
+    if (kind) this.options.answer(requestId, result, new EgretError(kind, `${result.detail}.`));
+    else this.confirm(requestId, result);
   }
 
   private proposeZoneClosure(
@@ -196,7 +222,7 @@
     this.options.propose(
       { ...command, actor: actor.name, atMs: this.times.wallMs },
       {
-        onApplied: () => this.options.answer(requestId, { zone, closed }, null),
+        onApplied: () => this.confirm(requestId, { zone, closed }),
         onLost: () => this.answerNotLeader(requestId),
       },
     );
--- a/src/control/AutoMembership.test.ts
+++ b/src/control/AutoMembership.test.ts
@@ -179,6 +179,26 @@
     expect(autoMembership.plan(createLeader(full, ackTimes), 10)).toBeUndefined();
   });
 
+  // A change that is confirmed by too few voters is gone after the loss of their disks.
+  it('delays confirmations for a limited time while a leader has too few voters', () => {
+    const autoMembership = new AutoMembership({ targetVoters: 5 });
+    const state = createLeader({ voters: VOTERS, learners: [] }, {});
+    const delays = (nowMs: number, committedVoters: number) => {
+      state.nowMs = nowMs;
+      return autoMembership.delaysConfirmation(state, committedVoters);
+    };
+    expect(delays(0, 5)).toBe(false);
+    expect(delays(10_000, 3)).toBe(true);
+    expect(delays(11_999, 4)).toBe(true);
+    expect(delays(12_000, 4)).toBe(false);
+    expect(delays(13_000, 5)).toBe(false);
+    expect(delays(14_000, 4)).toBe(true);
+    state.role = RaftRole.Follower;
+    expect(delays(15_000, 4)).toBe(false);
+    state.role = RaftRole.Leader;
+    expect(delays(16_500, 4)).toBe(true);
+  });
+
   it('plans no change before the last membership change is committed', () => {
     const autoMembership = new AutoMembership();
     autoMembership.join(joiningHost, 0);
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -27,6 +27,12 @@
   return Math.max(initialVoters, 2 * hostsLostAtOnce + 1);
 }
 
+/**
+ * Longest time for which a confirmation waits for further voters. Joins at a first start take a few
+ * hundred milliseconds; an installation may also have fewer hosts than the target.
+ */
+const VOTER_WAIT_MS = 2_000;
+
 /** Time without contact with a leader after which a member may have been removed unnoticed. */
 const LEADER_SILENCE_MS = 3_000;
 
@@ -59,6 +65,9 @@
 
   private readonly targetVoters: number;
 
+  /** Time since which this leader has had too few voters; undefined if there are enough. */
+  private tooFewSinceMs: number | undefined;
+
   constructor(options: AutoMembershipOptions = {}) {
     this.replaceAfterMs = options.replaceAfterMs ?? DEFAULT_REPLACE_AFTER_MS;
     this.targetVoters = options.targetVoters ?? DEFAULT_TARGET_VOTERS;
@@ -69,6 +78,19 @@
     this.joinRequests.set(member.id, { member, atMs: nowMs });
   }
 
+  /**
+   * True if a leader should delay the confirmation of changes: the committed number of voters is
+   * below the target and may be completed soon.
+   */
+  delaysConfirmation(state: RaftState, committedVoters: number): boolean {
+    if (state.role !== RaftRole.Leader || committedVoters >= this.targetVoters) {
+      this.tooFewSinceMs = undefined;
+      return false;
+    }
+    this.tooFewSinceMs ??= state.nowMs;
+    return state.nowMs - this.tooFewSinceMs < VOTER_WAIT_MS;
+  }
+
   /** Next membership, or undefined if no change is due; one change at a time. */
   plan(state: RaftState, nowMs: number): Membership | undefined {
     if (state.log.membershipIndex > state.commitIndex || !hasCommittedInTerm(state)) {
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -114,6 +114,11 @@
         this.stepRaft({ type: RaftEventType.Read, nowMs: this.nowMs, readId }),
       answer: (requestId, body, error) =>
         this.emit({ type: ControlEffectType.AnswerAdmin, requestId, body, error }),
+      delaysConfirmation: () =>
+        this.autoMembership?.delaysConfirmation(
+          this.raft.state,
+          this.committedMembership().voters.length,
+        ) ?? false,
     });
   }
 
@@ -210,7 +215,10 @@
     [RaftEffectType.ReadFailed]: (effect: RaftEffectOf<RaftEffectType.ReadFailed>) =>
       this.admin.failRead(effect.readId),
     [RaftEffectType.RoleChanged]: (effect: RaftEffectOf<RaftEffectType.RoleChanged>) => {
-      if (!this.raft.isLeader) this.failPendingProposals();
+      if (!this.raft.isLeader) {
+        this.failPendingProposals();
+        this.admin.failConfirmations();
+      }
       this.emit({
         type: ControlEffectType.RoleChanged,
         role: effect.role,
@@ -287,6 +295,7 @@
       .forEach((send) => this.sendSession(send.sessionId, send.message));
     this.backends.tick();
     this.proposeAsLeader();
+    this.admin.releaseConfirmations();
     this.maybeSnapshot();
   }
 
@@ -341,6 +350,7 @@
   /** Membership at the applied index; a later, uncommitted one stays in the log. */
   private committedMembership() {
     const { state } = this.raft;
+    if (state.log.membershipIndex <= state.appliedIndex) return state.log.membership;
     for (let index = state.appliedIndex; index > state.log.snapshot.index; index -= 1) {
       const command = state.log.entryAt(index)?.command;
       if (command?.type === CommandType.Membership) return command.membership;
