Send entries of a single voter once its term is durable

What callers would see: on an installation with one voter, hosts without a disk could go on with another routing than the control host, for good, after that host lost power right after a start.

Cause: appends are sent before earlier writes are durable. With several voters the term is durable by then, since vote requests wait for it. A single voter leads at once. If it lost power before the term was written, it used the same term again, and a learner that held an entry of the first use kept it in place of another one with the same index and term.

Evidence: Replication.test.ts "sends no entry of a single voter before its term is durable" failed before and passes now. Appends are the only ones; replies and votes wait for all earlier writes.

Why it works: appends of a leader with a quorum of one wait for the writes before them. Other leaders are unchanged (second test).

--- a/src/control/raft/Replication.ts
+++ b/src/control/raft/Replication.ts
@@ -72,7 +72,8 @@
       commitIndex: state.commitIndex,
       round: state.round,
     },
-    true,
+    // The votes of others show that the term is durable; a single voter leads before it is.
+    state.log.quorum > 1,
   );
 }
 
