--- a/src/control/storage/DataFolder.test.ts
+++ b/src/control/storage/DataFolder.test.ts
@@ -14,7 +14,7 @@
 import { ErrorKind } from '../../common/Errors.js';
 import { createRandom, pickIndex } from '../../common/Random.js';
 import { CommandType } from '../Commands.js';
-import { RaftEffectType, type LogEntry, type PersistEffect } from '../raft/Types.js';
+import { RaftEffectType, type LogEntry, type PersistEffect, type Snapshot } from '../raft/Types.js';
 import { DataFolder } from './DataFolder.js';
 import { encodeFrame, WalRecordType } from './WalCodec.js';
 
@@ -28,6 +28,15 @@
   return { type, hardState: null, truncateFrom: 0, entries: [], generation: 0, ...changes };
 }
 
+function createSnapshot(index: number, term = 1): Snapshot {
+  return {
+    index,
+    term,
+    membership: { voters: [], learners: [] },
+    bytes: new Uint8Array([index]),
+  };
+}
+
 describe('DataFolder', () => {
   let folder = '';
   const open = (initialize = true) => DataFolder.open({ folder, initialize });
@@ -75,6 +84,7 @@
       return Object.getPrototypeOf(handle) as {
         writeFile: (bytes: Uint8Array) => Promise<void>;
         datasync: () => Promise<void>;
+        sync: () => Promise<void>;
       };
     }
 
@@ -110,6 +120,31 @@
       await reopened.close();
     });
 
+    // The disk refuses one of the syncs while a snapshot replaces the log.
+    it.each([1, 2, 3, 4])('retries a snapshot after a refused sync, number %i', async (refused) => {
+      const data = await open();
+      await data.persist(createWrite({ entries: [1, 2].map(createEntry) }));
+      const prototype = await handlePrototype();
+      const originalSync = prototype.sync;
+      let syncs = 0;
+      vi.spyOn(prototype, 'sync').mockImplementation(async function refuseOnce(this: unknown) {
+        syncs += 1;
+        await originalSync.call(this);
+        if (syncs === refused) throw createDiskError('EIO');
+      });
+      await data.saveSnapshot(createSnapshot(1), () => ({
+        hardState: { term: 1, votedFor: null },
+        entries: [createEntry(2)],
+      }));
+      await data.persist(createWrite({ entries: [createEntry(3)] }));
+      vi.restoreAllMocks();
+      await data.close();
+      const reopened = await open(false);
+      expect(reopened.stored.snapshot?.index).toBe(1);
+      expect(reopened.stored.entries).toEqual([2, 3].map(createEntry));
+      await reopened.close();
+    });
+
     it('does not acknowledge a refused write and fails it once the folder is closed', async () => {
       const data = await open();
       const prototype = await handlePrototype();
@@ -306,6 +341,48 @@
     await reopened.close();
   });
 
+  // A loss of power may leave the new snapshot with the old log, but not the reverse: the folder is
+  // synced in between. Temporary files may remain at any step.
+  it.each([
+    { name: 'that covers part of the log', index: 2, term: 1, kept: [3, 4] },
+    { name: 'that covers more than the log', index: 9, term: 1, kept: [] },
+    { name: 'that conflicts with the log', index: 2, term: 5, kept: [] },
+  ])('opens after a loss of power between the steps of a snapshot $name', async (snapshot) => {
+    const file = (name: string) => path.join(folder, name);
+    const data = await open();
+    const hardState = { term: 5, votedFor: 'control-2' };
+    await data.persist(createWrite({ hardState, entries: [1, 2, 3, 4].map(createEntry) }));
+    const oldLog = await readFile(logFile());
+    const kept = snapshot.kept.map(createEntry);
+    await data.saveSnapshot(createSnapshot(snapshot.index, snapshot.term), () => ({
+      hardState,
+      entries: kept,
+    }));
+    await data.close();
+    const newLog = await readFile(logFile());
+    const newSnapshot = await readFile(file('snapshot.bin'));
+    const steps = [
+      { log: oldLog, saved: undefined, expected: [1, 2, 3, 4].map(createEntry) },
+      { log: oldLog, saved: newSnapshot, expected: kept },
+      { log: newLog, saved: newSnapshot, expected: kept },
+    ];
+    for (let step = 0; step < steps.length; step += 1) {
+      const { log, saved, expected } = steps[step]!;
+      // The steps share one folder, so they run one after another.
+      /* eslint-disable no-await-in-loop */
+      await writeFile(logFile(), log);
+      await rm(file('snapshot.bin'), { force: true });
+      if (saved) await writeFile(file('snapshot.bin'), saved);
+      await writeFile(file('log.wal.new'), 'torn');
+      await writeFile(file('snapshot.bin.new'), 'torn');
+      const reopened = await open(false);
+      expect(reopened.stored.entries).toEqual(expected);
+      expect(reopened.stored.hardState).toEqual(hardState);
+      await reopened.close();
+      /* eslint-enable no-await-in-loop */
+    }
+  });
+
   it('refuses a damaged snapshot', async () => {
     const data = await open();
     const membership = { voters: [], learners: [] };
