Return known departures to control hosts on each new link

What callers would see: a backend server that had announced its departure, with a confirmation, got new calls again, for as long as it ran.

Cause: departures are held in memory only. A confirmation needs a majority of control hosts; the two that confirmed one restarted within 0.3 s, while the third was cut off and still had the older record of a ready backend server. It distributed that record to all others. An entry host that had the departure kept it for itself.

Ruled out: a merge of an older record over a newer one (each host keeps the newest by incarnation and sequence); a confirmation without a majority (both had acknowledged it); saved records (only ready backend servers are saved, and provisional ones are dropped after 1.8 s).

Why it works: a confirmation also waits for the entry hosts with a link, for 0.7 s. Each of them now sends the departures that it knows with the subscription on a new link; the control host merges them by the same order and distributes what is new to it. A departure is lost only if all control hosts and all entry hosts that received it restart.

--- a/fuzz/GatewayModel.ts
+++ b/fuzz/GatewayModel.ts
@@ -58,7 +58,11 @@
     const { id, send } = this.options;
     send(control, { type: ControlMessageType.Hello, entryHost: createEntryHost(id) });
     this.ping(control);
-    send(control, { type: ControlMessageType.Watch, routingIndex: this.routing.logIndex });
+    send(control, {
+      type: ControlMessageType.Watch,
+      routingIndex: this.routing.logIndex,
+      departures: this.pool.departures(),
+    });
   }
 
   receive(message: ControlToEntryMessage, control: string): void {
--- a/fuzz/Routed.test.ts
+++ b/fuzz/Routed.test.ts
@@ -53,6 +53,11 @@
     expect((await findViolation(FIRST_SEED, SEEDS))?.message).toBeUndefined();
   });
 
+  // Both control hosts that confirmed a departure restart before the third has its record.
+  it.each([5276])('violate no invariant with seed %i', async (seed) => {
+    expect((await findViolation(seed, 1))?.message).toBeUndefined();
+  });
+
   it.each(DEFECTS)('detects: $name', async ({ apply, violates }) => {
     const applied = apply();
     try {
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -160,6 +160,11 @@
   readonly type: ControlMessageType.Watch;
   /** Log index of the routing that the entry host applies. */
   readonly routingIndex: number;
+  /**
+   * Records of departing and departed backend servers. The control hosts that confirmed a departure
+   * may have restarted since.
+   */
+  readonly departures?: readonly BackendRecord[];
 }
 
 /** Routing in force. */
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -247,7 +247,7 @@
       sessionId: number,
       message: SessionMessageOf<ControlMessageType.Watch>,
     ) => {
-      this.backends.watch(sessionId);
+      this.backends.watch(sessionId, message.departures);
       this.watchers.add(sessionId);
       if (message.routingIndex < this.replicatedState.routing.view.index)
         this.sendRouting(sessionId);
--- a/src/control/RegistryFlow.test.ts
+++ b/src/control/RegistryFlow.test.ts
@@ -79,6 +79,21 @@
 const DRAINING = createBackend('b-1', { state: BackendState.Draining, sequence: 2 });
 
 describe('RegistryFlow log events', () => {
+  // The control hosts that confirmed a departure may all have restarted since.
+  it('distributes departures that only an entry host knows when it links', () => {
+    const host = createHost([1]);
+    const draining = createBackend('b-1', { state: BackendState.Draining, sequence: 12 });
+    host.flow.announce('r-1', createBackend('b-1', { sequence: 10 }));
+    host.effects.length = 0;
+    host.flow.watch(2, [draining]);
+    expect(host.flow.registry.get('b-1')).toEqual(draining);
+    expect(host.pushes()[0]).toMatchObject({ sessionId: 1, message: { records: [draining] } });
+    expect(host.relayed()).toHaveLength(2);
+    host.effects.length = 0;
+    host.flow.watch(3, [draining]);
+    expect(host.relayed()).toEqual([]);
+  });
+
   it('logs the record that an announcement changed', () => {
     const host = createHost();
     host.flow.announce('r-1', READY);
--- a/src/control/RegistryFlow.ts
+++ b/src/control/RegistryFlow.ts
@@ -127,8 +127,16 @@
     this.announce(requestId, record);
   }
 
-  /** Sends the whole registry to an entry host, and from then on every change. */
-  watch(sessionId: number): void {
+  /**
+   * Sends the whole registry to an entry host, and from then on every change. Departures that the
+   * entry host knows and this host doesn't are distributed first.
+   */
+  watch(sessionId: number, departures: readonly BackendRecord[] = []): void {
+    departures.forEach(({ id }) => this.restored.remove(id));
+    const unknown = departures.filter(
+      (record) => this.registry.merge(record, this.nowMs) === RegistryChange.Changed,
+    );
+    if (unknown.length > 0) this.distribute(RegistryChange.Changed, unknown);
     this.watchers.add(sessionId);
     this.sendSession(sessionId, {
       type: ControlMessageType.Backends,
--- a/src/gateway/BackendPool.ts
+++ b/src/gateway/BackendPool.ts
@@ -80,6 +80,13 @@
     return changed;
   }
 
+  /** Records of departing and departed backend servers. */
+  departures(): BackendRecord[] {
+    return [...this.views.values()]
+      .filter((view) => !view.provisional && view.record.state !== BackendState.Ready)
+      .map((view) => view.record);
+  }
+
   /** Adds provisional records for backend servers without a record; returns their number. */
   applyProvisional(records: readonly BackendRecord[], nowMs: number): number {
     const unknown = records.filter(({ id }) => !this.views.has(id));
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -3,6 +3,7 @@
   type ControlToEntryMessage,
   type PongMessage,
 } from '../../common/Messages.js';
+import type { BackendRecord } from '../../common/backends/Types.js';
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../../common/Constants.js';
 import type { Disposable } from '../../common/Disposable.js';
 import type { EntryHost } from '../../common/Placement.js';
@@ -28,6 +29,8 @@
   /** False to keep to the seeds and ignore the members that control hosts report. */
   readonly followMembership?: boolean;
   readonly routingIndex: () => number;
+  /** Departing and departed backend servers, sent on every new link. */
+  readonly departures: () => readonly BackendRecord[];
   readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
   readonly onLost: (control: string) => void;
 }
@@ -128,7 +131,8 @@
         client.send({ type: ControlMessageType.Hello, entryHost: self() });
         this.sendPing(client);
         const routingIndex = this.options.routingIndex();
-        client.send({ type: ControlMessageType.Watch, routingIndex });
+        const departures = this.options.departures();
+        client.send({ type: ControlMessageType.Watch, routingIndex, departures });
       },
       onMessage: (message) => this.receive(client, key, message as ControlToEntryMessage),
       onClose: () => {
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -231,6 +231,7 @@
       seeds: this.options.seeds,
       followMembership: this.options.followMembership,
       routingIndex: () => this.routing.logIndex,
+      departures: () => this.pool.departures(),
       onMessage: (message, control) => this.receive(message, control),
       onLost: (control) => this.entryHosts.remove(control),
     });
