--- a/src/control/storage/fixtures.ts
+++ b/src/control/storage/fixtures.ts
@@ -4,6 +4,7 @@
 export interface FileHandleMethods {
   writeFile: (bytes: Uint8Array) => Promise<void>;
   datasync: () => Promise<void>;
+  sync: () => Promise<void>;
 }
 
 /** Prototype of all file handles, for tests. */
