Disposed links of an entry host open nothing and report no peer

What callers would see: a call that an entry host sends to another target after its end, because a peer that it waited for counts as unreachable then; a link to a control host that stays open after the end.

Cause: PeerLinks left the timers of waiting callbacks running, and ControlLinks.sync opened links after dispose.

Evidence: MessageLinks.test.ts on the code before: one session opened by a disposed ControlLinks, and "expected [ 'entry-2' ] to deeply equal []". Both pass with this change.

--- a/src/entry/server/ControlLinks.ts
+++ b/src/entry/server/ControlLinks.ts
@@ -24,10 +24,13 @@
 export class ControlLinks implements Disposable {
   private readonly clients = new Map<string, MessageClient>();
 
+  private disposed = false;
+
   constructor(private readonly options: ControlLinksOptions) {}
 
   /** Opens links to new control hosts, and closes those to hosts no longer in the list. */
   sync(controlHosts: readonly VoterAddress[]): void {
+    if (this.disposed) return;
     const wantedIds = new Set(controlHosts.map((host) => host.id));
     controlHosts.forEach((host) => {
       if (!this.clients.has(host.id)) this.open(host);
@@ -55,6 +58,7 @@
   }
 
   dispose(): void {
+    this.disposed = true;
     this.clients.forEach((client) => client.dispose());
     this.clients.clear();
   }
--- a/src/entry/server/PeerLinks.ts
+++ b/src/entry/server/PeerLinks.ts
@@ -17,10 +17,12 @@
 interface PeerLink {
   readonly client: MessageClient;
   readonly openCallbacks: Set<(ticket: string) => void>;
+  /** Timers of the callbacks that wait for the link to open. */
+  readonly timers: Set<NodeJS.Timeout>;
 }
 
 /** Time that a message or call waits for a link to open; then the peer counts as unreachable. */
-const OPEN_TIMEOUT_MS = 400;
+export const OPEN_TIMEOUT_MS = 400;
 
 /** Links to other entry hosts, opened on first use. */
 export class PeerLinks implements Disposable {
@@ -54,6 +56,7 @@
     let timer: NodeJS.Timeout;
     const finish = (ticket: string) => {
       clearTimeout(timer);
+      link.timers.delete(timer);
       link.openCallbacks.delete(finish);
       done(ticket);
     };
@@ -61,12 +64,16 @@
       this.options.onUnreachable(id);
       finish('');
     }, OPEN_TIMEOUT_MS);
+    link.timers.add(timer);
     link.openCallbacks.add(finish);
   }
 
   dispose(): void {
     this.disposed = true;
-    this.links.forEach((link) => link.client.dispose());
+    this.links.forEach((link) => {
+      link.client.dispose();
+      link.timers.forEach((timer) => clearTimeout(timer));
+    });
     this.links.clear();
   }
 
@@ -87,7 +94,7 @@
       onMessage: () => {},
       onClose: () => this.options.onUnreachable(id),
     });
-    const link = { client, openCallbacks };
+    const link = { client, openCallbacks, timers: new Set<NodeJS.Timeout>() };
     this.links.set(key, link);
     return link;
   }
--- a/src/runtime/MessageLinks.test.ts
+++ b/src/runtime/MessageLinks.test.ts
@@ -3,7 +3,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../standin/Cluster.js';
 import { RaftLinks } from '../control/server/RaftLinks.js';
-import { PeerLinks } from '../entry/server/PeerLinks.js';
+import { ControlLinks } from '../entry/server/ControlLinks.js';
+import { OPEN_TIMEOUT_MS, PeerLinks } from '../entry/server/PeerLinks.js';
 import { closeServer, listen } from './HttpJson.js';
 import { LinkRole } from './LinkAuth.js';
 import { silentLogger } from './Logger.js';
@@ -103,6 +104,17 @@
       logger: silentLogger,
       onUnreachable: () => calls.push('unreachable'),
     });
+    const controlLinks = new ControlLinks({
+      id: 'entry-1',
+      secret: SECRET,
+      logger: silentLogger,
+      fields: FIELDS,
+      onOpen: () => calls.push('control open'),
+      onMessage: () => {},
+      onClose: () => {},
+    });
+    controlLinks.dispose();
+    controlLinks.sync([{ id: 'control-2', address: ADDRESS, port }]);
     const tickets: string[] = [];
     peerLinks.dispose();
     peerLinks.whenOpen('entry-2', ADDRESS, port, (ticket) => tickets.push(ticket));
@@ -111,4 +123,21 @@
     expect(tickets).toEqual(['']);
     expect(calls).toEqual([]);
   });
+
+  // Guards against a call that is sent on after the end because a peer did not answer in time.
+  it('report no peer as unreachable that was waited for', async () => {
+    const unreachable: string[] = [];
+    const tickets: string[] = [];
+    const peerLinks = new PeerLinks({
+      id: 'entry-1',
+      secret: 'another secret',
+      logger: silentLogger,
+      onUnreachable: (peerId) => unreachable.push(peerId),
+    });
+    peerLinks.whenOpen('entry-2', ADDRESS, port, (ticket) => tickets.push(ticket));
+    peerLinks.dispose();
+    await sleep(OPEN_TIMEOUT_MS + OPEN_MS);
+    expect(unreachable).toEqual([]);
+    expect(tickets).toEqual([]);
+  });
 });
