A voter whose host was promoted under a newer id is always removed

What callers would see: on an installation with fewer control hosts than its wanted number of voters, each lost disk left a voter that never votes again; after some, one further host that was down stopped all changes.

Cause: the dead voter was removed only once there were more voters than wanted.

The test failed on the code before (a, b, c, d, c-new) and passes now; fuzz/DiskWorld.test.ts passes.

--- a/src/control/AutoMembership.test.ts
+++ b/src/control/AutoMembership.test.ts
@@ -199,6 +199,22 @@
     expect(delays(16_500, 4)).toBe(true);
   });
 
+  // Guards against a voter that is gone for good and counts in every later quorum.
+  it('leaves no voter at the address of a promoted host while voters are below the target', () => {
+    const autoMembership = new AutoMembership({ targetVoters: 5 });
+    let membership: Membership | undefined = {
+      voters: [...VOTERS, createMember('d')],
+      learners: [createMember('c-new', 'c')],
+    };
+    for (let change = 0; change < 4 && membership; change += 1) {
+      const state = createLeader(membership, { b: 9, c: 0, d: 9, 'c-new': 9 });
+      const next = autoMembership.plan(state, 10);
+      if (!next) break;
+      membership = next;
+    }
+    expect(ids(membership)).toEqual([['a', 'b', 'd', 'c-new'], []]);
+  });
+
   it('plans no change before the last membership change is committed', () => {
     const autoMembership = new AutoMembership();
     autoMembership.join(joiningHost, 0);
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -122,11 +122,16 @@
     return { voters, learners: [...others, request.member] };
   }
 
-  /** Replaces a lost voter: promotes a learner, then removes the lost voter. */
+  /**
+   * Replaces a lost voter: promotes a learner, then removes the lost voter. A voter whose host has
+   * been promoted under a newer id is removed also where that leaves fewer than the target.
+   */
   private replace(state: RaftState, nowMs: number): Membership | undefined {
     const { voters, learners } = state.log.membership;
-    const lost = this.lostVoter(state, nowMs);
-    if (voters.length <= this.targetVoters) return lost && AutoMembership.promote(state, nowMs);
+    const superseded = AutoMembership.supersededVoter(state, nowMs, voters);
+    const lost = superseded ?? this.lostVoter(state, nowMs);
+    if (!superseded && voters.length <= this.targetVoters)
+      return lost && AutoMembership.promote(state, nowMs);
     if (lost) return { voters: voters.filter((voter) => voter !== lost), learners };
     return AutoMembership.demote(state);
   }
@@ -167,16 +172,32 @@
 
   private lostVoter(state: RaftState, nowMs: number): Member | undefined {
     const { voters, learners } = state.log.membership;
-    const ackedAtMs = (member: Member) =>
-      member.id === state.id ? nowMs : (state.followers.get(member.id)?.ackedAtMs ?? nowMs);
-    const others = voters.filter((voter) => voter.id !== state.id);
-    // A host that lost its disk acknowledges under a new id at the address of the old one.
-    const replaced = others.find((voter) =>
-      [...voters, ...learners].some(
+    const superseded = AutoMembership.supersededVoter(state, nowMs, [...voters, ...learners]);
+    const isSilent = (voter: Member) =>
+      nowMs - AutoMembership.ackedAtMs(state, voter, nowMs) > this.replaceAfterMs;
+    return superseded ?? voters.find(isSilent);
+  }
+
+  /**
+   * Voter at whose address one of the members acknowledges under a newer id: its host lost its disk,
+   * so that it never votes again.
+   */
+  private static supersededVoter(
+    state: RaftState,
+    nowMs: number,
+    members: readonly Member[],
+  ): Member | undefined {
+    const ackedAtMs = (member: Member) => AutoMembership.ackedAtMs(state, member, nowMs);
+    return state.log.membership.voters.find((voter) =>
+      members.some(
         (member) => member.address === voter.address && ackedAtMs(member) > ackedAtMs(voter),
       ),
     );
-    return replaced ?? others.find((voter) => nowMs - ackedAtMs(voter) > this.replaceAfterMs);
+  }
+
+  /** Time of a member's last acknowledgement; now for the leader itself. */
+  private static ackedAtMs(state: RaftState, member: Member, nowMs: number): number {
+    return state.followers.get(member.id)?.ackedAtMs ?? nowMs;
   }
 
   /** Removes learners without an acknowledgement for twice the lifetime of a join request. */
