A refusal of another call no longer counts as one of this call

Callers would see 503, which promises "not run", for a call that ran: the refusal of another call on the same connection, with that call's id, was accepted.

Cause: an answer that reports "not run" was exempt from the check of the call id, since a refusal may come without an id.

Fix: only a refusal without any id is exempt. One with another id ends the attempt as unknown, like every answer to another call.

Before: "never refuse a later call by the refusal of an earlier one" failed (503). After: 502, all passed. npx vitest run src/gateway/server/EndlessAnswer.test.ts

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -126,7 +126,8 @@
     this.response = response;
     const { statusCode = 0, headers } = response;
     const head = this.profile.readAnswer(statusCode, headers);
-    if (head.callId !== this.attempt.callId && !head.notRun) {
+    const isRefusalWithoutId = head.notRun && head.callId === undefined;
+    if (head.callId !== this.attempt.callId && !isRefusalWithoutId) {
       this.settle({ type: AttemptResultType.Unknown, reason: 'answer to another call' });
       this.request.destroy();
       return;
--- a/src/gateway/server/EndlessAnswer.test.ts
+++ b/src/gateway/server/EndlessAnswer.test.ts
@@ -376,6 +376,15 @@
     );
     answers.forEach((answer) => expect(answer).toMatchObject({ status: 200, body: 'whole' }));
   });
+
+  // Guards against a refusal of another call that is taken for this one's: it promises "not run".
+  it('never refuse a later call by the refusal of an earlier one', async () => {
+    const { port } = await start((socket) => {
+      const headers = ['Not-Run: 1', 'Content-Length: 0'];
+      socket.write(createHead({ callId: 'another', status: '503 Full', headers }));
+    });
+    expect((await call(port, '/order/x', { method: 'POST' })).status).toBe(502);
+  });
 });
 
 describe('probes', () => {
