Entry host: a refusal is a refusal whatever becomes of its body

Callers saw 504 or a closed connection for a call that the backend server had refused as not run: where the body of the refusal had no end, was silent, or was cut. The connection stayed in use until the deadline.

Cause: AttemptRunner.readRefusal waited for the end of the body without a limit, and a body cut short ended the attempt as a truncated answer. The head alone states that the request did not run.

Fix: the connection is closed after 16 KiB or 100 ms of the body, and the attempt ends as shed in either case.

The other tests of this file hold before and after: heads, header lines, status lines and garbage without end are closed by the deadline, an endless body is cancelled when the caller leaves and read no faster than the caller reads, other calls are served meanwhile.

Before: four cases of "refuses a call" failed (504 for three, closed connection for the cut one). After: passed. npx vitest run src/entry/server/EndlessAnswer.test.ts

--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -51,9 +51,12 @@
 /** Time that a cancelled attempt waits for the target to close before it is destroyed. */
 const CANCEL_CLOSE_TIMEOUT_MS = 500;
 
-/** Largest refusal body that is read; data beyond it is discarded. */
+/** Largest refusal body that is read; the connection is closed beyond it. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
 
+/** Longest wait for the end of a refusal body; the call waits meanwhile. */
+const REFUSAL_END_TIMEOUT_MS = 100;
+
 /** Parses the Content-Range header of a partial answer. */
 function parseContentRange(header: string | undefined) {
   const match = CONTENT_RANGE.exec(header ?? '');
@@ -79,6 +82,9 @@
 
   private cancelled = false;
 
+  /** True once the target has reported that the request did not run. */
+  private refused = false;
+
   /** True once the answer is relayed to the caller. */
   private used = false;
 
@@ -86,6 +92,8 @@
 
   private readonly chunks: Buffer[] = [];
 
+  private readonly refusalChunks: Buffer[] = [];
+
   private chunkBytes = 0;
 
   private cancelTimer: NodeJS.Timeout | undefined;
@@ -278,23 +286,30 @@
   /** Ends the attempt if the connection was lost before the answer was complete. */
   private onConnectionLost(): void {
     if (this.ended) return;
-    if (this.cancelled) this.end(AttemptResult.Cancelled);
+    if (this.refused) this.endRefused();
+    else if (this.cancelled) this.end(AttemptResult.Cancelled);
     else if (this.answer) this.end(AttemptResult.Truncated);
     else this.end(this.sent ? AttemptResult.Reset : AttemptResult.NotSent);
   }
 
   /** Reads a refusal, which guarantees that the request did not run. */
   private readRefusal(answer: IncomingMessage): void {
-    const chunks: Buffer[] = [];
+    this.refused = true;
     let bodyBytes = 0;
     answer.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length;
-      if (bodyBytes <= MAX_REFUSAL_BYTES) chunks.push(chunk);
-    });
-    answer.on('close', () => {
-      const isPeer = this.options.effect.target.kind === TargetKind.Peer;
-      this.end(AttemptResult.Shed, isPeer ? this.parseRefusal(Buffer.concat(chunks)) : null);
+      if (bodyBytes <= MAX_REFUSAL_BYTES) this.refusalChunks.push(chunk);
+      else this.request.destroy();
     });
+    answer.on('close', () => this.endRefused());
+    const timer = setTimeout(() => this.request.destroy(), REFUSAL_END_TIMEOUT_MS);
+    this.request.once('close', () => clearTimeout(timer));
+  }
+
+  private endRefused(): void {
+    const isPeer = this.options.effect.target.kind === TargetKind.Peer;
+    const refusal = isPeer ? this.parseRefusal(Buffer.concat(this.refusalChunks)) : null;
+    this.end(AttemptResult.Shed, refusal);
   }
 
   private parseRefusal(bytes: Buffer): EgretError {
