Entry host: a complete answer isn't cut when its connection closes first

Callers saw a closed connection or a cut body though the backend server's whole answer had arrived: where bytes that can't be parsed followed it in the same packet, or where it closed the connection while the caller had not read the rest yet. A call with a key that isn't idempotent lost its answer.

Cause: AttemptRunner ends an attempt as truncated on the end of its connection, also when the answer is complete and waits in a buffer.

Fix: the end of the connection is ignored once the answer is complete and not destroyed; its own end event follows when its body has been read.

Before: "is complete though its connection closed" (truncated), "with bytes right behind an answer": garbage, endless garbage (closed connection) failed. After: passed. npx vitest run src/entry/server/AttemptRunner.test.ts src/entry/server/EndlessAnswer.test.ts

--- /dev/null
+++ b/src/entry/server/AttemptRunner.test.ts
@@ -0,0 +1,124 @@
+import { EventEmitter } from 'node:events';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { waitUntil } from '../../../standin/Cluster.js';
+import { RawBackend } from '../../../standin/RawBackend.js';
+import { AttemptResult, EntryEffectType, TargetKind, type StartAttemptEffect } from '../Types.js';
+import { AttemptRunner, type AttemptEnd } from './AttemptRunner.js';
+import type { CallContext } from './CallContext.js';
+import { CountingAgent } from './CountingAgent.js';
+
+const backend = new RawBackend(() => {});
+const agent = new CountingAgent({ keepAlive: true, scheduling: 'lifo' }, () => {});
+
+/** Response to a caller whose buffer is full from the first byte on. */
+class FullResponse extends EventEmitter {
+  statusCode = 0;
+
+  body = '';
+
+  readonly destroyed = false;
+
+  readonly headersSent = false;
+
+  readonly writableEnded = false;
+
+  writeHead(statusCode: number): void {
+    this.statusCode = statusCode;
+  }
+
+  write(chunk: Buffer): boolean {
+    this.body += chunk.toString();
+    return false;
+  }
+}
+
+function createCall(response: FullResponse): CallContext {
+  return {
+    callId: 1,
+    requestId: 'r-1',
+    service: 'ledger',
+    method: 'POST',
+    path: '/x',
+    callerId: 'caller',
+    forwarded: false,
+    request: new EventEmitter() as IncomingMessage,
+    response: response as unknown as ServerResponse,
+    headers: [],
+    body: Buffer.alloc(0),
+    streamedBytes: undefined,
+    maxBodyBytes: 1_000,
+    expectsContinue: false,
+    arrivedAtMs: 0,
+    attempts: new Map(),
+    cancelledIds: new Set(),
+    answeringId: null,
+    headSent: false,
+    baseRange: { firstByte: 0, lastByte: null },
+    etag: null,
+    sentBytes: 0,
+  };
+}
+
+function createEffect(): StartAttemptEffect {
+  return {
+    type: EntryEffectType.StartAttempt,
+    callId: 1,
+    attemptId: 1,
+    target: {
+      kind: TargetKind.Backend,
+      id: 'b-1',
+      address: '127.0.0.1',
+      port: backend.port,
+      connectionsMax: 9,
+    },
+    timeoutMs: 1_000,
+    attemptNumber: 1,
+    record: false,
+    resume: null,
+  };
+}
+
+/** Starts an attempt whose answer is relayed as soon as its head arrives. */
+function startAttempt(response = new FullResponse()) {
+  const ended: { end: AttemptEnd | null } = { end: null };
+  const runner: AttemptRunner = new AttemptRunner({
+    effect: createEffect(),
+    call: createCall(response),
+    agent,
+    ticket: '',
+    selfId: 'entry-1',
+    onHeaders: () => runner.useAnswer(),
+    onEnded: (end) => {
+      ended.end = end;
+    },
+    poolStatus: () => null,
+  });
+  return ended;
+}
+
+afterEach(async () => {
+  agent.destroy();
+  await backend.stop();
+  backend.connections.length = 0;
+  backend.requests.length = 0;
+});
+
+describe('an attempt', () => {
+  // Guards against a whole answer that is cut for a caller that reads more slowly than it arrives.
+  it('is complete though its connection closed before the caller had read the answer', async () => {
+    await backend.start();
+    backend.reply = (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf');
+      setTimeout(() => socket.end('done'), 30);
+    };
+    const response = new FullResponse();
+    const ended = startAttempt(response);
+    await waitUntil(() => backend.connections[0]?.closed === true, 'the connection to close');
+    expect(ended.end).toBeNull();
+    response.emit('drain');
+    await waitUntil(() => ended.end !== null, 'the end of the attempt', 1_000);
+    expect(ended.end!.result).toBe(AttemptResult.Completed);
+    expect(response.body).toBe('halfdone');
+  });
+});
--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -286,6 +286,8 @@
   /** Ends the attempt if the connection was lost before the answer was complete. */
   private onConnectionLost(): void {
     if (this.ended) return;
+    // The end of a complete answer follows once its body has been read.
+    if (this.answer?.complete && !this.answer.destroyed) return;
     if (this.refused) this.endRefused();
     else if (this.cancelled) this.end(AttemptResult.Cancelled);
     else if (this.answer) this.end(AttemptResult.Truncated);
--- a/src/entry/server/EndlessAnswer.test.ts
+++ b/src/entry/server/EndlessAnswer.test.ts
@@ -283,4 +283,24 @@
     await answered;
     await closedWithin(SLACK_MS);
   });
+
+  const surplus: [string, WriteAnswer][] = [
+    ['garbage', (socket) => socket.write(LINE)],
+    ['endless garbage', (socket) => writeEndlessly(socket, LINE)],
+    ['endless empty lines', (socket) => writeEndlessly(socket, '\r\n'.repeat(8_192))],
+    ['a second answer', (socket) => socket.write(WHOLE)],
+    ['a refusal', (socket) => socket.write(createHead(['Egret-Outcome: not-run'], '503 Full'))],
+  ];
+
+  // Guards against a whole answer that is dropped because of what follows it.
+  it.each(surplus)('with bytes right behind an answer serves its call: %s', async (name, write) => {
+    backend.reply = (socket) => {
+      socket.cork();
+      socket.write(WHOLE);
+      write(socket);
+      process.nextTick(() => socket.uncork());
+    };
+    const answer = await call({ method: 'POST' });
+    expect(answer).toMatchObject({ status: 200, body: 'whole', complete: true });
+  });
 });
