Entry host: bytes outside of answers are limited, idle connections guarded

Fix: AttemptRunner uses AnswerGuard, CountingAgent is a GuardedAgent, and an attempt on a connection that was closed right before its reuse is not sent.

Before: "endless empty lines before the head", five cases of "with bytes on an idle connection is closed" and "on a pooled connection that was closed right before is not sent" failed. After: passed. npx vitest run src/entry/server/AttemptRunner.test.ts src/entry/server/EndlessAnswer.test.ts

--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -3,6 +3,7 @@
 import { Outcome } from '../../common/Enums.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { ReplayAnswer } from '../../common/Messages.js';
+import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import {
   AttemptResult,
   TargetKind,
@@ -75,6 +76,8 @@
 export class AttemptRunner implements RunningAttempt {
   private readonly request: ClientRequest;
 
+  private readonly guard: AnswerGuard;
+
   private answer: IncomingMessage | undefined;
 
   /** True once a byte of the request may have been written. */
@@ -110,6 +113,7 @@
       headers: this.buildHeaders() as unknown as http.OutgoingHttpHeaders,
       agent,
     });
+    this.guard = new AnswerGuard(this.request);
     this.watchSocket();
     this.request.on('response', (answer) => this.onResponse(answer));
     this.request.on('error', () => this.onConnectionLost());
@@ -177,7 +181,8 @@
   private watchSocket(): void {
     this.request.once('socket', (socket) => {
       if (!socket.connecting) {
-        this.sent = true;
+        // A pooled connection may have been closed right before its reuse.
+        this.sent = socket.writable;
         return;
       }
       socket.once('connect', () => {
@@ -267,6 +272,7 @@
 
   private onData(answer: IncomingMessage, chunk: Buffer): void {
     const { call, effect } = this.options;
+    this.guard.noteProgress();
     call.sentBytes += chunk.length;
     if (effect.record && this.chunkBytes <= MAX_RECORDED_BODY_BYTES) {
       this.chunkBytes += chunk.length;
--- a/src/entry/server/CountingAgent.ts
+++ b/src/entry/server/CountingAgent.ts
@@ -1,7 +1,8 @@
-import http from 'node:http';
+import type http from 'node:http';
+import { GuardedAgent } from '../../runtime/GuardedAgent.js';
 
 /** Connection pool that reports when its last connection is closed. */
-export class CountingAgent extends http.Agent {
+export class CountingAgent extends GuardedAgent {
   private open = 0;
 
   constructor(
--- a/src/entry/server/EndlessAnswer.test.ts
+++ b/src/entry/server/EndlessAnswer.test.ts
@@ -194,6 +194,7 @@
         writeEndlessly(socket, 'x', 5);
       },
     ],
+    ['empty lines before the head', (socket) => writeEndlessly(socket, '\r\n'.repeat(8_192))],
     ['garbage before the head', (socket) => writeEndlessly(socket, LINE)],
   ];
 
@@ -303,4 +304,17 @@
     const answer = await call({ method: 'POST' });
     expect(answer).toMatchObject({ status: 200, body: 'whole', complete: true });
   });
+
+  // Guards against later calls that are sent on a connection whose bytes are out of step.
+  it.each(surplus)('with bytes on an idle connection is closed: %s', async (name, write) => {
+    backend.reply = (socket) => {
+      socket.write(WHOLE);
+      setTimeout(() => write(socket), 30);
+    };
+    await call({ method: 'POST' });
+    await waitUntil(() => backend.connections[0]!.closed, 'the connection to close', SLACK_MS);
+    expect(backend.bytesWritten).toBeLessThan(ACCEPTED_BYTES_MAX);
+    backend.reply = soundReply;
+    expectServed(await Promise.all([1, 2, 3].map(() => call({ method: 'POST' }))));
+  });
 });
