Entry host: a call with a key doesn't run on for ever after its caller left

A backend server whose answer to a call with a key has no end kept its slot, and its bytes were read and dropped, as long as it sent them.

Cause: such a call runs on after its caller has left, so that its answer can be recorded. The limit of two timeouts was skipped once an answer had begun.

Fix: the limit holds for an answer that has begun, too; the claim is settled as unknown, as for every attempt that is cancelled.

Ruled out: memory (at most 64 KiB are recorded), and calls without a key, which are cancelled at once.

Before: "is cancelled after the caller left: POST" failed for all three bodies. After: passed. npx vitest run src/entry/server/EndlessAnswer.test.ts

--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -517,9 +517,7 @@
     }
     const graceMs = record.pool.settings.timeoutMs * CLAIMED_GRACE_TIMEOUTS;
     if (record.phase === CallPhase.Answered && context.nowMs > record.arrivedAtMs + graceMs) {
-      if (record.answeringId === null) {
-        this.answers.cancelAll(record);
-      }
+      this.answers.cancelAll(record);
     }
   }
 
--- a/src/entry/server/EndlessAnswer.test.ts
+++ b/src/entry/server/EndlessAnswer.test.ts
@@ -248,7 +248,7 @@
   // Guards against a backend server that stays at work, and a slot in use, without a caller.
   it.each(
     bodies.flatMap(([name, write]) =>
-      ['GET'].map((method): [string, string, WriteAnswer] => [name, method, write]),
+      ['GET', 'POST'].map((method): [string, string, WriteAnswer] => [name, method, write]),
     ),
   )(
     'with an endless body, %s, is cancelled after the caller left: %s',
@@ -258,6 +258,7 @@
         write(socket);
       };
       await call({ method, onBody: (request) => request.destroy() });
+      // A call with a key may run on for two timeouts, to record its answer.
       await closedWithin(2 * TIMEOUT_MS + SLACK_MS);
       expect(backend.requests).toHaveLength(1);
     },
