A call whose long body has begun to be sent is never sent again

Backend servers ran calls with a changed body: where a call with a body above 512 KiB was refused as not run after its first bytes, it was sent to another backend server with the bytes that the first attempt had consumed missing. With chunks, that call ran and was answered 2xx; with a length, it waited for the missing bytes until 504. The caller's kept connection was then blocked, too.

Cause: attemptsMax of 1 limits attempts that may have run, and a refused one doesn't count as such. After the answer, the client stops writing (it removes its drain listener), so the rest of the body stayed unread on the caller's connection.

Fix: a call with a streamed body isn't sent again; the caller gets the 503 and sends it anew. When the answer is complete before the body was sent, the connection to the backend server is closed, and the rest of the body is read and dropped.

--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -270,6 +270,7 @@
     const nowMs = options.nowMs();
     const maySend =
       call.isCallerConnected() &&
+      !call.isBodyStreamed &&
       nowMs < call.dueAtMs &&
       this.notRunCount < NOT_RUN_ATTEMPTS_MAX &&
       this.mayHaveRunCount < call.route.attemptsMax &&
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -107,7 +107,7 @@
     });
     this.request.on('response', (response) => this.onResponse(response));
     if (body.length > 0) this.request.write(body);
-    if (bodyRest) bodyRest.pipe(this.request);
+    if (bodyRest) this.sendRest(bodyRest);
     else this.request.end();
   }
 
@@ -117,6 +117,21 @@
     this.request.destroy();
   }
 
+  private sendRest(bodyRest: IncomingMessage): void {
+    bodyRest.pipe(this.request);
+    this.request.once('response', (response) => {
+      // The client stops writing once the answer is complete, so the rest can't be sent any more.
+      response.once('end', () => {
+        if (!this.request.writableEnded) this.request.destroy();
+      });
+    });
+    this.request.once('close', () => {
+      // An unread rest would block the caller's connection.
+      bodyRest.unpipe(this.request);
+      bodyRest.resume();
+    });
+  }
+
   private fail(reason: string): void {
     const type = this.sent ? AttemptResultType.Unknown : AttemptResultType.NotSent;
     this.settle({ type, reason });
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -125,6 +125,7 @@
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs,
       fingerprint,
+      isBodyStreamed: read.type === 'long',
       isCallerConnected: () => !response.destroyed && !response.closed,
     };
     const rest = read.type === 'long' ? request : null;
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -81,7 +81,7 @@
 /** Options of {@link startTestGateway}. */
 export interface TestGatewayOptions {
   /** Backend servers of the service `alpha`, by their ids. */
-  readonly alpha: Readonly<Record<string, RawBackend>>;
+  readonly alpha: Readonly<Record<string, Pick<RawBackend, 'port' | 'stop'>>>;
   /** Changes of all routes. */
   readonly route?: Partial<Route>;
 }
@@ -101,7 +101,7 @@
   const beta = new RawBackend(soundReply);
   await beta.start();
   const pool = new BackendPool({ availabilityZone: 'perth', random });
-  const changes = (backend: RawBackend) => ({ address: HOST, port: backend.port });
+  const changes = (backend: Pick<RawBackend, 'port'>) => ({ address: HOST, port: backend.port });
   pool.apply(
     [
       ...Object.entries(alpha).map(([id, backend]) => createBackend(id, changes(backend))),
@@ -116,7 +116,12 @@
     createRoute('other', { ...route, destinations: [{ service: 'beta', weight: 1 }] }),
   ];
   const services = [createService('alpha'), createService('beta')];
-  const table = { ...createTable(routes), services };
+  const { limits } = createTable();
+  const table = {
+    ...createTable(routes),
+    services,
+    limits: { ...limits, bodyBytesMax: 64 * 1024 * 1024 },
+  };
   routing.apply({ index: 1, version: 1, table, closedZones: [] });
   const cold = new ColdLimiter({ selfId: 'entry-1' });
   cold.setEntryHosts([createEntryHost('entry-1')]);
