--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -3,6 +3,7 @@
 import { Outcome } from '../../common/Enums.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { ReplayAnswer } from '../../common/Messages.js';
+import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import {
   AttemptResult,
   TargetKind,
@@ -53,9 +54,12 @@
 /** Time that a cancelled attempt waits for the target to close before it is destroyed. */
 const CANCEL_CLOSE_TIMEOUT_MS = 500;
 
-/** Largest refusal body that is read; data beyond it is discarded. */
+/** Largest refusal body that is read; the connection is closed beyond it. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
 
+/** Longest wait for the end of a refusal body; the call waits meanwhile. */
+const REFUSAL_END_TIMEOUT_MS = 100;
+
 /** Parses the Content-Range header of a partial answer. */
 function parseContentRange(header: string | undefined) {
   const match = CONTENT_RANGE.exec(header ?? '');
@@ -74,6 +78,8 @@
 export class AttemptRunner implements RunningAttempt {
   private readonly request: ClientRequest;
 
+  private readonly guard: AnswerGuard;
+
   private answer: IncomingMessage | undefined;
 
   /** True once a byte of the request may have been written. */
@@ -81,6 +87,9 @@
 
   private cancelled = false;
 
+  /** True once the target has reported that the request did not run. */
+  private refused = false;
+
   /** True once the answer is relayed to the caller. */
   private used = false;
 
@@ -88,6 +97,8 @@
 
   private readonly chunks: Buffer[] = [];
 
+  private readonly refusalChunks: Buffer[] = [];
+
   private chunkBytes = 0;
 
   private cancelTimer: NodeJS.Timeout | undefined;
@@ -104,6 +115,7 @@
       headers: this.buildHeaders() as unknown as http.OutgoingHttpHeaders,
       agent,
     });
+    this.guard = new AnswerGuard(this.request);
     this.watchSocket();
     this.request.on('response', (answer) => this.onResponse(answer));
     this.request.on('error', () => this.onConnectionLost());
@@ -171,7 +183,8 @@
   private watchSocket(): void {
     this.request.once('socket', (socket) => {
       if (!socket.connecting) {
-        this.sent = true;
+        // A pooled connection may have been closed right before its reuse.
+        this.sent = socket.writable;
         return;
       }
       socket.once('connect', () => {
@@ -262,6 +275,7 @@
 
   private onData(answer: IncomingMessage, chunk: Buffer): void {
     const { call, effect } = this.options;
+    this.guard.noteProgress();
     call.sentBytes += chunk.length;
     if (effect.record && this.chunkBytes <= MAX_RECORDED_BODY_BYTES) {
       this.chunkBytes += chunk.length;
@@ -281,23 +295,32 @@
   /** Ends the attempt if the connection was lost before the answer was complete. */
   private onConnectionLost(): void {
     if (this.ended) return;
-    if (this.cancelled) this.end(AttemptResult.Cancelled);
+    // The end of a complete answer follows once its body has been read.
+    if (this.answer?.complete && !this.answer.destroyed) return;
+    if (this.refused) this.endRefused();
+    else if (this.cancelled) this.end(AttemptResult.Cancelled);
     else if (this.answer) this.end(AttemptResult.Truncated);
     else this.end(this.sent ? AttemptResult.Reset : AttemptResult.NotSent);
   }
 
   /** Reads a refusal, which guarantees that the request did not run. */
   private readRefusal(answer: IncomingMessage): void {
-    const chunks: Buffer[] = [];
+    this.refused = true;
     let bodyBytes = 0;
     answer.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length;
-      if (bodyBytes <= MAX_REFUSAL_BYTES) chunks.push(chunk);
-    });
-    answer.on('close', () => {
-      const isPeer = this.options.effect.target.kind === TargetKind.Peer;
-      this.end(AttemptResult.Shed, isPeer ? this.parseRefusal(Buffer.concat(chunks)) : null);
+      if (bodyBytes <= MAX_REFUSAL_BYTES) this.refusalChunks.push(chunk);
+      else this.request.destroy();
     });
+    answer.on('close', () => this.endRefused());
+    const timer = setTimeout(() => this.request.destroy(), REFUSAL_END_TIMEOUT_MS);
+    this.request.once('close', () => clearTimeout(timer));
+  }
+
+  private endRefused(): void {
+    const isPeer = this.options.effect.target.kind === TargetKind.Peer;
+    const refusal = isPeer ? this.parseRefusal(Buffer.concat(this.refusalChunks)) : null;
+    this.end(AttemptResult.Shed, refusal);
   }
 
   private parseRefusal(bytes: Buffer): EgretError {
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -154,6 +154,7 @@
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs,
       fingerprint,
+      isBodyStreamed: read.type === 'long',
       isCallerConnected: () => options.connections.isDue(response),
       acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
