--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -181,8 +181,7 @@
   private watchSocket(): void {
     this.request.once('socket', (socket) => {
       if (!socket.connecting) {
-        // A pooled connection may have been closed right before its reuse.
-        this.sent = socket.writable;
+        this.sent = true;
         return;
       }
       socket.once('connect', () => {
