A refusal on a kept connection counts as not run, not as a truncated answer

Callers saw their connection reset without an answer (read ECONNRESET, on a planned stop of an entry host under load), although a peer had refused the forwarded call with 503 and "Egret-Outcome: not-run". A backend server that sheds a request over a kept connection had the same effect. A claimed call was settled as unknown in place of not run.

Cause: AttemptRunner reported a refusal at the `close` event of the answer. On a kept connection Node emits `close` of the request first, whose handler took the answer for a truncated one; the reducer then aborted the caller's answer. Peers hid it mostly: a request without a body that is refused at once is not yet `complete`, so that its refusal carries `Connection: close` and the order of the events is the other one.

Ruled out: the idle close at the end of a stop, which resets connections as well, but only after the directory answers have run out; here the connection closed before, right after `abort-answer`.

In a stop with a busy event loop the trace was refuse-call at the peer, attempt-ended truncated and abort-answer at the stopping host, connection closed with no byte written.

The refusal is now reported at the end of its body, or when the connection is lost inside it, since its head suffices.

--- /dev/null
+++ b/src/entry/server/AttemptRunner.test.ts
@@ -0,0 +1,117 @@
+import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import { closeServer, listen, sendError } from '../../runtime/HttpJson.js';
+import { AttemptResult, EntryEffectType, TargetKind } from '../Types.js';
+import { AttemptRunner, type AttemptEnd } from './AttemptRunner.js';
+import type { CallContext } from './CallContext.js';
+
+const HOST = '127.0.0.1';
+
+/** Time after which a target that answers late has read the whole request. */
+const LATE_ANSWER_MS = 20;
+
+const servers: Server[] = [];
+
+/** Starts a target that answers every request with `answer`. */
+async function startTarget(answer: (response: ServerResponse) => void): Promise<number> {
+  const server = http.createServer((request, response) => {
+    request.resume();
+    answer(response);
+  });
+  servers.push(server);
+  return listen(server, HOST, 0);
+}
+
+function createCall(): CallContext {
+  const socket = {} as Socket;
+  return {
+    callId: 1,
+    requestId: 'request-1',
+    service: 'ledger',
+    method: 'GET',
+    path: '/records/1',
+    callerId: 'caller',
+    forwarded: false,
+    request: { socket } as IncomingMessage,
+    response: { destroyed: false } as ServerResponse,
+    headers: ['Host', 'ledger'],
+    body: Buffer.alloc(0),
+    streamedBytes: 0,
+    maxBodyBytes: 0,
+    expectsContinue: false,
+    arrivedAtMs: 0,
+    attempts: new Map(),
+    cancelledIds: new Set(),
+    answeringId: null,
+    headSent: false,
+    baseRange: { firstByte: 0, lastByte: null },
+    etag: null,
+    sentBytes: 0,
+  };
+}
+
+/** Sends one attempt to a target and returns how it ended. */
+function runAttempt(kind: TargetKind, port: number, agent: http.Agent): Promise<AttemptEnd> {
+  return new Promise((resolve) => {
+    const runner = new AttemptRunner({
+      effect: {
+        type: EntryEffectType.StartAttempt,
+        callId: 1,
+        attemptId: 1,
+        target: { kind, port, id: 'target', address: HOST, connectionsMax: 1 },
+        timeoutMs: 1_000,
+        attemptNumber: 1,
+        record: false,
+        resume: null,
+      },
+      call: createCall(),
+      agent,
+      ticket: '',
+      selfId: 'entry-0',
+      onHeaders: () => runner.cancel(),
+      onEnded: resolve,
+      poolStatus: () => null,
+    });
+  });
+}
+
+describe('attempt runner', () => {
+  afterEach(async () => {
+    await Promise.all(servers.splice(0).map(closeServer));
+  });
+
+  const refuse = (response: ServerResponse) =>
+    sendError(response, new EgretError(ErrorKind.NoBackend, 'No lease.'));
+  const refuseWithoutBody = (response: ServerResponse) => {
+    response.writeHead(503, { 'Egret-Outcome': 'not-run', 'Content-Length': 0 });
+    response.end();
+  };
+
+  const refuseAndBreakOff = (response: ServerResponse) => {
+    response.writeHead(503, { 'Egret-Outcome': 'not-run', 'Content-Length': 100 });
+    response.write('{"kind"', () => response.destroy());
+  };
+
+  // Guards against a refusal that counts as a truncated answer: its caller then gets no answer.
+  it.each([
+    ['a peer, on a kept connection', TargetKind.Peer, 'keep-alive', refuse],
+    ['a peer, before it closes the connection', TargetKind.Peer, 'close', refuse],
+    ['a backend server, on a kept connection', TargetKind.Backend, 'keep-alive', refuse],
+    ['a backend server, without a body', TargetKind.Backend, 'keep-alive', refuseWithoutBody],
+    ['a backend server that breaks off', TargetKind.Backend, 'keep-alive', refuseAndBreakOff],
+  ])('reports a refusal by %s as not run', async (name, kind, connection, answer) => {
+    const port = await startTarget((response) => {
+      setTimeout(() => {
+        response.setHeader('Connection', connection);
+        answer(response);
+      }, LATE_ANSWER_MS);
+    });
+    const agent = new http.Agent({ keepAlive: true });
+    const end = await runAttempt(kind, port, agent);
+    agent.destroy();
+    expect(end.result).toBe(AttemptResult.Shed);
+    expect(end.peerRefusal?.kind).toBe(kind === TargetKind.Peer ? ErrorKind.NoBackend : undefined);
+  });
+});
--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -74,6 +74,9 @@
 
   private answer: IncomingMessage | undefined;
 
+  /** Body of a refusal as read so far; undefined unless the target refused the request. */
+  private refusalChunks: Buffer[] | undefined;
+
   /** True once a byte of the request may have been written. */
   private sent = false;
 
@@ -278,7 +281,9 @@
   /** Ends the attempt if the connection was lost before the answer was complete. */
   private onConnectionLost(): void {
     if (this.ended) return;
-    if (this.cancelled) this.end(AttemptResult.Cancelled);
+    // The head of a refusal suffices: the request did not run.
+    if (this.refusalChunks) this.endRefused(this.refusalChunks);
+    else if (this.cancelled) this.end(AttemptResult.Cancelled);
     else if (this.answer) this.end(AttemptResult.Truncated);
     else this.end(this.sent ? AttemptResult.Reset : AttemptResult.NotSent);
   }
@@ -286,15 +291,21 @@
   /** Reads a refusal, which guarantees that the request did not run. */
   private readRefusal(answer: IncomingMessage): void {
     const chunks: Buffer[] = [];
+    this.refusalChunks = chunks;
     let bodyBytes = 0;
     answer.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length;
       if (bodyBytes <= MAX_REFUSAL_BYTES) chunks.push(chunk);
     });
-    answer.on('close', () => {
-      const isPeer = this.options.effect.target.kind === TargetKind.Peer;
-      this.end(AttemptResult.Shed, isPeer ? this.parseRefusal(Buffer.concat(chunks)) : null);
-    });
+    // On a kept connection the request closes before the answer does, so `close` is too late.
+    answer.on('end', () => this.endRefused(chunks));
+    answer.on('close', () => this.endRefused(chunks));
+    answer.on('error', () => this.endRefused(chunks));
+  }
+
+  private endRefused(chunks: readonly Buffer[]): void {
+    const isPeer = this.options.effect.target.kind === TargetKind.Peer;
+    this.end(AttemptResult.Shed, isPeer ? this.parseRefusal(Buffer.concat(chunks)) : null);
   }
 
   private parseRefusal(bytes: Buffer): EgretError {
