Fuzz model: a connection ends with the process that accepted it

The model of an entry host handed a request that was on its way to the next incarnation of a backend server that restarted in the meantime. Over TCP such a request is reset.

The model now keeps idle connections for each process of a backend server until the entry host detects that they were closed; a request on an old one is reset, a request on a new one still reaches the successor.

--- a/fuzz/EntryHostModel.ts
+++ b/fuzz/EntryHostModel.ts
@@ -63,6 +63,12 @@
   readonly peerRefusal: EgretError | null;
 }
 
+/** Idle connections to one process of a backend server. */
+interface IdleConnections {
+  readonly incarnation: number;
+  count: number;
+}
+
 /** Options of an {@link EntryHostModel}. */
 export interface EntryHostModelOptions {
   readonly id: string;
@@ -138,6 +144,9 @@
     (answer: AnnouncementAnswer | null) => void
   >();
 
+  /** Idle connections by backend id, until this host detects that they were closed. */
+  private readonly idleConnections = new Map<string, IdleConnections>();
+
   private nextId = 1;
 
   constructor(readonly options: EntryHostModelOptions) {
@@ -163,6 +172,7 @@
     this.boot += 1;
     this.alive = true;
     this.calls.clear();
+    this.idleConnections.clear();
     this.announcementCallbacks.clear();
     this.reducer = new EntryReducer({
       self: this.self,
@@ -189,6 +199,7 @@
 
   handle(event: Untimed<EntryEvent>): void {
     if (!this.alive) return;
+    if (event.type === EntryEventType.TargetClosed) this.idleConnections.delete(event.targetId);
     const nowMs = this.options.timeline.nowMs * this.options.clockRate;
     const effects = this.reducer.reduce({ ...event, nowMs } as EntryEvent);
     this.options.onApplied(this.bootName, this.reducer.settings.revision);
@@ -265,6 +276,7 @@
   ): void {
     const { network } = this.options;
     const { callId, attemptId, target } = effect;
+    const connectedTo = this.takeConnection(target.id);
     let cancelled = false;
     let cancelRun: (() => void) | undefined;
     item.cancels.set(attemptId, () => {
@@ -279,6 +291,12 @@
         return;
       }
       if (cancelled) return;
+      const { incarnation } = backend;
+      if (connectedTo !== null && connectedTo !== incarnation) {
+        // The connection ended with the process that accepted it.
+        network.exchange(() => end(AttemptResult.Reset));
+        return;
+      }
       const { requestId, key, crashesBackend } = item.call;
       cancelRun = backend.receive({
         requestId,
@@ -288,6 +306,8 @@
           network.exchange(() => {
             const hasHeaders = runEnd !== RunEnd.Shed && runEnd !== RunEnd.Reset;
             const statusCode = runEnd === RunEnd.Failed ? SERVER_ERROR : OK;
+            const kept = runEnd !== RunEnd.Reset && runEnd !== RunEnd.Truncated;
+            if (kept && !cancelled) this.returnConnection(target.id, incarnation);
             if (hasHeaders && !cancelled) {
               item.answerOf ??= requestId;
               this.handle({ type: EntryEventType.AttemptHeaders, callId, attemptId });
@@ -298,6 +318,20 @@
     });
   }
 
+  /** Takes an idle connection and returns its incarnation; null if a new one has to be opened. */
+  private takeConnection(backendId: string): number | null {
+    const idle = this.idleConnections.get(backendId);
+    if (!idle || idle.count === 0) return null;
+    idle.count -= 1;
+    return idle.incarnation;
+  }
+
+  private returnConnection(backendId: string, incarnation: number): void {
+    const idle = this.idleConnections.get(backendId);
+    if (idle?.incarnation === incarnation) idle.count += 1;
+    else this.idleConnections.set(backendId, { incarnation, count: 1 });
+  }
+
   private sendToPeer(
     item: OpenCall,
     effect: StartAttemptEffect,
