A call that a peer without leases refused is sent on instead of refused

Callers got 503 no-backend from an entry host in a planned stop, although other leaseholders had backend servers (downloads sent 5 ms before the stop).

Cause: a stopping host gives a lease up at the server's next announcement and sends the calls that wait for it to the new leaseholders. The one that replaces it has no lease before the server has announced itself there twice, and refuses them at once. Each refusal took a token of the retry budget (a burst of 10), whose end made the next refusal final; a call that every leaseholder had refused was refused at once as well, though the lease arrived some milliseconds later. The host without leases was preferred, since it counted as having no queue.

A refusal of a forwarded call now carries the status of the peer's pool. A peer that reports no slots gets no calls until it reports some, or for 250 ms. Refusals by such peers reach no backend server: they take nothing from the retry budget and don't count as attempts. If no leaseholder is left, the call waits as it did without a refusal (up to 1 s), provided that the entry hosts or the settings have changed within the time that a lease takes to move. Otherwise it is refused at once, without another round trip to the peers.

Ruled out: a refusal on arrival (settings out of date: no not-current in any trace), the expected wait in a queue (overloaded, another kind), a lease that expired on the stopping host.

--- a/fuzz/Commands.ts
+++ b/fuzz/Commands.ts
@@ -14,6 +14,7 @@
   ZoneIn = 'zone-in',
   RacingChanges = 'racing-changes',
   CrashEntry = 'crash-entry',
+  StopEntry = 'stop-entry',
   StartEntry = 'start-entry',
   CrashControl = 'crash-control',
   StartControl = 'start-control',
@@ -98,6 +99,10 @@
     const entry = world.entries[pick % world.entries.length]!;
     if (world.entries.filter((item) => item.alive).length > 1) entry.crash();
   },
+  [StepKind.StopEntry]: ({ world }, pick) => {
+    const entry = world.entries[pick % world.entries.length]!;
+    if (world.entries.filter((item) => item.serving).length > 1) entry.stop();
+  },
   [StepKind.StartEntry]: ({ world }) =>
     world.entries.filter((entry) => !entry.alive).forEach((entry) => entry.start()),
   [StepKind.CrashControl]: ({ world }, pick) => {
--- a/fuzz/EntryHostModel.ts
+++ b/fuzz/EntryHostModel.ts
@@ -15,6 +15,7 @@
   type ArrivedCall,
   type EntryEffect,
   type EntryEvent,
+  type PoolStatus,
   type StartAttemptEffect,
 } from '../src/entry/Types.js';
 import { RunEnd, type BackendHost } from './BackendHost.js';
@@ -61,6 +62,8 @@
   readonly result: AttemptResult;
   readonly statusCode: number;
   readonly peerRefusal: EgretError | null;
+  /** Reported by a peer with its refusal. */
+  readonly peerStatus: PoolStatus | null;
 }
 
 /** Idle connections to one process of a backend server. */
@@ -94,6 +97,13 @@
 
 const TICK_MS = 5;
 const PORT = 1;
+
+/** Time for which a stopping host serves the callers that still know its address. */
+const STOP_LINGER_MS = 800;
+
+/** Time after which a planned stop ends with calls in progress. */
+const STOP_LIMIT_MS = 2_000;
+
 /** Time after which a cancelled attempt ends without a report of its target. */
 const CANCEL_TIMEOUT_MS = 500;
 const OK = 200;
@@ -133,6 +143,9 @@
 
   alive = false;
 
+  /** True from the start of a planned stop to the next start. */
+  private stopping = false;
+
   boot = 0;
 
   readonly self: EntryHost;
@@ -171,6 +184,7 @@
   start(): void {
     this.boot += 1;
     this.alive = true;
+    this.stopping = false;
     this.calls.clear();
     this.idleConnections.clear();
     this.announcementCallbacks.clear();
@@ -185,6 +199,29 @@
     this.tick(this.boot);
   }
 
+  /** True unless the host is down or stopping. */
+  get serving(): boolean {
+    return this.alive && !this.stopping;
+  }
+
+  /** Starts a planned stop; the process ends after its calls, at the latest after a time limit. */
+  stop(): void {
+    if (!this.serving) return;
+    const { timeline } = this.options;
+    this.stopping = true;
+    this.handle({ type: EntryEventType.Stop });
+    const { boot } = this;
+    const untilMs = timeline.nowMs + STOP_LIMIT_MS;
+    const endIfDone = () => {
+      if (boot !== this.boot || !this.alive) return;
+      const { calls, unsettledClaims } = this.reducer.status();
+      const done = calls === 0 && unsettledClaims === 0;
+      if (done || timeline.nowMs >= untilMs) this.crash();
+      else timeline.after(TICK_MS, endIfDone);
+    };
+    timeline.after(STOP_LINGER_MS, endIfDone);
+  }
+
   /** Stops at once: connections of callers break, and those to backend servers are closed. */
   crash(): void {
     if (!this.alive) return;
@@ -240,6 +277,11 @@
     this.handle({ type: EntryEventType.Announcement, requestId, announcement, tokenHash });
   }
 
+  private poolStatus(service: string): PoolStatus | null {
+    const nowMs = this.options.timeline.nowMs * this.options.clockRate;
+    return this.reducer.pools.get(service)?.status(nowMs) ?? null;
+  }
+
   private tick(boot: number): void {
     if (boot !== this.boot || !this.alive) return;
     this.handle({ type: EntryEventType.Tick });
@@ -253,11 +295,17 @@
     const { boot } = this;
     const { network, timeline } = this.options;
     let ended = false;
-    const end = (result: AttemptResult, error: EgretError | null = null, statusCode = OK) => {
+    const end = (
+      result: AttemptResult,
+      statusCode = OK,
+      peerRefusal: EgretError | null = null,
+      peerStatus: PoolStatus | null = null,
+    ) => {
       if (ended || boot !== this.boot || !this.alive) return;
       ended = true;
       item.cancels.delete(attemptId);
-      this.onAttemptEnded(item, { callId, attemptId, result, statusCode, peerRefusal: error });
+      const endedAttempt = { callId, attemptId, result, statusCode, peerRefusal, peerStatus };
+      this.onAttemptEnded(item, endedAttempt);
     };
     if (target.kind === TargetKind.Backend) {
       this.sendToBackend(item, effect, end);
@@ -272,7 +320,7 @@
   private sendToBackend(
     item: OpenCall,
     effect: StartAttemptEffect,
-    end: (result: AttemptResult, error?: EgretError | null, statusCode?: number) => void,
+    end: (result: AttemptResult, statusCode?: number) => void,
   ): void {
     const { network } = this.options;
     const { callId, attemptId, target } = effect;
@@ -312,7 +360,7 @@
               item.answerOf ??= requestId;
               this.handle({ type: EntryEventType.AttemptHeaders, callId, attemptId });
             }
-            end(cancelled ? AttemptResult.Cancelled : RESULTS[runEnd], null, statusCode);
+            end(cancelled ? AttemptResult.Cancelled : RESULTS[runEnd], statusCode);
           }),
       });
     });
@@ -335,7 +383,12 @@
   private sendToPeer(
     item: OpenCall,
     effect: StartAttemptEffect,
-    end: (result: AttemptResult, error?: EgretError | null) => void,
+    end: (
+      result: AttemptResult,
+      statusCode?: number,
+      peerRefusal?: EgretError | null,
+      peerStatus?: PoolStatus | null,
+    ) => void,
   ): void {
     const { network } = this.options;
     const { callId, attemptId, target } = effect;
@@ -353,11 +406,12 @@
         ...item.call,
         forwarded: true,
         timeoutMs: effect.timeoutMs,
-        onResult: (result) =>
+        onResult: (result) => {
+          const status = peer.poolStatus(item.call.service);
           network.exchange(() => {
             const notRun = result.outcome === 'not-run' && result.statusCode === 503;
             if (notRun) {
-              end(AttemptResult.Shed, result.error);
+              end(AttemptResult.Shed, result.statusCode, result.error, status);
               return;
             }
             if (result.complete || result.answerOf !== null) {
@@ -368,7 +422,8 @@
             }
             if (result.complete) end(AttemptResult.Completed);
             else end(result.answerOf ? AttemptResult.Truncated : AttemptResult.Reset);
-          }),
+          });
+        },
       });
     });
   }
@@ -386,7 +441,7 @@
         ? { statusCode: 201, rawHeaders: [], body: Buffer.from(item.call.requestId) }
         : null;
     const type = EntryEventType.AttemptEnded;
-    this.handle({ type, ...ended, answer, resume: null, peerStatus: null });
+    this.handle({ type, ...ended, answer, resume: null });
   }
 
   private readonly effectHandlers = {
--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -5,7 +5,7 @@
 import type { EntryHost } from '../common/Placement.js';
 import { CallAnswers } from './CallAnswers.js';
 import type { ClaimFlow } from './ClaimFlow.js';
-import { AttemptOutcomes, finalError } from './dispatch/AttemptOutcomes.js';
+import { AttemptOutcomes, finalError, hasNoLease } from './dispatch/AttemptOutcomes.js';
 import { CallPhase, type Attempt, type CallRecord } from './dispatch/CallRecord.js';
 import { chooseHedge } from './dispatch/Hedging.js';
 import { Standing } from './dispatch/Quarantine.js';
@@ -46,6 +46,9 @@
 /** Attempts after which a call is no longer forwarded. */
 const MAX_FORWARDS = 4;
 
+/** Lease durations within which a lease has moved: the old one expires, the new one is verified. */
+const LEASES_PER_MOVE = 2;
+
 /** Claimed calls may run for this many timeouts of their service, to record their answers. */
 const CLAIMED_GRACE_TIMEOUTS = 2;
 
@@ -276,22 +279,48 @@
     const peer = this.choosePeer(record, serving);
     if (peer) this.forward(record, peer);
     else if (serving) this.admit(record);
+    else if (this.isUnserved(record.call.service)) this.refuseForNoBackend(record);
     else this.pauseOrRefuse(record);
   }
 
   /** Leaseholder to forward to; one with known free slots if this host serves calls itself. */
   private choosePeer(record: CallRecord, serving: boolean): EntryHost | undefined {
-    const { context, roster, settings, capacity } = this.options;
+    const { context, capacity } = this.options;
     const { service } = record.call;
-    const entry = settings.catalog.services.get(service);
-    if (!entry || record.attemptsMade >= MAX_FORWARDS) return undefined;
-    const peers = roster
-      .leaseholders(entry)
-      .filter((peer) => peer.id !== context.self.id && !record.tried.includes(peer.id))
-      .filter((peer) => !serving || capacity.hasFreeSlots(peer.id, service, context.nowMs));
+    if (record.attemptsMade >= MAX_FORWARDS) return undefined;
+    const peers = this.otherLeaseholders(service)
+      .filter((peer) => !record.tried.includes(peer.id))
+      .filter((peer) =>
+        serving
+          ? capacity.hasFreeSlots(peer.id, service, context.nowMs)
+          : capacity.mayServe(peer.id, service, context.nowMs),
+      );
     return capacity.pick(peers, service, context.random);
   }
 
+  private otherLeaseholders(service: string): EntryHost[] {
+    const { context, roster, settings } = this.options;
+    const entry = settings.catalog.services.get(service);
+    if (!entry) return [];
+    return roster.leaseholders(entry).filter((peer) => peer.id !== context.self.id);
+  }
+
+  /** True if the leases of backend servers may be moving to other entry hosts. */
+  private mayLeasesMove(): boolean {
+    const { context, roster, settings } = this.options;
+    const { leaseMs, announcementIntervalMs } = settings.catalog.system;
+    const moveMs = announcementIntervalMs + LEASES_PER_MOVE * leaseMs;
+    return roster.hasChangedWithin(moveMs, context.nowMs);
+  }
+
+  /** True if no other leaseholder has a usable backend server and none will get one by a move. */
+  private isUnserved(service: string): boolean {
+    const { context, capacity } = this.options;
+    const peers = this.otherLeaseholders(service);
+    if (peers.length === 0 || this.mayLeasesMove()) return false;
+    return !peers.some((peer) => capacity.mayServe(peer.id, service, context.nowMs));
+  }
+
   private forward(record: CallRecord, peer: EntryHost): void {
     const { context, capacity } = this.options;
     context.count(CounterName.Forwards, record.call.service);
@@ -472,8 +501,9 @@
   /** Sends the call to a leaseholder that it was not sent to yet. */
   private retryAtPeer(record: CallRecord, event: AttemptEndedEvent): void {
     const peer = record.call.forwarded ? undefined : this.choosePeer(record, false);
+    const mayBeServedLater = hasNoLease(event) && this.mayLeasesMove();
     if (peer) this.forward(record, peer);
-    else if (event.peerRefusal) this.answers.refuse(record, event.peerRefusal);
+    else if (event.peerRefusal && !mayBeServedLater) this.answers.refuse(record, event.peerRefusal);
     else this.pauseOrRefuse(record);
   }
 
@@ -548,7 +578,10 @@
   }
 
   private pauseOrRefuse(record: CallRecord): void {
-    if (this.paused.pause(record, this.options.context.nowMs)) return;
+    if (!this.paused.pause(record, this.options.context.nowMs)) this.refuseForNoBackend(record);
+  }
+
+  private refuseForNoBackend(record: CallRecord): void {
     const detail = `No backend server of ${record.call.service} is available.`;
     this.answers.refuseNotRun(record, new EgretError(ErrorKind.NoBackend, detail));
   }
--- a/src/entry/EntryReducer.test.ts
+++ b/src/entry/EntryReducer.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { World } from '../../fuzz/World.js';
 import { BackendLifecycleState, ZoneState } from '../common/Enums.js';
+import { ErrorKind } from '../common/Errors.js';
+import { EntryEventType } from './Types.js';
 
 /** World with a lossless network, run until it has settled. */
 function createWorld(changes: Partial<ConstructorParameters<typeof World>[0]> = {}): World {
@@ -81,6 +83,33 @@
   });
 });
 
+describe('a planned stop of an entry host', () => {
+  const SEEDS = Array.from({ length: 12 }, (unused, index) => index + 1);
+
+  /** Refusals of calls that arrive at a stopping host every `spacingMs` while its leases move. */
+  function refusalsDuringStop(seed: number, spacingMs: number, count: number): string[] {
+    const network = { maxDelayMs: 30, dropRatio: 0, duplicateRatio: 0 };
+    const world = createWorld({ seed, network, entryHosts: 4, backends: 6 });
+    const index = seed % world.entries.length;
+    const answeredBefore = world.results.length;
+    world.entries[index]!.handle({ type: EntryEventType.Stop });
+    for (let sent = 0; sent < count; sent += 1) {
+      world.call(index);
+      world.run(spacingMs);
+    }
+    world.run(3_000);
+    const results = world.results.slice(answeredBefore);
+    expect(results).toHaveLength(count);
+    return results.flatMap((result) => (result.error ? [result.error.kind] : []));
+  }
+
+  // Guards against a call that ends because its first peers have no lease yet.
+  it('refuses no call for want of a backend server while the leases move', () => {
+    const refusals = SEEDS.flatMap((seed) => refusalsDuringStop(seed, 4, 200));
+    expect(refusals.filter((kind) => kind === ErrorKind.NoBackend)).toEqual([]);
+  });
+});
+
 describe('removal from service', () => {
   it.each([
     ['a draining backend server', (world: World) => world.backends[0]!.drain()],
--- a/src/entry/EntryReducer.ts
+++ b/src/entry/EntryReducer.ts
@@ -150,7 +150,7 @@
     },
     [EntryEventType.ControlClosed]: (event: EventOf<EntryEventType.ControlClosed>) => {
       this.sessions.close(event.controlHostId);
-      this.roster.dropList(event.controlHostId);
+      this.roster.dropList(event.controlHostId, event.nowMs);
     },
     [EntryEventType.PeerMessage]: (event: EventOf<EntryEventType.PeerMessage>) => {
       this.peers.onMessage(event.from, event.message);
@@ -181,7 +181,7 @@
       this.pools.findBackend(event.targetId)?.onDisconnected(),
     [EntryEventType.Stop]: () => {
       this.context.self = { ...this.context.self, stopping: true };
-      this.roster.setSelf(this.context.self);
+      this.roster.setSelf(this.context.self, this.context.nowMs);
       this.sessions.ping();
     },
   };
@@ -200,7 +200,7 @@
     [ControlMessageType.EntryHosts]: (
       from: string,
       message: ControlMessageOf<ControlMessageType.EntryHosts>,
-    ) => this.roster.setList(from, message.entryHosts),
+    ) => this.roster.setList(from, message.entryHosts, this.context.nowMs),
     [ControlMessageType.ClaimReply]: (from: string, reply: ClaimReplyMessage) =>
       this.claims.onClaimReply(reply),
     [ControlMessageType.SettleReply]: (
@@ -232,7 +232,7 @@
   }
 
   private onSettingsChanged(): void {
-    this.roster.invalidate();
+    this.roster.invalidate(this.context.nowMs);
     this.pools.onSettingsChanged();
     this.context.log('settings_applied', {
       revision: this.settings.revision,
--- a/src/entry/EntryRoster.ts
+++ b/src/entry/EntryRoster.ts
@@ -14,17 +14,25 @@
 
   private hosts: readonly EntryHost[] = [];
 
+  /** Last time at which the placement of leases may have changed. */
+  private placedAtMs = Number.NEGATIVE_INFINITY;
+
   /** Cached placement per service; cleared when the roster or the settings change. */
   private readonly placements = new Map<string, EntryHost[]>();
 
   constructor(private self: EntryHost) {
-    this.rebuild();
+    this.rebuild(Number.NEGATIVE_INFINITY);
   }
 
   get size(): number {
     return this.hosts.length;
   }
 
+  /** True if the placement of leases may have changed within a time. */
+  hasChangedWithin(spanMs: number, nowMs: number): boolean {
+    return nowMs - this.placedAtMs <= spanMs;
+  }
+
   all(): readonly EntryHost[] {
     return this.hosts;
   }
@@ -34,22 +42,22 @@
   }
 
   /** Applies the list of one control host. */
-  setList(controlHostId: string, hosts: readonly EntryHost[]): void {
+  setList(controlHostId: string, hosts: readonly EntryHost[], nowMs: number): void {
     this.lists.set(controlHostId, hosts);
-    this.rebuild();
+    this.rebuild(nowMs);
   }
 
   /** Drops the list of a control host, unless it is the only one left. */
-  dropList(controlHostId: string): void {
+  dropList(controlHostId: string, nowMs: number): void {
     if (this.lists.size <= 1) return;
     this.lists.delete(controlHostId);
-    this.rebuild();
+    this.rebuild(nowMs);
   }
 
   /** Excludes a peer for {@link EXCLUSION_MS}. */
   markUnreachable(id: string, nowMs: number): void {
     this.unreachable.set(id, nowMs + EXCLUSION_MS);
-    this.rebuild();
+    this.rebuild(nowMs);
   }
 
   /** Readmits peers whose exclusion has expired. */
@@ -60,17 +68,18 @@
       this.unreachable.delete(id);
       changed = true;
     });
-    if (changed) this.rebuild();
+    if (changed) this.rebuild(nowMs);
   }
 
-  setSelf(self: EntryHost): void {
+  setSelf(self: EntryHost, nowMs: number): void {
     this.self = self;
-    this.rebuild();
+    this.rebuild(nowMs);
   }
 
   /** Clears the cached placements; required after every settings change. */
-  invalidate(): void {
+  invalidate(nowMs: number): void {
     this.placements.clear();
+    this.placedAtMs = nowMs;
   }
 
   /** Entry hosts that hold the leases of a service's backend servers. */
@@ -92,7 +101,7 @@
     return placed;
   }
 
-  private rebuild(): void {
+  private rebuild(nowMs: number): void {
     const merged = new Map<string, EntryHost>();
     this.lists.forEach((hosts) => {
       hosts.forEach((host) => {
@@ -102,7 +111,15 @@
     });
     [...this.unreachable.keys()].forEach((id) => merged.delete(id));
     merged.set(this.self.id, this.self);
+    const before = this.hosts;
     this.hosts = [...merged.values()].sort((a, b) => (a.id < b.id ? -1 : 1));
     this.placements.clear();
+    const unchanged =
+      before.length === this.hosts.length &&
+      this.hosts.every(
+        ({ id, stopping }, index) =>
+          before[index]!.id === id && before[index]!.stopping === stopping,
+      );
+    if (!unchanged) this.placedAtMs = nowMs;
   }
 }
--- a/src/entry/PeerCapacity.ts
+++ b/src/entry/PeerCapacity.ts
@@ -30,6 +30,12 @@
     entry.forwardsSince += 1;
   }
 
+  /** False if the peer recently reported that it has no usable backend server. */
+  mayServe(peerId: string, service: string, nowMs: number): boolean {
+    const entry = this.statuses.get(`${service}/${peerId}`);
+    return !entry || nowMs - entry.atMs > STATUS_VALID_MS || entry.status.slots > 0;
+  }
+
   /** True if the peer recently reported more free slots than this host has used since. */
   hasFreeSlots(peerId: string, service: string, nowMs: number): boolean {
     const entry = this.statuses.get(`${service}/${peerId}`);
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -163,7 +163,7 @@
   readonly resume: ResumePoint | null;
   /** Whole answer, if it was small enough to record. */
   readonly answer: ReplayAnswer | null;
-  /** Reported by a peer with a forwarded answer. */
+  /** Reported by a peer with the answer to, or refusal of, a forwarded call. */
   readonly peerStatus: PoolStatus | null;
   /** Refusal by a peer; relayed if no other peer accepts the call. */
   readonly peerRefusal: EgretError | null;
--- a/src/entry/dispatch/AttemptOutcomes.ts
+++ b/src/entry/dispatch/AttemptOutcomes.ts
@@ -45,6 +45,11 @@
   return new EgretError(ErrorKind.NoBackend, detail);
 }
 
+/** True if a peer refused the call because it has no usable backend server. */
+export function hasNoLease({ peerRefusal, peerStatus }: AttemptEndedEvent): boolean {
+  return peerRefusal?.kind === ErrorKind.NoBackend && peerStatus?.slots === 0;
+}
+
 /** Updates the backend statistics when an attempt ends and decides the call's next step. */
 export class AttemptOutcomes {
   constructor(private readonly options: AttemptOutcomesOptions) {}
@@ -120,7 +125,11 @@
     if (record.attempts.size > 0 || record.phase === CallPhase.Answered) {
       return record.phase === CallPhase.Answered ? { settle: ClaimOutcome.NotRun } : {};
     }
-    if (this.mayRetry(record)) return { retry: true };
+    if (hasNoLease(event)) {
+      // The attempt put no load on a backend server, so neither limit on attempts applies.
+      record.attemptsMade -= 1;
+      if (this.isRetryable(record)) return { retry: true };
+    } else if (this.mayRetry(record)) return { retry: true };
     return {
       error: finalError(record, event),
       settle: record.mayHaveRun ? ClaimOutcome.Unknown : ClaimOutcome.NotRun,
@@ -156,9 +165,17 @@
   }
 
   private mayRetry(record: CallRecord): boolean {
-    const { context } = this.options;
-    if (!record.call.replayable || record.attemptsMade >= MAX_ATTEMPTS) return false;
-    if (context.nowMs >= record.deadlineMs && record.answeringId === null) return false;
-    return record.pool.retryBudget.tryTake(context.nowMs);
+    const { nowMs } = this.options.context;
+    return (
+      record.attemptsMade < MAX_ATTEMPTS &&
+      this.isRetryable(record) &&
+      record.pool.retryBudget.tryTake(nowMs)
+    );
+  }
+
+  /** True if the call can be sent again before its deadline. */
+  private isRetryable(record: CallRecord): boolean {
+    const { nowMs } = this.options.context;
+    return record.call.replayable && (nowMs < record.deadlineMs || record.answeringId !== null);
   }
 }
--- a/src/entry/server/AttemptRunner.test.ts
+++ b/src/entry/server/AttemptRunner.test.ts
@@ -82,8 +82,10 @@
     await Promise.all(servers.splice(0).map(closeServer));
   });
 
-  const refuse = (response: ServerResponse) =>
+  const refuse = (response: ServerResponse) => {
+    response.setHeader('Egret-Pool', '0,0,2');
     sendError(response, new EgretError(ErrorKind.NoBackend, 'No lease.'));
+  };
   const refuseWithoutBody = (response: ServerResponse) => {
     response.writeHead(503, { 'Egret-Outcome': 'not-run', 'Content-Length': 0 });
     response.end();
@@ -112,6 +114,8 @@
     const end = await runAttempt(kind, port, agent);
     agent.destroy();
     expect(end.result).toBe(AttemptResult.Shed);
-    expect(end.peerRefusal?.kind).toBe(kind === TargetKind.Peer ? ErrorKind.NoBackend : undefined);
+    if (kind === TargetKind.Backend) return;
+    expect(end.peerRefusal?.kind).toBe(ErrorKind.NoBackend);
+    expect(end.peerStatus).toEqual({ freeSlots: 0, slots: 0, queued: 2 });
   });
 });
--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -11,7 +11,7 @@
   type StartAttemptEffect,
 } from '../Types.js';
 import type { CallContext, RunningAttempt } from './CallContext.js';
-import { answerHeaders, POOL_HEADER } from './Headers.js';
+import { answerHeaders, formatPoolStatus, POOL_HEADER } from './Headers.js';
 
 /** End of an attempt, as reported to the reducer. */
 export interface AttemptEnd {
@@ -254,9 +254,7 @@
     const headers = answerHeaders(answer.rawHeaders);
     headers.push('Egret-Request-Id', call.requestId);
     const status = call.forwarded ? this.options.poolStatus() : null;
-    if (status) {
-      headers.push('Egret-Pool', `${status.freeSlots},${status.slots},${status.queued}`);
-    }
+    if (status) headers.push('Egret-Pool', formatPoolStatus(status));
     call.response.writeHead(statusCode, headers as unknown as http.OutgoingHttpHeaders);
   }
 
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -31,6 +31,7 @@
   TargetKind,
   type EntryEffect,
   type EntryEvent,
+  type PoolStatus,
   type StartAttemptEffect,
 } from '../Types.js';
 import { Agents } from './Agents.js';
@@ -41,6 +42,7 @@
 import { listBackends } from './BackendList.js';
 import { ControlLinks } from './ControlLinks.js';
 import { EntryMetrics } from './EntryMetrics.js';
+import { formatPoolStatus, POOL_HEADER } from './Headers.js';
 import { PEER_FIELDS } from './PeerFields.js';
 import { PeerLinks } from './PeerLinks.js';
 
@@ -455,11 +457,15 @@
       onHeaders: () =>
         this.dispatch(this.timed({ type: EntryEventType.AttemptHeaders, callId, attemptId })),
       onEnded: (end) => this.onAttemptEnded(call, attemptId, end),
-      poolStatus: () => this.reducer.pools.get(call.service)?.status(this.clock.nowMs()) ?? null,
+      poolStatus: () => this.poolStatus(call.service),
     });
     call.attempts.set(attemptId, attempt);
   }
 
+  private poolStatus(service: string): PoolStatus | null {
+    return this.reducer.pools.get(service)?.status(this.clock.nowMs()) ?? null;
+  }
+
   /** Reports an attempt that was not started. */
   private reportNotSent(callId: number, attemptId: number): void {
     this.dispatch(
@@ -520,7 +526,13 @@
     },
     [EntryEffectType.RefuseCall]: (effect: EffectOf<EntryEffectType.RefuseCall>) => {
       const call = this.calls.get(effect.callId);
-      if (call) refuseRequest(call.request, call.response, effect.error, call.requestId);
+      if (!call) return;
+      const { request, response, requestId, forwarded, service } = call;
+      const status = forwarded ? this.poolStatus(service) : null;
+      if (status && !response.headersSent) {
+        response.setHeader(POOL_HEADER, formatPoolStatus(status));
+      }
+      refuseRequest(request, response, effect.error, requestId);
     },
     [EntryEffectType.ReplayCall]: (effect: EffectOf<EntryEffectType.ReplayCall>) => {
       const call = this.calls.get(effect.callId);
--- a/src/entry/server/Headers.ts
+++ b/src/entry/server/Headers.ts
@@ -1,4 +1,5 @@
 import { HeaderName } from '../../common/Constants.js';
+import type { PoolStatus } from '../Types.js';
 
 /** Headers that belong to one connection (RFC 9110, section 7.6.1). */
 const HOP_BY_HOP = new Set([
@@ -16,6 +17,11 @@
 /** Answer header in which a peer reports the free slots, slots and queue of its pool. */
 export const POOL_HEADER = 'egret-pool';
 
+/** Value of the {@link POOL_HEADER}. */
+export function formatPoolStatus({ freeSlots, slots, queued }: PoolStatus): string {
+  return `${freeSlots},${slots},${queued}`;
+}
+
 /** Request headers that are not copied because entry hosts handle or set them. */
 const RESERVED_REQUEST_HEADERS = new Set<string>([
   HeaderName.RequestId,
