Fuzz model: a restart of a backend server takes time

The model replaced a backend server by its next incarnation in no time, so that new connections which were on their way reached the successor before any host could detect the end of the old process.

A restart now refuses connections for longer than a message takes, as the start of a process does, and a request on an old connection is reset, not refused, while the server is down.

--- a/fuzz/BackendHost.ts
+++ b/fuzz/BackendHost.ts
@@ -59,6 +59,9 @@
 const MS_PER_SECOND = 1_000;
 const MAX_SERVICE_MS = 20;
 
+/** Duration of a restart; longer than a message takes, as the start of a process is. */
+const RESTART_MS = 25;
+
 /** Model of a backend server that announces itself, runs requests and simulates faults. */
 export class BackendHost {
   alive = true;
@@ -124,9 +127,17 @@
     [...this.running].forEach((item) => this.end(item, RunEnd.Reset));
   }
 
-  /** Restarts cold, as a new incarnation. */
+  /** Restarts cold, as a new incarnation; the address refuses connections in between. */
   restart(): void {
     if (this.alive) this.crash();
+    this.epoch += 1;
+    const { epoch } = this;
+    this.options.timeline.after(RESTART_MS, () => {
+      if (epoch === this.epoch) this.start();
+    });
+  }
+
+  private start(): void {
     this.alive = true;
     this.incarnation += 1;
     this.state = BackendLifecycleState.Ready;
