A redirected lease is used until its new holder requests it

Callers of an entry host in a planned stop (and of any host whose leases move) waited for, or were refused by, hosts without a backend server for as long as the move of a lease took.

Cause: the old holder released a lease when it redirected the server's announcements. The new holder could use it only after two announcements and an exchange with the old holder, whose first message about the release came before the new holder knew the server and was dropped. Each delay of the server, of the connections it opens or of the lists of entry hosts extended the time without any holder.

The old holder now uses the lease until the new holder requests it (which it does at the first announcement, before it can use the lease) or until it expires; the new holder still waits for the release or for the end of the lease on any clock. A server that returns after another host accepted it gets a new lease, as after a release; an announcement of a new incarnation ends the old lease at once. A record that was redirected is dropped like a released one, without counting as a crash.

--- a/src/entry/EntryReducer.test.ts
+++ b/src/entry/EntryReducer.test.ts
@@ -106,6 +106,25 @@
     return results.flatMap((result) => (result.error ? [result.error.kind] : []));
   }
 
+  // Guards against a lease that is given up before its new holder can use it.
+  it('leaves a backend server without a leaseholder for at most two message delays', () => {
+    const delayMs = 20;
+    const network = { minDelayMs: delayMs, maxDelayMs: delayMs, dropRatio: 0, duplicateRatio: 0 };
+    const world = createWorld({ network, entryHosts: 4 });
+    const { backendId } = world.backends[0]!;
+    const [oldHolder] = holders(world, backendId);
+    world.entry(oldHolder!)!.handle({ type: EntryEventType.Stop });
+    let withoutHolderMs = 0;
+    for (let elapsedMs = 0; elapsedMs < 1_500; elapsedMs += 1) {
+      world.run(1);
+      const currentHolders = holders(world, backendId);
+      expect(currentHolders.length).toBeLessThanOrEqual(1);
+      if (currentHolders.length === 0) withoutHolderMs += 1;
+    }
+    expect(holders(world, backendId)).not.toContain(oldHolder);
+    expect(withoutHolderMs).toBeLessThanOrEqual(2 * delayMs);
+  });
+
   // Guards against a call that ends because its first peers have no lease yet.
   it('refuses no call for want of a backend server while the leases move', () => {
     const refusals = SEEDS.flatMap((seed) => refusalsDuringStop(seed, 4, 200));
--- a/src/entry/LeaseTable.ts
+++ b/src/entry/LeaseTable.ts
@@ -106,7 +106,8 @@
     const holder =
       placeBackend(backendId, announcement.availabilityZone, reachable) ?? context.self;
     if (holder.id !== context.self.id) {
-      if (existing) this.release(existing, holder);
+      if (existing?.incarnation === announcement.incarnation) existing.redirected = true;
+      else if (existing) this.release(existing, holder);
       return Result.ok(this.answer(holder, redirectDelayMs(announcement, pool)));
     }
     const record = this.accept(announcement, backendId, pool, existing);
@@ -151,9 +152,10 @@
       pool.records.forEach((record) => {
         const expiredForMs =
           nowMs - Math.max(record.leaseUntilMs, this.createdAtMs.get(record.id) ?? 0);
-        const leases = record.released ? DROP_RELEASED_AFTER_LEASES : DROP_AFTER_LEASES;
+        const moved = record.released || record.redirected;
+        const leases = moved ? DROP_RELEASED_AFTER_LEASES : DROP_AFTER_LEASES;
         if (record.inFlight > 0 || expiredForMs < leaseMs * leases) return;
-        if (!record.released) {
+        if (!moved) {
           this.onEnded({ pool, backendId: record.id, incarnation: record.incarnation });
         }
         this.drop(record);
@@ -176,12 +178,16 @@
     const { context } = this;
     const leaseMs = this.leaseMs();
     let record = existing;
+    // A redirected server that names a previous holder was accepted by it in the meantime.
+    const returned = record?.redirected && announcement.previous !== null;
+    if (returned) record!.released = true;
     if (!record || record.incarnation !== announcement.incarnation || record.released) {
       record = this.create(announcement, backendId, pool, existing);
     } else if (announcement.previous && record.leaseUntilMs <= context.nowMs) {
       // Another host may have held a lease since this host's own lease expired.
       record.usableFromMs = context.nowMs + this.waitMs(announcement, undefined);
     }
+    record.redirected = false;
     this.countForeign(record, announcement.load.inFlight);
     record.sequence = announcement.sequence;
     record.slots = Math.min(announcement.slots, pool.settings.slotsMax);
--- a/src/entry/dispatch/BackendRecord.ts
+++ b/src/entry/dispatch/BackendRecord.ts
@@ -68,6 +68,9 @@
   /** True once the lease was released; requests in flight continue. */
   released = false;
 
+  /** True once the server was redirected; the lease is used until it is requested or expires. */
+  redirected = false;
+
   /** Requests of this host that are in flight there. */
   inFlight = 0;
 
