--- a/src/entry/EntryReducer.test.ts
+++ b/src/entry/EntryReducer.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { World } from '../../fuzz/World.js';
 import { BackendLifecycleState, ZoneState } from '../common/Enums.js';
+import { ErrorKind } from '../common/Errors.js';
+import { EntryEventType } from './Types.js';
 
 /** World with a lossless network, run until it has settled. */
 function createWorld(changes: Partial<ConstructorParameters<typeof World>[0]> = {}): World {
@@ -72,12 +74,61 @@
     expect(succeeded(world).length).toBeGreaterThan(before + 300);
   });
 
-  it('start at the cold limit after a backend server restarts under load', () => {
-    const world = createWorld({ coldRequests: 4 });
-    sendCalls(world, 200, 1);
-    world.backends[0]!.restart();
-    sendCalls(world, 400, 1);
-    expect(world.oracle.checks).toBeGreaterThan(800);
+  it.each([3, 56, 60, 77, 104, 109, 130])(
+    'start at the cold limit after a backend server restarts under load (seed %i)',
+    (seed) => {
+      const world = createWorld({ seed, coldRequests: 4 });
+      sendCalls(world, 200, 1);
+      world.backends[0]!.restart();
+      sendCalls(world, 400, 1);
+      expect(world.oracle.checks).toBeGreaterThan(800);
+    },
+  );
+});
+
+describe('a planned stop of an entry host', () => {
+  const SEEDS = Array.from({ length: 12 }, (unused, index) => index + 1);
+
+  /** Refusals of calls that arrive at a stopping host every `spacingMs` while its leases move. */
+  function refusalsDuringStop(seed: number, spacingMs: number, count: number): string[] {
+    const network = { maxDelayMs: 30, dropRatio: 0, duplicateRatio: 0 };
+    const world = createWorld({ seed, network, entryHosts: 4, backends: 6 });
+    const index = seed % world.entries.length;
+    const answeredBefore = world.results.length;
+    world.entries[index]!.handle({ type: EntryEventType.Stop });
+    for (let sent = 0; sent < count; sent += 1) {
+      world.call(index);
+      world.run(spacingMs);
+    }
+    world.run(3_000);
+    const results = world.results.slice(answeredBefore);
+    expect(results).toHaveLength(count);
+    return results.flatMap((result) => (result.error ? [result.error.kind] : []));
+  }
+
+  // Guards against a lease that is given up before its new holder can use it.
+  it('leaves a backend server without a leaseholder for at most two message delays', () => {
+    const delayMs = 20;
+    const network = { minDelayMs: delayMs, maxDelayMs: delayMs, dropRatio: 0, duplicateRatio: 0 };
+    const world = createWorld({ network, entryHosts: 4 });
+    const { backendId } = world.backends[0]!;
+    const [oldHolder] = holders(world, backendId);
+    world.entry(oldHolder!)!.handle({ type: EntryEventType.Stop });
+    let withoutHolderMs = 0;
+    for (let elapsedMs = 0; elapsedMs < 1_500; elapsedMs += 1) {
+      world.run(1);
+      const currentHolders = holders(world, backendId);
+      expect(currentHolders.length).toBeLessThanOrEqual(1);
+      if (currentHolders.length === 0) withoutHolderMs += 1;
+    }
+    expect(holders(world, backendId)).not.toContain(oldHolder);
+    expect(withoutHolderMs).toBeLessThanOrEqual(2 * delayMs);
+  });
+
+  // Guards against a call that ends because its first peers have no lease yet.
+  it('refuses no call for want of a backend server while the leases move', () => {
+    const refusals = SEEDS.flatMap((seed) => refusalsDuringStop(seed, 4, 200));
+    expect(refusals.filter((kind) => kind === ErrorKind.NoBackend)).toEqual([]);
   });
 });
 
--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -12,7 +12,7 @@
   type StartAttemptEffect,
 } from '../Types.js';
 import type { CallContext, RunningAttempt } from './CallContext.js';
-import { answerHeaders, POOL_HEADER } from './Headers.js';
+import { answerHeaders, formatPoolStatus, POOL_HEADER } from './Headers.js';
 
 /** End of an attempt, as reported to the reducer. */
 export interface AttemptEnd {
@@ -265,9 +265,7 @@
     const headers = answerHeaders(answer.rawHeaders);
     headers.push('Egret-Request-Id', call.requestId);
     const status = call.forwarded ? this.options.poolStatus() : null;
-    if (status) {
-      headers.push('Egret-Pool', `${status.freeSlots},${status.slots},${status.queued}`);
-    }
+    if (status) headers.push('Egret-Pool', formatPoolStatus(status));
     if (this.options.endsConnection()) headers.push('Connection', 'close');
     call.response.writeHead(statusCode, headers as unknown as http.OutgoingHttpHeaders);
   }
