An answer that has begun is continued through any leaseholder

Since a peer that reports no slots gets no forwarded calls for 250 ms, a truncated answer, which can't wait for a lease, could end although that peer had a backend server again. Such calls are forwarded to it as before.

--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -288,12 +288,14 @@
     const { context, capacity } = this.options;
     const { service } = record.call;
     if (record.attemptsMade >= MAX_FORWARDS) return undefined;
+    // A call that can't be paused takes its chance with a peer that had no backend server.
+    const mayWait = record.answeringId === null && !record.mayHaveRun;
     const peers = this.otherLeaseholders(service)
       .filter((peer) => !record.tried.includes(peer.id))
       .filter((peer) =>
         serving
           ? capacity.hasFreeSlots(peer.id, service, context.nowMs)
-          : capacity.mayServe(peer.id, service, context.nowMs),
+          : !mayWait || capacity.mayServe(peer.id, service, context.nowMs),
       );
     return capacity.pick(peers, service, context.random);
   }
