A link stays open while a large message arrives slowly

Links to control hosts dropped and returned about every 2.5 s.

Cause: MessageClient counted only complete messages and pongs as a sign of life. Pongs queue behind a message that is being sent, so a message that takes longer than receiveTimeoutMs to arrive closed the link. The next link began the same message again and never completed it.

Ruled out: the server end, which has no receive timeout, and its limit of 32 MiB of unsent data, far above the size of a routing view.

Why it works: received bytes of the connection now count, whether or not they complete a message. A link on which nothing arrives is closed after the same time as before, plus at most one heartbeat interval.

--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { WebSocket, type RawData } from 'ws';
 import { MAX_MESSAGE_BYTES } from '../common/Constants.js';
 import type { Disposable } from '../common/Disposable.js';
@@ -21,7 +22,7 @@
   /** Attempts at the shortest delay, so that hosts that start together connect quickly. */
   readonly quickRetries: number;
   readonly heartbeatIntervalMs: number;
-  /** Time without a message or pong after which the link counts as broken. */
+  /** Time without a received byte after which the link counts as broken. */
   readonly receiveTimeoutMs: number;
   readonly connectTimeoutMs: number;
 }
@@ -97,6 +98,12 @@
 
   private receivedAtMs = 0;
 
+  /** Connection under the WebSocket; its byte count includes incomplete messages. */
+  private connection: Socket | undefined;
+
+  /** Bytes received on the connection at the last heartbeat. */
+  private receivedBytes = 0;
+
   private disposed = false;
 
   readonly traffic: LinkTraffic = { bytes: 0, messages: 0 };
@@ -156,6 +163,10 @@
     this.state = LinkState.Connecting;
     socket.on('error', () => socket.terminate());
     socket.on('message', (data) => this.receive(socket, data));
+    socket.once('upgrade', (response) => {
+      this.connection = response.socket;
+      this.receivedBytes = 0;
+    });
     socket.on('pong', () => {
       this.receivedAtMs = performance.now();
     });
@@ -217,11 +228,19 @@
   private startHeartbeat(socket: WebSocket): void {
     clearInterval(this.heartbeat);
     this.heartbeat = setInterval(() => {
+      this.noteReceivedBytes();
       if (performance.now() - this.receivedAtMs > this.timing.receiveTimeoutMs) socket.terminate();
       else if (socket.readyState === socket.OPEN) socket.ping();
     }, this.timing.heartbeatIntervalMs);
   }
 
+  /** Counts a part of a message as a sign of life: on a slow link, a whole one takes longer. */
+  private noteReceivedBytes(): void {
+    const bytesRead = this.connection?.bytesRead ?? 0;
+    if (bytesRead > this.receivedBytes) this.receivedAtMs = performance.now();
+    this.receivedBytes = bytesRead;
+  }
+
   private onClosed(socket: WebSocket): void {
     if (socket !== this.socket) return;
     clearInterval(this.heartbeat);
