Large routings are sent compressed to gateways that accept it

What callers saw: after a change to about 1,400 routes, gateways with slow links kept old routes: 404s for new routes, answers by old ones.

Cause: each control host sends each gateway the whole view, uncompressed, at each change; all these copies share one link, so a version takes as many times the time of one view (read in the source, not measured).

Change: a gateway sets acceptsPacked in its Watch message. A control host then sends views of at least 4 KiB as packed-routing: deflated with zlib, once per view for all sessions. The gateway skips an index that it applies already and otherwise inflates the view, to at most MAX_MESSAGE_BYTES; a malformed one is logged as message_refused. The reducer stays pure: the control server compresses.

Not done: a delta per change, which needs the whole view again after a gap.

Evidence: npx vitest run src/control/server/RoutingPacker.test.ts. With the control server that sends every view plain: "expected 'routing' to be 'packed-routing'". With this change: 11 passed.

Why it works: the time on the link falls with the bytes, and a view that arrives before the next change is applied.

--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -19,6 +19,7 @@
   SettleReply = 'settle-reply',
   Watch = 'watch',
   Routing = 'routing',
+  PackedRouting = 'packed-routing',
   Backends = 'backends',
   BackendsAck = 'backends-ack',
   CrashReport = 'crash-report',
@@ -165,6 +166,8 @@
    * may have restarted since.
    */
   readonly departures?: readonly BackendRecord[];
+  /** True if large routings may be sent compressed; earlier versions omit it. */
+  readonly acceptsPacked?: boolean;
 }
 
 /** Routing in force. */
@@ -173,6 +176,15 @@
   readonly view: RoutingView;
 }
 
+/** Routing in force, compressed; sent only to watchers that accept it. */
+export interface PackedRoutingMessage {
+  readonly type: ControlMessageType.PackedRouting;
+  /** Log index of the routing, so that a known one need not be decompressed. */
+  readonly index: number;
+  /** The encoded view, compressed with zlib. */
+  readonly bytes: Uint8Array;
+}
+
 /** Records of the changed backend servers, or of all of them. */
 export interface BackendsMessage {
   readonly type: ControlMessageType.Backends;
@@ -236,5 +248,6 @@
   | ClaimReplyMessage
   | SettleReplyMessage
   | RoutingMessage
+  | PackedRoutingMessage
   | BackendsMessage
   | CrashReportMessage;
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -80,6 +80,9 @@
   /** Sessions that receive the routing. */
   private readonly watchers = new Set<number>();
 
+  /** Watchers that accept a compressed routing. */
+  private readonly packedWatchers = new Set<number>();
+
   /** True from the application of a routing change until it is pushed. */
   private routingDirty = false;
 
@@ -165,6 +168,7 @@
     [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) => {
       this.sessions.close(event.sessionId);
       this.watchers.delete(event.sessionId);
+      this.packedWatchers.delete(event.sessionId);
       this.backends.closeSession(event.sessionId);
     },
     [ControlEventType.Admin]: (event: EventOf<ControlEventType.Admin>) =>
@@ -249,6 +253,8 @@
     ) => {
       this.backends.watch(sessionId, message.departures);
       this.watchers.add(sessionId);
+      if (message.acceptsPacked === true) this.packedWatchers.add(sessionId);
+      else this.packedWatchers.delete(sessionId);
       if (message.routingIndex < this.replicatedState.routing.view.index)
         this.sendRouting(sessionId);
     },
@@ -404,9 +410,12 @@
   }
 
   private sendRouting(sessionId: number): void {
-    this.sendSession(sessionId, {
-      type: ControlMessageType.Routing,
-      view: this.replicatedState.routing.view,
+    const { view } = this.replicatedState.routing;
+    this.emit({
+      type: ControlEffectType.SendSession,
+      sessionId,
+      message: { type: ControlMessageType.Routing, view },
+      acceptsPacked: this.packedWatchers.has(sessionId),
     });
   }
 
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -180,6 +180,8 @@
       readonly type: ControlEffectType.SendSession;
       readonly sessionId: number;
       readonly message: ControlToEntryMessage;
+      /** True if a large routing may be sent compressed on this session. */
+      readonly acceptsPacked?: boolean;
     }
   | {
       readonly type: ControlEffectType.AnswerAdmin;
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -39,6 +39,7 @@
 import { answerJoin, JOIN_PATH, requestJoin } from './JoinEndpoint.js';
 import { CONTROL_PEER_FIELDS, ENTRY_FIELDS, RAFT_FIELDS } from './MessageFields.js';
 import { RaftLinks } from './RaftLinks.js';
+import { RoutingPacker } from './RoutingPacker.js';
 
 /** Options of a {@link ControlServer}. */
 export interface ControlServerOptions {
@@ -108,6 +109,8 @@
 
   private readonly sessions = new Map<number, ServerSession>();
 
+  private readonly packer = new RoutingPacker();
+
   /** Callbacks of unanswered administration requests, by request id. */
   private readonly pendingAdminRequests = new Map<string, (result: AdminResult) => void>();
 
@@ -481,7 +484,7 @@
     [ControlEffectType.SendRaft]: (effect: EffectOf<ControlEffectType.SendRaft>) =>
       this.sender.send(effect.to, effect.message, effect.early),
     [ControlEffectType.SendSession]: (effect: EffectOf<ControlEffectType.SendSession>) =>
-      this.sessions.get(effect.sessionId)?.send(effect.message),
+      this.sessions.get(effect.sessionId)?.send(this.packer.packFor(effect)),
     [ControlEffectType.AnswerAdmin]: (effect: EffectOf<ControlEffectType.AnswerAdmin>) =>
       this.pendingAdminRequests.get(effect.requestId)?.({ body: effect.body, error: effect.error }),
     [ControlEffectType.SendControl]: (effect: EffectOf<ControlEffectType.SendControl>) =>
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -125,6 +125,7 @@
   [ControlMessageType.ClaimReply]: { requestId: FieldType.String, verdict: FieldType.String },
   [ControlMessageType.SettleReply]: { requestId: FieldType.String, durable: FieldType.Boolean },
   [ControlMessageType.Routing]: { view: FieldType.Object },
+  [ControlMessageType.PackedRouting]: { index: FieldType.Number, bytes: FieldType.Object },
   [ControlMessageType.Backends]: {
     batchId: FieldType.Number,
     records: FieldType.Object,
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -1,6 +1,7 @@
 import {
   ControlMessageType,
   type ControlToEntryMessage,
+  type PackedRoutingMessage,
   type PongMessage,
 } from '../../common/Messages.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
@@ -9,6 +10,7 @@
 import type { EntryHost } from '../../common/Placement.js';
 import type { CrashReport } from '../CrashSuspects.js';
 import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
+import { unpackRouting } from '../../control/server/RoutingPacker.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
 import { FAST_LINK_TIMING, MessageClient } from '../../runtime/MessageClient.js';
@@ -132,7 +134,12 @@
         this.sendPing(client);
         const routingIndex = this.options.routingIndex();
         const departures = this.options.departures();
-        client.send({ type: ControlMessageType.Watch, routingIndex, departures });
+        client.send({
+          type: ControlMessageType.Watch,
+          routingIndex,
+          departures,
+          acceptsPacked: true,
+        });
       },
       onMessage: (message) => this.receive(client, key, message as ControlToEntryMessage),
       onClose: () => {
@@ -148,12 +155,28 @@
       this.onPong(message);
       return;
     }
+    if (message.type === ControlMessageType.PackedRouting) {
+      this.onPackedRouting(message, key);
+      return;
+    }
     this.options.onMessage(message, key);
     if (message.type === ControlMessageType.Backends && message.batchId > 0) {
       client.send({ type: ControlMessageType.BackendsAck, batchId: message.batchId });
     }
   }
 
+  private onPackedRouting(message: PackedRoutingMessage, key: string): void {
+    // Every control host sends each version.
+    if (message.index <= this.options.routingIndex()) return;
+    const view = unpackRouting(message);
+    if (view.isOk) {
+      this.options.onMessage({ type: ControlMessageType.Routing, view: view.value }, key);
+      return;
+    }
+    const { detail } = view.error;
+    this.options.logger.warn('message_refused', { from: key, detail });
+  }
+
   private onPong(pong: PongMessage): void {
     if (this.options.followMembership === false) return;
     if (pong.membershipIndex <= this.membershipIndex || pong.voters.length === 0) return;
