A link stays open while its client sends a large message slowly

What callers would see: a control host on a slow link that has to catch up stays behind.

Cause: the client's pings queue behind its own message, so the server has nothing to answer, and the client closes the link after receiveTimeoutMs. The next link begins the same message again.

Ruled out: counting what the client has written as a sign of life. A dead link also takes writes until the kernel's buffer is full.

A session that completes a message or ping in the interval, or receives nothing, gets no extra pong.

--- a/src/runtime/MessageServer.ts
+++ b/src/runtime/MessageServer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, Server } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { WebSocketServer, type RawData, type WebSocket } from 'ws';
 import { MAX_MESSAGE_BYTES } from '../common/Constants.js';
@@ -40,6 +41,9 @@
 /** A client with more unsent data than this is disconnected. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 
+/** Well below the receive timeouts of clients. */
+const PROGRESS_INTERVAL_MS = 400;
+
 const POLICY_VIOLATION_CODE = 1008;
 
 function toBuffer(data: RawData): Buffer {
@@ -57,6 +61,28 @@
   socket.send(encodeMessage(message));
 }
 
+/**
+ * Sends a pong for each interval in which only a part of a message arrived. On a slow link, the
+ * client's next ping follows the message, too late for its receive timeout.
+ */
+function reportProgress(socket: WebSocket, connection: Socket): void {
+  let receivedBytes = connection.bytesRead;
+  let isComplete = true;
+  const complete = () => {
+    isComplete = true;
+  };
+  socket.on('message', complete);
+  socket.on('ping', complete);
+  const timer = setInterval(() => {
+    const { bytesRead } = connection;
+    const isPartial = bytesRead > receivedBytes && !isComplete;
+    receivedBytes = bytesRead;
+    isComplete = false;
+    if (isPartial && socket.readyState === socket.OPEN) socket.pong();
+  }, PROGRESS_INTERVAL_MS);
+  socket.once('close', () => clearInterval(timer));
+}
+
 /** Accepts authenticated WebSocket links on an HTTP server; calls back no more once disposed. */
 export class MessageServer implements Disposable {
   private readonly server = new WebSocketServer({
@@ -79,7 +105,9 @@
   /** Handles the upgrade requests of an HTTP server. */
   attach(http: Server): void {
     http.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
-      this.server.handleUpgrade(request, socket, head, (webSocket) => this.accept(webSocket));
+      this.server.handleUpgrade(request, socket, head, (webSocket) =>
+        this.accept(webSocket, socket as Socket),
+      );
     });
   }
 
@@ -94,7 +122,7 @@
     this.server.close();
   }
 
-  private accept(socket: WebSocket): void {
+  private accept(socket: WebSocket, connection: Socket): void {
     const challenge = { nonce: createNonce() };
     const timer = setTimeout(() => socket.terminate(), HANDSHAKE_TIMEOUT_MS);
     this.sockets.add(socket);
@@ -117,6 +145,7 @@
         socket.close(POLICY_VIOLATION_CODE, 'authentication failed');
         return;
       }
+      reportProgress(socket, connection);
       this.open(socket, response);
     });
     socket.send(encodeMessage(challenge));
