Requests that arrive during a planned stop are answered as long as their connection can

What callers saw: around a planned stop, requests ended with a closed connection and no answer although the gateway could have answered them; pipelined calls answered 204 ended with 502 or a closed connection.

Cause, from the review: requests behind a call in progress were refused from the signal on; a connection was ended as idle while a request already waited to be read; requests were admitted behind an answer that outlasts the stop; an answer that never has a body counted as one without a length.

Change: requests are refused behind due answers only once idle connections are ended; those end 50 ms after they are found idle, and a request that arrives meanwhile is admitted; 204, 304 and answers to HEAD count as framed.

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -35,6 +35,9 @@
 /** Longest wait for the end of such a body. */
 const REFUSAL_END_TIMEOUT_MS = 250;
 
+/** Statuses of answers that never have a body (RFC 9110, sections 15.3.5 and 15.4.5). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** One request to a backend server and its answer. */
 export class AttemptRun {
   readonly result: Promise<AttemptResult>;
@@ -167,6 +170,14 @@
     this.request.once('close', () => clearTimeout(timer));
   }
 
+  /** True unless only the end of the connection marks the end of the body. */
+  private isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
+    const hasNoBody = this.attempt.method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
+    const hasLength =
+      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    return hasNoBody || hasLength;
+  }
+
   /** Buffers the body until it is complete or too long to buffer. */
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
     const chunks: Buffer[] = [];
@@ -180,9 +191,7 @@
         authentic: head.authentic,
         load: head.load,
         body: Buffer.concat(chunks),
-        framed:
-          response.headers['content-length'] !== undefined ||
-          response.headers['transfer-encoding'] !== undefined,
+        framed: this.isFramed(response),
         rest,
       },
     });
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -26,10 +26,15 @@
   readonly due: Map<ServerResponse, AnswerEnded[]>;
   /** True once the connection ends after the answers that are due. */
   ending: boolean;
+  /** Ends an idle connection after a delay. */
+  idleTimer?: NodeJS.Timeout;
 }
 
 const DEFAULT_LINGER_MS = 1_000;
 
+/** Delay before an idle connection ends: a request that has arrived is read and admitted first. */
+const IDLE_GRACE_MS = 50;
+
 /**
  * Connections of an HTTP server whose clients may send requests before earlier ones are answered.
  * A connection ends only after the answers to all admitted requests, since Node's server drops the
@@ -39,6 +44,9 @@
 export class HttpConnections {
   private readonly connections = new Map<Socket, Connection>();
 
+  /** True once idle connections are ended; each connection then ends after the answers due. */
+  private draining = false;
+
   constructor(private readonly options: HttpConnectionsOptions) {
     const { server } = options;
     server.on('connection', (socket: Socket) => this.add(socket));
@@ -61,12 +69,13 @@
   admit(request: IncomingMessage, response: ServerResponse): boolean {
     const connection = this.connections.get(request.socket);
     if (!connection) return false;
-    const last = [...connection.due.keys()].at(-1);
-    if (this.options.isStopping() && last && !last.headersSent) connection.ending = true;
+    if (this.draining && connection.due.size > 0) connection.ending = true;
     if (connection.ending) {
       request.resume();
       return false;
     }
+    clearTimeout(connection.idleTimer);
+    connection.idleTimer = undefined;
     connection.due.set(response, []);
     response.once('close', () => {
       if (response.writableFinished) this.finish(connection, response, null);
@@ -135,12 +144,17 @@
     else response.once('socket', close);
   }
 
-  /** Ends the connections on which no answer is due. */
+  /** Ends the connections on which no answer is due; called repeatedly at the end of a stop. */
   closeIdle(): void {
-    this.connections.forEach((connection, socket) => {
-      if (connection.due.size > 0 || connection.ending) return;
-      connection.ending = true;
-      this.end(socket);
+    this.draining = true;
+    this.connections.forEach((connection) => {
+      if (connection.due.size > 0 || connection.ending || connection.idleTimer) return;
+      Object.assign(connection, {
+        idleTimer: setTimeout(() => {
+          Object.assign(connection, { ending: true });
+          this.end(connection.socket);
+        }, IDLE_GRACE_MS),
+      });
     });
   }
 
@@ -149,6 +163,7 @@
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
+      clearTimeout(connection.idleTimer);
       const closedBy = connection.ending ? ClosedBy.Host : ClosedBy.Client;
       // Node's server emits no event for answers that wait behind another one.
       [...connection.due.keys()].forEach((response) => this.finish(connection, response, closedBy));
