A call behind a non-idempotent one of its connection is passed on after its answer

What callers would see: safe requests behind an order on one connection ran and got no answer, when the order's answer had no length and ended the connection.

Cause, from the review: such an answer can't be requested again as for an idempotent call, and the calls behind had been passed on.

Evidence: PlannedStop.test.ts 'answers the calls it passes on behind a non-idempotent one without a length' failed (answered /write/a, ran a, b and c) and passes now.

Why it works: the calls behind wait for the answer; if it ends the connection, they were not passed on and their caller sends them again. Also: the entry host's pending answers are removed when a connection with waiting answers closes.

--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -346,7 +346,7 @@
     const requestId = this.nextId;
     this.nextId += 1;
     this.pendingResponses.set(requestId, response);
-    response.once('close', () => this.pendingResponses.delete(requestId));
+    this.callerConnections.whenEnded(response, () => this.pendingResponses.delete(requestId));
     return requestId;
   }
 
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
-import type { Route, RoutedService } from '../../common/routing/Types.js';
+import { RouteKind, type Route, type RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import type { ClosedBy, HttpConnections } from '../../runtime/HttpConnections.js';
@@ -56,6 +56,9 @@
   /** Answers that are not yet sent completely, with a function that cancels the call's attempts. */
   private readonly openRequests = new Map<ServerResponse, () => void>();
 
+  /** Answers of non-idempotent calls. */
+  private readonly unrepeatable = new WeakSet<ServerResponse>();
+
   private readonly ownRequestHeaders: ReadonlySet<string>;
 
   constructor(private readonly options: CallServerOptions) {
@@ -158,12 +161,35 @@
       isCallerConnected: () => options.connections.isDue(response),
       acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
+    if (!(await this.waitForUnrepeatableCalls(route, response))) return;
     const rest = read.type === 'long' ? request : null;
     const outcome = await this.dispatch(call, service, request, response, read.body, rest);
     // At the end of a planned stop the call has been answered.
     if (!response.headersSent) this.finish(call, route, response, outcome);
   }
 
+  /**
+   * Waits for the non-idempotent calls ahead on the connection: their answers can't be requested
+   * again, and one without a length ends the connection. Returns false if it did.
+   */
+  private async waitForUnrepeatableCalls(route: Route, response: ServerResponse): Promise<boolean> {
+    const { connections } = this.options;
+    const ahead = connections
+      .answersAhead(response)
+      .filter((other) => this.unrepeatable.has(other));
+    if (route.kind === RouteKind.NonIdempotent) this.unrepeatable.add(response);
+    if (ahead.length === 0) return true;
+    await Promise.all(
+      ahead.map(
+        (other) =>
+          new Promise<void>((resolve) => {
+            connections.whenEnded(other, () => resolve());
+          }),
+      ),
+    );
+    return !response.req.socket.writableEnded;
+  }
+
   private dispatch(
     call: Call,
     service: RoutedService,
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -101,6 +101,12 @@
     return this.connections.get(response.req.socket)?.due.has(response) ?? false;
   }
 
+  /** Answers that are due before this one on its connection. */
+  answersAhead(response: ServerResponse): ServerResponse[] {
+    const due = [...(this.connections.get(response.req.socket)?.due.keys() ?? [])];
+    return due.slice(0, Math.max(0, due.indexOf(response)));
+  }
+
   /** True if requests that arrived later on the connection wait for this answer. */
   hasAnswersBehind(response: ServerResponse): boolean {
     const due = this.connections.get(response.req.socket)?.due;
