--- a/src/control/RegistryFlow.test.ts
+++ b/src/control/RegistryFlow.test.ts
@@ -80,7 +80,7 @@
 
 describe('RegistryFlow log events', () => {
   // The control hosts that confirmed a departure may all have restarted since.
-  it('distributes departures that only an entry host knows when it links', () => {
+  it('distributes departures that only an entry host holds when it links', () => {
     const host = createHost([1]);
     const draining = createBackend('b-1', { state: BackendState.Draining, sequence: 12 });
     host.flow.announce('r-1', createBackend('b-1', { sequence: 10 }));
--- a/src/control/RegistryFlow.ts
+++ b/src/control/RegistryFlow.ts
@@ -129,7 +129,7 @@
 
   /**
    * Sends the whole registry to an entry host, and from then on every change. Departures that the
-   * entry host knows and this host doesn't are distributed first.
+   * entry host holds and this host does not are distributed first.
    */
   watch(sessionId: number, departures: readonly BackendRecord[] = []): void {
     departures.forEach(({ id }) => this.restored.remove(id));
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -267,7 +267,7 @@
 
   /**
    * Writes and syncs everything queued, as one frame: after a loss of power any part of an unsynced
-   * batch may be missing, and its checksum tells that from damage to synced data.
+   * batch may be missing, and its checksum distinguishes that from damage to synced data.
    */
   private async writeBatch(): Promise<void> {
     const batch = this.queue;
--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -34,7 +34,7 @@
   readonly selfId: string;
   readonly onHeaders: () => void;
   readonly onEnded: (end: AttemptEnd) => void;
-  /** True if the answer must say `Connection: close`. */
+  /** True if the answer must carry `Connection: close`. */
   readonly endsConnection: () => boolean;
   /** Returns the status of this host's pool, sent with the answers to forwarded calls. */
   readonly poolStatus: () => PoolStatus | null;
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -452,7 +452,7 @@
     return forwarded ? this.peerConnections : this.callerConnections;
   }
 
-  /** True if the answer to a call must say `Connection: close`. */
+  /** True if the answer to a call must carry `Connection: close`. */
   private endsConnection({ forwarded, response }: CallContext): boolean {
     return this.connectionsOf(forwarded).endsConnection(response);
   }
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -38,7 +38,7 @@
 /**
  * Connections of an HTTP server whose clients may send requests before earlier ones are answered.
  * A connection ends only after the answers to all admitted requests, since Node's server drops the
- * answers behind one that says `Connection: close`, and closes connections as idle while an answer
+ * answers behind one with `Connection: close`, and closes connections as idle while an answer
  * is still being sent.
  */
 export class HttpConnections {
@@ -114,7 +114,7 @@
   }
 
   /**
-   * True if the answer is the last one on its connection and must say `Connection: close`. No
+   * True if the answer is the last one on its connection and must carry `Connection: close`. No
    * further request of the connection is admitted then.
    */
   endsConnection(response: ServerResponse): boolean {
@@ -156,21 +156,24 @@
     this.connections.forEach((connection) => {
       if (connection.due.size > 0 || connection.ending || connection.idleTimer) return;
       Object.assign(connection, {
-        idleTimer: setTimeout(() => {
-          Object.assign(connection, { ending: true });
-          this.end(connection.socket);
-        }, IDLE_GRACE_MS),
+        idleTimer: setTimeout(() => this.endIdle(connection), IDLE_GRACE_MS),
       });
     });
   }
 
+  private endIdle(connection: Connection): void {
+    Object.assign(connection, { ending: true });
+    this.end(connection.socket);
+  }
+
   private add(socket: Socket): void {
     const connection: Connection = { socket, due: new Map(), ending: false };
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
       clearTimeout(connection.idleTimer);
-      const closedBy = connection.ending ? ClosedBy.Host : ClosedBy.Client;
+      const leftByClient = socket.readableEnded || socket.errored !== null;
+      const closedBy = connection.ending && !leftByClient ? ClosedBy.Host : ClosedBy.Client;
       // Node's server emits no event for answers that wait behind another one.
       [...connection.due.keys()].forEach((response) => this.finish(connection, response, closedBy));
     });
