--- a/fuzz/EntryHostModel.ts
+++ b/fuzz/EntryHostModel.ts
@@ -98,7 +98,7 @@
 const TICK_MS = 5;
 const PORT = 1;
 
-/** Time for which a stopping host serves the callers that still know its address. */
+/** Time for which a stopping host serves callers whose directory answers still list it. */
 const STOP_LINGER_MS = 800;
 
 /** Time after which a planned stop ends with calls in progress. */
