--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -53,8 +53,8 @@
 
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
-  /** Number of requests without a final answer. */
-  private openCount = 0;
+  /** Answers that are not yet sent completely, with a function that cancels the call's attempts. */
+  private readonly openRequests = new Map<ServerResponse, () => void>();
 
   private readonly ownRequestHeaders: ReadonlySet<string>;
 
@@ -66,21 +66,33 @@
   }
 
   get openCalls(): number {
-    return this.openCount;
+    return this.openRequests.size;
   }
 
   /** Handles one request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    this.openCount += 1;
-    response.once('close', () => {
-      this.openCount -= 1;
-    });
-    this.options.connections.follow(request, response, (closedBy) => {
+    const { connections } = this.options;
+    if (!connections.admit(request, response)) return;
+    this.openRequests.set(response, () => {});
+    connections.whenEnded(response, (closedBy) => {
+      this.openRequests.delete(response);
       if (closedBy) this.logUndelivered(request, closedBy);
     });
     this.serve(request, response).catch((error: unknown) => {
       this.options.log('call_crashed', { detail: String(error) });
-      response.destroy();
+      connections.abort(response);
+    });
+  }
+
+  /** Answers all calls without an answer, at the end of a planned stop. */
+  endOpenCalls(): void {
+    [...this.openRequests].forEach(([response, abandon]) => {
+      if (response.headersSent) return;
+      const callId = this.options.profile.readCall(response.req.headers).callId ?? '';
+      const reason = 'the host stops';
+      this.options.log('call_timed_out', { call: callId, reason });
+      this.refuse(response, callId, new EgretError(ErrorKind.DeadlineExceeded, `${reason}.`));
+      abandon();
     });
   }
 
@@ -142,11 +154,13 @@
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs,
       fingerprint,
-      isCallerConnected: () => !response.destroyed && !response.closed,
+      isCallerConnected: () => options.connections.isDue(response),
+      acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
     const rest = read.type === 'long' ? request : null;
     const outcome = await this.dispatch(call, service, request, response, read.body, rest);
-    this.finish(call, route, response, outcome);
+    // At the end of a planned stop the call has been answered.
+    if (!response.headersSent) this.finish(call, route, response, outcome);
   }
 
   private dispatch(
@@ -157,7 +171,7 @@
     body: Buffer,
     bodyRest: IncomingMessage | null,
   ): Promise<DispatchOutcome> {
-    const { dispatcher, client } = this.options;
+    const { dispatcher, client, connections } = this.options;
     const rawHeaders = copyEndToEnd(request.rawHeaders, this.ownRequestHeaders);
     return dispatcher.run(
       call,
@@ -172,7 +186,10 @@
           bodyRest,
           remainingMs,
         }),
-      (abandon) => response.once('close', abandon),
+      (abandon) => {
+        if (connections.isDue(response)) this.openRequests.set(response, abandon);
+        connections.whenEnded(response, abandon);
+      },
     );
   }
 
@@ -231,8 +248,11 @@
       headers.push('Content-Length', String(body.length));
     }
     // It is unknown here whether an unframed body is complete, so no framing may mark its end.
-    if (!answer.framed) response.useChunkedEncodingByDefault = false;
-    if (this.options.isStopping()) headers.push('Connection', 'close');
+    const { connections } = this.options;
+    if (!answer.framed) {
+      response.useChunkedEncodingByDefault = false;
+      connections.endWith(response);
+    } else if (connections.endsConnection(response)) headers.push('Connection', 'close');
     response.writeHead(answer.statusCode, answer.statusMessage, headers);
     if (!rest) {
       response.end(body);
@@ -244,7 +264,7 @@
       onData: (chunk) => response.write(chunk),
       onEnd: () => response.end(),
       // A truncated answer must not look complete.
-      onBroken: () => response.destroy(),
+      onBroken: () => connections.abort(response, { reset: !answer.framed }),
     });
   }
 
@@ -264,7 +284,7 @@
     if (error.kind === ErrorKind.NotFound || error.kind === ErrorKind.NotCurrent) {
       log('call_unrouted', { call: callId, kind: error.kind, detail: error.detail });
     }
-    if (response.destroyed) return;
+    if (response.destroyed || response.headersSent) return;
     const text = JSON.stringify(error.toBody(callId));
     const headers = [
       'Content-Type',
@@ -276,7 +296,7 @@
     if (error.retryAfterMs !== undefined) {
       headers.push('Retry-After', profile.retryAfter(error.retryAfterMs));
     }
-    if (this.options.isStopping()) headers.push('Connection', 'close');
+    if (this.options.connections.endsConnection(response)) headers.push('Connection', 'close');
     response.writeHead(error.statusCode, headers);
     response.end(text);
   }
