--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -76,6 +76,9 @@
 const TICK_MS = 20;
 const ADMIN_TIMEOUT_MS = 10_000;
 
+/** Time for requests in progress at a stop; without a majority a change is not committed at all. */
+const ADMIN_FINISH_MS = 1_000;
+
 /** Interval of the join requests of a host that is not a member. */
 const JOIN_INTERVAL_MS = 500;
 
@@ -119,6 +122,9 @@
 
   private startedAtMs = 0;
 
+  /** Settles once the stop has ended; undefined before it begins. */
+  private stopped: Promise<void> | undefined;
+
   private boundPort = 0;
 
   private boundAdminPort = 0;
@@ -185,6 +191,8 @@
           this.withTimes({ type: ControlEventType.SnapshotSaved, snapshot, received }),
         ),
       onFailed: (error) => options.onFatal(error),
+      onAbandoned: (error) =>
+        logger.warn('write_abandoned', { host: file.id, detail: String(error) }),
     });
     this.backendsFile = options.observer
       ? null
@@ -278,19 +286,39 @@
     });
   }
 
-  async stop(): Promise<void> {
+  /**
+   * Completes the administration requests in progress, for a limited time, then steps down and
+   * ends. From then on nothing is handled, written, sent or confirmed; writes queued before are
+   * completed.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.end();
+    return this.stopped;
+  }
+
+  private async end(): Promise<void> {
+    await this.admin.stop(ADMIN_FINISH_MS);
     clearInterval(this.timer);
     clearInterval(this.joinTimer);
-    this.runEffects(this.reducer.reduce(this.withTimes({ type: ControlEventType.Stop })));
     this.loop.dispose();
+    this.sender.dispose();
+    this.runEffects(this.reducer.reduce(this.withTimes({ type: ControlEventType.Stop })));
+    this.failPendingRequests();
     this.links.dispose();
     this.messages.dispose();
-    await this.admin.stop();
     await closeServer(this.http);
+    await this.backendsFile?.close();
     await this.storage.close();
     this.options.logger.info('control_stopped', { host: this.options.file.id });
   }
 
+  /** Answers the requests whose events were not handled before the stop. */
+  private failPendingRequests(): void {
+    const error = new EgretError(ErrorKind.NoQuorum, 'The control host is stopping.');
+    [...this.pendingAdminRequests.values()].forEach((answer) => answer({ body: null, error }));
+    [...this.pendingAnnouncements.values()].forEach((answer) => answer(false));
+  }
+
   /** Handles an announcement; resolves with false if another control host should be tried. */
   announce(record: BackendRecord): Promise<boolean> {
     return this.submitAnnouncement((requestId) =>
@@ -337,7 +365,7 @@
       const type = ControlEventType.Admin;
       if (!this.post({ type, requestId, tokenHash, request, actor })) {
         clearTimeout(timer);
-        refuse('The control host is overloaded.');
+        refuse(`The control host is ${this.stopped ? 'stopping' : 'overloaded'}.`);
       }
     });
   }
@@ -368,6 +396,7 @@
       .forEach((target) => {
         requestJoin(target, member, secret).then(
           (membership) => {
+            if (this.stopped) return;
             if (!membership || state.log.membership.voters.length > 0) return;
             if (state.log.lastIndex > 0 || membership.voters.length === 0) return;
             state.log.adoptMembership(membership);
--- a/src/control/storage/DataFolder.test.ts
+++ b/src/control/storage/DataFolder.test.ts
@@ -1,19 +1,15 @@
-import {
-  appendFile,
-  mkdtemp,
-  open as openFile,
-  readFile,
-  rm,
-  truncate,
-  writeFile,
-} from 'node:fs/promises';
+import { appendFile, mkdtemp, readFile, rm, truncate, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { Packr } from 'msgpackr';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { ErrorKind } from '../../common/Errors.js';
 import { createRandom, pickIndex } from '../../common/Random.js';
 import { CommandType } from '../Commands.js';
-import { RaftEffectType, type LogEntry, type PersistEffect } from '../raft/Types.js';
+import { RaftEffectType, type LogEntry, type PersistEffect, type Snapshot } from '../raft/Types.js';
 import { DataFolder } from './DataFolder.js';
+import { createDiskError, fileHandlePrototype } from './fixtures.js';
+import { encodeFrame, WalRecordType } from './WalCodec.js';
 
 function createEntry(index: number): LogEntry {
   const command = { type: CommandType.Noop } as const;
@@ -25,6 +21,15 @@
   return { type, hardState: null, truncateFrom: 0, entries: [], generation: 0, ...changes };
 }
 
+function createSnapshot(index: number, term = 1): Snapshot {
+  return {
+    index,
+    term,
+    membership: { voters: [], learners: [] },
+    bytes: new Uint8Array([index]),
+  };
+}
+
 describe('DataFolder', () => {
   let folder = '';
   const open = (initialize = true) => DataFolder.open({ folder, initialize });
@@ -63,19 +68,58 @@
     await reopened.close();
   });
 
-  describe('on a disk that refuses writes', () => {
+  describe('once it is closed', () => {
     afterEach(() => vi.restoreAllMocks());
 
-    async function handlePrototype() {
-      const handle = await openFile(folder, 'r');
-      await handle.close();
-      return Object.getPrototypeOf(handle) as {
-        writeFile: (bytes: Uint8Array) => Promise<void>;
-        datasync: () => Promise<void>;
-      };
-    }
+    const readTail = () => ({ hardState: { term: 1, votedFor: null }, entries: [] });
+
+    // Guards against a write to a file handle that is closed, or that another process has reopened.
+    it('rejects writes and snapshots with an error of its own kind', async () => {
+      const data = await open();
+      await data.close();
+      const write = createWrite({ entries: [createEntry(1)] });
+      await expect(data.persist(write)).rejects.toMatchObject({ kind: 'storage-closed' });
+      const saved = data.saveSnapshot(createSnapshot(1), readTail);
+      await expect(saved).rejects.toMatchObject({ kind: 'storage-closed' });
+      await data.close();
+      const reopened = await open(false);
+      expect(reopened.stored).toMatchObject({ snapshot: null, entries: [] });
+      await reopened.close();
+    });
+
+    // Guards against a batch that is written after the operations that close waits for.
+    it('completes the writes queued before and rejects those queued while it waits', async () => {
+      const data = await open();
+      const prototype = await fileHandlePrototype(folder);
+      const { datasync } = prototype;
+      let release = () => {};
+      const blocked = new Promise<void>((resolve) => {
+        release = resolve;
+      });
+      vi.spyOn(prototype, 'datasync').mockImplementationOnce(async function syncLate(
+        this: unknown,
+      ) {
+        await blocked;
+        await datasync.call(this);
+      });
+      const first = data.persist(createWrite({ entries: [createEntry(1)] }));
+      const second = data.persist(createWrite({ entries: [createEntry(2)] }));
+      const closed = data.close();
+      const late = data.persist(createWrite({ entries: [createEntry(3)] })).then(
+        () => 'acknowledged',
+        (error: unknown) => (error as { kind?: string }).kind,
+      );
+      release();
+      await Promise.all([first, second, closed]);
+      expect(await late).toBe('storage-closed');
+      const reopened = await open(false);
+      expect(reopened.stored.entries.map((entry) => entry.index)).toEqual([1, 2]);
+      await reopened.close();
+    });
+  });
 
-    const createDiskError = (code: string) => Object.assign(new Error(code), { code });
+  describe('on a disk that refuses writes', () => {
+    afterEach(() => vi.restoreAllMocks());
 
     it('retries refused writes and removes the bytes of a torn write', async () => {
       const refused: unknown[] = [];
@@ -87,7 +131,7 @@
         onWritesAccepted: (refusedMs) => refusedForMs.push(refusedMs),
       });
       await data.persist(createWrite({ entries: [createEntry(1)] }));
-      const prototype = await handlePrototype();
+      const prototype = await fileHandlePrototype(folder);
       const originalWriteFile = prototype.writeFile;
       vi.spyOn(prototype, 'writeFile').mockImplementationOnce(async function writeTorn(
         this: unknown,
@@ -107,9 +151,34 @@
       await reopened.close();
     });
 
+    // The disk refuses one of the syncs while a snapshot replaces the log.
+    it.each([1, 2, 3, 4])('retries a snapshot after a refused sync, number %i', async (refused) => {
+      const data = await open();
+      await data.persist(createWrite({ entries: [1, 2].map(createEntry) }));
+      const prototype = await fileHandlePrototype(folder);
+      const originalSync = prototype.sync;
+      let syncs = 0;
+      vi.spyOn(prototype, 'sync').mockImplementation(async function refuseOnce(this: unknown) {
+        syncs += 1;
+        await originalSync.call(this);
+        if (syncs === refused) throw createDiskError('EIO');
+      });
+      await data.saveSnapshot(createSnapshot(1), () => ({
+        hardState: { term: 1, votedFor: null },
+        entries: [createEntry(2)],
+      }));
+      await data.persist(createWrite({ entries: [createEntry(3)] }));
+      vi.restoreAllMocks();
+      await data.close();
+      const reopened = await open(false);
+      expect(reopened.stored.snapshot?.index).toBe(1);
+      expect(reopened.stored.entries).toEqual([2, 3].map(createEntry));
+      await reopened.close();
+    });
+
     it('does not acknowledge a refused write and fails it once the folder is closed', async () => {
       const data = await open();
-      const prototype = await handlePrototype();
+      const prototype = await fileHandlePrototype(folder);
       vi.spyOn(prototype, 'datasync').mockRejectedValue(createDiskError('ENOSPC'));
       const write = data.persist(createWrite({ entries: [createEntry(1)] }));
       const outcome = write.then(
@@ -122,7 +191,7 @@
 
     it('fails a write at once on an error that is not a disk refusal', async () => {
       const data = await open();
-      const prototype = await handlePrototype();
+      const prototype = await fileHandlePrototype(folder);
       vi.spyOn(prototype, 'datasync').mockRejectedValueOnce(createDiskError('EBADF'));
       const write = data.persist(createWrite({ entries: [createEntry(1)] }));
       await expect(write).rejects.toThrow('EBADF');
@@ -193,6 +262,158 @@
     await expect(open(false)).rejects.toMatchObject({ kind: 'data-corrupt' });
   });
 
+  /** Length of the chunks in which Node.js writes a long buffer to a file. */
+  const CHUNK_BYTES = 512 * 1024;
+
+  const createLongEntry = (index: number, lengthBytes: number): LogEntry => ({
+    index,
+    term: 1,
+    command: {
+      type: CommandType.Refusal,
+      path: 'x'.repeat(lengthBytes),
+      kind: ErrorKind.Forbidden,
+      actor: 'operator',
+      atMs: 0,
+    },
+  });
+
+  // An unsynced batch whose start is lost must not hide the synced log before it.
+  it.each([
+    { name: 'the first record is torn', from: 10, to: 14 },
+    { name: 'the first chunk of a long write is missing', from: 0, to: CHUNK_BYTES },
+  ])('keeps the synced log if, of an unsynced batch, $name', async ({ from, to }) => {
+    const data = await open();
+    await data.persist(createWrite({ entries: [createEntry(1)] }));
+    const syncedBytes = (await readFile(logFile())).length;
+    const hardState = { term: 2, votedFor: 'control-2' };
+    await Promise.all([
+      data.persist(createWrite({ entries: [createLongEntry(2, CHUNK_BYTES)] })),
+      data.persist(createWrite({ hardState, truncateFrom: 2, entries: [createEntry(2)] })),
+    ]);
+    await data.close();
+    const bytes = await readFile(logFile());
+    bytes.fill(0, syncedBytes + from, syncedBytes + to);
+    await writeFile(logFile(), bytes);
+    const reopened = await open(false);
+    expect(reopened.stored.entries).toEqual([createEntry(1)]);
+    expect(reopened.stored.hardState.term).toBe(0);
+    await reopened.persist(createWrite({ entries: [createEntry(2)] }));
+    await reopened.close();
+    const last = await open(false);
+    expect(last.stored.entries).toEqual([1, 2].map(createEntry));
+    await last.close();
+  });
+
+  // Each of 300 losses of power damages random parts of the last batch, which is not yet synced.
+  it('opens with the synced log or the whole batch after any damage to an unsynced batch', async () => {
+    const random = createRandom(23);
+    await writeEntries(3);
+    const syncedLog = await readFile(logFile());
+    const data = await open(false);
+    await Promise.all(
+      [4, 5, 6, 7].map((index) => data.persist(createWrite({ entries: [createEntry(index)] }))),
+    );
+    await data.close();
+    const fullLog = await readFile(logFile());
+    for (let round = 0; round < 300; round += 1) {
+      const bytes = Buffer.from(fullLog);
+      const span = bytes.length - syncedLog.length;
+      for (let hole = 0; hole <= pickIndex(random, 3); hole += 1) {
+        const start = syncedLog.length + pickIndex(random, span);
+        bytes.fill(0, start, Math.min(bytes.length, start + 1 + pickIndex(random, span)));
+      }
+      // eslint-disable-next-line no-await-in-loop
+      await writeFile(logFile(), bytes);
+      // eslint-disable-next-line no-await-in-loop
+      const reopened = await open(false);
+      const whole = bytes.equals(fullLog);
+      expect(reopened.stored.entries).toHaveLength(whole ? 7 : 3);
+      // eslint-disable-next-line no-await-in-loop
+      await reopened.close();
+    }
+  });
+
+  it('opens a log with one frame for each record and appends to it', async () => {
+    const codec = new Packr({ useRecords: false });
+    const records = [1, 2, 3].map((index) => ({
+      type: WalRecordType.Entry,
+      entry: createEntry(index),
+    }));
+    await writeEntries(0);
+    await writeFile(
+      logFile(),
+      Buffer.concat(records.map((record) => encodeFrame(codec.pack(record)))),
+    );
+    const data = await open(false);
+    await data.persist(createWrite({ entries: [createEntry(4)] }));
+    await data.close();
+    const reopened = await open(false);
+    expect(reopened.stored.entries).toEqual([1, 2, 3, 4].map(createEntry));
+    await reopened.close();
+  });
+
+  // What was acknowledged must be readable, whatever its length.
+  it('reads back an entry and a snapshot of more than 16 MiB', async () => {
+    const lengthBytes = 17 * 1024 * 1024;
+    const data = await open();
+    const bytes = new Uint8Array(lengthBytes);
+    const snapshot = { index: 1, term: 1, membership: { voters: [], learners: [] }, bytes };
+    const entries = [createLongEntry(2, lengthBytes)];
+    await data.saveSnapshot(snapshot, () => ({
+      hardState: { term: 1, votedFor: null },
+      entries: [],
+    }));
+    await data.persist(createWrite({ entries }));
+    await data.persist(createWrite({ entries: [createEntry(3)] }));
+    await data.close();
+    const reopened = await open(false);
+    expect(reopened.stored.snapshot?.bytes).toHaveLength(lengthBytes);
+    expect(reopened.stored.entries.map((entry) => entry.index)).toEqual([2, 3]);
+    await reopened.close();
+  });
+
+  // A loss of power may leave the new snapshot with the old log, but not the reverse: the folder is
+  // synced in between. Temporary files may remain at any step.
+  it.each([
+    { name: 'that covers part of the log', index: 2, term: 1, kept: [3, 4] },
+    { name: 'that covers more than the log', index: 9, term: 1, kept: [] },
+    { name: 'that conflicts with the log', index: 2, term: 5, kept: [] },
+  ])('opens after a loss of power between the steps of a snapshot $name', async (snapshot) => {
+    const file = (name: string) => path.join(folder, name);
+    const data = await open();
+    const hardState = { term: 5, votedFor: 'control-2' };
+    await data.persist(createWrite({ hardState, entries: [1, 2, 3, 4].map(createEntry) }));
+    const oldLog = await readFile(logFile());
+    const kept = snapshot.kept.map(createEntry);
+    await data.saveSnapshot(createSnapshot(snapshot.index, snapshot.term), () => ({
+      hardState,
+      entries: kept,
+    }));
+    await data.close();
+    const newLog = await readFile(logFile());
+    const newSnapshot = await readFile(file('snapshot.bin'));
+    const steps = [
+      { log: oldLog, saved: undefined, expected: [1, 2, 3, 4].map(createEntry) },
+      { log: oldLog, saved: newSnapshot, expected: kept },
+      { log: newLog, saved: newSnapshot, expected: kept },
+    ];
+    for (let step = 0; step < steps.length; step += 1) {
+      const { log, saved, expected } = steps[step]!;
+      // The steps share one folder, so they run one after another.
+      /* eslint-disable no-await-in-loop */
+      await writeFile(logFile(), log);
+      await rm(file('snapshot.bin'), { force: true });
+      if (saved) await writeFile(file('snapshot.bin'), saved);
+      await writeFile(file('log.wal.new'), 'torn');
+      await writeFile(file('snapshot.bin.new'), 'torn');
+      const reopened = await open(false);
+      expect(reopened.stored.entries).toEqual(expected);
+      expect(reopened.stored.hardState).toEqual(hardState);
+      await reopened.close();
+      /* eslint-enable no-await-in-loop */
+    }
+  });
+
   it('refuses a damaged snapshot', async () => {
     const data = await open();
     const membership = { voters: [], learners: [] };
--- a/src/control/storage/DataFolder.ts
+++ b/src/control/storage/DataFolder.ts
@@ -8,7 +8,14 @@
 import type { HardState, LogEntry, PersistEffect, Snapshot } from '../raft/Types.js';
 import { replaceFile, syncFolder } from './ReplaceFile.js';
 import type { LogTail, Storage, StoredState } from './Types.js';
-import { decodeFrame, decodeLog, encodeFrame, encodeRecord, WalRecordType } from './WalCodec.js';
+import {
+  decodeFrame,
+  decodeLog,
+  encodeFrame,
+  encodeRecords,
+  WalRecordType,
+  type WalRecord,
+} from './WalCodec.js';
 
 const LOG_FILE = 'log.wal';
 const SNAPSHOT_FILE = 'snapshot.bin';
@@ -146,22 +153,23 @@
 
 /** Encodes the log that follows a snapshot. */
 function encodeTail(tail: LogTail): Buffer {
-  const frames = [encodeRecord({ type: WalRecordType.HardState, hardState: tail.hardState })];
-  tail.entries.forEach((entry) => frames.push(encodeRecord({ type: WalRecordType.Entry, entry })));
-  return Buffer.concat(frames);
+  const { hardState, entries } = tail;
+  return encodeFrame(
+    encodeRecords([
+      { type: WalRecordType.HardState, hardState },
+      ...entries.map((entry) => ({ type: WalRecordType.Entry, entry }) as const),
+    ]),
+  );
 }
 
-/** Encodes one write of the replicated log. */
-export function encodeWrite(write: PersistEffect): Buffer {
-  const frames: Buffer[] = [];
-  if (write.hardState) {
-    frames.push(encodeRecord({ type: WalRecordType.HardState, hardState: write.hardState }));
-  }
-  if (write.truncateFrom > 0) {
-    frames.push(encodeRecord({ type: WalRecordType.Truncate, fromIndex: write.truncateFrom }));
-  }
-  write.entries.forEach((entry) => frames.push(encodeRecord({ type: WalRecordType.Entry, entry })));
-  return Buffer.concat(frames);
+/** Encodes the records of one write; those of all writes in a batch share a frame. */
+function encodeWrite(write: PersistEffect): Buffer {
+  const { hardState, truncateFrom, entries } = write;
+  const records: WalRecord[] = [];
+  if (hardState) records.push({ type: WalRecordType.HardState, hardState });
+  if (truncateFrom > 0) records.push({ type: WalRecordType.Truncate, fromIndex: truncateFrom });
+  entries.forEach((entry) => records.push({ type: WalRecordType.Entry, entry }));
+  return encodeRecords(records);
 }
 
 /** Data folder of a control host: identity, write-ahead log with group commit, snapshot. */
@@ -177,8 +185,8 @@
   /** Time at which the disk started to refuse writes; undefined while it accepts them. */
   private refusingSinceMs: number | undefined;
 
-  /** True once the folder is being closed; refused writes then fail without a retry. */
-  private closing = false;
+  /** Settles once the folder is closed; refused writes fail without a retry from its begin on. */
+  private closed: Promise<void> | undefined;
 
   private constructor(
     private readonly options: DataFolderOptions,
@@ -214,6 +222,7 @@
   }
 
   persist(write: PersistEffect): Promise<void> {
+    if (this.closed) return Promise.reject(this.closedError());
     return new Promise((done, failed) => {
       this.queue.push({ bytes: encodeWrite(write), done, failed });
       // The first write of a batch schedules it; later ones join until it begins.
@@ -223,6 +232,7 @@
   }
 
   saveSnapshot(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
+    if (this.closed) return Promise.reject(this.closedError());
     const saved = this.operations.then(() =>
       this.retryWhileRefused(() => this.replaceLog(snapshot, readTail)),
     );
@@ -230,13 +240,22 @@
     return saved;
   }
 
-  async close(): Promise<void> {
-    this.closing = true;
+  close(): Promise<void> {
+    this.closed ??= this.release();
+    return this.closed;
+  }
+
+  private async release(): Promise<void> {
     await this.operations;
     await this.handle.close();
     await rm(path.join(this.options.folder, LOCK_FILE), { force: true });
   }
 
+  private closedError(): EgretError {
+    const detail = `The data folder ${this.options.folder} is closed.`;
+    return new EgretError(ErrorKind.StorageClosed, detail);
+  }
+
   private async replaceLog(snapshot: Snapshot, readTail: () => LogTail): Promise<void> {
     await replaceFile(this.options.folder, SNAPSHOT_FILE, encodeFrame(codec.pack(snapshot)));
     const tail = encodeTail(readTail());
@@ -246,12 +265,16 @@
     this.durableBytes = tail.length;
   }
 
-  /** Writes and syncs everything queued, one sync for the whole batch. */
+  /**
+   * Writes and syncs everything queued, as one frame: after a loss of power any part of an unsynced
+   * batch may be missing, and its checksum tells that from damage to synced data.
+   */
   private async writeBatch(): Promise<void> {
     const batch = this.queue;
     this.queue = [];
-    const bytes = Buffer.concat(batch.map((write) => write.bytes));
     try {
+      const records = Buffer.concat(batch.map((write) => write.bytes));
+      const bytes = records.length > 0 ? encodeFrame(records) : records;
       await this.retryWhileRefused(() => this.append(bytes));
       this.syncs += 1;
       batch.forEach((write) => write.done());
@@ -277,7 +300,7 @@
     try {
       await operation();
     } catch (error) {
-      if (!isDiskRefusal(error) || this.closing) throw error;
+      if (!isDiskRefusal(error) || this.closed) throw error;
       if (this.refusingSinceMs === undefined) {
         this.refusingSinceMs = performance.now();
         this.options.onWritesRefused?.(error);
--- a/src/entry/server/PeerLinks.ts
+++ b/src/entry/server/PeerLinks.ts
@@ -17,19 +17,24 @@
 interface PeerLink {
   readonly client: MessageClient;
   readonly openCallbacks: Set<(ticket: string) => void>;
+  /** Timers of the callbacks that wait for the link to open. */
+  readonly timers: Set<NodeJS.Timeout>;
 }
 
 /** Time that a message or call waits for a link to open; then the peer counts as unreachable. */
-const OPEN_TIMEOUT_MS = 400;
+export const OPEN_TIMEOUT_MS = 400;
 
 /** Links to other entry hosts, opened on first use. */
 export class PeerLinks implements Disposable {
   private readonly links = new Map<string, PeerLink>();
 
+  private disposed = false;
+
   constructor(private readonly options: PeerLinksOptions) {}
 
   /** Sends a message once the link is open; drops it if that takes too long. */
   send(peer: EntryHost, message: PeerMessage): void {
+    if (this.disposed) return;
     const link = this.ensure(peer.id, peer.address, peer.peerPort);
     if (link.client.send(message)) return;
     this.whenOpen(peer.id, peer.address, peer.peerPort, (ticket) => {
@@ -39,6 +44,10 @@
 
   /** Calls back with the ticket of the open link, or an empty one if it doesn't open in time. */
   whenOpen(id: string, address: string, port: number, done: (ticket: string) => void): void {
+    if (this.disposed) {
+      done('');
+      return;
+    }
     const link = this.ensure(id, address, port);
     if (link.client.isOpen) {
       done(link.client.ticket);
@@ -47,6 +56,7 @@
     let timer: NodeJS.Timeout;
     const finish = (ticket: string) => {
       clearTimeout(timer);
+      link.timers.delete(timer);
       link.openCallbacks.delete(finish);
       done(ticket);
     };
@@ -54,11 +64,16 @@
       this.options.onUnreachable(id);
       finish('');
     }, OPEN_TIMEOUT_MS);
+    link.timers.add(timer);
     link.openCallbacks.add(finish);
   }
 
   dispose(): void {
-    this.links.forEach((link) => link.client.dispose());
+    this.disposed = true;
+    this.links.forEach((link) => {
+      link.client.dispose();
+      link.timers.forEach((timer) => clearTimeout(timer));
+    });
     this.links.clear();
   }
 
@@ -79,7 +94,7 @@
       onMessage: () => {},
       onClose: () => this.options.onUnreachable(id),
     });
-    const link = { client, openCallbacks };
+    const link = { client, openCallbacks, timers: new Set<NodeJS.Timeout>() };
     this.links.set(key, link);
     return link;
   }
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -1,4 +1,6 @@
 import http from 'node:http';
+import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { GuardedAgent } from '../../runtime/GuardedAgent.js';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
 import type { AttemptHandle, HealthReport, WireProfile } from '../Types.js';
@@ -13,6 +15,9 @@
 
 const DEFAULT_PROBE_TIMEOUT_MS = 60;
 
+/** Largest body of a health answer; its headers hold all that is used. */
+const HEALTH_BODY_MAX_BYTES = 64 * 1024;
+
 /** Maximum number of idle connections kept for one backend server. */
 const FREE_SOCKETS_MAX = 4;
 
@@ -30,7 +35,7 @@
   /** Connections opened so far. */
   connects = 0;
 
-  private readonly agent = new http.Agent({
+  private readonly agent = new GuardedAgent({
     keepAlive: true,
     keepAliveMsecs: TCP_KEEP_ALIVE_DELAY_MS,
     maxFreeSockets: FREE_SOCKETS_MAX,
@@ -58,6 +63,7 @@
         setHost: false,
         headers: { Host: `${view.record.address}:${view.record.port}` },
       });
+      const guard = new AnswerGuard(request);
       const timer = setTimeout(() => {
         resolve(null);
         request.destroy();
@@ -76,12 +82,17 @@
           return;
         }
         const report = profile.readHealth(statusCode, headers);
+        let bodyBytes = 0;
+        response.on('data', (chunk: Buffer) => {
+          guard.noteProgress();
+          bodyBytes += chunk.length;
+          if (bodyBytes > HEALTH_BODY_MAX_BYTES) request.destroy();
+        });
         response.on('error', () => finish(null));
         response.on('end', () => {
           // The socket is free again only after this event.
           setImmediate(() => finish(report));
         });
-        response.resume();
       });
       request.end();
     });
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -236,7 +236,11 @@
   }
 
   private answer(response: ServerResponse, answer: BackendAnswer): void {
-    if (response.destroyed) return;
+    const { connections } = this.options;
+    if (!connections.isDue(response)) {
+      answer.rest?.cancel();
+      return;
+    }
     const headers = copyEndToEnd(answer.rawHeaders, OWN_ANSWER_HEADERS);
     const { body, rest } = answer;
     const declared = CallServer.declaredLength(answer);
@@ -248,7 +252,6 @@
       headers.push('Content-Length', String(body.length));
     }
     // It is unknown here whether an unframed body is complete, so no framing may mark its end.
-    const { connections } = this.options;
     if (!answer.framed) {
       response.useChunkedEncodingByDefault = false;
       connections.endWith(response);
@@ -260,10 +263,13 @@
     }
     response.write(body);
     response.on('drain', () => rest.resume());
+    connections.whenEnded(response, (closedBy) => {
+      if (closedBy) rest.cancel();
+    });
     rest.read({
       onData: (chunk) => response.write(chunk),
       onEnd: () => response.end(),
-      // A truncated answer must not look complete.
+      // A truncated answer must not look complete; without framing, only a reset marks it.
       onBroken: () => connections.abort(response, { reset: !answer.framed }),
     });
   }
