--- a/fuzz/EntryHostModel.ts
+++ b/fuzz/EntryHostModel.ts
@@ -15,6 +15,7 @@
   type ArrivedCall,
   type EntryEffect,
   type EntryEvent,
+  type PoolStatus,
   type StartAttemptEffect,
 } from '../src/entry/Types.js';
 import { RunEnd, type BackendHost } from './BackendHost.js';
@@ -61,6 +62,14 @@
   readonly result: AttemptResult;
   readonly statusCode: number;
   readonly peerRefusal: EgretError | null;
+  /** Reported by a peer with its refusal. */
+  readonly peerStatus: PoolStatus | null;
+}
+
+/** Idle connections to one process of a backend server. */
+interface IdleConnections {
+  readonly incarnation: number;
+  count: number;
 }
 
 /** Options of an {@link EntryHostModel}. */
@@ -88,6 +97,13 @@
 
 const TICK_MS = 5;
 const PORT = 1;
+
+/** Time for which a stopping host serves the callers that still know its address. */
+const STOP_LINGER_MS = 800;
+
+/** Time after which a planned stop ends with calls in progress. */
+const STOP_LIMIT_MS = 2_000;
+
 /** Time after which a cancelled attempt ends without a report of its target. */
 const CANCEL_TIMEOUT_MS = 500;
 const OK = 200;
@@ -127,6 +143,9 @@
 
   alive = false;
 
+  /** True from the start of a planned stop to the next start. */
+  private stopping = false;
+
   boot = 0;
 
   readonly self: EntryHost;
@@ -138,6 +157,9 @@
     (answer: AnnouncementAnswer | null) => void
   >();
 
+  /** Idle connections by backend id, until this host detects that they were closed. */
+  private readonly idleConnections = new Map<string, IdleConnections>();
+
   private nextId = 1;
 
   constructor(readonly options: EntryHostModelOptions) {
@@ -162,7 +184,9 @@
   start(): void {
     this.boot += 1;
     this.alive = true;
+    this.stopping = false;
     this.calls.clear();
+    this.idleConnections.clear();
     this.announcementCallbacks.clear();
     this.reducer = new EntryReducer({
       self: this.self,
@@ -175,6 +199,29 @@
     this.tick(this.boot);
   }
 
+  /** True unless the host is down or stopping. */
+  get serving(): boolean {
+    return this.alive && !this.stopping;
+  }
+
+  /** Starts a planned stop; the process ends after its calls, at the latest after a time limit. */
+  stop(): void {
+    if (!this.serving) return;
+    const { timeline } = this.options;
+    this.stopping = true;
+    this.handle({ type: EntryEventType.Stop });
+    const { boot } = this;
+    const untilMs = timeline.nowMs + STOP_LIMIT_MS;
+    const endIfDone = () => {
+      if (boot !== this.boot || !this.alive) return;
+      const { calls, unsettledClaims } = this.reducer.status();
+      const done = calls === 0 && unsettledClaims === 0;
+      if (done || timeline.nowMs >= untilMs) this.crash();
+      else timeline.after(TICK_MS, endIfDone);
+    };
+    timeline.after(STOP_LINGER_MS, endIfDone);
+  }
+
   /** Stops at once: connections of callers break, and those to backend servers are closed. */
   crash(): void {
     if (!this.alive) return;
@@ -189,6 +236,7 @@
 
   handle(event: Untimed<EntryEvent>): void {
     if (!this.alive) return;
+    if (event.type === EntryEventType.TargetClosed) this.idleConnections.delete(event.targetId);
     const nowMs = this.options.timeline.nowMs * this.options.clockRate;
     const effects = this.reducer.reduce({ ...event, nowMs } as EntryEvent);
     this.options.onApplied(this.bootName, this.reducer.settings.revision);
@@ -229,6 +277,11 @@
     this.handle({ type: EntryEventType.Announcement, requestId, announcement, tokenHash });
   }
 
+  private poolStatus(service: string): PoolStatus | null {
+    const nowMs = this.options.timeline.nowMs * this.options.clockRate;
+    return this.reducer.pools.get(service)?.status(nowMs) ?? null;
+  }
+
   private tick(boot: number): void {
     if (boot !== this.boot || !this.alive) return;
     this.handle({ type: EntryEventType.Tick });
@@ -242,11 +295,17 @@
     const { boot } = this;
     const { network, timeline } = this.options;
     let ended = false;
-    const end = (result: AttemptResult, error: EgretError | null = null, statusCode = OK) => {
+    const end = (
+      result: AttemptResult,
+      statusCode = OK,
+      peerRefusal: EgretError | null = null,
+      peerStatus: PoolStatus | null = null,
+    ) => {
       if (ended || boot !== this.boot || !this.alive) return;
       ended = true;
       item.cancels.delete(attemptId);
-      this.onAttemptEnded(item, { callId, attemptId, result, statusCode, peerRefusal: error });
+      const endedAttempt = { callId, attemptId, result, statusCode, peerRefusal, peerStatus };
+      this.onAttemptEnded(item, endedAttempt);
     };
     if (target.kind === TargetKind.Backend) {
       this.sendToBackend(item, effect, end);
@@ -261,10 +320,11 @@
   private sendToBackend(
     item: OpenCall,
     effect: StartAttemptEffect,
-    end: (result: AttemptResult, error?: EgretError | null, statusCode?: number) => void,
+    end: (result: AttemptResult, statusCode?: number) => void,
   ): void {
     const { network } = this.options;
     const { callId, attemptId, target } = effect;
+    const connectedTo = this.takeConnection(target.id);
     let cancelled = false;
     let cancelRun: (() => void) | undefined;
     item.cancels.set(attemptId, () => {
@@ -274,11 +334,15 @@
     });
     network.exchange(() => {
       const backend = this.options.findBackend(target.id);
-      if (!backend?.alive) {
-        network.exchange(() => end(AttemptResult.NotSent));
+      const connected = backend?.alive && (connectedTo ?? backend.incarnation);
+      if (!backend || connected !== backend.incarnation) {
+        // A connection ends with the process that accepted it.
+        const result = connectedTo === null ? AttemptResult.NotSent : AttemptResult.Reset;
+        network.exchange(() => end(result));
         return;
       }
       if (cancelled) return;
+      const { incarnation } = backend;
       const { requestId, key, crashesBackend } = item.call;
       cancelRun = backend.receive({
         requestId,
@@ -288,20 +352,41 @@
           network.exchange(() => {
             const hasHeaders = runEnd !== RunEnd.Shed && runEnd !== RunEnd.Reset;
             const statusCode = runEnd === RunEnd.Failed ? SERVER_ERROR : OK;
+            const kept = runEnd !== RunEnd.Reset && runEnd !== RunEnd.Truncated;
+            if (kept && !cancelled) this.returnConnection(target.id, incarnation);
             if (hasHeaders && !cancelled) {
               item.answerOf ??= requestId;
               this.handle({ type: EntryEventType.AttemptHeaders, callId, attemptId });
             }
-            end(cancelled ? AttemptResult.Cancelled : RESULTS[runEnd], null, statusCode);
+            end(cancelled ? AttemptResult.Cancelled : RESULTS[runEnd], statusCode);
           }),
       });
     });
   }
 
+  /** Takes an idle connection and returns its incarnation; null if a new one has to be opened. */
+  private takeConnection(backendId: string): number | null {
+    const idle = this.idleConnections.get(backendId);
+    if (!idle || idle.count === 0) return null;
+    idle.count -= 1;
+    return idle.incarnation;
+  }
+
+  private returnConnection(backendId: string, incarnation: number): void {
+    const idle = this.idleConnections.get(backendId);
+    if (idle?.incarnation === incarnation) idle.count += 1;
+    else this.idleConnections.set(backendId, { incarnation, count: 1 });
+  }
+
   private sendToPeer(
     item: OpenCall,
     effect: StartAttemptEffect,
-    end: (result: AttemptResult, error?: EgretError | null) => void,
+    end: (
+      result: AttemptResult,
+      statusCode?: number,
+      peerRefusal?: EgretError | null,
+      peerStatus?: PoolStatus | null,
+    ) => void,
   ): void {
     const { network } = this.options;
     const { callId, attemptId, target } = effect;
@@ -319,11 +404,12 @@
         ...item.call,
         forwarded: true,
         timeoutMs: effect.timeoutMs,
-        onResult: (result) =>
+        onResult: (result) => {
+          const status = peer.poolStatus(item.call.service);
           network.exchange(() => {
             const notRun = result.outcome === 'not-run' && result.statusCode === 503;
             if (notRun) {
-              end(AttemptResult.Shed, result.error);
+              end(AttemptResult.Shed, result.statusCode, result.error, status);
               return;
             }
             if (result.complete || result.answerOf !== null) {
@@ -334,7 +420,8 @@
             }
             if (result.complete) end(AttemptResult.Completed);
             else end(result.answerOf ? AttemptResult.Truncated : AttemptResult.Reset);
-          }),
+          });
+        },
       });
     });
   }
@@ -352,7 +439,7 @@
         ? { statusCode: 201, rawHeaders: [], body: Buffer.from(item.call.requestId) }
         : null;
     const type = EntryEventType.AttemptEnded;
-    this.handle({ type, ...ended, answer, resume: null, peerStatus: null });
+    this.handle({ type, ...ended, answer, resume: null });
   }
 
   private readonly effectHandlers = {
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -35,6 +35,9 @@
 /** Longest wait for the end of such a body. */
 const REFUSAL_END_TIMEOUT_MS = 250;
 
+/** Statuses of answers that never have a body (RFC 9110, sections 15.3.5 and 15.4.5). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** One request to a backend server and its answer. */
 export class AttemptRun {
   readonly result: Promise<AttemptResult>;
@@ -107,7 +110,7 @@
     });
     this.request.on('response', (response) => this.onResponse(response));
     if (body.length > 0) this.request.write(body);
-    if (bodyRest) bodyRest.pipe(this.request);
+    if (bodyRest) this.sendRest(bodyRest);
     else this.request.end();
   }
 
@@ -117,6 +120,21 @@
     this.request.destroy();
   }
 
+  private sendRest(bodyRest: IncomingMessage): void {
+    bodyRest.pipe(this.request);
+    this.request.once('response', (response) => {
+      // The client stops writing once the answer is complete, so the rest can't be sent any more.
+      response.once('end', () => {
+        if (!this.request.writableEnded) this.request.destroy();
+      });
+    });
+    this.request.once('close', () => {
+      // An unread rest would block the caller's connection.
+      bodyRest.unpipe(this.request);
+      bodyRest.resume();
+    });
+  }
+
   private fail(reason: string): void {
     const type = this.sent ? AttemptResultType.Unknown : AttemptResultType.NotSent;
     this.settle({ type, reason });
@@ -126,7 +144,8 @@
     this.response = response;
     const { statusCode = 0, headers } = response;
     const head = this.profile.readAnswer(statusCode, headers);
-    if (head.callId !== this.attempt.callId && !head.notRun) {
+    const isRefusalWithoutId = head.notRun && head.callId === undefined;
+    if (head.callId !== this.attempt.callId && !isRefusalWithoutId) {
       this.settle({ type: AttemptResultType.Unknown, reason: 'answer to another call' });
       this.request.destroy();
       return;
@@ -151,6 +170,14 @@
     this.request.once('close', () => clearTimeout(timer));
   }
 
+  /** True unless only the end of the connection marks the end of the body. */
+  private isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
+    const hasNoBody = this.attempt.method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
+    const hasLength =
+      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    return hasNoBody || hasLength;
+  }
+
   /** Buffers the body until it is complete or too long to buffer. */
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
     const chunks: Buffer[] = [];
@@ -164,9 +191,7 @@
         authentic: head.authentic,
         load: head.load,
         body: Buffer.concat(chunks),
-        framed:
-          response.headers['content-length'] !== undefined ||
-          response.headers['transfer-encoding'] !== undefined,
+        framed: this.isFramed(response),
         rest,
       },
     });
