Gateways log the request limits that backend servers name, and count requests to these

Change: the adapter decodes the header into a typed reading (named, none, unreadable, unknown); an answer of another backend server at the address and an answer that did not run say nothing about the end of a limit. NamedLimits keeps the limit of each incarnation and logs backend_limit and limit_unreadable; egret_limited_requests_total counts calls and probes. No decision uses it yet.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -23,6 +23,9 @@
   probe_misdirected: 'Another backend server answered the probe at this address.',
   backend_cold: 'A probe reported that a backend server is cold.',
   backend_health: 'A backend server reported a change of its health.',
+  backend_limit:
+    'A backend server named, changed or ended its limit of requests from all entry hosts.',
+  limit_unreadable: 'A backend server named a limit that can not be read; nothing changes.',
   backend_learned: 'A newer announcement of a backend server is in use.',
   backends_provisional: 'Backend servers known before a restart are used until they announce.',
   provisional_dropped: 'Backend servers known before a restart did not announce and were dropped.',
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -10,6 +10,24 @@
   readonly slowdown: number;
 }
 
+/** Kinds of {@link LimitReading}. */
+export enum LimitReadingType {
+  /** The backend server names a limit. */
+  Named = 'named',
+  /** The backend server answered a call without naming a limit. */
+  None = 'none',
+  /** The value can't be read; it changes nothing. */
+  Unreadable = 'unreadable',
+  /** The answer does not show whether there is a limit. */
+  Unknown = 'unknown',
+}
+
+/** Rate of requests that a backend server accepts from all entry hosts together, as it names it. */
+export type LimitReading =
+  | { readonly type: LimitReadingType.Named; readonly perSecond: number }
+  | { readonly type: LimitReadingType.Unreadable; readonly text: string }
+  | { readonly type: LimitReadingType.None | LimitReadingType.Unknown };
+
 /** Answer of a backend server to a probe. */
 export interface HealthReport {
   readonly healthy: boolean;
@@ -17,6 +35,7 @@
   /** Time for which the backend server remains cold; undefined if not reported. */
   readonly coldLeftMs: number | undefined;
   readonly load: LoadReport | undefined;
+  readonly limit: LimitReading;
 }
 
 /** Values read from the headers of a caller's request. */
@@ -35,6 +54,7 @@
   /** True if the answer has the signature of a complete, genuine one. */
   readonly authentic: boolean;
   readonly load: LoadReport | undefined;
+  readonly limit: LimitReading;
 }
 
 /** Values for the headers of an attempt. */
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -13,6 +13,7 @@
 import { RetryBudget } from './RetryBudget.js';
 import {
   AttemptResultType,
+  LimitReadingType,
   type AttemptResult,
   type BackendAnswer,
   type Call,
@@ -58,6 +59,7 @@
     backendId: id,
     coldLeftMs: undefined,
     load: { running: 0, waiting: 0, slots: 3, slowdown: 1 },
+    limit: { type: LimitReadingType.Unknown },
     ...changes,
   };
 }
--- a/src/gateway/server/AttemptRun.test.ts
+++ b/src/gateway/server/AttemptRun.test.ts
@@ -21,7 +21,8 @@
     bodyRest: null,
     remainingMs: 1_000,
   };
-  return new AttemptRun(agent, TEST_PROFILE, new BackendView(record), request, () => {}).result;
+  const observer = { onConnect: () => {}, onLimit: () => {} };
+  return new AttemptRun(agent, TEST_PROFILE, new BackendView(record), request, observer).result;
 }
 
 afterEach(async () => {
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -5,6 +5,7 @@
   AttemptResultType,
   type AnswerRest,
   type AttemptResult,
+  type LimitReading,
   type WireProfile,
 } from '../Types.js';
 
@@ -23,6 +24,14 @@
   readonly remainingMs: number;
 }
 
+/** Receives events of an attempt other than its result. */
+export interface AttemptObserver {
+  /** A new connection to the backend server is open. */
+  onConnect(): void;
+  /** The head of an answer to this attempt arrived. */
+  onLimit(reading: LimitReading): void;
+}
+
 /** Answers up to this size are buffered, so that the call can be retried if one is truncated. */
 const BUFFERED_ANSWER_MAX_BYTES = 256 * 1024;
 
@@ -63,7 +72,7 @@
     private readonly profile: WireProfile,
     view: BackendView,
     private readonly attempt: AttemptRequest,
-    onConnect: () => void,
+    private readonly observer: AttemptObserver,
   ) {
     this.result = new Promise((resolve) => {
       this.settle = resolve;
@@ -99,7 +108,7 @@
       }
       socket.once('connect', () => {
         this.sent = true;
-        onConnect();
+        observer.onConnect();
       });
     });
     this.request.on('error', (error: NodeJS.ErrnoException) => {
@@ -150,6 +159,7 @@
       this.request.destroy();
       return;
     }
+    this.observer.onLimit(head.limit);
     if (head.notRun) {
       this.discard(response);
       const reason = `not run, status ${statusCode}`;
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -3,14 +3,34 @@
 import { GuardedAgent } from '../../runtime/GuardedAgent.js';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
-import type { AttemptHandle, HealthReport, WireProfile } from '../Types.js';
+import type { AttemptHandle, HealthReport, LimitReading, WireProfile } from '../Types.js';
 import { AttemptRun, type AttemptRequest } from './AttemptRun.js';
 
+/** Kinds of requests to backend servers. */
+export enum RequestKind {
+  Call = 'call',
+  Probe = 'probe',
+}
+
+/** Limit that a backend server named, or did not name, in an answer. */
+export interface LimitAnswer {
+  readonly view: BackendView;
+  readonly kind: RequestKind;
+  readonly reading: LimitReading;
+  /** Time at which the request was sent. */
+  readonly sentAtMs: number;
+}
+
 /** Options of a {@link BackendClient}. */
 export interface BackendClientOptions {
   readonly profile: WireProfile;
   /** Longest wait for the answer to a probe; health paths answer within a few milliseconds. */
   readonly probeTimeoutMs?: number;
+  readonly nowMs?: () => number;
+  /** Called for every request right before it is sent. */
+  readonly onRequest?: (view: BackendView, kind: RequestKind) => void;
+  /** Called with the request limit in every answer of the backend server itself. */
+  readonly onLimit?: (answer: LimitAnswer) => void;
 }
 
 const DEFAULT_PROBE_TIMEOUT_MS = 60;
@@ -53,6 +73,7 @@
   probe(view: BackendView, service: RoutedService): Promise<HealthReport | null> {
     this.probes += 1;
     const { profile, probeTimeoutMs = DEFAULT_PROBE_TIMEOUT_MS } = this.options;
+    const noteLimit = this.noteRequest(view, RequestKind.Probe);
     return new Promise((resolve) => {
       const request = http.request({
         host: view.record.address,
@@ -82,6 +103,8 @@
           return;
         }
         const report = profile.readHealth(statusCode, headers);
+        const isOwnAnswer = (report.backendId ?? view.record.id) === view.record.id;
+        if (isOwnAnswer) noteLimit(report.limit);
         let bodyBytes = 0;
         response.on('data', (chunk: Buffer) => {
           guard.noteProgress();
@@ -100,9 +123,20 @@
 
   /** Sends one attempt of a call. */
   send(view: BackendView, attempt: AttemptRequest): AttemptHandle {
-    const run = new AttemptRun(this.agent, this.options.profile, view, attempt, () => {
+    const onLimit = this.noteRequest(view, RequestKind.Call);
+    const onConnect = () => {
       this.connects += 1;
-    });
+    };
+    const { profile } = this.options;
+    const run = new AttemptRun(this.agent, profile, view, attempt, { onConnect, onLimit });
     return { result: run.result, cancel: () => run.cancel() };
   }
+
+  /** Reports a request; returns the function that reports the limit in its answer. */
+  private noteRequest(view: BackendView, kind: RequestKind): (reading: LimitReading) => void {
+    const { nowMs = () => performance.now(), onRequest, onLimit } = this.options;
+    const sentAtMs = nowMs();
+    onRequest?.(view, kind);
+    return (reading) => onLimit?.({ view, kind, reading, sentAtMs });
+  }
 }
--- a/src/gateway/server/GatewayMetrics.ts
+++ b/src/gateway/server/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Histogram, Registry } from 'prom-client';
 import { addGauge } from '../../runtime/Gauges.js';
 import type { DispatchOutcomeType } from '../DispatchTypes.js';
+import type { RequestKind } from './BackendClient.js';
 
 /** Buckets around latency objectives of 250 ms to 1.5 s. */
 const LATENCY_BUCKETS_MS = [25, 50, 100, 150, 200, 250, 300, 400, 600, 800, 1_200, 1_600, 3_000];
@@ -43,6 +44,18 @@
     registers: [this.registry],
   });
 
+  private readonly limitedRequests = new Counter({
+    name: 'egret_limited_requests_total',
+    help: 'Requests to backend servers that name a limit of requests.',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+
+  /** Counts a request to a backend server that names a limit. */
+  noteLimitedRequest(kind: RequestKind): void {
+    this.limitedRequests.inc({ kind });
+  }
+
   noteCall(route: string, outcome: DispatchOutcomeType, elapsedMs: number): void {
     const label = this.routeLabel(route);
     this.calls.inc({ route: label, outcome });
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -19,6 +19,7 @@
 import { Dispatcher } from '../Dispatcher.js';
 import { PickPolicy, type DecisionLog } from '../DispatchTypes.js';
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
+import { NamedLimits } from '../NamedLimits.js';
 import { createPicker } from '../Pickers.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
@@ -96,6 +97,8 @@
 
   private readonly cold: ColdLimiter;
 
+  private readonly limits: NamedLimits;
+
   private readonly budget: RetryBudget;
 
   private readonly client: BackendClient;
@@ -143,9 +146,16 @@
     this.routing = new ActiveRouting(random);
     this.cold = new ColdLimiter({ selfId: options.id });
     this.budget = new RetryBudget({ ...options.budget, startedAtMs: nowMs() });
+    this.limits = new NamedLimits({ log });
     this.client = new BackendClient({
       profile: options.profile,
       probeTimeoutMs: options.probeTimeoutMs,
+      nowMs,
+      onRequest: (view, kind) => {
+        if (this.limits.get(view)) this.metrics.noteLimitedRequest(kind);
+      },
+      onLimit: ({ view, reading, sentAtMs }) =>
+        this.limits.noteReading(view, reading, sentAtMs, nowMs()),
     });
     const work = new WorkEstimates();
     const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -14,7 +14,7 @@
 import { createBackend, createEntryHost } from '../fixtures.js';
 import { createPicker } from '../Pickers.js';
 import { RetryBudget } from '../RetryBudget.js';
-import type { WireProfile } from '../Types.js';
+import { LimitReadingType, type WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
 import { BackendClient } from './BackendClient.js';
 import { CallServer } from './CallServer.js';
@@ -35,12 +35,14 @@
     notRun: headers['not-run'] !== undefined,
     authentic: headers.signature !== undefined,
     load: undefined,
+    limit: { type: LimitReadingType.Unknown },
   }),
   readHealth: (statusCode) => ({
     healthy: statusCode === 200,
     backendId: undefined,
     coldLeftMs: undefined,
     load: { running: 0, waiting: 0, slots: 3, slowdown: 1 },
+    limit: { type: LimitReadingType.Unknown },
   }),
   retryAfter: (delayMs) => String(delayMs / 1_000),
 };
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -52,6 +52,12 @@
 
   coldLeftMs = 0;
 
+  /** Value of the header that names its request limit; undefined to name none. */
+  limit: string | undefined;
+
+  /** Times of all requests, probes included. */
+  readonly requestTimesMs: number[] = [];
+
   workMs: number;
 
   /** Body of complete answers. */
@@ -99,7 +105,9 @@
 
   private handle(incoming: IncomingMessage, response: ServerResponse): void {
     const { id } = this.options;
+    this.requestTimesMs.push(performance.now());
     response.setHeader('X-Server-Load', `0,0,3,${this.slowdownPercent}`);
+    if (this.limit !== undefined) response.setHeader('Server-Limit', this.limit);
     if (incoming.url === '/health') {
       response.setHeader('X-Instance-Id', id);
       response.setHeader('X-Cold-Ms', String(this.coldLeftMs));
