--- a/standin/SimulatedBackend.ts
+++ b/standin/SimulatedBackend.ts
@@ -30,6 +30,9 @@
 
 /** Backend server in virtual time with slots, a bounded queue and random slow periods. */
 export class SimulatedBackend {
+  /** Limit of requests that it names in its answers; undefined if it names none. */
+  limitPerSecond: number | undefined;
+
   private running = 0;
 
   private readonly queue: PendingCall[] = [];
--- /dev/null
+++ b/standin/SimulatedGateway.ts
@@ -0,0 +1,88 @@
+import type { Timeline } from '../fuzz/Timeline.js';
+import type { EntryHost } from '../src/common/Placement.js';
+import { createRandom } from '../src/common/Random.js';
+import { BackendPool } from '../src/gateway/BackendPool.js';
+import type { BackendView } from '../src/gateway/BackendView.js';
+import { ColdLimiter } from '../src/gateway/ColdLimiter.js';
+import { Dispatcher } from '../src/gateway/Dispatcher.js';
+import type { PickPolicy } from '../src/gateway/DispatchTypes.js';
+import { createBackend } from '../src/gateway/fixtures.js';
+import { NamedLimits } from '../src/gateway/NamedLimits.js';
+import { createPicker } from '../src/gateway/Pickers.js';
+import { RetryBudget } from '../src/gateway/RetryBudget.js';
+import type { HealthReport, LimitReading } from '../src/gateway/Types.js';
+import { WorkEstimates } from '../src/gateway/WorkEstimates.js';
+
+/** Options of a {@link SimulatedGateway}. */
+export interface SimulatedGatewayOptions {
+  readonly id: string;
+  readonly seed: number;
+  readonly policy: PickPolicy;
+  readonly timeline: Timeline;
+  /** Number of backend servers, named b-0, b-1 and so on. */
+  readonly backends: number;
+  /** Requests health and load of a backend server. */
+  readonly probe: (gateway: SimulatedGateway, view: BackendView) => Promise<HealthReport | null>;
+}
+
+/** Retry budget that the provider's deployments configure. */
+const BUDGET = { ratio: 0.2, windowMs: 10_000, slack: 68 };
+
+/** Dispatch of one gateway in virtual time, without sockets. */
+export class SimulatedGateway {
+  readonly dispatcher: Dispatcher;
+
+  private readonly limits: NamedLimits;
+
+  private readonly cold: ColdLimiter;
+
+  private readonly budget: RetryBudget;
+
+  constructor(private readonly options: SimulatedGatewayOptions) {
+    const { id, seed, policy, timeline } = options;
+    const nowMs = () => timeline.nowMs;
+    const log = () => {};
+    const pool = new BackendPool({ availabilityZone: 'perth', random: createRandom(seed) });
+    const indexes = Array.from({ length: options.backends }, (unused, index) => index);
+    pool.apply(
+      indexes.map((index) => createBackend(`b-${index}`)),
+      0,
+    );
+    this.cold = new ColdLimiter({ selfId: id });
+    this.limits = new NamedLimits({ log });
+    this.budget = new RetryBudget({ ...BUDGET, startedAtMs: -BUDGET.windowMs });
+    const { cold, budget } = this;
+    const work = new WorkEstimates();
+    const probe = (view: BackendView) => options.probe(this, view);
+    this.dispatcher = new Dispatcher({
+      picker: createPicker(policy, { pool, cold, work, probe, nowMs, log }),
+      cold,
+      budget,
+      work,
+      crashes: { noteConnectionLost: () => {}, noteCompleted: () => {} },
+      nowMs,
+      setTimer: (delayMs, fire) => {
+        let active = true;
+        timeline.after(delayMs, () => active && fire());
+        return () => {
+          active = false;
+        };
+      },
+      log,
+    });
+  }
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  setEntryHosts(entryHosts: readonly EntryHost[]): void {
+    this.cold.setEntryHosts(entryHosts);
+    this.budget.setEntryHosts(entryHosts.length);
+  }
+
+  /** Applies the limit in an answer of a backend server. */
+  noteLimit(view: BackendView, reading: LimitReading, sentAtMs: number): void {
+    this.limits.noteReading(view, reading, sentAtMs, this.options.timeline.nowMs);
+  }
+}
