Gateways share the rate of a backend server that names a limit of requests (LIMIT)

Callers saw nothing; backend servers in need got 17 and 19 requests in 4 s where 11 are allowed, as a limit for all senders together was read by none of them. Cause: no gateway applied the limit; a gateway that did so alone would still exceed it, since 20 of them would send one request a second each. Ruled out: retries and hedges (all attempts at the two servers are first ones), calls in flight (the rate stays the same for 18 s), probes alone (exceeded with the policy that sends none). Change: RequestLimiter. At least three gateways, chosen by rendezvous hashing over the list of gateways, share the rate by buckets that start empty, so that replacing a sender adds nothing; with three or more of them, one that holds another list adds a third at most. The others send nothing. Gateways report limits named, changed and ended to each other through the control hosts. Once nothing has confirmed a limit for 10 s, all gateways send trials in turn, so that an end is noticed also if the senders have no calls. Each request counts, probes too: limited backend servers get calls without a probe, and calls beyond the limit go elsewhere or are refused at once.

--- a/fuzz/GatewayModel.ts
+++ b/fuzz/GatewayModel.ts
@@ -6,8 +6,12 @@
   type EntryToControlMessage,
 } from '../src/common/Messages.js';
 import { BackendPool, PROVISIONAL_TTL_MS } from '../src/gateway/BackendPool.js';
-import { createEntryHost } from '../src/gateway/fixtures.js';
 import { ActiveRouting } from '../src/gateway/ActiveRouting.js';
+import type { BackendView } from '../src/gateway/BackendView.js';
+import { EntryHostView } from '../src/gateway/EntryDirectory.js';
+import { createEntryHost } from '../src/gateway/fixtures.js';
+import { RequestLimiter } from '../src/gateway/RequestLimiter.js';
+import type { LimitReading } from '../src/gateway/Types.js';
 import type { Timeline } from './Timeline.js';
 
 /** Options of a {@link GatewayModel}. */
@@ -23,6 +27,10 @@
 
   routing = new ActiveRouting(createRandom(1));
 
+  limits: RequestLimiter;
+
+  private entryHosts = new EntryHostView();
+
   alive = true;
 
   /** Time of the last start. */
@@ -35,9 +43,14 @@
   readonly links = new Set<string>();
 
   constructor(private readonly options: GatewayModelOptions) {
+    this.limits = this.createLimiter();
     this.tick(this.epoch);
   }
 
+  get id(): string {
+    return this.options.id;
+  }
+
   crash(): void {
     this.alive = false;
     this.epoch += 1;
@@ -47,6 +60,8 @@
   start(): void {
     this.pool = new BackendPool({ availabilityZone: 'perth', random: createRandom(1) });
     this.routing = new ActiveRouting(createRandom(1));
+    this.limits = this.createLimiter();
+    this.entryHosts = new EntryHostView();
     this.alive = true;
     this.startedAtMs = this.options.timeline.nowMs;
     this.tick(this.epoch);
@@ -71,6 +86,15 @@
       if (this.routing.apply(message.view)) this.pool.setClosedZones(message.view.closedZones);
       return;
     }
+    if (message.type === ControlMessageType.EntryHosts) {
+      this.entryHosts.update(control, message.entryHosts);
+      this.limits.setEntryHosts(this.entryHosts.hosts());
+      return;
+    }
+    if (message.type === ControlMessageType.LimitReport) {
+      this.limits.noteReport(message, nowMs);
+      return;
+    }
     if (message.type !== ControlMessageType.Backends) return;
     if (message.provisional) {
       this.applyProvisional(message.records);
@@ -84,6 +108,37 @@
     }
   }
 
+  /** Closes the link to a control host. */
+  onLinkClosed(control: string): void {
+    this.links.delete(control);
+    this.entryHosts.remove(control);
+  }
+
+  /** Sends a request to a backend server if its limit allows it; returns true if it was sent. */
+  trySend(view: BackendView): boolean {
+    const { nowMs } = this.options.timeline;
+    if (!this.limits.maySend(view, nowMs)) return false;
+    this.limits.noteSent(view, nowMs);
+    return true;
+  }
+
+  noteLimit(view: BackendView, reading: LimitReading, sentAtMs: number): void {
+    this.limits.noteReading(view, reading, sentAtMs, this.options.timeline.nowMs);
+  }
+
+  private createLimiter(): RequestLimiter {
+    const { id, send } = this.options;
+    return new RequestLimiter({
+      selfId: id,
+      broadcast: (report) => {
+        const [control] = this.links;
+        if (control) send(control, { type: ControlMessageType.LimitReport, ...report });
+      },
+      isKnown: () => true,
+      log: () => {},
+    });
+  }
+
   private applyProvisional(records: Parameters<BackendPool['applyProvisional']>[0]): void {
     const { timeline } = this.options;
     const { epoch } = this;
--- a/fuzz/Routed.test.ts
+++ b/fuzz/Routed.test.ts
@@ -4,6 +4,8 @@
 import { RoutingState } from '../src/control/RoutingState.js';
 import { RaftLog } from '../src/control/raft/RaftLog.js';
 import { BackendPool } from '../src/gateway/BackendPool.js';
+import type { NamedLimit } from '../src/gateway/NamedLimits.js';
+import { RequestLimiter } from '../src/gateway/RequestLimiter.js';
 import { Invariant } from './InvariantViolation.js';
 import { patch } from './Mutations.js';
 import { findViolation } from './RoutedRunner.js';
@@ -46,6 +48,20 @@
     violates: [Invariant.Departure],
     apply: () => patch(BackendPool, 'dropProvisional', () => []),
   },
+  {
+    name: 'limits of requests that each gateway applies alone',
+    violates: [Invariant.RequestLimit],
+    apply: () =>
+      patch(RequestLimiter, 'partOf', (unused: unknown, { perSecond }: NamedLimit) => {
+        const pace = { perSecond, burst: 1 };
+        return { rate: perSecond, entryHosts: [], pace, position: 0 };
+      }),
+  },
+  {
+    name: 'limits of requests whose end is never noticed',
+    violates: [Invariant.RequestLimit],
+    apply: () => patch(RequestLimiter, 'end', () => {}),
+  },
 ];
 
 describe('routed services under faults', { timeout: 180_000 }, () => {
--- a/fuzz/RoutedFuzzWorld.ts
+++ b/fuzz/RoutedFuzzWorld.ts
@@ -3,9 +3,12 @@
 import { createRandom, pickIndex, type RandomSource } from '../src/common/Random.js';
 import { createTable } from '../src/common/routing/fixtures.js';
 import { AdminRequestType, ControlEventType } from '../src/control/Types.js';
+import type { BackendView } from '../src/gateway/BackendView.js';
 import { createBackend } from '../src/gateway/fixtures.js';
 import { hashToken } from '../src/runtime/LinkAuth.js';
 import { ADMIN_TOKEN } from '../standin/Deployments.js';
+import { LimitReadingType } from '../src/gateway/Types.js';
+import { LimitAudit } from '../standin/LimitAudit.js';
 import { Invariant, InvariantViolation } from './InvariantViolation.js';
 import { ControlCluster } from './ControlCluster.js';
 import type { ControlHost } from './ControlHost.js';
@@ -29,6 +32,10 @@
   silent: boolean;
   /** True once it announces its departure. */
   departing: boolean;
+  /** Limit of requests that it names in its answers; undefined if it names none. */
+  limitPerSecond: number | undefined;
+  /** Requests since it last began to name a limit. */
+  audit: LimitAudit;
 }
 
 /** Time bounds that the users' deployments promise. */
@@ -44,6 +51,17 @@
 const ANSWER_TIMEOUT_MS = 1_000;
 const CHECK_INTERVAL_MS = 100;
 
+/** Interval at which each gateway sends a request to each backend server, if it may. */
+const CALL_INTERVAL_MS = 100;
+
+/** Time of a request at a backend server, with the way there and back. */
+const CALL_MS = 20;
+
+const NO_LIMIT = { type: LimitReadingType.None } as const;
+
+/** Time by which every gateway has noticed that a limit ended, if it still sends requests. */
+const LIMIT_END_MS = 120_000;
+
 /** Control hosts, gateways, backend servers and an operator under faults; checks the invariants. */
 export class RoutedFuzzWorld {
   readonly cluster: ControlCluster;
@@ -99,6 +117,7 @@
     for (let index = 0; index < (options.backends ?? 4); index += 1) this.addBackend();
     this.checkLinks();
     this.check();
+    this.sendCalls();
   }
 
   /** Runs random faults and changes, then heals the network and checks the recovered state. */
@@ -111,6 +130,7 @@
     this.heal();
     this.cluster.run(RECOVERY_MS);
     this.checkRecovered();
+    this.checkLimits();
   }
 
   private get hosts(): ControlHost[] {
@@ -136,6 +156,9 @@
     () => this.cut(['control-0', 'gateway-1']),
     () => this.heal(),
     () => this.heal(),
+    () => this.nameLimit(),
+    () => this.nameLimit(),
+    () => this.endLimit(),
   ];
 
   private noteDisturbance(): void {
@@ -145,6 +168,89 @@
   private cut(names: readonly string[]): void {
     this.noteDisturbance();
     this.cluster.network.cut(names, 1 + pickIndex(this.random, 2));
+    names.forEach((name) => {
+      const gateway = this.gateways.find(({ id }) => id === name);
+      if (gateway) this.excuse(gateway);
+    });
+  }
+
+  /** Excuses a gateway from limits until it receives them again, as after a restart or cut. */
+  private excuse(gateway: GatewayModel): void {
+    this.backends.forEach(({ audit }) => audit.noteDisturbed(gateway.id));
+  }
+
+  /** A backend server begins to name a limit of requests. */
+  private nameLimit(): void {
+    const free = this.backends.filter((item) => item.alive && item.limitPerSecond === undefined);
+    const backend = free[pickIndex(this.random, free.length)];
+    if (!backend) return;
+    const { nowMs } = this.cluster.timeline;
+    this.checkLimit(backend);
+    const small = this.random.next() < 0.7;
+    backend.limitPerSecond = this.random.next() * (small ? 3 : 30);
+    backend.audit = new LimitAudit();
+    backend.audit.noteNamed(backend.limitPerSecond, nowMs);
+  }
+
+  private endLimit(): void {
+    const limited = this.backends.filter((item) => item.limitPerSecond !== undefined);
+    const backend = limited[pickIndex(this.random, limited.length)];
+    if (!backend) return;
+    backend.limitPerSecond = undefined;
+    backend.audit.noteEnded(this.cluster.timeline.nowMs);
+  }
+
+  /** Sends requests of all gateways to the backend servers; answers name the limits. */
+  private sendCalls(): void {
+    const { timeline } = this.cluster;
+    this.gateways.forEach((gateway) => {
+      if (!gateway.alive) return;
+      this.backends.forEach((backend) => {
+        const view = gateway.pool.get(backend.record.id);
+        if (backend.alive && view && gateway.trySend(view)) this.sendCall(gateway, backend, view);
+      });
+    });
+    timeline.after(CALL_INTERVAL_MS * (0.5 + this.random.next()), () => this.sendCalls());
+  }
+
+  private sendCall(gateway: GatewayModel, backend: RoutedBackend, view: BackendView): void {
+    const { timeline, network } = this.cluster;
+    const sentAtMs = timeline.nowMs;
+    const { epoch } = gateway;
+    const isCut = this.hosts.some((host) => !network.isConnected(gateway.id, host.options.id));
+    if (!isCut) backend.audit.noteRequest(gateway.id, sentAtMs);
+    timeline.after(CALL_MS, () => {
+      if (!gateway.alive || gateway.epoch !== epoch || !backend.alive) return;
+      const { limitPerSecond: perSecond } = backend;
+      if (perSecond === undefined) gateway.noteLimit(view, NO_LIMIT, sentAtMs);
+      else {
+        if (!isCut) backend.audit.noteReceived(gateway.id, timeline.nowMs);
+        gateway.noteLimit(view, { type: LimitReadingType.Named, perSecond }, sentAtMs);
+      }
+    });
+  }
+
+  private checkLimit({ record, audit }: RoutedBackend): void {
+    const excess = audit.worstExcess();
+    if (excess) this.fail(Invariant.RequestLimit, `${record.id}: ${JSON.stringify(excess)}`);
+  }
+
+  /** Checks the limits of the run, then that gateways notice their end. */
+  private checkLimits(): void {
+    this.backends.forEach((backend) => {
+      this.checkLimit(backend);
+      backend.limitPerSecond = undefined;
+      backend.audit.noteEnded(this.cluster.timeline.nowMs);
+    });
+    this.cluster.run(LIMIT_END_MS);
+    this.gateways.forEach((gateway) =>
+      this.backends.forEach(({ record, alive }) => {
+        const view = gateway.pool.get(record.id);
+        if (alive && view && gateway.limits.isLimited(view)) {
+          this.fail(Invariant.RequestLimit, `${gateway.id} still limits ${record.id}`);
+        }
+      }),
+    );
   }
 
   private heal(): void {
@@ -170,6 +276,7 @@
   ): void {
     if (!gateway.alive) return;
     gateway.crash();
+    this.excuse(gateway);
     this.cluster.timeline.after(200 + this.random.next() * 1_000, () => gateway.start());
   }
 
@@ -196,6 +303,8 @@
       alive: true,
       silent: false,
       departing: false,
+      limitPerSecond: undefined,
+      audit: new LimitAudit(),
     };
     this.backends.push(backend);
     this.announcePeriodically(backend);
@@ -329,7 +438,7 @@
     const open = this.openLinks.get(key);
     if (open !== undefined && (!reachable || open !== epochs)) {
       this.openLinks.delete(key);
-      gateway.links.delete(control);
+      gateway.onLinkClosed(control);
       host.handle({ type: ControlEventType.SessionClosed, sessionId });
     }
     if (!reachable || this.openLinks.has(key)) return;
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -23,6 +23,7 @@
   Backends = 'backends',
   BackendsAck = 'backends-ack',
   CrashReport = 'crash-report',
+  LimitReport = 'limit-report',
   BackendRelay = 'backend-relay',
   BackendRelayAck = 'backend-relay-ack',
 }
@@ -210,6 +211,18 @@
   readonly bornMs: number;
 }
 
+/**
+ * Reports the limit of requests that a backend server named or ended; relayed to every other entry
+ * host, as the limit holds for all of them together.
+ */
+export interface LimitReportMessage {
+  readonly type: ControlMessageType.LimitReport;
+  readonly backendId: string;
+  readonly bornMs: number;
+  /** Requests per second; null once the limit has ended. */
+  readonly perSecond: number | null;
+}
+
 /** Relays announcements to another control host. */
 export interface BackendRelayMessage {
   readonly type: ControlMessageType.BackendRelay;
@@ -237,7 +250,8 @@
   | SettleMessage
   | WatchMessage
   | BackendsAckMessage
-  | CrashReportMessage;
+  | CrashReportMessage
+  | LimitReportMessage;
 
 /** Messages from a control host to an entry host. */
 export type ControlToEntryMessage =
@@ -250,4 +264,5 @@
   | RoutingMessage
   | PackedRoutingMessage
   | BackendsMessage
-  | CrashReportMessage;
+  | CrashReportMessage
+  | LimitReportMessage;
--- a/src/control/ControlReducer.test.ts
+++ b/src/control/ControlReducer.test.ts
@@ -112,6 +112,18 @@
     expect(forwarded).toEqual([1, 3].map((sessionId) => ({ sessionId, message })));
   });
 
+  it.each([1.5, null])(
+    'sends a report of the limit %j to every entry host but the reporter',
+    (perSecond) => {
+      const { host, sent } = createSessions([1, 2, 3]);
+      const report = { backendId: 'b-1', bornMs: 7, perSecond };
+      const message = { type: ControlMessageType.LimitReport, ...report } as const;
+      host.handle({ type: ControlEventType.SessionMessage, sessionId: 2, message });
+      const forwarded = sent.filter((push) => push.message.type === ControlMessageType.LimitReport);
+      expect(forwarded).toEqual([1, 3].map((sessionId) => ({ sessionId, message })));
+    },
+  );
+
   it('sends the voters only to an entry host that reports another membership', () => {
     const { host, sent } = createSessions([1]);
     const ping = (reportedIndex: number) => {
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -265,12 +265,20 @@
     [ControlMessageType.CrashReport]: (
       sessionId: number,
       message: SessionMessageOf<ControlMessageType.CrashReport>,
-    ) =>
-      [...this.watchers]
-        .filter((other) => other !== sessionId)
-        .forEach((other) => this.sendSession(other, message)),
+    ) => this.sendToOtherWatchers(sessionId, message),
+    [ControlMessageType.LimitReport]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.LimitReport>,
+    ) => this.sendToOtherWatchers(sessionId, message),
   };
 
+  /** Forwards a report of one entry host to all others. */
+  private sendToOtherWatchers(sessionId: number, message: ControlToEntryMessage): void {
+    [...this.watchers]
+      .filter((other) => other !== sessionId)
+      .forEach((other) => this.sendSession(other, message));
+  }
+
   private emit(effect: ControlEffect): void {
     this.effects.push(effect);
   }
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -70,6 +70,13 @@
   bornMs: FieldType.Number,
 } as const;
 
+/** Required fields of a limit report, which control hosts forward unchanged. */
+const LIMIT_REPORT_FIELDS = {
+  backendId: FieldType.String,
+  bornMs: FieldType.Number,
+  perSecond: FieldType.Any,
+} as const;
+
 /** Required fields of the messages from entry hosts. */
 export const ENTRY_FIELDS: MessageFields = {
   [ControlMessageType.Hello]: { entryHost: FieldType.Object },
@@ -99,6 +106,7 @@
   [ControlMessageType.Watch]: { routingIndex: FieldType.Number },
   [ControlMessageType.BackendsAck]: { batchId: FieldType.Number },
   [ControlMessageType.CrashReport]: CRASH_REPORT_FIELDS,
+  [ControlMessageType.LimitReport]: LIMIT_REPORT_FIELDS,
 };
 
 /** Required fields of the messages to entry hosts. */
@@ -132,4 +140,5 @@
     expiredIds: FieldType.Object,
   },
   [ControlMessageType.CrashReport]: CRASH_REPORT_FIELDS,
+  [ControlMessageType.LimitReport]: LIMIT_REPORT_FIELDS,
 };
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -4,6 +4,7 @@
 import type { ColdLimiter } from './ColdLimiter.js';
 import { NoPickReason, type DecisionLog, type PickResult, type Picker } from './DispatchTypes.js';
 import type { Call, HealthReport } from './Types.js';
+import type { RequestLimiter } from './RequestLimiter.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
 /** Probes a backend server; resolves with null if there is no usable answer. */
@@ -13,6 +14,7 @@
 export interface BackendPickerOptions {
   readonly pool: BackendPool;
   readonly cold: ColdLimiter;
+  readonly limits: RequestLimiter;
   readonly work: WorkEstimates;
   readonly probe: SendProbe;
   readonly nowMs: () => number;
@@ -32,6 +34,9 @@
 /** Load younger than this is used without a new probe; load changes many times a second. */
 const LOAD_FRESH_MS = 12;
 
+/** Load older than this is not used for a backend server that is not probed. */
+const UNPROBED_LOAD_MAX_AGE_MS = 500;
+
 /** Candidates that are probed in parallel in one round. */
 const PROBES_LOCAL = 2;
 const PROBES_REMOTE = 2;
@@ -62,10 +67,16 @@
   constructor(private readonly options: BackendPickerOptions) {}
 
   pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<PickResult> {
-    const { pool, nowMs } = this.options;
-    const { local, remote } = pool.candidates({ service: service.name, nowMs: nowMs(), tried });
+    const { pool, limits } = this.options;
+    const nowMs = this.options.nowMs();
+    const candidates = pool.candidates({ service: service.name, nowMs, tried });
+    const isWithinLimit = (view: BackendView) => limits.maySend(view, nowMs);
+    const local = candidates.local.filter(isWithinLimit);
+    const remote = candidates.remote.filter(isWithinLimit);
     if (local.length + remote.length === 0) {
-      return Promise.resolve({ view: null, reason: NoPickReason.NoBackend, probes: 0, loads: '' });
+      const known = candidates.local.length + candidates.remote.length > 0;
+      const reason = known ? NoPickReason.Limited : NoPickReason.NoBackend;
+      return Promise.resolve({ view: null, reason, probes: 0, loads: '' });
     }
     return this.runSearch(call, service, { local, remote, evaluated: [], round: 0, probes: 0 });
   }
@@ -104,7 +115,7 @@
         else if (pending === 0) resolve(null);
       };
       group.forEach((view) => {
-        if (nowMs() - view.loadAtMs < LOAD_FRESH_MS) {
+        if (nowMs() - view.loadAtMs < LOAD_FRESH_MS || this.isUsedUnprobed(view)) {
           evaluate(view);
           return;
         }
@@ -117,6 +128,17 @@
     });
   }
 
+  /**
+   * True if a call is sent without a probe, which would count against the limit that the backend
+   * server names. Its last load is dropped once it is old: without requests it would never change.
+   */
+  private isUsedUnprobed(view: BackendView): boolean {
+    const { limits, nowMs } = this.options;
+    if (!limits.isLimited(view) || view.unhealthy) return false;
+    if (nowMs() - view.loadAtMs > UNPROBED_LOAD_MAX_AGE_MS) view.load = undefined;
+    return true;
+  }
+
   /** Records a probe's result; returns false if the backend server may not receive calls. */
   private noteProbe(view: BackendView, report: HealthReport | null): boolean {
     const { log } = this.options;
@@ -147,8 +169,9 @@
 
   private maySend(view: BackendView, service: RoutedService): boolean {
     const now = this.options.nowMs();
-    const { pool, cold } = this.options;
-    return pool.isUsable(view) && cold.maySend(view, service.coldPerSecond, now);
+    const { pool, cold, limits } = this.options;
+    const isCold = !cold.maySend(view, service.coldPerSecond, now);
+    return pool.isUsable(view) && !isCold && limits.maySend(view, now);
   }
 
   private expectedMs(view: BackendView, call: Call): number {
@@ -179,7 +202,10 @@
     });
     if (evaluated.length === 0) return noPick(NoPickReason.Unreachable);
     const eligible = evaluated.filter((view) => this.maySend(view, service));
-    if (eligible.length === 0) return noPick(NoPickReason.Cold);
+    if (eligible.length === 0) {
+      const limited = evaluated.some((view) => this.options.limits.isLimited(view));
+      return noPick(limited ? NoPickReason.Limited : NoPickReason.Cold);
+    }
     const leftMs = call.dueAtMs - this.options.nowMs();
     const inTime = eligible.filter((view) => this.expectedMs(view, call) < leftMs);
     const chosen = inTime.sort((a, b) => this.cost(a, call) - this.cost(b, call))[0];
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -66,6 +66,7 @@
   [NoPickReason.NoBackend]: 500,
   [NoPickReason.Overloaded]: 150,
   [NoPickReason.Cold]: 300,
+  [NoPickReason.Limited]: 300,
   [NoPickReason.Unreachable]: 100,
 };
 
--- a/src/gateway/ColdLimiter.ts
+++ b/src/gateway/ColdLimiter.ts
@@ -1,6 +1,6 @@
 import type { EntryHost } from '../common/Placement.js';
-import { rankByRendezvous } from '../common/Rendezvous.js';
 import type { BackendView } from './BackendView.js';
+import { rankSenders } from './SenderRanking.js';
 import { WindowCount } from './WindowCount.js';
 
 /** Options of a {@link ColdLimiter}. */
@@ -34,7 +34,8 @@
   /** Calls per second that this host may send to the cold backend server. */
   allowance(view: BackendView, coldPerSecond: number): number {
     const senderCount = Math.max(1, Math.min(SENDERS_MAX, Math.floor(coldPerSecond)));
-    if (!this.sendersOf(view, senderCount).includes(this.options.selfId)) return 0;
+    const senders = rankSenders(view, this.entryHosts).slice(0, senderCount);
+    if (!senders.includes(this.options.selfId)) return 0;
     return Math.max(1, Math.floor(coldPerSecond / senderCount));
   }
 
@@ -57,13 +58,4 @@
     sent.count(nowMs, WINDOW_MS);
     sent.add(nowMs);
   }
-
-  /** Returns the hosts that share the rate; those of the backend server's zone come first. */
-  private sendersOf(view: BackendView, count: number): string[] {
-    const ranked = rankByRendezvous(view.record.id, this.entryHosts);
-    const zone = view.record.availabilityZone;
-    const sameZone = ranked.filter((host) => host.availabilityZone === zone);
-    const otherZones = ranked.filter((host) => host.availabilityZone !== zone);
-    return [...sameZone, ...otherZones].slice(0, count).map((host) => host.id);
-  }
 }
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -23,6 +23,8 @@
   Overloaded = 'overloaded',
   /** Only cold backend servers are left, and their rate limit is used up. */
   Cold = 'cold',
+  /** Only backend servers that name a limit of requests are left, and this host's share is used up. */
+  Limited = 'limited',
   /** No backend server answered a probe. */
   Unreachable = 'unreachable',
 }
--- a/src/gateway/ProbelessPicker.test.ts
+++ b/src/gateway/ProbelessPicker.test.ts
@@ -10,7 +10,7 @@
 } from './ProbelessPicker.js';
 import { ColdLimiter } from './ColdLimiter.js';
 import { NoPickReason } from './DispatchTypes.js';
-import { createBackend, createEntryHost } from './fixtures.js';
+import { createBackend, createEntryHost, createLimiter } from './fixtures.js';
 import type { Call } from './Types.js';
 import { WorkEstimates } from './WorkEstimates.js';
 
@@ -24,9 +24,12 @@
   );
   const cold = new ColdLimiter({ selfId: 'entry-1' });
   cold.setEntryHosts([createEntryHost('entry-1')]);
+  const limits = createLimiter();
+  limits.setEntryHosts([createEntryHost('entry-1')]);
   const picker = new ProbelessPicker({
     pool,
     cold,
+    limits,
     work: new WorkEstimates(),
     nowMs: () => 0,
     choose,
@@ -45,7 +48,7 @@
   };
   const pick = (tried: readonly string[] = []) =>
     picker.pick(call, createService('alpha'), new Set(tried));
-  return { pool, cold, pick };
+  return { pool, cold, limits, pick };
 }
 
 describe('ProbelessPicker', () => {
--- a/src/gateway/ProbelessPicker.ts
+++ b/src/gateway/ProbelessPicker.ts
@@ -4,12 +4,14 @@
 import type { ColdLimiter } from './ColdLimiter.js';
 import { NoPickReason, type PickResult, type Picker } from './DispatchTypes.js';
 import type { Call } from './Types.js';
+import type { RequestLimiter } from './RequestLimiter.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
 /** Options of a {@link ProbelessPicker}. */
 export interface ProbelessPickerOptions {
   readonly pool: BackendPool;
   readonly cold: ColdLimiter;
+  readonly limits: RequestLimiter;
   readonly work: WorkEstimates;
   readonly nowMs: () => number;
   /** Chooses among the backend servers that may receive the call, given in candidate order. */
@@ -41,19 +43,23 @@
   constructor(private readonly options: ProbelessPickerOptions) {}
 
   pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<PickResult> {
-    const { pool, cold, work, choose } = this.options;
+    const { pool, cold, limits, work, choose } = this.options;
     const nowMs = this.options.nowMs();
     const { local, remote } = pool.candidates({ service: service.name, nowMs, tried });
-    const eligible = [...local, ...remote].filter((view) =>
-      cold.maySend(view, service.coldPerSecond, nowMs),
-    );
+    const announced = [...local, ...remote];
+    const withinLimit = announced.filter((view) => limits.maySend(view, nowMs));
+    const eligible = withinLimit.filter((view) => cold.maySend(view, service.coldPerSecond, nowMs));
     if (eligible.length === 0) {
-      const announced = local.length + remote.length > 0;
-      const reason = announced ? NoPickReason.Cold : NoPickReason.NoBackend;
+      const reason = ProbelessPicker.reasonFor(announced.length, withinLimit.length);
       return Promise.resolve({ view: null, reason, probes: 0, loads: '' });
     }
     const view = choose(eligible, service.name);
     const expectedMs = view.expectedMs(work.workMs(call.service), nowMs);
     return Promise.resolve({ view, expectedMs, probes: 0, loadAgeMs: nowMs - view.loadAtMs });
   }
+
+  private static reasonFor(announced: number, withinLimit: number): NoPickReason {
+    if (announced === 0) return NoPickReason.NoBackend;
+    return withinLimit === 0 ? NoPickReason.Limited : NoPickReason.Cold;
+  }
 }
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -10,6 +10,7 @@
 import { ColdLimiter } from './ColdLimiter.js';
 import { Dispatcher } from './Dispatcher.js';
 import type { DecisionLog, DispatchOutcome } from './DispatchTypes.js';
+import { RequestLimiter, type RequestLimiterOptions } from './RequestLimiter.js';
 import { RetryBudget } from './RetryBudget.js';
 import {
   AttemptResultType,
@@ -82,6 +83,17 @@
   };
 }
 
+/** Creates a limiter whose reports go nowhere, for tests. */
+export function createLimiter(changes: Partial<RequestLimiterOptions> = {}): RequestLimiter {
+  return new RequestLimiter({
+    selfId: 'entry-1',
+    broadcast: () => {},
+    isKnown: () => true,
+    log: () => {},
+    ...changes,
+  });
+}
+
 /** Scripted result of an attempt at a simulated backend server, and the time until it. */
 export interface ScriptedAttempt {
   readonly afterMs: number;
@@ -121,6 +133,8 @@
   pool.apply(options.backends, nowMs);
   const cold = new ColdLimiter({ selfId: options.selfId ?? 'entry-1' });
   cold.setEntryHosts(options.entryHosts ?? [createEntryHost('entry-1')]);
+  const limits = createLimiter({ selfId: options.selfId ?? 'entry-1' });
+  limits.setEntryHosts(options.entryHosts ?? [createEntryHost('entry-1')]);
   const budget = new RetryBudget({
     ratio: options.retryRatio ?? 2,
     windowMs: 10_000,
@@ -135,12 +149,13 @@
   const probe = (view: BackendView): Promise<HealthReport | null> => {
     const { id } = view.record;
     probes.push(id);
+    limits.noteSent(view, nowMs);
     const report = options.health?.[id];
     return new Promise((resolve) => {
       setTimer(PROBE_MS, () => resolve(report === undefined ? createHealth(id) : report));
     });
   };
-  const picker = new BackendPicker({ pool, cold, work, probe, nowMs: () => nowMs, log });
+  const picker = new BackendPicker({ pool, cold, limits, work, probe, nowMs: () => nowMs, log });
   const dispatcher = new Dispatcher({
     picker,
     cold,
@@ -174,6 +189,7 @@
     const { id } = view.record;
     const script = options.attempts[Math.min(sent.length, options.attempts.length - 1)]!;
     sent.push(id);
+    limits.noteSent(view, nowMs);
     const result = new Promise<AttemptResult>((resolve) => {
       setTimer(script.afterMs, () => resolve(script.result));
     });
@@ -202,6 +218,7 @@
   return {
     pool,
     cold,
+    limits,
     budget,
     logged,
     probes,
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -1,6 +1,8 @@
 import {
   ControlMessageType,
   type ControlToEntryMessage,
+  type CrashReportMessage,
+  type LimitReportMessage,
   type PackedRoutingMessage,
   type PongMessage,
 } from '../../common/Messages.js';
@@ -8,7 +10,6 @@
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../../common/Constants.js';
 import type { Disposable } from '../../common/Disposable.js';
 import type { EntryHost } from '../../common/Placement.js';
-import type { CrashReport } from '../CrashSuspects.js';
 import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
 import { unpackRouting } from '../../control/server/RoutingPacker.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
@@ -72,10 +73,10 @@
     this.clients.forEach((client) => this.sendPing(client));
   }
 
-  /** Sends a crash report to the other entry hosts through one control host. */
-  reportCrash(report: CrashReport): void {
+  /** Sends a report to the other entry hosts through one control host. */
+  report(message: CrashReportMessage | LimitReportMessage): void {
     const linked = [...this.clients.values()].find((client) => client.isOpen);
-    linked?.send({ type: ControlMessageType.CrashReport, ...report });
+    linked?.send(message);
   }
 
   dispose(): void {
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -19,8 +19,8 @@
 import { Dispatcher } from '../Dispatcher.js';
 import { PickPolicy, type DecisionLog } from '../DispatchTypes.js';
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
-import { NamedLimits } from '../NamedLimits.js';
 import { createPicker } from '../Pickers.js';
+import { RequestLimiter } from '../RequestLimiter.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
 import { StartupGate } from '../StartupGate.js';
@@ -97,7 +97,7 @@
 
   private readonly cold: ColdLimiter;
 
-  private readonly limits: NamedLimits;
+  private readonly limits: RequestLimiter;
 
   private readonly budget: RetryBudget;
 
@@ -146,13 +146,20 @@
     this.routing = new ActiveRouting(random);
     this.cold = new ColdLimiter({ selfId: options.id });
     this.budget = new RetryBudget({ ...options.budget, startedAtMs: nowMs() });
-    this.limits = new NamedLimits({ log });
+    this.limits = new RequestLimiter({
+      selfId: options.id,
+      broadcast: (report) =>
+        this.watch?.report({ type: ControlMessageType.LimitReport, ...report }),
+      isKnown: ({ id, bornMs }) => this.pool.get(id)?.record.bornMs === bornMs,
+      log,
+    });
     this.client = new BackendClient({
       profile: options.profile,
       probeTimeoutMs: options.probeTimeoutMs,
       nowMs,
       onRequest: (view, kind) => {
-        if (this.limits.get(view)) this.metrics.noteLimitedRequest(kind);
+        this.limits.noteSent(view, nowMs());
+        if (this.limits.isLimited(view)) this.metrics.noteLimitedRequest(kind);
       },
       onLimit: ({ view, reading, sentAtMs }) =>
         this.limits.noteReading(view, reading, sentAtMs, nowMs()),
@@ -161,6 +168,7 @@
     const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
       pool: this.pool,
       cold: this.cold,
+      limits: this.limits,
       work,
       probe: (view, service) => this.client.probe(view, service),
       nowMs,
@@ -170,7 +178,8 @@
       nowMs,
       setTimer,
       isAlive: (view) => this.isAlive(view),
-      broadcast: (report) => this.watch?.reportCrash(report),
+      broadcast: (report) =>
+        this.watch?.report({ type: ControlMessageType.CrashReport, ...report }),
       log,
     });
     const dispatcher = new Dispatcher({
@@ -352,6 +361,9 @@
     [ControlMessageType.CrashReport]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.CrashReport }>,
     ) => this.crashes.note(message),
+    [ControlMessageType.LimitReport]: (
+      message: Extract<ControlToEntryMessage, { type: ControlMessageType.LimitReport }>,
+    ) => this.limits.noteReport(message, this.clock.nowMs()),
     [ControlMessageType.EntryHosts]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.EntryHosts }>,
       control: string,
@@ -359,6 +371,7 @@
       this.entryHosts.update(control, message.entryHosts);
       const entryHosts = this.entryHosts.hosts();
       this.cold.setEntryHosts(entryHosts);
+      this.limits.setEntryHosts(entryHosts);
       this.budget.setEntryHosts(entryHosts.length);
     },
   };
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -11,7 +11,7 @@
 import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
 import { PickPolicy } from '../DispatchTypes.js';
-import { createBackend, createEntryHost } from '../fixtures.js';
+import { createBackend, createEntryHost, createLimiter } from '../fixtures.js';
 import { createPicker } from '../Pickers.js';
 import { RetryBudget } from '../RetryBudget.js';
 import { LimitReadingType, type WireProfile } from '../Types.js';
@@ -128,6 +128,7 @@
   routing.apply({ index: 1, version: 1, table, closedZones: [] });
   const cold = new ColdLimiter({ selfId: 'entry-1' });
   cold.setEntryHosts([createEntryHost('entry-1')]);
+  const limiter = createLimiter();
   const budget = new RetryBudget({ ratio: 2, windowMs: 10_000, slack: 100, startedAtMs: 0 });
   const work = new WorkEstimates();
   const client = new BackendClient({ profile: TEST_PROFILE, probeTimeoutMs: 2_000 });
@@ -139,7 +140,15 @@
     log,
   });
   const probe: BackendClient['probe'] = (view, service) => client.probe(view, service);
-  const picker = createPicker(PickPolicy.JustInTime, { pool, cold, work, probe, nowMs, log });
+  const picker = createPicker(PickPolicy.JustInTime, {
+    pool,
+    cold,
+    limits: limiter,
+    work,
+    probe,
+    nowMs,
+    log,
+  });
   const server = createServer();
   const connections = new HttpConnections({ server, isStopping: () => false });
   const calls = new CallServer({
--- a/standin/LimitAudit.ts
+++ b/standin/LimitAudit.ts
@@ -95,7 +95,9 @@
     let worst: LimitExcess | undefined;
     let first = 0;
     this.requests.forEach(({ atMs }, last) => {
-      const startMs = Math.max(atMs - windowMs, this.namedAtMs + contactMs);
+      const bindsAtMs = this.namedAtMs + contactMs;
+      if (atMs < bindsAtMs) return;
+      const startMs = Math.max(atMs - windowMs, bindsAtMs);
       while (this.requests[first]!.atMs < startMs) first += 1;
       const requests = last - first + 1;
       if (requests <= allowed || requests <= (worst?.requests ?? 0)) return;
--- a/standin/RoutedWorld.ts
+++ b/standin/RoutedWorld.ts
@@ -15,6 +15,7 @@
   type AttemptResult,
   type HealthReport,
 } from '../src/gateway/Types.js';
+import type { LimitReport } from '../src/gateway/RequestLimiter.js';
 import { LimitAudit, type LimitExcess } from './LimitAudit.js';
 import { Percentiles } from './Percentiles.js';
 import { SimulatedBackend } from './SimulatedBackend.js';
@@ -178,6 +179,7 @@
       timeline: this.timeline,
       backends,
       probe: (from, view) => this.probe(from, view),
+      broadcast: (from, report) => this.relay(from, report),
     });
     this.starts += 1;
     this.gateways.set(id, gateway);
@@ -193,6 +195,14 @@
     });
   }
 
+  /** Relays a report to the other gateways through a control host. */
+  private relay(from: SimulatedGateway, report: LimitReport): void {
+    this.gateways.forEach((gateway) => {
+      if (gateway === from) return;
+      this.timeline.after(2 * HOP_MS + this.random.next(), () => gateway.receive(report));
+    });
+  }
+
   private scheduleLimit({ backends, perSecond, fromMs, untilMs }: LimitTrouble): void {
     for (let index = 0; index < backends; index += 1) {
       const audit = new LimitAudit();
@@ -236,6 +246,7 @@
 
   private noteRequest(gateway: SimulatedGateway, view: BackendView): SimulatedBackend {
     const index = Number(view.record.id.slice(2));
+    gateway.noteSent(view);
     this.audits.get(index)?.noteRequest(gateway.id, this.timeline.nowMs);
     return this.backends[index]!;
   }
--- a/standin/SimulatedGateway.ts
+++ b/standin/SimulatedGateway.ts
@@ -7,8 +7,8 @@
 import { Dispatcher } from '../src/gateway/Dispatcher.js';
 import type { PickPolicy } from '../src/gateway/DispatchTypes.js';
 import { createBackend } from '../src/gateway/fixtures.js';
-import { NamedLimits } from '../src/gateway/NamedLimits.js';
 import { createPicker } from '../src/gateway/Pickers.js';
+import { RequestLimiter, type LimitReport } from '../src/gateway/RequestLimiter.js';
 import { RetryBudget } from '../src/gateway/RetryBudget.js';
 import type { HealthReport, LimitReading } from '../src/gateway/Types.js';
 import { WorkEstimates } from '../src/gateway/WorkEstimates.js';
@@ -23,6 +23,8 @@
   readonly backends: number;
   /** Requests health and load of a backend server. */
   readonly probe: (gateway: SimulatedGateway, view: BackendView) => Promise<HealthReport | null>;
+  /** Sends a report to the other gateways. */
+  readonly broadcast: (gateway: SimulatedGateway, report: LimitReport) => void;
 }
 
 /** Retry budget that the provider's deployments configure. */
@@ -32,7 +34,7 @@
 export class SimulatedGateway {
   readonly dispatcher: Dispatcher;
 
-  private readonly limits: NamedLimits;
+  private readonly limits: RequestLimiter;
 
   private readonly cold: ColdLimiter;
 
@@ -49,13 +51,18 @@
       0,
     );
     this.cold = new ColdLimiter({ selfId: id });
-    this.limits = new NamedLimits({ log });
+    this.limits = new RequestLimiter({
+      selfId: id,
+      broadcast: (report) => options.broadcast(this, report),
+      isKnown: () => true,
+      log,
+    });
     this.budget = new RetryBudget({ ...BUDGET, startedAtMs: -BUDGET.windowMs });
-    const { cold, budget } = this;
+    const { cold, limits, budget } = this;
     const work = new WorkEstimates();
     const probe = (view: BackendView) => options.probe(this, view);
     this.dispatcher = new Dispatcher({
-      picker: createPicker(policy, { pool, cold, work, probe, nowMs, log }),
+      picker: createPicker(policy, { pool, cold, limits, work, probe, nowMs, log }),
       cold,
       budget,
       work,
@@ -78,9 +85,20 @@
 
   setEntryHosts(entryHosts: readonly EntryHost[]): void {
     this.cold.setEntryHosts(entryHosts);
+    this.limits.setEntryHosts(entryHosts);
     this.budget.setEntryHosts(entryHosts.length);
   }
 
+  /** Counts a request that is sent now. */
+  noteSent(view: BackendView): void {
+    this.limits.noteSent(view, this.options.timeline.nowMs);
+  }
+
+  /** Applies the report of another gateway. */
+  receive(report: LimitReport): void {
+    this.limits.noteReport(report, this.options.timeline.nowMs);
+  }
+
   /** Applies the limit in an answer of a backend server. */
   noteLimit(view: BackendView, reading: LimitReading, sentAtMs: number): void {
     this.limits.noteReading(view, reading, sentAtMs, this.options.timeline.nowMs);
