Leaseholders keep to the limit of requests that a backend server announces

The product's own interface had no way to name a limit: leases bound the requests in flight, not their rate. Announcements may now carry requestsPerSecond; the leaseholder, the only host that dispatches to the server, paces its requests and learns the limit before it sends anything. A new leaseholder starts without any request in hand, so that a move adds nothing. The expected wait of a call takes the rate into account, so that calls beyond it are forwarded or refused at once.

--- a/bench/Slopes.ts
+++ b/bench/Slopes.ts
@@ -146,6 +146,7 @@
         slots: SLOTS,
         connections: 0,
         load: { inFlight: 0 },
+        requestsPerSecond: null,
         upForMs: 1_000_000,
         leaseStamp: stamp,
         previous: null,
--- a/fuzz/BackendHost.ts
+++ b/fuzz/BackendHost.ts
@@ -77,6 +77,9 @@
   /** Answers every request at once with a server error. */
   failsFast = false;
 
+  /** Announced limit of requests from all entry hosts together. */
+  requestsPerSecond: number | null = null;
+
   /** Requests received. */
   requests = 0;
 
@@ -215,6 +218,7 @@
       slots,
       connections: this.running.size,
       load: { inFlight: this.running.size },
+      requestsPerSecond: this.requestsPerSecond,
       upForMs: sentAtMs - this.startedAtMs,
       unreachable: [...this.unreachable]
         .filter(([, untilMs]) => untilMs > sentAtMs)
--- a/src/gateway/PacedBucket.ts
+++ b/src/common/PacedBucket.ts
@@ -17,8 +17,13 @@
   constructor(private refilledAtMs: number) {}
 
   hasToken(pace: Pace, nowMs: number): boolean {
+    return this.available(pace, nowMs) >= 1;
+  }
+
+  /** Number of requests that may be sent at once now. */
+  available(pace: Pace, nowMs: number): number {
     this.refill(pace, nowMs);
-    return this.tokens >= 1;
+    return Math.max(0, Math.floor(this.tokens));
   }
 
   take(pace: Pace, nowMs: number): void {
--- a/src/entry/EntryReducer.test.ts
+++ b/src/entry/EntryReducer.test.ts
@@ -293,3 +293,40 @@
     expect(world.results.at(-1)?.outcome).toBe('not-run');
   });
 });
+
+describe('a limit of requests that backend servers announce', () => {
+  const LIMIT_PER_SECOND = 4;
+
+  // Guards against a limit that each leaseholder applies anew while leases move.
+  it('holds over all entry hosts while entry hosts restart; further calls are refused soon', () => {
+    const world = createWorld();
+    world.backends.forEach((backend) => {
+      Object.assign(backend, { requestsPerSecond: LIMIT_PER_SECOND });
+    });
+    world.run(3_000);
+    const windows: number[] = [];
+    for (let second = 0; second < 24; second += 1) {
+      const before = world.backends.map((backend) => backend.requests);
+      for (let step = 0; step < 100; step += 1) {
+        world.call(step);
+        world.run(10);
+      }
+      windows.push(
+        Math.max(...world.backends.map((backend, index) => backend.requests - before[index]!)),
+      );
+      const entry = world.entries[second % world.entries.length]!;
+      if (second % 4 === 1) entry.crash();
+      if (second % 4 === 2)
+        world.entries.filter((item) => !item.alive).forEach((item) => item.start());
+    }
+    const inFourSeconds = windows
+      .slice(3)
+      .map((unused, index) =>
+        windows.slice(index, index + 4).reduce((sum, count) => sum + count, 0),
+      );
+    expect(Math.max(...inFourSeconds)).toBeLessThanOrEqual(1.5 * LIMIT_PER_SECOND * 4 + 5);
+    expect(Math.max(...windows)).toBeGreaterThan(0);
+    const refused = world.results.filter(({ error }) => error !== null);
+    expect(refused.length).toBeGreaterThan(0);
+  });
+});
--- a/src/entry/LeaseTable.ts
+++ b/src/entry/LeaseTable.ts
@@ -192,6 +192,7 @@
     record.sequence = announcement.sequence;
     record.slots = Math.min(announcement.slots, pool.settings.slotsMax);
     record.limit.setSlots(record.slots);
+    record.setRequestsPerSecond(announcement.requestsPerSecond, context.nowMs);
     record.reportedInFlight = announcement.load.inFlight;
     if (
       announcement.state === BackendLifecycleState.Starting &&
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -23,6 +23,8 @@
   readonly slots: number;
   readonly connections: number;
   readonly load: BackendLoad;
+  /** Requests per second that it accepts from all entry hosts together; null without a limit. */
+  readonly requestsPerSecond: number | null;
   /** Time since the start of this incarnation. */
   readonly upForMs: number;
   /** Stamp from the last answer of the entry host that receives this announcement. */
--- a/src/entry/dispatch/BackendRecord.ts
+++ b/src/entry/dispatch/BackendRecord.ts
@@ -1,4 +1,5 @@
 import { BackendLifecycleState } from '../../common/Enums.js';
+import { PacedBucket, type Pace } from '../../common/PacedBucket.js';
 import { TargetKind, type AttemptTarget } from '../Types.js';
 import { ConcurrencyLimit } from './ConcurrencyLimit.js';
 
@@ -34,6 +35,12 @@
 const CONNECT_BACKOFF_MS = 100;
 const MAX_CONNECT_BACKOFF_MS = 2_000;
 
+/** Part of a second for which requests below the announced limit may accumulate. */
+const PACE_BURST_SECONDS = 0.5;
+
+/** Lowest rate in use, so that an announced limit of zero does not exclude the server for good. */
+const PACE_MIN_PER_SECOND = 0.1;
+
 /** State of a backend server at its leaseholder. */
 export class BackendRecord {
   readonly id: string;
@@ -115,6 +122,11 @@
 
   private connectBackoffMs = CONNECT_BACKOFF_MS;
 
+  /** Announced limit of requests; undefined without one. */
+  private pace: Pace | undefined;
+
+  private bucket: PacedBucket | undefined;
+
   constructor(options: BackendRecordOptions) {
     this.id = options.id;
     this.service = options.service;
@@ -150,7 +162,29 @@
   freeSlots(nowMs: number): number {
     if (!this.isLeased(nowMs) || nowMs < this.backoffUntilMs) return 0;
     const foreign = nowMs < this.foreignUntilMs ? this.foreignInFlight : 0;
-    return Math.max(0, this.effectiveLimit - this.inFlight - foreign);
+    const free = Math.max(0, this.effectiveLimit - this.inFlight - foreign);
+    if (!this.pace || !this.bucket) return free;
+    return Math.min(free, this.bucket.available(this.pace, nowMs));
+  }
+
+  /** Requests per second that the backend server accepts; infinite without a limit. */
+  get requestsPerSecond(): number {
+    return this.pace?.perSecond ?? Number.POSITIVE_INFINITY;
+  }
+
+  /**
+   * Applies the announced limit of requests. A new leaseholder starts without any, so that the sum
+   * over two of them stays within the limit.
+   */
+  setRequestsPerSecond(announced: number | null, nowMs: number): void {
+    if (announced === null) {
+      this.pace = undefined;
+      this.bucket = undefined;
+      return;
+    }
+    const perSecond = Math.max(PACE_MIN_PER_SECOND, announced);
+    this.pace = { perSecond, burst: Math.max(1, perSecond * PACE_BURST_SECONDS) };
+    this.bucket ??= new PacedBucket(nowMs);
   }
 
   /**
@@ -166,6 +200,7 @@
   onStart(attemptId: number, nowMs: number): void {
     this.inFlight += 1;
     this.startedAtMs.set(attemptId, nowMs);
+    if (this.pace) this.bucket?.take(this.pace, nowMs);
   }
 
   /** Frees the slot and returns the duration of the attempt. */
--- a/src/entry/dispatch/ServicePool.ts
+++ b/src/entry/dispatch/ServicePool.ts
@@ -12,6 +12,8 @@
 /** Retries, and hedges, that a service may make in one burst after a time without any. */
 const BUDGET_BURST = 10;
 
+const MS_PER_SECOND = 1_000;
+
 /** Weight of the newest answer in the service's failure rate. */
 const FAILURE_GAIN = 0.02;
 
@@ -101,9 +103,14 @@
    */
   expectedWaitMs(callerId: string): number {
     let limit = 0;
-    for (const record of this.records.values()) limit += record.effectiveLimit;
+    let perSecond = 0;
+    for (const record of this.records.values()) {
+      limit += record.effectiveLimit;
+      perSecond += record.requestsPerSecond;
+    }
     const ahead = this.queue.aheadOf(callerId) + 1;
-    return (this.latency.meanMs * ahead) / Math.max(1, limit);
+    const slotWaitMs = (this.latency.meanMs * ahead) / Math.max(1, limit);
+    return perSecond > 0 ? Math.max(slotWaitMs, (ahead * MS_PER_SECOND) / perSecond) : slotWaitMs;
   }
 
   /** Longest expected wait at which a call is still queued. */
--- a/src/entry/server/AnnouncementEndpoint.ts
+++ b/src/entry/server/AnnouncementEndpoint.ts
@@ -20,6 +20,7 @@
   slots: z.number().int().min(1).max(1024),
   connections: counter.default(0),
   load: z.looseObject({ inFlight: counter }),
+  requestsPerSecond: z.number().min(0).nullable().default(null),
   upForMs: z.number().min(0).default(0),
   leaseStamp: z.string().max(512).nullable().default(null),
   previous: z
--- a/src/gateway/RequestLimiter.ts
+++ b/src/gateway/RequestLimiter.ts
@@ -1,8 +1,8 @@
+import { PacedBucket, type Pace } from '../common/PacedBucket.js';
 import type { EntryHost } from '../common/Placement.js';
 import type { BackendView } from './BackendView.js';
 import type { DecisionLog } from './DispatchTypes.js';
 import { NamedLimits, type Incarnation, type NamedLimit } from './NamedLimits.js';
-import { PacedBucket, type Pace } from './PacedBucket.js';
 import { rankSenders } from './SenderRanking.js';
 import { LimitReadingType, type LimitReading } from './Types.js';
 
