Cold backend servers with a rate below one a second get no call more than that

The share of a cold rate was never below one call a second, also where the whole rate is: the same rounding that would break a named limit. A rate below one now has a window as long as its interval. Test: 10 calls in 10 s at a rate of 0.4 before, 4 now.

--- a/src/gateway/ColdLimiter.ts
+++ b/src/gateway/ColdLimiter.ts
@@ -14,6 +14,11 @@
 
 const WINDOW_MS = 1_000;
 
+/** Window in which at least one call is allowed: longer than a second for rates below one. */
+function windowMsFor(perSecond: number): number {
+  return perSecond > 0 ? Math.max(WINDOW_MS, WINDOW_MS / perSecond) : WINDOW_MS;
+}
+
 /**
  * Limits the rate of calls to each cold backend server across all entry hosts: a few entry hosts,
  * chosen by rendezvous hashing, share the rate; the others send nothing.
@@ -21,7 +26,7 @@
 export class ColdLimiter {
   private entryHosts: readonly EntryHost[] = [];
 
-  /** Calls within the last second, by backend server. */
+  /** Calls within the last window, by backend server. */
   private readonly sent = new Map<string, WindowCount>();
 
   constructor(private readonly options: ColdLimiterOptions) {}
@@ -31,7 +36,7 @@
     this.entryHosts = entryHosts.filter((host) => !host.stopping);
   }
 
-  /** Calls per second that this host may send to the cold backend server. */
+  /** Calls that this host may send to the cold backend server in one window. */
   allowance(view: BackendView, coldPerSecond: number): number {
     const senderCount = Math.max(1, Math.min(SENDERS_MAX, Math.floor(coldPerSecond)));
     const senders = rankSenders(view, this.entryHosts).slice(0, senderCount);
@@ -46,7 +51,8 @@
 
   /** True if the rate allows one more call now. */
   isWithinRate(view: BackendView, coldPerSecond: number, nowMs: number): boolean {
-    const sent = this.sent.get(view.record.id)?.count(nowMs, WINDOW_MS) ?? 0;
+    const windowMs = windowMsFor(coldPerSecond);
+    const sent = this.sent.get(view.record.id)?.count(nowMs, windowMs) ?? 0;
     return sent < this.allowance(view, coldPerSecond);
   }
 
--- a/src/gateway/Limits.test.ts
+++ b/src/gateway/Limits.test.ts
@@ -37,6 +37,21 @@
     expect(sent).toBeLessThanOrEqual(COLD_BOUND);
   });
 
+  // Guards against a rate below one that is rounded up to one call a second.
+  it('sends one call in each interval of a rate below one a second', () => {
+    const view = new BackendView(createBackend('b-1'));
+    const limiter = new ColdLimiter({ selfId: 'entry-1' });
+    limiter.setEntryHosts([createEntryHost('entry-1')]);
+    let sent = 0;
+    for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
+      if (limiter.isWithinRate(view, 0.4, nowMs)) {
+        limiter.noteSent(view, nowMs);
+        sent += 1;
+      }
+    }
+    expect(sent).toBe(4);
+  });
+
   it('gives the share of a lost entry host to another entry host', () => {
     const hosts = Array.from({ length: 6 }, (unused, index) => createEntryHost(`entry-${index}`));
     const view = new BackendView(createBackend('b-1'));
