Gateways log that they lost or regained the links to all backend servers

Cause: the log could not tell a gateway without links from backend servers that fail: probe_unanswered names one server and not whether the connection was new, and nothing said that links were lost. Change: ReachMonitor. Events reach_checked, backends_lost and backends_regained, gauge egret_backends_cut. No decision uses it yet.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -22,6 +22,10 @@
   probe_unanswered: 'A backend server did not answer a probe; its backoff lasts pausedMs.',
   probe_misdirected: 'Another backend server answered the probe at this address.',
   backend_cold: 'A probe reported that a backend server is cold.',
+  reach_checked:
+    'Several backend servers failed; connections to a sample were tried, with the results.',
+  backends_lost: 'No backend server of any service can be connected to from this host.',
+  backends_regained: 'Backend servers can be connected to again.',
   backend_health: 'A backend server reported a change of its health.',
   backend_limit:
     'A backend server named, changed or ended its limit of requests from all entry hosts.',
--- a/src/common/LogLevels.ts
+++ b/src/common/LogLevels.ts
@@ -26,6 +26,7 @@
   no_backend: LogLevel.Warn,
   announcement_malformed: LogLevel.Warn,
   announcement_refused: LogLevel.Warn,
+  backends_lost: LogLevel.Warn,
   control_lost: LogLevel.Warn,
   control_link_lost: LogLevel.Warn,
   join_failed: LogLevel.Warn,
--- a/src/gateway/BackendPool.ts
+++ b/src/gateway/BackendPool.ts
@@ -119,6 +119,11 @@
     });
   }
 
+  /** All backend servers that may receive calls. */
+  usable(): BackendView[] {
+    return [...this.views.values()].filter((view) => this.isUsable(view));
+  }
+
   /** True if it is ready, no newer incarnation has its address, and its zone is open. */
   isUsable(view: BackendView): boolean {
     return view.isOpen && !this.closedZones.has(view.record.availabilityZone);
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -1,9 +1,17 @@
 import http from 'node:http';
+import net from 'node:net';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
-import { GuardedAgent } from '../../runtime/GuardedAgent.js';
+import { GuardedAgent, type Connect } from '../../runtime/GuardedAgent.js';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
-import type { AttemptHandle, HealthReport, LimitReading, WireProfile } from '../Types.js';
+import { ConnectResult } from '../ReachMonitor.js';
+import {
+  AttemptResultType,
+  type AttemptHandle,
+  type HealthReport,
+  type LimitReading,
+  type WireProfile,
+} from '../Types.js';
 import { AttemptRun, type AttemptRequest } from './AttemptRun.js';
 
 /** Kinds of requests to backend servers. */
@@ -31,6 +39,17 @@
   readonly onRequest?: (view: BackendView, kind: RequestKind) => void;
   /** Called with the request limit in every answer of the backend server itself. */
   readonly onLimit?: (answer: LimitAnswer) => void;
+  /** Opens connections to backend servers; `net.connect` by default. */
+  readonly connect?: Connect;
+  /** Receives what requests show about the links to backend servers. */
+  readonly reach?: ReachObserver;
+}
+
+/** Receives what requests show about the links to backend servers. */
+export interface ReachObserver {
+  noteConnected(): void;
+  noteAnswered(view: BackendView): void;
+  noteFailed(view: BackendView): void;
 }
 
 const DEFAULT_PROBE_TIMEOUT_MS = 60;
@@ -63,12 +82,34 @@
     timeout: IDLE_SOCKET_MS,
   });
 
-  constructor(private readonly options: BackendClientOptions) {}
+  constructor(private readonly options: BackendClientOptions) {
+    if (options.connect) Object.assign(this.agent, { createConnection: options.connect });
+  }
 
   dispose(): void {
     this.agent.destroy();
   }
 
+  /** Opens a connection to a backend server and closes it. */
+  tryConnect(view: BackendView, timeoutMs: number): Promise<ConnectResult> {
+    this.connects += 1;
+    const { connect = net.connect } = this.options;
+    return new Promise((resolve) => {
+      const socket = connect({ host: view.record.address, port: view.record.port });
+      const finish = (result: ConnectResult) => {
+        resolve(result);
+        socket.destroy();
+      };
+      const timer = setTimeout(() => {
+        // Events that arrived while the event loop was busy are handled first.
+        setImmediate(() => finish(ConnectResult.TimedOut));
+      }, timeoutMs);
+      socket.once('connect', () => finish(ConnectResult.Connected));
+      socket.on('error', () => finish(ConnectResult.Refused));
+      socket.once('close', () => clearTimeout(timer));
+    });
+  }
+
   /** Requests health and load of a backend server; null if there is no usable answer. */
   probe(view: BackendView, service: RoutedService): Promise<HealthReport | null> {
     this.probes += 1;
@@ -85,14 +126,24 @@
         headers: { Host: `${view.record.address}:${view.record.port}` },
       });
       const guard = new AnswerGuard(request);
-      const timer = setTimeout(() => {
-        resolve(null);
-        request.destroy();
-      }, probeTimeoutMs);
+      const { reach } = this.options;
+      let timer: NodeJS.Timeout | undefined;
+      let finished = false;
       const finish = (report: HealthReport | null) => {
+        if (finished) return;
+        finished = true;
         clearTimeout(timer);
+        if (report) reach?.noteAnswered(view);
+        else reach?.noteFailed(view);
         resolve(report);
       };
+      timer = setTimeout(() => {
+        finish(null);
+        request.destroy();
+      }, probeTimeoutMs);
+      request.on('socket', (socket) => {
+        if (socket.connecting) socket.once('connect', () => reach?.noteConnected());
+      });
       request.on('error', () => finish(null));
       request.on('response', (response) => {
         const { statusCode = 0, headers } = response;
@@ -124,11 +175,20 @@
   /** Sends one attempt of a call. */
   send(view: BackendView, attempt: AttemptRequest): AttemptHandle {
     const onLimit = this.noteRequest(view, RequestKind.Call);
+    const { profile, reach } = this.options;
     const onConnect = () => {
       this.connects += 1;
+      reach?.noteConnected();
     };
-    const { profile } = this.options;
     const run = new AttemptRun(this.agent, profile, view, attempt, { onConnect, onLimit });
+    run.result.then(
+      ({ type }) => {
+        const answered = type === AttemptResultType.Answer || type === AttemptResultType.NotRun;
+        if (answered) reach?.noteAnswered(view);
+        else if (type === AttemptResultType.NotSent) reach?.noteFailed(view);
+      },
+      () => {},
+    );
     return { result: run.result, cancel: () => run.cancel() };
   }
 
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -9,6 +9,7 @@
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { HttpConnections } from '../../runtime/HttpConnections.js';
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
+import type { Connect } from '../../runtime/GuardedAgent.js';
 import type { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
 import { createNonce } from '../../runtime/LinkAuth.js';
 import { MetricsListener } from '../../runtime/MetricsListener.js';
@@ -20,6 +21,7 @@
 import { PickPolicy, type DecisionLog } from '../DispatchTypes.js';
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
 import { createPicker } from '../Pickers.js';
+import { ReachMonitor } from '../ReachMonitor.js';
 import { RequestLimiter } from '../RequestLimiter.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
@@ -59,6 +61,8 @@
   readonly stopMs: number;
   /** Longest wait for a probe's answer; longer in tests that share a busy machine. */
   readonly probeTimeoutMs?: number;
+  /** Opens connections to backend servers; `net.connect` by default. */
+  readonly connect?: Connect;
   readonly log: RateLimitedLog;
   readonly clock?: Clock;
   readonly seed?: number;
@@ -103,6 +107,8 @@
 
   private readonly client: BackendClient;
 
+  private readonly reach: ReachMonitor;
+
   private readonly gate: StartupGate;
 
   private readonly crashes: CrashWatch;
@@ -163,6 +169,21 @@
       },
       onLimit: ({ view, reading, sentAtMs }) =>
         this.limits.noteReading(view, reading, sentAtMs, nowMs()),
+      connect: options.connect,
+      reach: {
+        noteConnected: () => this.reach.noteConnected(),
+        noteAnswered: (view) => this.reach.noteAnswered(view),
+        noteFailed: (view) => this.reach.noteFailed(view),
+      },
+    });
+    this.reach = new ReachMonitor({
+      random,
+      nowMs,
+      setTimer,
+      targets: () => this.pool.usable(),
+      tryConnect: (view, timeoutMs) => this.client.tryConnect(view, timeoutMs),
+      onChange: () => {},
+      log,
     });
     const work = new WorkEstimates();
     const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
@@ -290,6 +311,7 @@
   dispose(): void {
     this.watch?.dispose();
     clearTimeout(this.provisionalTimer);
+    this.reach.dispose();
     this.client.dispose();
     [this.callerServer, this.readinessServer].forEach((server) => {
       closeServer(server).catch(() => {});
@@ -429,6 +451,9 @@
     metrics.gauge('egret_backends', 'Backend servers known.', () => pool.size);
     metrics.gauge('egret_probes', 'Probes sent.', () => client.probes);
     metrics.gauge('egret_connects', 'Connections to backend servers.', () => client.connects);
+    metrics.gauge('egret_backends_cut', '1 while cut off from all backend servers.', () =>
+      Number(this.reach.isCut),
+    );
     metrics.gauge('egret_routing_version', 'Routing in force.', () => routing.version);
     metrics.gauge('egret_open_calls', 'Calls in progress.', () => this.calls.openCalls);
     metrics.gauge('egret_rss_bytes', 'Resident memory.', () => process.memoryUsage.rss());
--- a/src/runtime/GuardedAgent.ts
+++ b/src/runtime/GuardedAgent.ts
@@ -1,6 +1,10 @@
 import http, { type ClientRequest } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
+/** Opens a connection. */
+export type Connect = (target: { readonly host: string; readonly port: number }) => Socket;
+
 /**
  * Connection pool that closes an idle connection on which bytes arrive. Such bytes answer no
  * request, so a later request on that connection could receive the answer to another one.
