--- a/src/common/LogLevels.test.ts
+++ b/src/common/LogLevels.test.ts
@@ -16,7 +16,12 @@
   });
 
   it('sample the events of ordinary success except at debug', () => {
-    expect(lineLimits(LogLevel.Info)).toEqual({ attempt_sent: 2, call_answered: 2 });
+    expect(lineLimits(LogLevel.Info)).toEqual({
+      attempt_sent: 2,
+      call_answered: 2,
+      call_forwarded: 2,
+      call_received: 2,
+    });
     expect(lineLimits(LogLevel.Debug).call_answered).toBeGreaterThan(100);
   });
 });
--- a/src/common/LogLevels.ts
+++ b/src/common/LogLevels.ts
@@ -27,6 +27,8 @@
   announcement_malformed: LogLevel.Warn,
   announcement_refused: LogLevel.Warn,
   backends_lost: LogLevel.Warn,
+  forward_failed: LogLevel.Warn,
+  no_peer: LogLevel.Warn,
   control_lost: LogLevel.Warn,
   control_link_lost: LogLevel.Warn,
   join_failed: LogLevel.Warn,
@@ -43,7 +45,12 @@
 /** The same at `debug`: every line is written, since a gateway serves fewer calls than this. */
 const UNSAMPLED_LINES_PER_SECOND = 1_000;
 
-const SAMPLED_EVENTS: readonly LogEvent[] = ['attempt_sent', 'call_answered'];
+const SAMPLED_EVENTS: readonly LogEvent[] = [
+  'attempt_sent',
+  'call_answered',
+  'call_forwarded',
+  'call_received',
+];
 
 /**
  * True if an event is written at a level.
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -43,6 +43,8 @@
   /** True if the control host should push changes to this entry host. */
   readonly subscribe: boolean;
   readonly stopping: boolean;
+  /** True while the entry host reaches no backend server; earlier versions omit it. */
+  readonly cutOff?: boolean;
   /** Index of the entry host's membership; a pong with the same index omits the voters. */
   readonly membershipIndex?: number;
 }
--- a/src/common/Placement.ts
+++ b/src/common/Placement.ts
@@ -13,6 +13,8 @@
   readonly availabilityZone: string;
   /** True from the start of a planned stop. */
   readonly stopping: boolean;
+  /** True while it reaches no backend server; earlier versions omit it. */
+  readonly cutOff?: boolean;
 }
 
 /** Options of {@link placeLeaseholders}. */
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -99,8 +99,10 @@
     session.appliedIndex = message.appliedIndex;
     session.subscribed = message.subscribe;
     session.lastSeenMs = nowMs;
-    if (session.entryHost.stopping !== message.stopping) {
-      session.entryHost = { ...session.entryHost, stopping: message.stopping };
+    const { stopping, cutOff = false } = message;
+    const { entryHost } = session;
+    if (entryHost.stopping !== stopping || (entryHost.cutOff ?? false) !== cutOff) {
+      session.entryHost = { ...entryHost, stopping, cutOff };
       this.listChanged = true;
     }
     return session;
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -291,7 +291,8 @@
 
   private failOrRefuse(): DispatchOutcome {
     if (this.mayHaveRunCount > 0) {
-      return { type: DispatchOutcomeType.Failed, reason: this.lastFailureReason };
+      const attempts = this.mayHaveRunCount;
+      return { type: DispatchOutcomeType.Failed, reason: this.lastFailureReason, attempts };
     }
     const wasSent = this.sentCount > 0;
     const retryAfterMs = wasSent ? RETRY_AFTER_REJECTED_MS : RETRY_AFTER_MS[this.lastNoPickReason];
--- a/src/gateway/ColdLimiter.ts
+++ b/src/gateway/ColdLimiter.ts
@@ -31,9 +31,9 @@
 
   constructor(private readonly options: ColdLimiterOptions) {}
 
-  /** Sets the live entry hosts; stopping ones are ignored. */
+  /** Sets the live entry hosts; those that stop or reach no backend server send nothing. */
   setEntryHosts(entryHosts: readonly EntryHost[]): void {
-    this.entryHosts = entryHosts.filter((host) => !host.stopping);
+    this.entryHosts = entryHosts.filter((host) => !host.stopping && host.cutOff !== true);
   }
 
   /** Calls that this host may send to the cold backend server in one window. */
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -1,7 +1,6 @@
 import type { LogEvent } from '../common/LogEvents.js';
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
-import type { RetryBudget } from './RetryBudget.js';
 import type { RoutedService } from '../common/routing/Types.js';
 import type { AttemptHandle, BackendAnswer, Call } from './Types.js';
 import type { WorkEstimates } from './WorkEstimates.js';
@@ -78,11 +77,19 @@
   noteCompleted(fingerprint: () => string): void;
 }
 
+/** Part of the retry budget that a dispatcher uses. */
+export interface CallBudget {
+  noteCall(service: string, nowMs: number): void;
+  maySpend(service: string, nowMs: number, share?: number): boolean;
+  trySpend(service: string, nowMs: number, share?: number): boolean;
+  spend(service: string, nowMs: number): void;
+}
+
 /** Options of a {@link Dispatcher}. */
 export interface DispatcherOptions {
   readonly picker: Picker;
-  readonly cold: ColdLimiter;
-  readonly budget: RetryBudget;
+  readonly cold: Pick<ColdLimiter, 'noteSent'>;
+  readonly budget: CallBudget;
   readonly work: WorkEstimates;
   /** Notified of connections lost while a call was running, and of completed calls. */
   readonly crashes: CrashObserver;
@@ -117,7 +124,31 @@
       readonly retryAfterMs: number;
     }
   | {
-      readonly type: DispatchOutcomeType.Failed | DispatchOutcomeType.TimedOut;
+      readonly type: DispatchOutcomeType.Failed;
       readonly reason: string;
+      /** Number of attempts that may have run. */
+      readonly attempts: number;
     }
+  | { readonly type: DispatchOutcomeType.TimedOut; readonly reason: string }
   | { readonly type: DispatchOutcomeType.Abandoned };
+
+/** Registers a function that is called once the caller disconnects. */
+export type OnAbandoned = (abandon: () => void) => void;
+
+/** Ways to send the attempts of one call. */
+export interface CallSenders {
+  /** Sends to a backend server. */
+  readonly send: SendAttempt;
+  /** Creates a sender to other gateways, which may make this many attempts. */
+  readonly createPeerSender: (attemptsMax: number) => SendAttempt;
+}
+
+/** Runs calls to their outcome. */
+export interface CallDispatcher {
+  run(
+    call: Call,
+    service: RoutedService,
+    senders: CallSenders,
+    onAbandoned: OnAbandoned,
+  ): Promise<DispatchOutcome>;
+}
--- a/src/gateway/EntryDirectory.ts
+++ b/src/gateway/EntryDirectory.ts
@@ -13,6 +13,9 @@
   readonly limit?: number;
 }
 
+/** Share of a zone's entry hosts that must reach backend servers for it to be used alone. */
+const MIN_REACHING_SHARE = 0.5;
+
 /** Number of entry hosts that a zone must have to be used without the other zones. */
 const MIN_ZONE_HOSTS = 2;
 
@@ -22,7 +25,8 @@
 /**
  * Returns the entry hosts that a caller should use: those of its own availability zone, which has
  * the nearest backend servers, or those of all open zones if too few are left there. Callers of a
- * closed zone get the entry hosts of open zones, whose backend servers serve them.
+ * closed zone get the entry hosts of open zones, whose backend servers serve them. Entry hosts that
+ * reach no backend server are left out while enough others remain.
  *
  * @example
  * chooseEntryHosts({ entryHosts, availabilityZone: 'yoichi', random });
@@ -30,11 +34,15 @@
 export function chooseEntryHosts(options: ChooseEntryHostsOptions): EntryHost[] {
   const { entryHosts, availabilityZone, random, limit = DEFAULT_LIMIT } = options;
   const closed = new Set(options.closedZones);
-  const live = entryHosts.filter((host) => !host.stopping);
-  const sameZone = live.filter((host) => host.availabilityZone === availabilityZone);
+  const running = entryHosts.filter((host) => !host.stopping);
+  const reaching = running.filter((host) => host.cutOff !== true);
+  const live = reaching.length >= MIN_ZONE_HOSTS ? reaching : running;
+  const isInZone = (host: EntryHost) => host.availabilityZone === availabilityZone;
+  const sameZone = live.filter(isInZone);
+  const isZoneCut = sameZone.length < MIN_REACHING_SHARE * running.filter(isInZone).length;
   const inOpenZones = live.filter((host) => !closed.has(host.availabilityZone));
   const fallback = inOpenZones.length >= MIN_ZONE_HOSTS ? inOpenZones : live;
-  const useZone = sameZone.length >= MIN_ZONE_HOSTS && !closed.has(availabilityZone);
+  const useZone = sameZone.length >= MIN_ZONE_HOSTS && !isZoneCut && !closed.has(availabilityZone);
   const chosen = useZone ? sameZone : fallback;
   while (chosen.length > limit) chosen.splice(pickIndex(random, chosen.length), 1);
   return chosen;
@@ -59,14 +67,18 @@
     this.lists.delete(control);
   }
 
-  /** Returns the hosts on any list; a host counts as stopping once one list marks it so. */
+  /** Returns the hosts on any list; a host counts as stopping or cut off once one list says so. */
   hosts(): EntryHost[] {
     if (this.lists.size === 0) return [...this.lastMerged];
     const merged = new Map<string, EntryHost>();
     this.lists.forEach((list) =>
       list.forEach((host) => {
         const existing = merged.get(host.id);
-        if (!existing || host.stopping) merged.set(host.id, host);
+        merged.set(host.id, {
+          ...host,
+          stopping: host.stopping || existing?.stopping === true,
+          cutOff: host.cutOff === true || existing?.cutOff === true,
+        });
       }),
     );
     return [...merged.values()];
--- a/src/gateway/ReachMonitor.ts
+++ b/src/gateway/ReachMonitor.ts
@@ -74,6 +74,11 @@
 
   constructor(private readonly options: ReachMonitorOptions) {}
 
+  /** True while this host is cut off, or is checking whether it is. */
+  get isSuspected(): boolean {
+    return this.isCut || this.isChecking;
+  }
+
   dispose(): void {
     this.disposed = true;
   }
--- a/src/gateway/RequestLimiter.ts
+++ b/src/gateway/RequestLimiter.ts
@@ -89,9 +89,9 @@
     this.limits = new NamedLimits(options);
   }
 
-  /** Sets the live entry hosts; stopping ones are ignored. */
+  /** Sets the live entry hosts; those that stop or reach no backend server send nothing. */
   setEntryHosts(entryHosts: readonly EntryHost[]): void {
-    this.entryHosts = entryHosts.filter((host) => !host.stopping);
+    this.entryHosts = entryHosts.filter((host) => !host.stopping && host.cutOff !== true);
   }
 
   /** True if the backend server names a limit. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -71,6 +71,8 @@
   attemptHeaders(head: AttemptHead): string[];
   readAnswer(statusCode: number, headers: IncomingHttpHeaders): AnswerHead;
   readHealth(statusCode: number, headers: IncomingHttpHeaders): HealthReport;
+  /** Headers of an answer to another gateway that identify its call, names and values in turn. */
+  callIdHeaders(callId: string): string[];
   /** Value of the Retry-After header. */
   retryAfter(delayMs: number): string;
 }
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -6,11 +6,23 @@
 import type { ClosedBy, HttpConnections } from '../../runtime/HttpConnections.js';
 import { CallStanding } from '../CrashSuspects.js';
 import type { CrashWatch } from '../CrashWatch.js';
-import type { Dispatcher } from '../Dispatcher.js';
-import { DispatchOutcomeType, type DecisionLog, type DispatchOutcome } from '../DispatchTypes.js';
+import {
+  DispatchOutcomeType,
+  type CallDispatcher,
+  type DecisionLog,
+  type DispatchOutcome,
+  type SendAttempt,
+} from '../DispatchTypes.js';
 import type { ActiveRouting } from '../ActiveRouting.js';
 import type { BackendAnswer, Call, WireProfile } from '../Types.js';
 import type { BackendClient } from './BackendClient.js';
+import {
+  FORWARD_HEADER,
+  PEER_ANSWER_HEADER,
+  PeerAnswer,
+  type ForwardMark,
+  type ForwardMarks,
+} from './ForwardMark.js';
 import type { GatewayMetrics } from './GatewayMetrics.js';
 import { readRequestBody } from './RequestBody.js';
 
@@ -18,8 +30,13 @@
 export interface CallServerOptions {
   readonly profile: WireProfile;
   readonly routing: ActiveRouting;
-  readonly dispatcher: Dispatcher;
+  readonly dispatcher: CallDispatcher;
   readonly client: BackendClient;
+  /** Sends calls to other gateways. */
+  readonly peerClient: BackendClient;
+  readonly marks: ForwardMarks;
+  /** True if only other gateways connect, which forward calls of their callers. */
+  readonly servesPeers?: boolean;
   readonly metrics: GatewayMetrics;
   readonly nowMs: () => number;
   readonly log: DecisionLog;
@@ -45,11 +62,17 @@
 /** Retry delay of a quarantined call: the time after which a suspicion expires. */
 const RETRY_AFTER_QUARANTINE_MS = 60_000;
 
+/** Largest number of forwarded calls in progress; calls of own callers have the rest. */
+const FORWARDED_CALLS_MAX = 200;
+
 /** Answer headers that are set anew instead of copied. */
-const OWN_ANSWER_HEADERS = new Set(['content-length']);
+const OWN_ANSWER_HEADERS = new Set(['content-length', PEER_ANSWER_HEADER]);
 
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
-const OWN_REQUEST_HEADERS = ['expect', 'content-length'];
+const OWN_REQUEST_HEADERS = ['expect', 'content-length', FORWARD_HEADER];
+
+/** Statuses of refusals, which promise that the call has not run. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([404, 408, 413, 421, 429, 503]);
 
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
@@ -112,9 +135,11 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { options } = this;
-    const arrivedAtMs = options.nowMs();
     const head = options.profile.readCall(request.headers);
     const callId = head.callId ?? options.createId();
+    const mark = options.servesPeers ? options.marks.read(request) : undefined;
+    if (options.servesPeers && !this.acceptForwarded(response, callId, mark)) return;
+    const arrivedAtMs = options.nowMs();
     const callerBudgetMs = head.budgetMs ?? DEFAULT_BUDGET_MS;
     await options.waitUntilReady(callerBudgetMs);
     const { index, table } = options.routing;
@@ -149,13 +174,14 @@
       return;
     }
     const singleAttempt = read.type === 'long' || standing === CallStanding.Suspect;
+    const attemptsMax = Math.min(route.attemptsMax, mark?.attemptsMax ?? route.attemptsMax);
     const call: Call = {
       callId,
-      route: singleAttempt ? { ...route, attemptsMax: 1 } : route,
+      route: { ...route, attemptsMax: singleAttempt ? 1 : attemptsMax },
       service: service.name,
       arrivedAtMs,
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
-      objectiveAtMs: arrivedAtMs + route.objectiveMs,
+      objectiveAtMs: arrivedAtMs + route.objectiveMs - (mark?.elapsedMs ?? 0),
       fingerprint,
       isBodyStreamed: read.type === 'long',
       isCallerConnected: () => options.connections.isDue(response),
@@ -168,6 +194,23 @@
     if (!response.headersSent) this.finish(call, route, response, outcome);
   }
 
+  /** Checks a call that another gateway forwards; refuses it if it is not genuine, or too many are. */
+  private acceptForwarded(
+    response: ServerResponse,
+    callId: string,
+    mark: ForwardMark | undefined,
+  ): boolean {
+    if (!mark) {
+      this.refuse(response, callId, new EgretError(ErrorKind.Forbidden, 'Not a forwarded call.'));
+      return false;
+    }
+    this.options.log('call_received', { call: callId, from: mark.from, elapsedMs: mark.elapsedMs });
+    if (this.openCalls <= FORWARDED_CALLS_MAX) return true;
+    const error = new EgretError(ErrorKind.Overloaded, 'Too many forwarded calls.');
+    this.refuse(response, callId, error);
+    return false;
+  }
+
   /**
    * Waits for the non-idempotent calls ahead on the connection: their answers can't be requested
    * again, and one without a length ends the connection. Returns false if it did.
@@ -198,26 +241,28 @@
     body: Buffer,
     bodyRest: IncomingMessage | null,
   ): Promise<DispatchOutcome> {
-    const { dispatcher, client, connections } = this.options;
+    const { dispatcher, client, peerClient, marks, nowMs, connections } = this.options;
     const rawHeaders = copyEndToEnd(request.rawHeaders, this.ownRequestHeaders);
-    return dispatcher.run(
-      call,
-      service,
-      (view, remainingMs) =>
-        client.send(view, {
-          method: request.method ?? 'GET',
-          target: request.url ?? '/',
-          rawHeaders,
-          callId: call.callId,
-          body,
-          bodyRest,
-          remainingMs,
-        }),
-      (abandon) => {
-        if (connections.isDue(response)) this.openRequests.set(response, abandon);
-        connections.whenEnded(response, abandon);
-      },
-    );
+    const attempt = {
+      method: request.method ?? 'GET',
+      target: request.url ?? '/',
+      rawHeaders,
+      callId: call.callId,
+      body,
+      bodyRest,
+    };
+    const send: SendAttempt = (view, remainingMs) => client.send(view, { ...attempt, remainingMs });
+    const createPeerSender =
+      (attemptsMax: number): SendAttempt =>
+      (view, remainingMs) => {
+        const elapsedMs = nowMs() - call.arrivedAtMs;
+        const marked = [...rawHeaders, ...marks.headers({ attemptsMax, elapsedMs })];
+        return peerClient.send(view, { ...attempt, rawHeaders: marked, remainingMs });
+      };
+    return dispatcher.run(call, service, { send, createPeerSender }, (abandon) => {
+      if (connections.isDue(response)) this.openRequests.set(response, abandon);
+      connections.whenEnded(response, abandon);
+    });
   }
 
   private finish(
@@ -326,6 +371,11 @@
       String(Buffer.byteLength(text)),
     ];
     if (error.outcome) headers.push('Egret-Outcome', error.outcome);
+    if (this.options.servesPeers) {
+      const isRefusal = REFUSAL_STATUSES.has(error.statusCode);
+      headers.push(PEER_ANSWER_HEADER, isRefusal ? PeerAnswer.Refused : PeerAnswer.Failed);
+      headers.push(...this.options.profile.callIdHeaders(callId));
+    }
     if (error.retryAfterMs !== undefined) {
       headers.push('Retry-After', profile.retryAfter(error.retryAfterMs));
     }
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -102,6 +102,7 @@
       appliedIndex: this.options.routingIndex(),
       subscribe: false,
       stopping: this.options.self().stopping,
+      cutOff: this.options.self().cutOff ?? false,
       membershipIndex: this.membershipIndex,
     });
   }
--- /dev/null
+++ b/src/gateway/server/ForwardMark.ts
@@ -0,0 +1,54 @@
+import type { IncomingMessage } from 'node:http';
+import { checkForwardMac, createForwardMac } from '../../runtime/LinkAuth.js';
+
+/** Request header that marks a call as forwarded by another gateway; lower case. */
+export const FORWARD_HEADER = 'egret-forwarded';
+
+/** Answer header by which a gateway marks its own answers to forwarded calls; lower case. */
+export const PEER_ANSWER_HEADER = 'egret-peer-answer';
+
+/** Kinds of a gateway's own answers to forwarded calls. */
+export enum PeerAnswer {
+  /** The call has not run and never will. */
+  Refused = 'refused',
+  /** The call may have run. */
+  Failed = 'failed',
+}
+
+/** What a gateway tells another one about a call that it forwards. */
+export interface ForwardMark {
+  /** Id of the gateway that forwards. */
+  readonly from: string;
+  /** Number of backend servers that may still run the call. */
+  readonly attemptsMax: number;
+  /** Time since the call arrived at the first gateway. */
+  readonly elapsedMs: number;
+}
+
+/** Creates and checks forward marks, which only hosts with the shared secret can make. */
+export class ForwardMarks {
+  private readonly mac: string;
+
+  constructor(
+    private readonly secret: string,
+    private readonly selfId: string,
+  ) {
+    this.mac = createForwardMac(secret, selfId);
+  }
+
+  /** Request headers of a forwarded call, names and values in turn. */
+  headers({ attemptsMax, elapsedMs }: Omit<ForwardMark, 'from'>): string[] {
+    const mark = [this.selfId, attemptsMax, Math.max(0, Math.round(elapsedMs)), this.mac];
+    return [FORWARD_HEADER, mark.join(' ')];
+  }
+
+  /** Reads the mark of a forwarded call; undefined if it is missing, malformed or forged. */
+  read({ headers }: IncomingMessage): ForwardMark | undefined {
+    const [from, attempts, elapsed, mac] = String(headers[FORWARD_HEADER] ?? '').split(' ');
+    if (!from || !mac || !checkForwardMac(this.secret, from, mac)) return undefined;
+    const [attemptsMax, elapsedMs] = [Number(attempts), Number(elapsed)];
+    if (!Number.isSafeInteger(attemptsMax) || attemptsMax < 1 || !(elapsedMs >= 0))
+      return undefined;
+    return { from, attemptsMax, elapsedMs };
+  }
+}
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -18,8 +18,11 @@
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
-import { PickPolicy, type DecisionLog } from '../DispatchTypes.js';
+import { PickPolicy, type CallBudget, type DecisionLog } from '../DispatchTypes.js';
 import { chooseEntryHosts, EntryHostView } from '../EntryDirectory.js';
+import { createForwardLog } from '../ForwardLog.js';
+import { ForwardingDispatcher } from '../ForwardingDispatcher.js';
+import { PeerPicker } from '../PeerPicker.js';
 import { createPicker } from '../Pickers.js';
 import { ReachMonitor } from '../ReachMonitor.js';
 import { RequestLimiter } from '../RequestLimiter.js';
@@ -31,7 +34,9 @@
 import { BackendClient } from './BackendClient.js';
 import { CallServer } from './CallServer.js';
 import { ControlWatch, type ControlAddress } from './ControlWatch.js';
+import { ForwardMarks } from './ForwardMark.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
+import { createPeerProfile } from './PeerProfile.js';
 
 /** Address to listen on. */
 export interface ListenAddress {
@@ -45,6 +50,8 @@
   readonly availabilityZone: string;
   /** Address that callers connect to. */
   readonly callers: ListenAddress;
+  /** Address for calls that other gateways forward; omitted to accept none. */
+  readonly peers?: ListenAddress;
   /** Address and path of the readiness check. */
   readonly readiness: ListenAddress & { readonly path: string };
   /** Address and path of the metrics; omitted to serve none. */
@@ -117,6 +124,17 @@
 
   private readonly calls: CallServer;
 
+  /** Calls that other gateways forward. */
+  private readonly peerCalls: CallServer;
+
+  private readonly peerClient: BackendClient;
+
+  private readonly peerPicker: PeerPicker;
+
+  private readonly peerServer: Server;
+
+  private readonly peerConnections: HttpConnections;
+
   private provisionalTimer: NodeJS.Timeout | undefined;
 
   private readonly callerServer: Server;
@@ -135,6 +153,8 @@
 
   private boundReadinessPort = 0;
 
+  private boundPeerPort = 0;
+
   constructor(private readonly options: GatewayServerOptions) {
     this.clock = options.clock ?? systemClock;
     this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
@@ -182,9 +202,16 @@
       setTimer,
       targets: () => this.pool.usable(),
       tryConnect: (view, timeoutMs) => this.client.tryConnect(view, timeoutMs),
-      onChange: () => {},
+      onChange: () => this.watch?.ping(),
       log,
     });
+    this.peerClient = new BackendClient({ profile: createPeerProfile(options.profile), nowMs });
+    this.peerPicker = new PeerPicker({
+      selfId: options.id,
+      availabilityZone: options.availabilityZone,
+      random,
+      nowMs,
+    });
     const work = new WorkEstimates();
     const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
       pool: this.pool,
@@ -203,16 +230,32 @@
         this.watch?.report({ type: ControlMessageType.CrashReport, ...report }),
       log,
     });
-    const dispatcher = new Dispatcher({
-      picker,
-      cold: this.cold,
-      budget: this.budget,
-      work,
-      crashes: this.crashes,
+    const dispatchOptions = { cold: this.cold, crashes: this.crashes, nowMs, setTimer, log };
+    const { budget } = this;
+    // Calls count where their callers connect.
+    const countedBudget: CallBudget = {
+      noteCall: () => {},
+      maySpend: (service, atMs, share) => budget.maySpend(service, atMs, share),
+      trySpend: (service, atMs, share) => budget.trySpend(service, atMs, share),
+      spend: (service, atMs) => budget.spend(service, atMs),
+    };
+    const dispatcher = new ForwardingDispatcher({
+      local: new Dispatcher({ ...dispatchOptions, picker, budget, work }),
+      peers: new Dispatcher({
+        ...dispatchOptions,
+        picker: this.peerPicker,
+        cold: { noteSent: () => {} },
+        crashes: { noteConnectionLost: () => {}, noteCompleted: () => {} },
+        budget: countedBudget,
+        work: new WorkEstimates(),
+        log: createForwardLog(log),
+      }),
+      hasPeers: () => this.peerPicker.hasPeers,
+      reach: this.reach,
+      budget,
       nowMs,
-      setTimer,
-      log,
     });
+    const received = new Dispatcher({ ...dispatchOptions, picker, budget: countedBudget, work });
     this.gate = new StartupGate({ nowMs, setTimer });
     this.callerServer = createServer(
       { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
@@ -222,20 +265,40 @@
       server: this.callerServer,
       isStopping: () => this.stopping,
     });
-    this.calls = new CallServer({
+    this.peerServer = createServer(
+      { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
+      (request, response) => this.peerCalls.handle(request, response),
+    );
+    this.peerConnections = new HttpConnections({
+      server: this.peerServer,
+      isStopping: () => this.stopping,
+    });
+    const callOptions = {
       profile: options.profile,
       routing: this.routing,
-      dispatcher,
       client: this.client,
+      peerClient: this.peerClient,
+      marks: new ForwardMarks(options.secret, options.id),
       metrics: this.metrics,
       nowMs,
       log,
       isStopping: () => this.stopping,
       crashes: this.crashes,
-      waitUntilReady: (budgetMs) => this.gate.wait(budgetMs),
+      waitUntilReady: (budgetMs: number) => this.gate.wait(budgetMs),
       createId: createNonce,
-      connections: this.connections,
+    };
+    this.calls = new CallServer({ ...callOptions, dispatcher, connections: this.connections });
+    this.peerCalls = new CallServer({
+      ...callOptions,
+      servesPeers: true,
+      dispatcher: {
+        run: (call, service, { send }, onAbandoned) =>
+          received.run(call, service, send, onAbandoned),
+      },
+      connections: this.peerConnections,
     });
+    answerParserErrors(this.peerServer, this.peerConnections);
+    this.peerServer.on('connection', (socket: Socket) => socket.setNoDelay(true));
     answerParserErrors(this.callerServer, this.connections);
     this.callerServer.on('connection', (socket: Socket) => socket.setNoDelay(true));
     this.readinessServer = createServer((request, response) =>
@@ -259,6 +322,10 @@
     return chooseEntryHosts({ entryHosts, availabilityZone, closedZones, random: this.random });
   }
 
+  private get openCalls(): number {
+    return this.calls.openCalls + this.peerCalls.openCalls;
+  }
+
   /** True while this host can serve callers. */
   get isReady(): boolean {
     return !this.stopping && this.routing.table !== null && this.pool.size > 0;
@@ -269,6 +336,8 @@
     this.boundPort = await listen(this.callerServer, callers.address, callers.port);
     const { address, port } = readiness;
     this.boundReadinessPort = await listen(this.readinessServer, address, port);
+    const { peers } = this.options;
+    if (peers) this.boundPeerPort = await listen(this.peerServer, peers.address, peers.port);
     if (metrics) {
       const onFailed = (error: unknown) => log.line('metrics_failed', { detail: String(error) });
       const { registry } = this.metrics;
@@ -295,14 +364,16 @@
     const { stopMs, log, id } = this.options;
     const startedAtMs = this.clock.nowMs();
     this.stopping = true;
-    log.line('gateway_stopping', { host: id, openCalls: this.calls.openCalls });
+    log.line('gateway_stopping', { host: id, openCalls: this.openCalls });
     this.watch?.ping();
     await sleep(stopMs * LINGER_SHARE);
     this.callerServer.close();
+    this.peerServer.close();
     await this.drainConnections(startedAtMs + stopMs * FINISH_SHARE);
     this.calls.endOpenCalls();
+    this.peerCalls.endOpenCalls();
     await this.drainConnections(startedAtMs + stopMs * FLUSH_SHARE);
-    log.line('gateway_stopped', { host: id, openCalls: this.calls.openCalls });
+    log.line('gateway_stopped', { host: id, openCalls: this.openCalls });
     this.dispose();
     await log.flush();
   }
@@ -313,7 +384,8 @@
     clearTimeout(this.provisionalTimer);
     this.reach.dispose();
     this.client.dispose();
-    [this.callerServer, this.readinessServer].forEach((server) => {
+    this.peerClient.dispose();
+    [this.callerServer, this.peerServer, this.readinessServer].forEach((server) => {
       closeServer(server).catch(() => {});
     });
     this.metricsListener?.stop().catch(() => {});
@@ -322,7 +394,9 @@
   /** Waits until all answers are sent and their connections closed, or until `lastAtMs`. */
   private async drainConnections(lastAtMs: number): Promise<void> {
     this.connections.closeIdle();
-    if (this.connections.size === 0 || this.clock.nowMs() >= lastAtMs) return;
+    this.peerConnections.closeIdle();
+    const open = this.connections.size + this.peerConnections.size;
+    if (open === 0 || this.clock.nowMs() >= lastAtMs) return;
     await sleep(STOP_POLL_MS);
     await this.drainConnections(lastAtMs);
   }
@@ -339,11 +413,12 @@
       id,
       address: callers.address,
       port: this.boundPort,
-      peerPort: 0,
+      peerPort: this.boundPeerPort,
       adminAddress: readiness.address,
       adminPort: readiness.port,
       availabilityZone,
       stopping: this.stopping,
+      cutOff: this.reach.isCut,
     };
   }
 
@@ -394,6 +469,7 @@
       const entryHosts = this.entryHosts.hosts();
       this.cold.setEntryHosts(entryHosts);
       this.limits.setEntryHosts(entryHosts);
+      this.peerPicker.setEntryHosts(entryHosts);
       this.budget.setEntryHosts(entryHosts.length);
     },
   };
@@ -455,7 +531,7 @@
       Number(this.reach.isCut),
     );
     metrics.gauge('egret_routing_version', 'Routing in force.', () => routing.version);
-    metrics.gauge('egret_open_calls', 'Calls in progress.', () => this.calls.openCalls);
+    metrics.gauge('egret_open_calls', 'Calls in progress.', () => this.openCalls);
     metrics.gauge('egret_rss_bytes', 'Resident memory.', () => process.memoryUsage.rss());
     metrics.gauge('egret_control_links', 'Open links to control hosts.', () =>
       this.watch ? this.watch.openLinks : 0,
--- /dev/null
+++ b/src/gateway/server/PeerProfile.ts
@@ -0,0 +1,24 @@
+import { LimitReadingType, type WireProfile } from '../Types.js';
+import { FORWARD_HEADER, PEER_ANSWER_HEADER, PeerAnswer } from './ForwardMark.js';
+
+/**
+ * Headers between gateways: those of callers and backend servers, and a mark on a gateway's own
+ * answers.
+ */
+export function createPeerProfile(profile: WireProfile): WireProfile {
+  return {
+    ...profile,
+    attemptHeaderNames: new Set([...profile.attemptHeaderNames, FORWARD_HEADER]),
+    readAnswer: (statusCode, headers) => {
+      const kind = headers[PEER_ANSWER_HEADER];
+      const answer = profile.readAnswer(statusCode, headers);
+      return {
+        ...answer,
+        // A status that reports "not run" is passed on if it is the backend server's own.
+        notRun: kind === PeerAnswer.Refused,
+        load: undefined,
+        limit: { type: LimitReadingType.Unknown },
+      };
+    },
+  };
+}
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -18,6 +18,7 @@
 import { WorkEstimates } from '../WorkEstimates.js';
 import { BackendClient } from './BackendClient.js';
 import { CallServer } from './CallServer.js';
+import { ForwardMarks } from './ForwardMark.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 
 const HOST = '127.0.0.1';
@@ -44,6 +45,7 @@
     load: { running: 0, waiting: 0, slots: 3, slowdown: 1 },
     limit: { type: LimitReadingType.Unknown },
   }),
+  callIdHeaders: (callId) => ['Call-Id', callId],
   retryAfter: (delayMs) => String(delayMs / 1_000),
 };
 
@@ -149,13 +151,19 @@
     nowMs,
     log,
   });
+  const dispatcher = new Dispatcher({ picker, cold, budget, work, crashes, nowMs, setTimer, log });
   const server = createServer();
   const connections = new HttpConnections({ server, isStopping: () => false });
   const calls = new CallServer({
     profile: TEST_PROFILE,
     routing,
-    dispatcher: new Dispatcher({ picker, cold, budget, work, crashes, nowMs, setTimer, log }),
+    dispatcher: {
+      run: (call, service, { send }, onAbandoned) =>
+        dispatcher.run(call, service, send, onAbandoned),
+    },
     client,
+    peerClient: client,
+    marks: new ForwardMarks('secret', 'entry-1'),
     metrics: new GatewayMetrics(),
     nowMs,
     log,
--- a/src/runtime/LinkAuth.ts
+++ b/src/runtime/LinkAuth.ts
@@ -83,6 +83,16 @@
   return isEqual(welcome.mac, sign(secret, ['server', response.nonce]));
 }
 
+/** Creates the code by which an entry host proves to another one that it forwards a call. */
+export function createForwardMac(secret: string, id: string): string {
+  return sign(secret, ['forward', id]);
+}
+
+/** Checks the code of an entry host that forwards a call. */
+export function checkForwardMac(secret: string, id: string, mac: string): boolean {
+  return isEqual(mac, createForwardMac(secret, id));
+}
+
 /**
  * Returns the hash under which a token is stored.
  *
