Forwarded calls: budgets over both gateways, and tests of what a second gateway may do

The retry budget of a call counts where its attempts are made: at the second gateway, unless the first one has counted it before it noticed the cut. Without that, forwarded calls had no retries (seen in the new test: one backend server where the route allows two). A refusal after attempts is final and passed on; only one before any attempt is taken to a third gateway. A gateway that passes on failures of backend servers is not avoided for them (seen: calls refused while two gateways were there).

--- a/src/control/EntrySessions.test.ts
+++ b/src/control/EntrySessions.test.ts
@@ -44,4 +44,24 @@
     sessions.open(2, createEntryHost('e-1'), 200);
     expect(listedIds(sessions, 200)).toEqual(['e-1']);
   });
+
+  it('lists a host as cut off while its heartbeats say so, with a new list for each change', () => {
+    const sessions = new EntrySessions({ unlistAfterMs: UNLIST_AFTER_MS });
+    sessions.open(1, createEntryHost('e-1'), 0);
+    sessions.takeListUpdates(0);
+    const listed = (cutOff: boolean | undefined) => {
+      sessions.ping(1, { ...createPing(), cutOff }, 100);
+      return sessions
+        .takeListUpdates(100)
+        .map(({ message }) =>
+          message.type === ControlMessageType.EntryHosts
+            ? message.entryHosts.map((host) => host.cutOff ?? false)
+            : [],
+        );
+    };
+    expect(listed(undefined)).toEqual([]);
+    expect(listed(true)).toEqual([[true]]);
+    expect(listed(true)).toEqual([]);
+    expect(listed(false)).toEqual([[false]]);
+  });
 });
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -103,7 +103,7 @@
 
   async run(): Promise<DispatchOutcome> {
     const { options, call } = this;
-    options.budget.noteCall(call.service, options.nowMs());
+    if (!call.isCounted) options.budget.noteCall(call.service, options.nowMs());
     this.startTimer(call.dueAtMs - options.nowMs(), CallEventType.Deadline);
     try {
       return await this.loop();
@@ -297,7 +297,8 @@
     const wasSent = this.sentCount > 0;
     const retryAfterMs = wasSent ? RETRY_AFTER_REJECTED_MS : RETRY_AFTER_MS[this.lastNoPickReason];
     const reason = wasSent ? this.lastFailureReason : this.lastNoPickReason;
-    return { type: DispatchOutcomeType.Refused, reason, retryAfterMs };
+    const attempts = this.sentCount;
+    return { type: DispatchOutcomeType.Refused, reason, retryAfterMs, attempts };
   }
 
   /** Picks a backend server and sends an attempt; returns false if none was sent. */
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -122,6 +122,8 @@
       readonly type: DispatchOutcomeType.Refused;
       readonly reason: string;
       readonly retryAfterMs: number;
+      /** Number of attempts that were made; none of them has run. */
+      readonly attempts: number;
     }
   | {
       readonly type: DispatchOutcomeType.Failed;
@@ -135,12 +137,19 @@
 /** Registers a function that is called once the caller disconnects. */
 export type OnAbandoned = (abandon: () => void) => void;
 
+/** What another gateway may do with a call, and what it need not. */
+export interface PeerSenderOptions {
+  /** Number of attempts that it may make. */
+  readonly attemptsMax: number;
+  /** True if this host's retry budget has counted the call. */
+  readonly isCounted: boolean;
+}
+
 /** Ways to send the attempts of one call. */
 export interface CallSenders {
   /** Sends to a backend server. */
   readonly send: SendAttempt;
-  /** Creates a sender to other gateways, which may make this many attempts. */
-  readonly createPeerSender: (attemptsMax: number) => SendAttempt;
+  readonly createPeerSender: (options: PeerSenderOptions) => SendAttempt;
 }
 
 /** Runs calls to their outcome. */
--- a/src/gateway/ForwardingDispatcher.ts
+++ b/src/gateway/ForwardingDispatcher.ts
@@ -7,6 +7,8 @@
   type CallSenders,
   type DispatchOutcome,
   type OnAbandoned,
+  type PeerSenderOptions,
+  type SendAttempt,
 } from './DispatchTypes.js';
 import type { RetryBudget } from './RetryBudget.js';
 import type { Call } from './Types.js';
@@ -42,12 +44,6 @@
   NoPickReason.Limited,
 ]);
 
-/** Reasons of refusals before anything was sent. */
-const UNSENT_REASONS: ReadonlySet<string> = new Set([
-  NoPickReason.NoBackend,
-  NoPickReason.Unreachable,
-]);
-
 /**
  * Dispatches calls to backend servers and, while this host is cut off from all of them, through
  * another gateway. A call is forwarded once at most; the other gateway only dispatches it itself.
@@ -61,19 +57,21 @@
     senders: CallSenders,
     onAbandoned: OnAbandoned,
   ): Promise<DispatchOutcome> {
-    const { local, reach, hasPeers, budget, nowMs } = this.options;
+    const { local, reach, hasPeers } = this.options;
+    const forward = (options: PeerSenderOptions) =>
+      this.forward(call, service, senders.createPeerSender(options), onAbandoned);
     if (reach.isCut && hasPeers()) {
-      budget.noteCall(call.service, nowMs());
-      return this.forward(call, service, senders, onAbandoned, call.route.attemptsMax);
+      return forward({ attemptsMax: call.route.attemptsMax, isCounted: false });
     }
     if (reach.isCut && !reach.isAnyReached) {
       const reason = NoPickReason.Unreachable;
-      return { type: DispatchOutcomeType.Refused, reason, retryAfterMs: RETRY_AFTER_CUT_MS };
+      const retryAfterMs = RETRY_AFTER_CUT_MS;
+      return { type: DispatchOutcomeType.Refused, reason, retryAfterMs, attempts: 0 };
     }
     const outcome = await local.run(call, service, senders.send, onAbandoned);
     const attemptsMax = this.attemptsLeft(call, outcome);
     if (attemptsMax === 0 || !reach.isSuspected || !hasPeers()) return outcome;
-    return this.forward(call, service, senders, onAbandoned, attemptsMax);
+    return forward({ attemptsMax, isCounted: true });
   }
 
   /** Number of attempts that another gateway may make after the outcome; 0 if it is final. */
@@ -83,7 +81,7 @@
     if (outcome.type === DispatchOutcomeType.Refused) {
       if (SHARED_REASONS.has(outcome.reason)) return 0;
       // The rest of a streamed body can be sent only once.
-      return call.isBodyStreamed && !UNSENT_REASONS.has(outcome.reason) ? 0 : attemptsMax;
+      return call.isBodyStreamed && outcome.attempts > 0 ? 0 : attemptsMax;
     }
     const isRepeatable = kind !== RouteKind.NonIdempotent && !call.isBodyStreamed;
     if (outcome.type !== DispatchOutcomeType.Failed || !isRepeatable) return 0;
@@ -95,13 +93,12 @@
   private async forward(
     call: Call,
     service: RoutedService,
-    senders: CallSenders,
+    send: SendAttempt,
     onAbandoned: OnAbandoned,
-    attemptsMax: number,
   ): Promise<DispatchOutcome> {
     // The other gateway makes all attempts, so that a call sent to one is not sent to a second.
-    const forwarded = { ...call, route: { ...call.route, attemptsMax: 1 } };
-    const send = senders.createPeerSender(attemptsMax);
+    const route = { ...call.route, attemptsMax: 1 };
+    const forwarded = { ...call, route, isCounted: true };
     const outcome = await this.options.peers.run(forwarded, service, send, onAbandoned);
     if (outcome.type !== DispatchOutcomeType.Refused) return outcome;
     const retryAfterMs = Math.max(outcome.retryAfterMs, RETRY_AFTER_CUT_MS);
--- a/src/gateway/Limits.test.ts
+++ b/src/gateway/Limits.test.ts
@@ -170,6 +170,17 @@
     expect(choose([...perth, ...bunbury], 1)).toHaveLength(1);
   });
 
+  it('leave out hosts that reach no backend server while enough others are there', () => {
+    const cut = (host: (typeof perth)[0]) => ({ ...host, cutOff: true });
+    const third = createEntryHost('e-5', 'perth');
+    expect(choose([cut(perth[0]!), perth[1]!, third, ...bunbury])).toEqual(['e-2', 'e-5']);
+    // Less than half of the zone's hosts are left: those of the other zone share the load.
+    const zone = ['e-6', 'e-7', 'e-8', 'e-9'].map((id) => cut(createEntryHost(id, 'perth')));
+    expect(choose([...zone, ...perth, ...bunbury])).toEqual(['e-1', 'e-2', 'e-3', 'e-4']);
+    expect(choose([...perth.map(cut), ...bunbury.map(cut)])).toEqual(['e-1', 'e-2']);
+    expect(choose([perth[0]!, cut(perth[1]!), ...bunbury.map(cut)])).toEqual(['e-1', 'e-2']);
+  });
+
   it('are those of open zones for callers in a closed zone', () => {
     const hosts = chooseEntryHosts({
       entryHosts: [...perth, ...bunbury],
--- a/src/gateway/PeerPicker.ts
+++ b/src/gateway/PeerPicker.ts
@@ -1,8 +1,9 @@
 import { BackendState, type BackendRecord } from '../common/backends/Types.js';
 import type { EntryHost } from '../common/Placement.js';
 import { pickIndex, type RandomSource } from '../common/Random.js';
-import { BackendView } from './BackendView.js';
+import type { BackendView } from './BackendView.js';
 import { NoPickReason, type PickResult, type Picker } from './DispatchTypes.js';
+import { PeerView } from './PeerView.js';
 import type { Call } from './Types.js';
 
 /** Options of a {@link PeerPicker}. */
@@ -64,7 +65,7 @@
       const record = createRecord(host);
       const existing = this.views.get(host.id);
       if (existing) existing.update(record, this.options.nowMs());
-      else this.views.set(host.id, new BackendView(record));
+      else this.views.set(host.id, new PeerView(record));
     });
   }
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -90,6 +90,8 @@
   readonly objectiveAtMs: number;
   /** Identifies identical calls; computed only when needed. */
   readonly fingerprint: () => string;
+  /** True if the retry budget of this or another gateway has counted the call. */
+  readonly isCounted?: boolean;
   /** True if the body is too long to buffer, so that only one attempt can send all of it. */
   readonly isBodyStreamed?: boolean;
   /** True while the caller is connected. */
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -9,6 +9,7 @@
 import {
   DispatchOutcomeType,
   type CallDispatcher,
+  type CallSenders,
   type DecisionLog,
   type DispatchOutcome,
   type SendAttempt,
@@ -71,9 +72,6 @@
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length', FORWARD_HEADER];
 
-/** Statuses of refusals, which promise that the call has not run. */
-const REFUSAL_STATUSES: ReadonlySet<number> = new Set([404, 408, 413, 421, 429, 503]);
-
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
   /** Answers that are not yet sent completely, with a function that cancels the call's attempts. */
@@ -117,7 +115,8 @@
       const callId = this.options.profile.readCall(response.req.headers).callId ?? '';
       const reason = 'the host stops';
       this.options.log('call_timed_out', { call: callId, reason });
-      this.refuse(response, callId, new EgretError(ErrorKind.DeadlineExceeded, `${reason}.`));
+      const error = new EgretError(ErrorKind.DeadlineExceeded, `${reason}.`);
+      this.refuse(response, callId, error, PeerAnswer.Final);
       abandon();
     });
   }
@@ -183,6 +182,7 @@
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs - (mark?.elapsedMs ?? 0),
       fingerprint,
+      isCounted: mark?.isCounted ?? false,
       isBodyStreamed: read.type === 'long',
       isCallerConnected: () => options.connections.isDue(response),
       acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
@@ -252,13 +252,14 @@
       bodyRest,
     };
     const send: SendAttempt = (view, remainingMs) => client.send(view, { ...attempt, remainingMs });
-    const createPeerSender =
-      (attemptsMax: number): SendAttempt =>
-      (view, remainingMs) => {
-        const elapsedMs = nowMs() - call.arrivedAtMs;
-        const marked = [...rawHeaders, ...marks.headers({ attemptsMax, elapsedMs })];
+    const createPeerSender: CallSenders['createPeerSender'] = (options) => {
+      const sendToPeer: SendAttempt = (view, remainingMs) => {
+        const mark = marks.headers({ ...options, elapsedMs: nowMs() - call.arrivedAtMs });
+        const marked = [...rawHeaders, ...mark];
         return peerClient.send(view, { ...attempt, rawHeaders: marked, remainingMs });
       };
+      return sendToPeer;
+    };
     return dispatcher.run(call, service, { send, createPeerSender }, (abandon) => {
       if (connections.isDue(response)) this.openRequests.set(response, abandon);
       connections.whenEnded(response, abandon);
@@ -292,17 +293,19 @@
         log('call_abandoned', fields);
         break;
       case DispatchOutcomeType.Refused: {
-        const { reason, retryAfterMs } = outcome;
+        const { reason, retryAfterMs, attempts } = outcome;
         log('call_refused', { ...fields, reason, retryAfterMs });
         const error = new EgretError(ErrorKind.Overloaded, `${reason}.`, { retryAfterMs });
-        this.refuse(response, call.callId, error);
+        const peerAnswer = attempts > 0 ? PeerAnswer.Final : PeerAnswer.Unsent;
+        this.refuse(response, call.callId, error, peerAnswer);
         break;
       }
       default: {
         const timedOut = outcome.type === DispatchOutcomeType.TimedOut;
         log(timedOut ? 'call_timed_out' : 'call_failed', { ...fields, reason: outcome.reason });
         const kind = timedOut ? ErrorKind.DeadlineExceeded : ErrorKind.OutcomeUnknown;
-        this.refuse(response, call.callId, new EgretError(kind, `${outcome.reason}.`));
+        const error = new EgretError(kind, `${outcome.reason}.`);
+        this.refuse(response, call.callId, error, PeerAnswer.Final);
       }
     }
   }
@@ -355,8 +358,13 @@
     return undefined;
   }
 
-  /** Sends an error answer of this host. */
-  private refuse(response: ServerResponse, callId: string, error: EgretError): void {
+  /** Sends an error answer of this host; `peerAnswer` marks it for another gateway. */
+  private refuse(
+    response: ServerResponse,
+    callId: string,
+    error: EgretError,
+    peerAnswer = PeerAnswer.Unsent,
+  ): void {
     const { metrics, profile, log } = this.options;
     metrics.noteOwnAnswer(error.statusCode, error.kind);
     if (error.kind === ErrorKind.NotFound || error.kind === ErrorKind.NotCurrent) {
@@ -372,8 +380,7 @@
     ];
     if (error.outcome) headers.push('Egret-Outcome', error.outcome);
     if (this.options.servesPeers) {
-      const isRefusal = REFUSAL_STATUSES.has(error.statusCode);
-      headers.push(PEER_ANSWER_HEADER, isRefusal ? PeerAnswer.Refused : PeerAnswer.Failed);
+      headers.push(PEER_ANSWER_HEADER, peerAnswer);
       headers.push(...this.options.profile.callIdHeaders(callId));
     }
     if (error.retryAfterMs !== undefined) {
--- a/src/gateway/server/ForwardMark.ts
+++ b/src/gateway/server/ForwardMark.ts
@@ -9,10 +9,10 @@
 
 /** Kinds of a gateway's own answers to forwarded calls. */
 export enum PeerAnswer {
-  /** The call has not run and never will. */
-  Refused = 'refused',
-  /** The call may have run. */
-  Failed = 'failed',
+  /** Nothing was sent to a backend server: another gateway may take the call. */
+  Unsent = 'unsent',
+  /** The answer is final. */
+  Final = 'final',
 }
 
 /** What a gateway tells another one about a call that it forwards. */
@@ -21,6 +21,8 @@
   readonly from: string;
   /** Number of backend servers that may still run the call. */
   readonly attemptsMax: number;
+  /** True if the retry budget of the first gateway has counted the call. */
+  readonly isCounted: boolean;
   /** Time since the call arrived at the first gateway. */
   readonly elapsedMs: number;
 }
@@ -37,18 +39,21 @@
   }
 
   /** Request headers of a forwarded call, names and values in turn. */
-  headers({ attemptsMax, elapsedMs }: Omit<ForwardMark, 'from'>): string[] {
-    const mark = [this.selfId, attemptsMax, Math.max(0, Math.round(elapsedMs)), this.mac];
+  headers({ attemptsMax, isCounted, elapsedMs }: Omit<ForwardMark, 'from'>): string[] {
+    const roundedMs = Math.max(0, Math.round(elapsedMs));
+    const mark = [this.selfId, attemptsMax, Number(isCounted), roundedMs, this.mac];
     return [FORWARD_HEADER, mark.join(' ')];
   }
 
   /** Reads the mark of a forwarded call; undefined if it is missing, malformed or forged. */
   read({ headers }: IncomingMessage): ForwardMark | undefined {
-    const [from, attempts, elapsed, mac] = String(headers[FORWARD_HEADER] ?? '').split(' ');
+    const [from, attempts, counted, elapsed, mac] = String(headers[FORWARD_HEADER] ?? '').split(
+      ' ',
+    );
     if (!from || !mac || !checkForwardMac(this.secret, from, mac)) return undefined;
     const [attemptsMax, elapsedMs] = [Number(attempts), Number(elapsed)];
     if (!Number.isSafeInteger(attemptsMax) || attemptsMax < 1 || !(elapsedMs >= 0))
       return undefined;
-    return { from, attemptsMax, elapsedMs };
+    return { from, attemptsMax, isCounted: counted === '1', elapsedMs };
   }
 }
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -92,6 +92,17 @@
 /** Shortest idle timeout of a caller's connection, used until a routing table arrives. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+/**
+ * Budget of forwarded calls: one that another gateway did not send to any backend server may be
+ * forwarded to a second gateway, and none is forwarded twice at the same time.
+ */
+const FORWARD_BUDGET: CallBudget = {
+  noteCall: () => {},
+  maySpend: () => false,
+  trySpend: () => true,
+  spend: () => {},
+};
+
 /** Entry host of routed services: serves callers and dispatches calls to backend servers. */
 export class GatewayServer {
   readonly metrics = new GatewayMetrics();
@@ -232,21 +243,15 @@
     });
     const dispatchOptions = { cold: this.cold, crashes: this.crashes, nowMs, setTimer, log };
     const { budget } = this;
-    // Calls count where their callers connect.
-    const countedBudget: CallBudget = {
-      noteCall: () => {},
-      maySpend: (service, atMs, share) => budget.maySpend(service, atMs, share),
-      trySpend: (service, atMs, share) => budget.trySpend(service, atMs, share),
-      spend: (service, atMs) => budget.spend(service, atMs),
-    };
+    const local = new Dispatcher({ ...dispatchOptions, picker, budget, work });
     const dispatcher = new ForwardingDispatcher({
-      local: new Dispatcher({ ...dispatchOptions, picker, budget, work }),
+      local,
       peers: new Dispatcher({
         ...dispatchOptions,
         picker: this.peerPicker,
         cold: { noteSent: () => {} },
         crashes: { noteConnectionLost: () => {}, noteCompleted: () => {} },
-        budget: countedBudget,
+        budget: FORWARD_BUDGET,
         work: new WorkEstimates(),
         log: createForwardLog(log),
       }),
@@ -255,7 +260,6 @@
       budget,
       nowMs,
     });
-    const received = new Dispatcher({ ...dispatchOptions, picker, budget: countedBudget, work });
     this.gate = new StartupGate({ nowMs, setTimer });
     this.callerServer = createServer(
       { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
@@ -292,8 +296,7 @@
       ...callOptions,
       servesPeers: true,
       dispatcher: {
-        run: (call, service, { send }, onAbandoned) =>
-          received.run(call, service, send, onAbandoned),
+        run: (call, service, { send }, onAbandoned) => local.run(call, service, send, onAbandoned),
       },
       connections: this.peerConnections,
     });
@@ -315,6 +318,21 @@
     return this.boundReadinessPort;
   }
 
+  /** True while no backend server can be connected to from this host. */
+  get isCutOff(): boolean {
+    return this.reach.isCut;
+  }
+
+  /** Entry hosts as the control hosts list them. */
+  get knownHosts(): EntryHost[] {
+    return this.entryHosts.hosts();
+  }
+
+  /** Port for calls that other gateways forward; 0 without one. */
+  get peerPort(): number {
+    return this.boundPeerPort;
+  }
+
   /** Entry hosts that a caller should use; empty if no control host has reported any. */
   entryHostsFor(availabilityZone: string): EntryHost[] {
     const entryHosts = this.entryHosts.hosts();
--- a/src/gateway/server/PeerProfile.ts
+++ b/src/gateway/server/PeerProfile.ts
@@ -14,8 +14,8 @@
       const answer = profile.readAnswer(statusCode, headers);
       return {
         ...answer,
-        // A status that reports "not run" is passed on if it is the backend server's own.
-        notRun: kind === PeerAnswer.Refused,
+        // Any other answer is passed on, also one of the other gateway itself.
+        notRun: kind === PeerAnswer.Unsent,
         load: undefined,
         limit: { type: LimitReadingType.Unknown },
       };
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -38,6 +38,8 @@
   readonly target: string;
   readonly body: string;
   readonly budgetMs: number;
+  /** Names of the request's headers, in lower case. */
+  readonly headerNames: readonly string[];
 }
 
 const BODY = 'the body of the answer';
@@ -136,6 +138,7 @@
       target: incoming.url ?? '',
       body,
       budgetMs: Number(incoming.headers['x-deadline-ms']),
+      headerNames: Object.keys(incoming.headers),
     });
     this.openRequests += 1;
     response.once('close', () => {
