--- a/standin/RoutedWorld.ts
+++ b/standin/RoutedWorld.ts
@@ -2,19 +2,24 @@
 import { Timeline } from '../fuzz/Timeline.js';
 import { createRandom, pickIndex, type RandomSource } from '../src/common/Random.js';
 import { createRoute, createService } from '../src/common/routing/fixtures.js';
+import { RouteKind } from '../src/common/routing/Types.js';
 import type { BackendView } from '../src/gateway/BackendView.js';
 import {
   DispatchOutcomeType,
-  type SendAttempt,
+  type DispatchOutcome,
+  type PeerSenderOptions,
   type PickPolicy,
+  type SendAttempt,
 } from '../src/gateway/DispatchTypes.js';
 import { createAnswer, createEntryHost, createHealth } from '../src/gateway/fixtures.js';
 import {
   AttemptResultType,
   LimitReadingType,
   type AttemptResult,
+  type Call,
   type HealthReport,
 } from '../src/gateway/Types.js';
+import { ConnectResult } from '../src/gateway/ReachMonitor.js';
 import type { LimitReport } from '../src/gateway/RequestLimiter.js';
 import { LimitAudit, type LimitExcess } from './LimitAudit.js';
 import { Percentiles } from './Percentiles.js';
@@ -45,6 +50,31 @@
   readonly downMs: number;
 }
 
+/** How the links of a gateway that is cut off from the backend servers behave. */
+export enum CutForm {
+  /** Nothing is answered on open and new connections. */
+  Silent = 'silent',
+  /** Open connections are reset and new ones refused. */
+  Refused = 'refused',
+  /** Open connections live on and new ones are refused. */
+  Live = 'live',
+}
+
+/** Gateways that are cut off from all backend servers for a time. */
+export interface CutTrouble {
+  /** The first gateways are cut off. */
+  readonly gateways: number;
+  readonly form: CutForm;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** First tries of callers from three seconds after the begin of a cut until its end. */
+export interface FirstTries {
+  readonly tries: number;
+  readonly served: number;
+}
+
 /** Options of a {@link RoutedWorld}; times are in milliseconds of virtual time. */
 export interface RoutedWorldOptions {
   readonly policy: PickPolicy;
@@ -65,6 +95,9 @@
   readonly slowPeriodMs: number;
   readonly limit?: LimitTrouble;
   readonly restarts?: RestartTrouble;
+  readonly cut?: CutTrouble;
+  /** Share of calls that may not run twice; 0 by default. */
+  readonly nonIdempotentShare?: number;
   /** Longest time until a gateway receives a change of the list of gateways; 0 by default. */
   readonly listDelayMaxMs?: number;
 }
@@ -84,6 +117,17 @@
 
 const MS_PER_SECOND = 1_000;
 
+const PEER_PORT = 7_002;
+
+/** Longest wait of a gateway for the answer to a probe. */
+const PROBE_TIMEOUT_MS = 60;
+
+/** Time after the deadline of an attempt at which its connection is closed. */
+const ATTEMPT_GRACE_MS = 200;
+
+/** Time after the begin of a cut from which first tries count. */
+const CONTACT_MS = 3_000;
+
 /** One-way delay between a gateway and a backend server. */
 const HOP_MS = 0.3;
 
@@ -103,6 +147,25 @@
 
   private starts = 0;
 
+  /** Number of the last list of gateways, and of the last one that each gateway received. */
+  private lists = 0;
+
+  private readonly received = new Map<SimulatedGateway, number>();
+
+  /** Ids of the gateways that are cut off. */
+  private readonly cutIds = new Set<string>();
+
+  /** Pairs of gateway and backend server with an open connection. */
+  private readonly connected = new Set<string>();
+
+  private readonly firstTries = {
+    cut: { tries: 0, served: 0 },
+    others: { tries: 0, served: 0 },
+  };
+
+  /** Number of runs of each call, and the largest allowed one. */
+  private readonly runs = new Map<string, { count: number; allowed: number }>();
+
   private readonly latencies = new Percentiles();
 
   private readonly counts = { calls: 0, within: 0, late: 0, refused: 0, failed: 0 };
@@ -120,6 +183,7 @@
     for (let index = 0; index < options.gateways; index += 1) this.startGateway(`e-${index}`);
     if (options.limit) this.scheduleLimit(options.limit);
     if (options.restarts) this.scheduleRestarts(options.restarts);
+    if (options.cut) this.scheduleCut(options.cut);
   }
 
   /** Runs every phase, then waits until the last calls have ended. */
@@ -146,6 +210,21 @@
     return [...this.audits.values()].reduce((sum, audit) => sum + audit.size, 0);
   }
 
+  /** First tries at the gateways that were cut off. */
+  get cutTries(): FirstTries {
+    return this.firstTries.cut;
+  }
+
+  /** First tries at the other gateways in the same time. */
+  get otherTries(): FirstTries {
+    return this.firstTries.others;
+  }
+
+  /** Calls that ran more often than they may. */
+  get repeatedCalls(): string[] {
+    return [...this.runs].filter(([, { count, allowed }]) => count > allowed).map(([id]) => id);
+  }
+
   private async advance(durationMs: number): Promise<void> {
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 1) {
       this.timeline.advance(1);
@@ -180,6 +259,8 @@
       backends,
       probe: (from, view) => this.probe(from, view),
       broadcast: (from, report) => this.relay(from, report),
+      tryConnect: (from, view, timeoutMs) => this.tryConnect(from, view, timeoutMs),
+      onReachChanged: () => this.publishEntryHosts(),
     });
     this.starts += 1;
     this.gateways.set(id, gateway);
@@ -188,10 +269,21 @@
 
   /** Sends the list of gateways to each of them, with a delay of its own. */
   private publishEntryHosts(): void {
-    const entryHosts = [...this.gateways.keys()].map((id) => createEntryHost(id));
+    const entryHosts = [...this.gateways.values()].map(({ id, reach }) => ({
+      ...createEntryHost(id),
+      peerPort: PEER_PORT,
+      cutOff: reach.isCut,
+    }));
     this.gateways.forEach((gateway) => {
       const delayMs = this.random.next() * (this.options.listDelayMaxMs ?? 0);
-      this.timeline.after(delayMs, () => gateway.setEntryHosts(entryHosts));
+      // Lists arrive in order, as over one connection.
+      this.lists += 1;
+      const list = this.lists;
+      this.timeline.after(delayMs, () => {
+        if ((this.received.get(gateway) ?? 0) > list) return;
+        this.received.set(gateway, list);
+        gateway.setEntryHosts(entryHosts);
+      });
     });
   }
 
@@ -232,13 +324,62 @@
     }
   }
 
-  private probe(gateway: SimulatedGateway, view: BackendView): Promise<HealthReport> {
+  private scheduleCut({ gateways, fromMs, untilMs }: CutTrouble): void {
+    this.timeline.after(fromMs, () => {
+      [...this.gateways.keys()].slice(0, gateways).forEach((id) => this.cutIds.add(id));
+    });
+    this.timeline.after(untilMs, () => this.cutIds.clear());
+  }
+
+  /** How a request of a gateway to a backend server fails; undefined if it arrives. */
+  private failureOf(gateway: SimulatedGateway, view: BackendView): CutForm | undefined {
+    const { cut } = this.options;
+    if (!cut || !this.cutIds.has(gateway.id)) return undefined;
+    const isOpen = this.connected.has(`${gateway.id} ${view.record.id}`);
+    return cut.form === CutForm.Live && isOpen ? undefined : cut.form;
+  }
+
+  /** Records a request that reaches its backend server, over a new connection if there is none. */
+  private noteConnection(gateway: SimulatedGateway, view: BackendView): void {
+    const pair = `${gateway.id} ${view.record.id}`;
+    if (this.connected.has(pair)) return;
+    this.connected.add(pair);
+    gateway.reach.noteConnected();
+  }
+
+  private tryConnect(
+    gateway: SimulatedGateway,
+    view: BackendView,
+    timeoutMs: number,
+  ): Promise<ConnectResult> {
+    const isCut = this.cutIds.has(gateway.id);
+    const isSilent = isCut && this.options.cut!.form === CutForm.Silent;
+    const failure = isSilent ? ConnectResult.TimedOut : ConnectResult.Refused;
+    return new Promise((resolve) => {
+      this.timeline.after(isSilent ? timeoutMs : 2 * HOP_MS, () =>
+        resolve(isCut ? failure : ConnectResult.Connected),
+      );
+    });
+  }
+
+  private probe(gateway: SimulatedGateway, view: BackendView): Promise<HealthReport | null> {
     this.probes += 1;
-    const backend = this.noteRequest(gateway, view);
+    const failure = this.failureOf(gateway, view);
     const sentAtMs = this.timeline.nowMs;
     return new Promise((resolve) => {
+      if (failure) {
+        const delayMs = failure === CutForm.Silent ? PROBE_TIMEOUT_MS : 2 * HOP_MS;
+        this.timeline.after(delayMs, () => {
+          gateway.reach.noteFailed(view);
+          resolve(null);
+        });
+        return;
+      }
+      const backend = this.noteRequest(gateway, view);
+      this.noteConnection(gateway, view);
       this.timeline.after(2 * HOP_MS, () => {
         this.deliverLimit(gateway, view, sentAtMs, false);
+        gateway.reach.noteAnswered(view);
         resolve(createHealth(view.record.id, { load: backend.load }));
       });
     });
@@ -266,15 +407,19 @@
     } else if (hasRun) gateway.noteLimit(view, { type: LimitReadingType.None }, sentAtMs);
   }
 
-  private sendFrom(gateway: SimulatedGateway): SendAttempt {
-    return (view) => {
+  private sendFrom(gateway: SimulatedGateway, callId: string): SendAttempt {
+    return (view, remainingMs) => {
       this.attempts += 1;
+      const failure = this.failureOf(gateway, view);
+      if (failure) return this.sendInVain(gateway, view, failure, remainingMs);
       const backend = this.noteRequest(gateway, view);
+      this.noteConnection(gateway, view);
       const sentAtMs = this.timeline.nowMs;
       let cancel = () => {};
       const result = new Promise<AttemptResult>((resolve) => {
         this.timeline.after(HOP_MS, () => {
-          cancel = backend.run((completed, load) =>
+          cancel = backend.run((completed, load) => {
+            if (completed) this.runs.get(callId)!.count += 1;
             this.timeline.after(HOP_MS, () => {
               this.deliverLimit(gateway, view, sentAtMs, completed);
               resolve(
@@ -282,21 +427,89 @@
                   ? createAnswer({ load, body: Buffer.alloc(0) })
                   : { type: AttemptResultType.NotRun, reason: 'full', load },
               );
-            }),
-          );
+            });
+          });
         });
       });
       return { result, cancel: () => cancel() };
     };
   }
 
+  /** Sends an attempt over a link that is cut. */
+  private sendInVain(
+    gateway: SimulatedGateway,
+    view: BackendView,
+    form: CutForm,
+    remainingMs: number,
+  ): ReturnType<SendAttempt> {
+    const isSilent = form === CutForm.Silent;
+    const isOpen = this.connected.has(`${gateway.id} ${view.record.id}`);
+    const result = new Promise<AttemptResult>((resolve) => {
+      this.timeline.after(isSilent ? remainingMs + ATTEMPT_GRACE_MS : 2 * HOP_MS, () => {
+        if (isOpen) resolve({ type: AttemptResultType.Unknown, reason: 'cut' });
+        else {
+          gateway.reach.noteFailed(view);
+          resolve({ type: AttemptResultType.NotSent, reason: 'cut' });
+        }
+      });
+    });
+    return { result, cancel: () => {} };
+  }
+
+  /** Forwards a call to another gateway, which dispatches it to backend servers. */
+  private forwardTo(call: Call, { attemptsMax, isCounted }: PeerSenderOptions): SendAttempt {
+    return (view) => {
+      const peer = this.gateways.get(view.record.id);
+      let abandon = () => {};
+      const result = new Promise<AttemptResult>((resolve) => {
+        this.timeline.after(HOP_MS, () => {
+          if (!peer) {
+            resolve({ type: AttemptResultType.NotSent, reason: 'gone' });
+            return;
+          }
+          const route = { ...call.route, attemptsMax };
+          const send = this.sendFrom(peer, call.callId);
+          peer.local
+            .run({ ...call, route, isCounted }, createService('alpha'), send, (leave) => {
+              abandon = leave;
+            })
+            .then(
+              (outcome) =>
+                this.timeline.after(HOP_MS, () => resolve(RoutedWorld.toAttemptResult(outcome))),
+              (error: unknown) =>
+                resolve({ type: AttemptResultType.Unknown, reason: String(error) }),
+            );
+        });
+      });
+      return { result, cancel: () => abandon() };
+    };
+  }
+
+  /** Result of a forwarded call as the forwarding gateway receives it. */
+  private static toAttemptResult(outcome: DispatchOutcome): AttemptResult {
+    switch (outcome.type) {
+      case DispatchOutcomeType.Answer:
+        return { type: AttemptResultType.Answer, answer: outcome.answer };
+      case DispatchOutcomeType.Refused:
+        return outcome.attempts === 0
+          ? { type: AttemptResultType.NotRun, reason: outcome.reason }
+          : createAnswer({ statusCode: 503 });
+      default:
+        return createAnswer({ statusCode: 502 });
+    }
+  }
+
   private call(): void {
-    const { objectiveMs, deadlineMs } = this.options;
+    const { objectiveMs, deadlineMs, nonIdempotentShare = 0 } = this.options;
     const { nowMs } = this.timeline;
-    const route = createRoute('read', { objectiveMs, timeoutMs: deadlineMs });
+    const isRepeatable = this.random.next() >= nonIdempotentShare;
+    const kind = isRepeatable ? RouteKind.Idempotent : RouteKind.NonIdempotent;
+    const route = createRoute('read', { objectiveMs, timeoutMs: deadlineMs, kind });
     this.counts.calls += 1;
-    const call = {
-      callId: `call-${this.counts.calls}`,
+    const callId = `call-${this.counts.calls}`;
+    this.runs.set(callId, { count: 0, allowed: isRepeatable ? route.attemptsMax : 1 });
+    const call: Call = {
+      callId,
       route,
       service: 'alpha',
       arrivedAtMs: nowMs,
@@ -308,20 +521,41 @@
     };
     const gateways = [...this.gateways.values()];
     const gateway = gateways[pickIndex(this.random, gateways.length)]!;
+    const senders = {
+      send: this.sendFrom(gateway, callId),
+      createPeerSender: (options: PeerSenderOptions) => this.forwardTo(call, options),
+    };
     gateway.dispatcher
-      .run(call, createService('alpha'), this.sendFrom(gateway), () => {})
+      .run(call, createService('alpha'), senders, () => {})
       .then(
-        (outcome) => this.recordOutcome(outcome.type, this.timeline.nowMs - nowMs),
-        () => this.recordOutcome(DispatchOutcomeType.Failed, 0),
+        (outcome) => this.recordOutcome(gateway.id, outcome, nowMs),
+        () => this.recordOutcome(gateway.id, undefined, nowMs),
       );
   }
 
-  private recordOutcome(type: DispatchOutcomeType, elapsedMs: number): void {
-    if (type === DispatchOutcomeType.Answer) {
+  private recordOutcome(
+    gatewayId: string,
+    outcome: DispatchOutcome | undefined,
+    arrivedAtMs: number,
+  ): void {
+    const elapsedMs = this.timeline.nowMs - arrivedAtMs;
+    const isServed =
+      outcome?.type === DispatchOutcomeType.Answer && outcome.answer.statusCode === 200;
+    this.recordFirstTry(gatewayId, arrivedAtMs, isServed);
+    if (isServed) {
       this.latencies.add(elapsedMs);
       if (elapsedMs <= this.options.objectiveMs) this.counts.within += 1;
       else this.counts.late += 1;
-    } else if (type === DispatchOutcomeType.Refused) this.counts.refused += 1;
+    } else if (outcome?.type === DispatchOutcomeType.Refused) this.counts.refused += 1;
     else this.counts.failed += 1;
   }
+
+  private recordFirstTry(gatewayId: string, arrivedAtMs: number, isServed: boolean): void {
+    const { cut } = this.options;
+    if (!cut || arrivedAtMs < cut.fromMs + CONTACT_MS || arrivedAtMs >= cut.untilMs) return;
+    const isCut = Number(gatewayId.slice(2)) < cut.gateways;
+    const counted = isCut ? this.firstTries.cut : this.firstTries.others;
+    counted.tries += 1;
+    if (isServed) counted.served += 1;
+  }
 }
--- a/standin/SimulatedGateway.ts
+++ b/standin/SimulatedGateway.ts
@@ -5,9 +5,12 @@
 import type { BackendView } from '../src/gateway/BackendView.js';
 import { ColdLimiter } from '../src/gateway/ColdLimiter.js';
 import { Dispatcher } from '../src/gateway/Dispatcher.js';
-import type { PickPolicy } from '../src/gateway/DispatchTypes.js';
+import type { CallDispatcher, PickPolicy } from '../src/gateway/DispatchTypes.js';
 import { createBackend } from '../src/gateway/fixtures.js';
+import { ForwardingDispatcher } from '../src/gateway/ForwardingDispatcher.js';
+import { PeerPicker } from '../src/gateway/PeerPicker.js';
 import { createPicker } from '../src/gateway/Pickers.js';
+import { ReachMonitor, type ConnectResult } from '../src/gateway/ReachMonitor.js';
 import { RequestLimiter, type LimitReport } from '../src/gateway/RequestLimiter.js';
 import { RetryBudget } from '../src/gateway/RetryBudget.js';
 import type { HealthReport, LimitReading } from '../src/gateway/Types.js';
@@ -23,6 +26,14 @@
   readonly backends: number;
   /** Requests health and load of a backend server. */
   readonly probe: (gateway: SimulatedGateway, view: BackendView) => Promise<HealthReport | null>;
+  /** Opens a connection to a backend server and closes it. */
+  readonly tryConnect: (
+    gateway: SimulatedGateway,
+    view: BackendView,
+    timeoutMs: number,
+  ) => Promise<ConnectResult>;
+  /** Called when the gateway is cut off from the backend servers, or no longer is. */
+  readonly onReachChanged: () => void;
   /** Sends a report to the other gateways. */
   readonly broadcast: (gateway: SimulatedGateway, report: LimitReport) => void;
 }
@@ -32,7 +43,15 @@
 
 /** Dispatch of one gateway in virtual time, without sockets. */
 export class SimulatedGateway {
-  readonly dispatcher: Dispatcher;
+  /** Dispatches the calls of its own callers. */
+  readonly dispatcher: CallDispatcher;
+
+  /** Dispatches forwarded calls too, only to backend servers. */
+  readonly local: Dispatcher;
+
+  readonly reach: ReachMonitor;
+
+  private readonly peerPicker: PeerPicker;
 
   private readonly limits: RequestLimiter;
 
@@ -61,22 +80,49 @@
     const { cold, limits, budget } = this;
     const work = new WorkEstimates();
     const probe = (view: BackendView) => options.probe(this, view);
-    this.dispatcher = new Dispatcher({
+    const setTimer = (delayMs: number, fire: () => void) => {
+      let active = true;
+      timeline.after(delayMs, () => active && fire());
+      return () => {
+        active = false;
+      };
+    };
+    const crashes = { noteConnectionLost: () => {}, noteCompleted: () => {} };
+    const shared = { budget, work, crashes, nowMs, setTimer, log };
+    this.local = new Dispatcher({
+      ...shared,
       picker: createPicker(policy, { pool, cold, limits, work, probe, nowMs, log }),
       cold,
-      budget,
-      work,
-      crashes: { noteConnectionLost: () => {}, noteCompleted: () => {} },
+    });
+    this.reach = new ReachMonitor({
+      random: createRandom(seed),
       nowMs,
-      setTimer: (delayMs, fire) => {
-        let active = true;
-        timeline.after(delayMs, () => active && fire());
-        return () => {
-          active = false;
-        };
-      },
+      setTimer,
+      targets: () => pool.usable(),
+      tryConnect: (view, timeoutMs) => options.tryConnect(this, view, timeoutMs),
+      onChange: () => options.onReachChanged(),
       log,
     });
+    const random = createRandom(seed);
+    this.peerPicker = new PeerPicker({ selfId: id, availabilityZone: 'perth', random, nowMs });
+    this.dispatcher = new ForwardingDispatcher({
+      local: this.local,
+      peers: new Dispatcher({
+        ...shared,
+        picker: this.peerPicker,
+        cold: { noteSent: () => {} },
+        budget: {
+          noteCall: () => {},
+          maySpend: () => false,
+          trySpend: () => true,
+          spend: () => {},
+        },
+      }),
+      hasPeers: () => this.peerPicker.hasPeers,
+      reach: this.reach,
+      budget,
+      nowMs,
+    });
   }
 
   get id(): string {
@@ -87,6 +133,7 @@
     this.cold.setEntryHosts(entryHosts);
     this.limits.setEntryHosts(entryHosts);
     this.budget.setEntryHosts(entryHosts.length);
+    this.peerPicker.setEntryHosts(entryHosts);
   }
 
   /** Counts a request that is sent now. */
