--- a/src/gateway/ReachMonitor.test.ts
+++ b/src/gateway/ReachMonitor.test.ts
@@ -76,6 +76,19 @@
     expect(monitor.isCut).toBe(false);
   });
 
+  it('opens few connections while one service keeps failing', async () => {
+    const { world, monitor, run, failAll } = createWorld();
+    world.connect = ({ record }) =>
+      record.service === 'alpha' ? ConnectResult.Refused : ConnectResult.Connected;
+    for (let turn = 0; turn < 100; turn += 1) {
+      failAll();
+      // eslint-disable-next-line no-await-in-loop
+      await run(50);
+    }
+    expect(monitor.isCut).toBe(false);
+    expect(world.connects).toBeLessThanOrEqual(5 * 12);
+  });
+
   it('checks nothing while few backend servers fail, or others are connected to', async () => {
     const { world, monitor, views, run } = createWorld();
     views.slice(0, 3).forEach((view) => monitor.noteFailed(view));
--- a/src/gateway/ReachMonitor.ts
+++ b/src/gateway/ReachMonitor.ts
@@ -29,6 +29,9 @@
 /** Failures older than this don't count. */
 const FAILURE_TTL_MS = 2_000;
 
+/** Time after a check that reached a backend server until the next one. */
+const CHECK_PAUSE_MS = 1_000;
+
 /** Backend servers that one check tries to connect to; each service is represented. */
 const CHECK_SAMPLE = 12;
 
@@ -66,6 +69,9 @@
 
   private isChecking = false;
 
+  /** Time of the last check that reached a backend server. */
+  private checkedAtMs = Number.NEGATIVE_INFINITY;
+
   private regainedAtMs = Number.NEGATIVE_INFINITY;
 
   private regainedAfterMs = REGAINED_FIRST_MS;
@@ -100,7 +106,8 @@
     this.failedAtMs.forEach((atMs, id) => {
       if (nowMs - atMs > FAILURE_TTL_MS) this.failedAtMs.delete(id);
     });
-    if (this.isCut || this.isChecking || this.disposed) return;
+    const isPaused = nowMs - this.checkedAtMs < CHECK_PAUSE_MS;
+    if (this.isCut || this.isChecking || isPaused || this.disposed) return;
     const needed = Math.min(SUSPECTED_AFTER_SERVERS, this.options.targets().length);
     if (this.failedAtMs.size >= needed) this.check();
   }
@@ -113,8 +120,12 @@
       if (this.disposed || results.length === 0) return;
       const reached = ReachMonitor.countOf(results, ConnectResult.Connected);
       this.logCheck(results);
-      if (reached > 0) this.failedAtMs.clear();
-      else this.setCut();
+      if (reached === 0) {
+        this.setCut();
+        return;
+      }
+      this.checkedAtMs = this.options.nowMs();
+      this.failedAtMs.clear();
     });
   }
 
