A forwarded call waits at most 250 ms for a connection to another gateway

A gateway that was lost or cut off a moment ago is listed for up to a second; a connection to it hangs, and a call forwarded there waited until its deadline. Such an attempt now ends as not sent, and the call goes to a second gateway.

--- a/src/gateway/server/AttemptRun.test.ts
+++ b/src/gateway/server/AttemptRun.test.ts
@@ -1,3 +1,4 @@
+import { Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RawBackend } from '../../../standin/RawBackend.js';
 import { GuardedAgent } from '../../runtime/GuardedAgent.js';
@@ -45,3 +46,27 @@
     expect(backend.requests).toHaveLength(2);
   });
 });
+
+describe('an attempt whose connection is never opened', () => {
+  // Guards against a call that waits for a lost gateway until its deadline.
+  it('is reported as not sent once the time to connect is over', async () => {
+    const hanging = new GuardedAgent({ keepAlive: true });
+    const connect = () => Object.assign(new Socket(), { connecting: true });
+    Object.assign(hanging, { createConnection: connect });
+    const record = createBackend('b-1');
+    const request = {
+      method: 'GET',
+      target: '/read/x',
+      rawHeaders: ['Call-Id', 'c-1'],
+      callId: 'c-1',
+      body: Buffer.alloc(0),
+      bodyRest: null,
+      remainingMs: 20_000,
+      connectTimeoutMs: 20,
+    };
+    const observer = { onConnect: () => {}, onLimit: () => {} };
+    const run = new AttemptRun(hanging, TEST_PROFILE, new BackendView(record), request, observer);
+    expect((await run.result).type).toBe(AttemptResultType.NotSent);
+    hanging.destroy();
+  });
+});
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -22,6 +22,8 @@
   /** Rest of a body that is too long to buffer; such an attempt can't be repeated. */
   readonly bodyRest: IncomingMessage | null;
   readonly remainingMs: number;
+  /** Longest wait for a new connection; by default as long as for the answer. */
+  readonly connectTimeoutMs?: number;
 }
 
 /** Receives events of an attempt other than its result. */
@@ -106,7 +108,13 @@
         this.sent = socket.writable;
         return;
       }
+      const { connectTimeoutMs = Number.POSITIVE_INFINITY } = attempt;
+      const timer = Number.isFinite(connectTimeoutMs)
+        ? setTimeout(() => this.request.destroy(new Error('connect timeout')), connectTimeoutMs)
+        : undefined;
+      socket.once('close', () => clearTimeout(timer));
       socket.once('connect', () => {
+        clearTimeout(timer);
         this.sent = true;
         observer.onConnect();
       });
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -66,6 +66,9 @@
 /** Largest number of forwarded calls in progress; calls of own callers have the rest. */
 const FORWARDED_CALLS_MAX = 200;
 
+/** Longest wait for a connection to another gateway; a lost one leaves the list within a second. */
+const PEER_CONNECT_TIMEOUT_MS = 250;
+
 /** Answer headers that are set anew instead of copied. */
 const OWN_ANSWER_HEADERS = new Set(['content-length', PEER_ANSWER_HEADER]);
 
@@ -256,7 +259,13 @@
       const sendToPeer: SendAttempt = (view, remainingMs) => {
         const mark = marks.headers({ ...options, elapsedMs: nowMs() - call.arrivedAtMs });
         const marked = [...rawHeaders, ...mark];
-        return peerClient.send(view, { ...attempt, rawHeaders: marked, remainingMs });
+        const connectTimeoutMs = PEER_CONNECT_TIMEOUT_MS;
+        return peerClient.send(view, {
+          ...attempt,
+          rawHeaders: marked,
+          remainingMs,
+          connectTimeoutMs,
+        });
       };
       return sendToPeer;
     };
