Fuzz model: gateways that lose their links to backend servers, and what the directory names

Every gateway must know within a second which others are cut off, and name none of them while two others are there. A planted defect (heartbeats whose report is ignored) is detected.

--- a/fuzz/GatewayModel.ts
+++ b/fuzz/GatewayModel.ts
@@ -1,4 +1,5 @@
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../src/common/Constants.js';
+import type { EntryHost } from '../src/common/Placement.js';
 import { createRandom } from '../src/common/Random.js';
 import {
   ControlMessageType,
@@ -33,6 +34,9 @@
 
   alive = true;
 
+  /** True while it reaches no backend server. */
+  cutOff = false;
+
   /** Time of the last start. */
   startedAtMs = 0;
 
@@ -63,6 +67,7 @@
     this.limits = this.createLimiter();
     this.entryHosts = new EntryHostView();
     this.alive = true;
+    this.cutOff = false;
     this.startedAtMs = this.options.timeline.nowMs;
     this.tick(this.epoch);
   }
@@ -71,7 +76,8 @@
   onLinkOpened(control: string): void {
     this.links.add(control);
     const { id, send } = this.options;
-    send(control, { type: ControlMessageType.Hello, entryHost: createEntryHost(id) });
+    const entryHost = { ...createEntryHost(id), cutOff: this.cutOff };
+    send(control, { type: ControlMessageType.Hello, entryHost });
     this.ping(control);
     send(control, {
       type: ControlMessageType.Watch,
@@ -114,6 +120,11 @@
     this.entryHosts.remove(control);
   }
 
+  /** Gateways as the control hosts list them. */
+  get knownHosts(): EntryHost[] {
+    return this.entryHosts.hosts();
+  }
+
   /** Sends a request to a backend server if its limit allows it; returns true if it was sent. */
   trySend(view: BackendView): boolean {
     const { nowMs } = this.options.timeline;
@@ -155,6 +166,7 @@
       appliedIndex: this.routing.logIndex,
       subscribe: false,
       stopping: false,
+      cutOff: this.cutOff,
     });
   }
 
--- a/fuzz/InvariantViolation.ts
+++ b/fuzz/InvariantViolation.ts
@@ -10,6 +10,7 @@
   ActiveConfig = 'an accepted configuration takes effect and never reverts',
   Answered = 'every caller of a running entry host is answered',
   CrashContainment = 'one request crashes at most two backend servers',
+  Directory = 'the directory leaves out entry hosts that reach no backend server',
   RequestLimit = 'no backend server gets more requests than the limit that it names',
   Slots = 'no backend server runs more requests than it has slots',
 }
--- a/fuzz/Routed.test.ts
+++ b/fuzz/Routed.test.ts
@@ -1,4 +1,6 @@
 import { describe, expect, it } from 'vitest';
+import type { PingMessage } from '../src/common/Messages.js';
+import { EntrySessions } from '../src/control/EntrySessions.js';
 import { RegistryFlow } from '../src/control/RegistryFlow.js';
 import type { RoutingChangeCommand } from '../src/control/RoutingCommands.js';
 import { RoutingState } from '../src/control/RoutingState.js';
@@ -57,6 +59,20 @@
         return { rate: perSecond, entryHosts: [], pace, position: 0 };
       }),
   },
+  {
+    name: 'heartbeats whose report of lost links is ignored',
+    violates: [Invariant.Directory],
+    apply: () => {
+      const { ping } = EntrySessions.prototype;
+      return patch(
+        EntrySessions,
+        'ping',
+        function ignoring(this: EntrySessions, id: number, message: PingMessage, nowMs: number) {
+          return ping.call(this, id, { ...message, cutOff: false }, nowMs);
+        },
+      );
+    },
+  },
   {
     name: 'limits of requests whose end is never noticed',
     violates: [Invariant.RequestLimit],
--- a/fuzz/RoutedFuzzWorld.ts
+++ b/fuzz/RoutedFuzzWorld.ts
@@ -4,6 +4,7 @@
 import { createTable } from '../src/common/routing/fixtures.js';
 import { AdminRequestType, ControlEventType } from '../src/control/Types.js';
 import type { BackendView } from '../src/gateway/BackendView.js';
+import { chooseEntryHosts } from '../src/gateway/EntryDirectory.js';
 import { createBackend } from '../src/gateway/fixtures.js';
 import { hashToken } from '../src/runtime/LinkAuth.js';
 import { ADMIN_TOKEN } from '../standin/Deployments.js';
@@ -57,6 +58,9 @@
 /** Time of a request at a backend server, with the way there and back. */
 const CALL_MS = 20;
 
+/** Time by which all gateways know that one of them reaches no backend server, or does again. */
+const CUT_KNOWN_MS = 1_000;
+
 const NO_LIMIT = { type: LimitReadingType.None } as const;
 
 /** Time by which every gateway has noticed that a limit ended, if it still sends requests. */
@@ -75,6 +79,9 @@
   /** Time of the last fault or repair of a control host or of the network. */
   private lastDisturbedAtMs = 0;
 
+  /** Time at which the links of a gateway to the backend servers last changed. */
+  private readonly linksChangedAtMs = new Map<GatewayModel, number>();
+
   private readonly contactSinceMs = new Map<GatewayModel, number>();
 
   /** Acknowledged changes of the routing. */
@@ -128,6 +135,7 @@
       this.cluster.run(100 + this.random.next() * 900);
     }
     this.heal();
+    this.joinLinks();
     this.cluster.run(RECOVERY_MS);
     this.checkRecovered();
     this.checkLimits();
@@ -156,6 +164,8 @@
     () => this.cut(['control-0', 'gateway-1']),
     () => this.heal(),
     () => this.heal(),
+    () => this.cutLinks(),
+    () => this.joinLinks(),
     () => this.nameLimit(),
     () => this.nameLimit(),
     () => this.endLimit(),
@@ -179,6 +189,50 @@
     this.backends.forEach(({ audit }) => audit.noteDisturbed(gateway.id));
   }
 
+  /** Cuts some gateways off from all backend servers. */
+  private cutLinks(): void {
+    const count = 1 + pickIndex(this.random, this.gateways.length);
+    for (let index = 0; index < count; index += 1) {
+      const gateway = this.gateways[pickIndex(this.random, this.gateways.length)]!;
+      gateway.cutOff = true;
+      this.linksChangedAtMs.set(gateway, this.cluster.timeline.nowMs);
+      this.excuse(gateway);
+    }
+  }
+
+  private joinLinks(): void {
+    this.gateways.forEach((gateway) => {
+      if (!gateway.cutOff) return;
+      gateway.cutOff = false;
+      this.linksChangedAtMs.set(gateway, this.cluster.timeline.nowMs);
+    });
+  }
+
+  /** Checks that a gateway knows which others reach no backend server, and whom it names instead. */
+  private checkDirectory(gateway: GatewayModel, name: string): void {
+    const { nowMs } = this.cluster.timeline;
+    const isSettled = this.gateways.every(
+      (other, index) =>
+        nowMs - (this.linksChangedAtMs.get(other) ?? 0) > CUT_KNOWN_MS &&
+        this.hasStableContact(other, `gateway-${index + 1}`),
+    );
+    if (!isSettled) return;
+    const wrong = gateway.knownHosts.find(
+      ({ id, cutOff }) => this.gateways.find((other) => other.id === id)?.cutOff !== cutOff,
+    );
+    if (wrong) this.fail(Invariant.Directory, `${name} takes ${wrong.id} for ${wrong.cutOff}`);
+    const reaching = this.gateways.filter(({ cutOff }) => !cutOff).length;
+    const named = chooseEntryHosts({
+      entryHosts: gateway.knownHosts,
+      availabilityZone: 'perth',
+      random: this.random,
+    });
+    const cut = named.filter(({ cutOff }) => cutOff === true).length;
+    if (named.length === 0 || (reaching >= 2 && cut > 0)) {
+      this.fail(Invariant.Directory, `${name} names ${named.length} hosts, ${cut} cut off`);
+    }
+  }
+
   /** A backend server begins to name a limit of requests. */
   private nameLimit(): void {
     const free = this.backends.filter((item) => item.alive && item.limitPerSecond === undefined);
@@ -204,7 +258,7 @@
   private sendCalls(): void {
     const { timeline } = this.cluster;
     this.gateways.forEach((gateway) => {
-      if (!gateway.alive) return;
+      if (!gateway.alive || gateway.cutOff) return;
       this.backends.forEach((backend) => {
         const view = gateway.pool.get(backend.record.id);
         if (backend.alive && view && gateway.trySend(view)) this.sendCall(gateway, backend, view);
@@ -488,6 +542,7 @@
       if (gateway.alive) this.highestVersions.set(gatewayRun, version);
       if (!this.hasStableContact(gateway, name)) return;
       this.checkDepartures(gateway, name);
+      this.checkDirectory(gateway, name);
       const due = this.acknowledged.filter((item) => timeline.nowMs - item.atMs > ACTIVATION_MS);
       const newest = Math.max(0, ...due.map((change) => change.version));
       if (version < newest)
