State of limits of backend servers that are gone is dropped

Found while reading: the shares of limits that ended with their backend server stayed for ever, some hundred bytes each. Test: 5,000 of them leave fewer than 300.

--- a/src/gateway/RequestLimiter.test.ts
+++ b/src/gateway/RequestLimiter.test.ts
@@ -221,6 +221,15 @@
     expect(logged.at(-1)).toMatchObject({ event: 'limit_unreadable', value: 'nan' });
   });
 
+  it('of backend servers that are gone is not kept for ever', () => {
+    const limiter = createLimiter({ isKnown: () => false });
+    for (let index = 0; index < 5_000; index += 1) {
+      const view = new BackendView(createBackend(`b-${index}`));
+      limiter.noteReading(view, named(2), index, index);
+    }
+    expect(limiter.size).toBeLessThan(300);
+  });
+
   it('of an incarnation that has ended does not hold for the next one', () => {
     const view = new BackendView(createBackend('b-1'));
     const limiter = createLimiter();
--- a/src/gateway/RequestLimiter.ts
+++ b/src/gateway/RequestLimiter.ts
@@ -67,6 +67,9 @@
 /** The same in intervals between the requests of one sender. */
 const UNCONFIRMED_AFTER_REQUESTS = 4;
 
+/** Number of shares above which those without a limit are dropped. */
+const SHARES_KEPT_MAX = 128;
+
 /** Share of the rate for the trials of all hosts together. */
 const TRIAL_SHARE = 0.25;
 
@@ -89,6 +92,11 @@
     this.limits = new NamedLimits(options);
   }
 
+  /** Number of backend servers whose state is kept. */
+  get size(): number {
+    return this.shares.size;
+  }
+
   /** Sets the live entry hosts; those that stop or reach no backend server send nothing. */
   setEntryHosts(entryHosts: readonly EntryHost[]): void {
     this.entryHosts = entryHosts.filter((host) => !host.stopping && host.cutOff !== true);
@@ -190,6 +198,7 @@
   private shareOf({ id, bornMs }: Incarnation, nowMs: number): Share {
     const existing = this.shares.get(id);
     if (existing?.bornMs === bornMs) return existing;
+    this.dropUnusedShares();
     const created = {
       bornMs,
       createdAtMs: nowMs,
@@ -203,6 +212,13 @@
     return created;
   }
 
+  private dropUnusedShares(): void {
+    if (this.shares.size < SHARES_KEPT_MAX) return;
+    this.shares.forEach(({ bornMs }, id) => {
+      if (!this.limits.get({ id, bornMs })) this.shares.delete(id);
+    });
+  }
+
   /** Own part in the rate. */
   private partOf(view: BackendView, limit: NamedLimit, share: Share): OwnPart {
     const { entryHosts } = this;
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -63,7 +63,7 @@
 /** Retry delay of a quarantined call: the time after which a suspicion expires. */
 const RETRY_AFTER_QUARANTINE_MS = 60_000;
 
-/** Largest number of forwarded calls in progress; calls of own callers have the rest. */
+/** Largest number of calls of other gateways in progress; further ones are refused. */
 const FORWARDED_CALLS_MAX = 200;
 
 /** Longest wait for a connection to another gateway; a lost one leaves the list within a second. */
