A gateway checks its links once all backend servers of one small service fail

Found while reading: a check started after four failing backend servers. A gateway with calls for one service of up to three of them never checked, and refused all calls while it was cut off. Test: failed before, passes now.

--- a/src/gateway/ReachMonitor.test.ts
+++ b/src/gateway/ReachMonitor.test.ts
@@ -134,6 +134,17 @@
     expect(world.changes.length).toBeLessThanOrEqual(4);
   });
 
+  // Guards against a host with calls for one small service that never checks its links.
+  it('detects it from calls of one service with few backend servers', async () => {
+    const { world, monitor, views, run } = createWorld();
+    const small = new BackendView(createBackend('gamma-0', { service: 'gamma' }));
+    views.push(small);
+    world.connect = REFUSED;
+    monitor.noteFailed(small);
+    await run(100);
+    expect(monitor.isCut).toBe(true);
+  });
+
   it('detects the loss of the only backend server', async () => {
     const { world, monitor, views, run } = createWorld(1);
     world.connect = REFUSED;
--- a/src/gateway/ReachMonitor.ts
+++ b/src/gateway/ReachMonitor.ts
@@ -23,7 +23,7 @@
   readonly log: DecisionLog;
 }
 
-/** Number of backend servers that must fail, without a new connection in between, for a check. */
+/** Backend servers that start a check if they fail; a service with fewer starts one if all do. */
 const SUSPECTED_AFTER_SERVERS = 4;
 
 /** Failures older than this don't count. */
@@ -108,8 +108,16 @@
     });
     const isPaused = nowMs - this.checkedAtMs < CHECK_PAUSE_MS;
     if (this.isCut || this.isChecking || isPaused || this.disposed) return;
-    const needed = Math.min(SUSPECTED_AFTER_SERVERS, this.options.targets().length);
-    if (this.failedAtMs.size >= needed) this.check();
+    if (this.failedAtMs.size >= SUSPECTED_AFTER_SERVERS || this.isServiceFailing(view))
+      this.check();
+  }
+
+  /** True if all backend servers of the same service have failed lately. */
+  private isServiceFailing({ record }: BackendView): boolean {
+    return this.options
+      .targets()
+      .filter((target) => target.record.service === record.service)
+      .every((target) => this.failedAtMs.has(target.record.id));
   }
 
   /** Checks once whether any backend server of any service can be connected to. */
