Only a successful answer without a limit ends the limit of a backend server

A failing backend server may omit the header in its error answers; such an answer ended the limit for all gateways until the next one named it again.

--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -14,7 +14,7 @@
 export enum LimitReadingType {
   /** The backend server names a limit. */
   Named = 'named',
-  /** The backend server answered a call without naming a limit. */
+  /** The backend server answered a call with success and without naming a limit. */
   None = 'none',
   /** The value can't be read; it changes nothing. */
   Unreadable = 'unreadable',
