Types of customers, rollouts and versions of backend servers

All fields are optional, so that routings and records of earlier versions remain valid; nothing reads them yet. The compiler and the formatter pass; no behaviour changes.

--- a/src/common/backends/Types.ts
+++ b/src/common/backends/Types.ts
@@ -22,6 +22,8 @@
   readonly sequence: number;
   /** Remaining cold time when the announcement was made. */
   readonly coldLeftMs: number;
+  /** Version of its software; omitted if it announces none. */
+  readonly version?: string;
 }
 
 /** Sequence of a departure: no announcement of the same incarnation is newer. */
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -1,3 +1,5 @@
+import type { Rollout } from '../rollouts/Types.js';
+
 /** Kind of a route's calls; determines whether a call with an unknown outcome may run again. */
 export enum RouteKind {
   /** May run more than once. */
@@ -30,6 +32,8 @@
   readonly objectiveMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** True if calls need no key although the table has customers. */
+  readonly isOpen?: boolean;
   /** Document as the operator's client submitted it, kept to be returned unchanged. */
   readonly source?: unknown;
 }
@@ -56,11 +60,30 @@
   readonly source?: unknown;
 }
 
+/** Customer whose calls carry one of its keys. */
+export interface Customer {
+  readonly name: string;
+  /** Keys as issued; empty at gateways, which hold only their digests. */
+  readonly keys: readonly string[];
+  /** SHA-256 digests of the keys, in hexadecimal; set only at gateways. */
+  readonly keyDigests?: readonly string[];
+  /** Takes precedence over the priority of the route; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Calls per second allowed over all gateways together; 0 or omitted for no limit. */
+  readonly ratePerSecond?: number;
+  /** Calls allowed at once in addition to the rate. */
+  readonly burst?: number;
+  /** Document as the operator's client submitted it, kept to be returned unchanged. */
+  readonly source?: unknown;
+}
+
 /** All routes and services of one version. */
 export interface RoutingTable {
   readonly routes: readonly Route[];
   readonly services: readonly RoutedService[];
   readonly limits: CallerLimits;
+  /** Customers; omitted in deployments whose calls carry no keys. */
+  readonly customers?: readonly Customer[];
 }
 
 /** Change of named items; the rest of the table is unchanged. */
@@ -70,6 +93,8 @@
   readonly removeRoutes: readonly string[];
   readonly removeServices: readonly string[];
   readonly limits?: CallerLimits;
+  readonly upsertCustomers?: readonly Customer[];
+  readonly removeCustomers?: readonly string[];
 }
 
 /** Routing in force: table, version and closed availability zones at a log index. */
@@ -81,4 +106,6 @@
   readonly table: RoutingTable | null;
   /** Availability zones whose backend servers receive no calls. */
   readonly closedZones: readonly string[];
+  /** Rollouts of services, at most one for each; omitted where there is none. */
+  readonly rollouts?: readonly Rollout[];
 }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -83,6 +83,8 @@
   readonly route: Route;
   /** Service chosen by the route's weights. */
   readonly service: string;
+  /** Name of the customer; undefined in deployments without customers. */
+  readonly customer?: string;
   readonly arrivedAtMs: number;
   /** Deadline for the final answer. */
   readonly dueAtMs: number;
