Servers that shut down or ask for a pause in their answers get nothing more

Cause: an answer that states that its server shuts down, and the delay that a refusal names, were not read, so that calls went on until the announcement arrived and refused servers were probed and called again at once.

Notices of an answer through another gateway are not applied to that gateway. Other gateways are not notified: the server announces its departure itself.

--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -171,7 +171,8 @@
     const now = this.options.nowMs();
     const { pool, cold, limits } = this.options;
     const isCold = !cold.maySend(view, service.coldPerSecond, now);
-    return pool.isUsable(view) && !isCold && limits.maySend(view, now);
+    const isOpen = pool.isUsable(view) && !view.isQuiet(now);
+    return isOpen && !isCold && limits.maySend(view, now);
   }
 
   private expectedMs(view: BackendView, call: Call): number {
--- a/src/gateway/BackendPool.ts
+++ b/src/gateway/BackendPool.ts
@@ -153,7 +153,8 @@
   /** Returns the backend servers that may receive a call, in the order in which to probe them. */
   candidates(query: CandidateQuery): { local: BackendView[]; remote: BackendView[] } {
     const usable = [...(this.byService.get(query.service) ?? [])].filter(
-      (view) => this.isUsable(view) && !query.tried.has(view.record.id),
+      (view) =>
+        this.isUsable(view) && !view.isQuiet(query.nowMs) && !query.tried.has(view.record.id),
     );
     const withoutBackoff = usable.filter((view) => view.backoffUntilMs <= query.nowMs);
     const candidates = withoutBackoff.length > 0 ? withoutBackoff : usable;
--- a/src/gateway/BackendView.ts
+++ b/src/gateway/BackendView.ts
@@ -1,5 +1,5 @@
 import { BackendState, type BackendRecord } from '../common/backends/Types.js';
-import type { HealthReport, LoadReport } from './Types.js';
+import type { BackendNotice, HealthReport, LoadReport } from './Types.js';
 
 /** Weight of the newest outcome in the share of failures; about the last eight outcomes count. */
 const FAILURE_WEIGHT = 0.12;
@@ -43,6 +43,12 @@
   /** True if its last probe reported it unhealthy; this alone does not exclude it. */
   unhealthy = false;
 
+  /** True once an answer of this incarnation stated that it shuts down. */
+  isLeaving = false;
+
+  /** End of the time for which it accepts nothing from this host. */
+  quietUntilMs = 0;
+
   /** True if the record is from before a restart; any announcement at least as new replaces it. */
   provisional = false;
 
@@ -53,7 +59,22 @@
 
   /** True if it is ready for new calls. */
   get isOpen(): boolean {
-    return this.record.state === BackendState.Ready && !this.superseded;
+    return this.record.state === BackendState.Ready && !this.superseded && !this.isLeaving;
+  }
+
+  /** True while it accepts nothing from this host. */
+  isQuiet(nowMs: number): boolean {
+    return nowMs < this.quietUntilMs;
+  }
+
+  /** Applies what an answer states about further calls; returns true if it changes anything. */
+  noteNotice({ isLeaving, quietMs = 0 }: BackendNotice, nowMs: number): boolean {
+    const quietUntilMs = nowMs + quietMs;
+    const leaves = isLeaving && !this.isLeaving;
+    const extendsQuiet = quietMs > 0 && quietUntilMs > this.quietUntilMs;
+    if (leaves) this.isLeaving = true;
+    if (extendsQuiet) this.quietUntilMs = quietUntilMs;
+    return leaves || extendsQuiet;
   }
 
   isCold(nowMs: number): boolean {
@@ -144,5 +165,7 @@
     this.consecutiveFailures = 0;
     this.backoffUntilMs = 0;
     this.unhealthy = false;
+    this.isLeaving = false;
+    this.quietUntilMs = 0;
   }
 }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -28,6 +28,17 @@
   | { readonly type: LimitReadingType.Unreadable; readonly text: string }
   | { readonly type: LimitReadingType.None | LimitReadingType.Unknown };
 
+/** What an answer states about calls that follow. */
+export interface BackendNotice {
+  /** True if the backend server shuts down and accepts no further calls. */
+  readonly isLeaving: boolean;
+  /** Time for which it accepts nothing more from this host; undefined if it names none. */
+  readonly quietMs: number | undefined;
+}
+
+/** Notice of an answer that states nothing. */
+export const NO_NOTICE: BackendNotice = { isLeaving: false, quietMs: undefined };
+
 /** Answer of a backend server to a probe. */
 export interface HealthReport {
   readonly healthy: boolean;
@@ -36,6 +47,7 @@
   readonly coldLeftMs: number | undefined;
   readonly load: LoadReport | undefined;
   readonly limit: LimitReading;
+  readonly notice: BackendNotice;
 }
 
 /** Values read from the headers of a caller's request. */
@@ -55,6 +67,7 @@
   readonly authentic: boolean;
   readonly load: LoadReport | undefined;
   readonly limit: LimitReading;
+  readonly notice: BackendNotice;
 }
 
 /** Values for the headers of an attempt. */
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -15,6 +15,7 @@
 import {
   AttemptResultType,
   LimitReadingType,
+  NO_NOTICE,
   type AttemptResult,
   type BackendAnswer,
   type Call,
@@ -61,6 +62,7 @@
     coldLeftMs: undefined,
     load: { running: 0, waiting: 0, slots: 3, slowdown: 1 },
     limit: { type: LimitReadingType.Unknown },
+    notice: NO_NOTICE,
     ...changes,
   };
 }
--- a/src/gateway/server/AttemptRun.test.ts
+++ b/src/gateway/server/AttemptRun.test.ts
@@ -22,7 +22,7 @@
     bodyRest: null,
     remainingMs: 1_000,
   };
-  const observer = { onConnect: () => {}, onLimit: () => {} };
+  const observer = { onConnect: () => {}, onLimit: () => {}, onNotice: () => {} };
   return new AttemptRun(agent, TEST_PROFILE, new BackendView(record), request, observer).result;
 }
 
@@ -64,7 +64,7 @@
       remainingMs: 20_000,
       connectTimeoutMs: 20,
     };
-    const observer = { onConnect: () => {}, onLimit: () => {} };
+    const observer = { onConnect: () => {}, onLimit: () => {}, onNotice: () => {} };
     const run = new AttemptRun(hanging, TEST_PROFILE, new BackendView(record), request, observer);
     expect((await run.result).type).toBe(AttemptResultType.NotSent);
     hanging.destroy();
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -5,6 +5,7 @@
   AttemptResultType,
   type AnswerRest,
   type AttemptResult,
+  type BackendNotice,
   type LimitReading,
   type WireProfile,
 } from '../Types.js';
@@ -32,6 +33,8 @@
   onConnect(): void;
   /** The head of an answer to this attempt arrived. */
   onLimit(reading: LimitReading): void;
+  /** A complete answer to this attempt, or a refusal of it, states something about further calls. */
+  onNotice(notice: BackendNotice): void;
 }
 
 /** Answers up to this size are buffered, so that the call can be retried if one is truncated. */
@@ -170,6 +173,7 @@
     this.observer.onLimit(head.limit);
     if (head.notRun) {
       this.discard(response);
+      this.observer.onNotice(head.notice);
       const reason = `not run, status ${statusCode}`;
       this.settle({ type: AttemptResultType.NotRun, reason, load: head.load });
       return;
@@ -214,8 +218,12 @@
       },
     });
     const onEnd = () => {
-      if (response.complete) this.settle(answer(null));
-      else this.fail('answer cut short');
+      if (!response.complete) {
+        this.fail('answer cut short');
+        return;
+      }
+      this.observer.onNotice(head.notice);
+      this.settle(answer(null));
     };
     const onBroken = () => this.fail('answer cut short');
     const onData = (chunk: Buffer) => {
@@ -226,7 +234,7 @@
       response.pause();
       response.off('data', onData);
       response.off('end', onEnd);
-      this.settle(answer(this.restOf(response)));
+      this.settle(answer(this.restOf(response, head.notice)));
     };
     response.on('data', onData);
     response.on('end', onEnd);
@@ -236,15 +244,19 @@
     });
   }
 
-  private restOf(response: IncomingMessage): AnswerRest {
+  private restOf(response: IncomingMessage, notice: BackendNotice): AnswerRest {
     return {
       read: ({ onData, onEnd, onBroken }) => {
         let open = true;
         const end = (complete: boolean) => {
           if (!open) return;
           open = false;
-          if (complete && !this.cancelled && !this.broken) onEnd();
-          else onBroken();
+          if (!complete || this.cancelled || this.broken) {
+            onBroken();
+            return;
+          }
+          this.observer.onNotice(notice);
+          onEnd();
         };
         response.on('data', (chunk: Buffer) => {
           this.guard.noteProgress();
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -8,6 +8,7 @@
 import {
   AttemptResultType,
   type AttemptHandle,
+  type BackendNotice,
   type HealthReport,
   type LimitReading,
   type WireProfile,
@@ -39,6 +40,8 @@
   readonly onRequest?: (view: BackendView, kind: RequestKind) => void;
   /** Called with the request limit in every answer of the backend server itself. */
   readonly onLimit?: (answer: LimitAnswer) => void;
+  /** Called with every notice in an answer of the backend server itself that changes its state. */
+  readonly onNotice?: (view: BackendView, notice: BackendNotice) => void;
   /** Opens connections to backend servers; `net.connect` by default. */
   readonly connect?: Connect;
   /** Receives what requests show about the links to backend servers. */
@@ -115,6 +118,7 @@
     this.probes += 1;
     const { profile, probeTimeoutMs = DEFAULT_PROBE_TIMEOUT_MS } = this.options;
     const noteLimit = this.noteRequest(view, RequestKind.Probe);
+    const noteNotice = this.noticeObserver(view);
     return new Promise((resolve) => {
       const request = http.request({
         host: view.record.address,
@@ -155,7 +159,10 @@
         }
         const report = profile.readHealth(statusCode, headers);
         const isOwnAnswer = (report.backendId ?? view.record.id) === view.record.id;
-        if (isOwnAnswer) noteLimit(report.limit);
+        if (isOwnAnswer) {
+          noteLimit(report.limit);
+          noteNotice(report.notice);
+        }
         let bodyBytes = 0;
         response.on('data', (chunk: Buffer) => {
           guard.noteProgress();
@@ -180,7 +187,9 @@
       this.connects += 1;
       reach?.noteConnected();
     };
-    const run = new AttemptRun(this.agent, profile, view, attempt, { onConnect, onLimit });
+    const onNotice = this.noticeObserver(view);
+    const observer = { onConnect, onLimit, onNotice };
+    const run = new AttemptRun(this.agent, profile, view, attempt, observer);
     run.result.then(
       ({ type }) => {
         const answered = type === AttemptResultType.Answer || type === AttemptResultType.NotRun;
@@ -192,6 +201,16 @@
     return { result: run.result, cancel: () => run.cancel() };
   }
 
+  /** Returns a function that applies notices to the incarnation to which a request is sent now. */
+  private noticeObserver(view: BackendView): (notice: BackendNotice) => void {
+    const { nowMs = () => performance.now(), onNotice } = this.options;
+    const { bornMs } = view.record;
+    return (notice) => {
+      if (view.record.bornMs !== bornMs) return;
+      if (view.noteNotice(notice, nowMs())) onNotice?.(view, notice);
+    };
+  }
+
   /** Reports a request; returns the function that reports the limit in its answer. */
   private noteRequest(view: BackendView, kind: RequestKind): (reading: LimitReading) => void {
     const { nowMs = () => performance.now(), onRequest, onLimit } = this.options;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -206,6 +206,10 @@
       },
       onLimit: ({ view, reading, sentAtMs }) =>
         this.limits.noteReading(view, reading, sentAtMs, nowMs()),
+      onNotice: (view, { isLeaving, quietMs }) => {
+        const { id: backend, service } = view.record;
+        log('backend_notice', { backend, service, leaving: isLeaving, quietMs });
+      },
       connect: options.connect,
       reach: {
         noteConnected: () => this.reach.noteConnected(),
@@ -431,6 +435,8 @@
 
   /** Probes a backend server; any usable answer counts, whatever its health. */
   private async isAlive(view: BackendView): Promise<boolean> {
+    // It answered not long ago, and a probe is a request that it asked not to receive.
+    if (view.isQuiet(this.clock.nowMs())) return true;
     const service = this.routing.index?.service(view.record.service);
     return service === undefined || (await this.client.probe(view, service)) !== null;
   }
--- a/src/gateway/server/PeerProfile.ts
+++ b/src/gateway/server/PeerProfile.ts
@@ -1,4 +1,4 @@
-import { LimitReadingType, type WireProfile } from '../Types.js';
+import { LimitReadingType, NO_NOTICE, type WireProfile } from '../Types.js';
 import { FORWARD_HEADER, PEER_ANSWER_HEADER, PeerAnswer } from './ForwardMark.js';
 
 /**
@@ -18,6 +18,8 @@
         notRun: kind === PeerAnswer.Unsent,
         load: undefined,
         limit: { type: LimitReadingType.Unknown },
+        // Notices come from the backend server behind the other gateway.
+        notice: NO_NOTICE,
       };
     },
   };
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -1,4 +1,4 @@
-import { createServer } from 'node:http';
+import { createServer, type IncomingHttpHeaders } from 'node:http';
 import { RawBackend, headerOf, type RawReply } from '../../../standin/RawBackend.js';
 import { createRandom } from '../../common/Random.js';
 import { createRoute, createService, createTable } from '../../common/routing/fixtures.js';
@@ -14,7 +14,7 @@
 import { createBackend, createEntryHost, createLimiter } from '../fixtures.js';
 import { createPicker } from '../Pickers.js';
 import { RetryBudget } from '../RetryBudget.js';
-import { LimitReadingType, type WireProfile } from '../Types.js';
+import { LimitReadingType, type BackendNotice, type WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
 import { BackendClient } from './BackendClient.js';
 import { CallServer } from './CallServer.js';
@@ -23,6 +23,14 @@
 
 const HOST = '127.0.0.1';
 
+function readNotice(headers: IncomingHttpHeaders): BackendNotice {
+  const quietMs = headers['quiet-ms'];
+  return {
+    isLeaving: headers.leaving !== undefined,
+    quietMs: quietMs === undefined ? undefined : Number(quietMs),
+  };
+}
+
 /** Header names of the test's environment. */
 export const TEST_PROFILE: WireProfile = {
   attemptHeaderNames: new Set(['budget-ms']),
@@ -37,13 +45,15 @@
     authentic: headers.signature !== undefined,
     load: undefined,
     limit: { type: LimitReadingType.Unknown },
+    notice: readNotice(headers),
   }),
-  readHealth: (statusCode) => ({
+  readHealth: (statusCode, headers) => ({
     healthy: statusCode === 200,
     backendId: undefined,
     coldLeftMs: undefined,
     load: { running: 0, waiting: 0, slots: 3, slowdown: 1 },
     limit: { type: LimitReadingType.Unknown },
+    notice: readNotice(headers),
   }),
   callIdHeaders: (callId) => ['Call-Id', callId],
   retryAfter: (delayMs) => String(delayMs / 1_000),
