Customers: keys are checked at gateways, which hold only their digests

Cause: the routing may list customers; calls need a key of one of them. Change: decoding, PATCH and read-back of customers, a table of checks, digests instead of keys on the way to gateways (once for each version), refusal with 401 before the body is read, the customer's header on every attempt, marks of forwarded calls with the customer (ignored by earlier versions), the customer's priority, kind upload. Tests: platform/Customers.test.ts 19 passed. Contract, Forwarding, RoutingPacker, EarlierVersions and src/common: 126 passed; src/gateway/server passed. Not yet: strict revocation, keys in egretctl output, design note.

--- a/src/common/Errors.ts
+++ b/src/common/Errors.ts
@@ -18,6 +18,7 @@
   Quarantined = 'quarantined',
   NoQuorum = 'no-quorum',
   Unauthorized = 'unauthorized',
+  CustomerUnknown = 'customer-unknown',
   Forbidden = 'forbidden',
   InvalidAnnouncement = 'invalid-announcement',
   ReplayedSequence = 'replayed-sequence',
@@ -127,6 +128,11 @@
     statusCode: 401,
     remedy: 'Send a valid bearer token in the Authorization header.',
   },
+  [ErrorKind.CustomerUnknown]: {
+    statusCode: 401,
+    remedy: 'Send a key that was issued to a customer in the Authorization header.',
+    outcome: Outcome.NotRun,
+  },
   [ErrorKind.Forbidden]: {
     statusCode: 403,
     remedy: 'Use a token whose team and role cover the path.',
--- a/src/common/routing/RoutingCheck.ts
+++ b/src/common/routing/RoutingCheck.ts
@@ -1,5 +1,6 @@
 import Result from 'true-myth/result';
 import { EgretError, ErrorKind } from '../Errors.js';
+import { customerFaults } from '../customers/CustomerFaults.js';
 import type { Route, RoutingPatch, RoutingTable } from './Types.js';
 
 /** Maximum timeout of a route: ten minutes, as specified in the users' protocol. */
@@ -41,6 +42,7 @@
     names.add(route.name);
   });
   if (services.size < table.services.length) faults.push('services: a name stands twice.');
+  faults.push(...customerFaults(table.customers ?? []));
   if (faults.length === 0) return Result.ok(table);
   return Result.err(new EgretError(ErrorKind.InvalidSettings, faults.join(' ')));
 }
@@ -64,9 +66,12 @@
  * patchRouting(table, { ...emptyPatch, removeRoutes: ['old'] }).routes;
  */
 export function patchRouting(table: RoutingTable, patch: RoutingPatch): RoutingTable {
+  const { upsertCustomers, removeCustomers = [] } = patch;
+  const before = table.customers ?? (upsertCustomers && []);
   return {
     routes: upsert(table.routes, patch.upsertRoutes, patch.removeRoutes),
     services: upsert(table.services, patch.upsertServices, patch.removeServices),
     limits: patch.limits ?? table.limits,
+    ...(before && { customers: upsert(before, upsertCustomers ?? [], removeCustomers) }),
   };
 }
--- a/src/control/server/RoutingPacker.ts
+++ b/src/control/server/RoutingPacker.ts
@@ -1,11 +1,13 @@
 import { deflateSync, inflateSync } from 'node:zlib';
 import Result from 'true-myth/result';
+import { withKeyDigests } from '../../runtime/KeyDigest.js';
 import { MAX_MESSAGE_BYTES } from '../../common/Constants.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import {
   ControlMessageType,
   type ControlToEntryMessage,
   type PackedRoutingMessage,
+  type RoutingMessage,
 } from '../../common/Messages.js';
 import type { RoutingView } from '../../common/routing/Types.js';
 import { checkMessage, FieldType } from '../../runtime/MessageCheck.js';
@@ -74,20 +76,26 @@
     );
 }
 
-/** Compresses the routing once for all sessions that accept it. */
+/** Replaces keys by digests and compresses the routing, once for all sessions. */
 export class RoutingPacker {
   private view: RoutingView | undefined;
 
-  private packed: PackedRoutingMessage | null = null;
+  private plain: RoutingMessage | undefined;
+
+  /** Undefined until a session accepts it; null if the view is small. */
+  private packed: PackedRoutingMessage | null | undefined;
 
   /** Returns the message in the form in which it is sent on the session. */
   packFor({ message, acceptsPacked }: OutgoingMessage): ControlToEntryMessage {
-    if (!acceptsPacked || message.type !== ControlMessageType.Routing) return message;
+    if (message.type !== ControlMessageType.Routing) return message;
     // Views are replaced and never changed.
-    if (this.view !== message.view) {
+    if (!this.plain || this.view !== message.view) {
       this.view = message.view;
-      this.packed = packRouting(message.view);
+      this.plain = { ...message, view: withKeyDigests(message.view) };
+      this.packed = undefined;
     }
-    return this.packed ?? message;
+    if (!acceptsPacked) return this.plain;
+    if (this.packed === undefined) this.packed = packRouting(this.plain.view);
+    return this.packed ?? this.plain;
   }
 }
--- a/src/control/server/RoutingSchemas.ts
+++ b/src/control/server/RoutingSchemas.ts
@@ -13,6 +13,7 @@
   attemptsMax: z.number().int().min(1).max(16),
   objectiveMs: z.number(),
   priority: z.number().int().min(0),
+  isOpen: z.boolean().optional(),
   source: z.json().optional(),
 });
 
@@ -33,10 +34,24 @@
   source: z.json().optional(),
 });
 
+const customer = z.strictObject({
+  name,
+  keys: z.array(z.string().min(1)),
+  priority: z.number().optional(),
+  ratePerSecond: z.number().min(0).optional(),
+  burst: z.number().min(0).optional(),
+  source: z.json().optional(),
+});
+
 /** A complete routing table, or a patch that upserts and removes items by name. */
 export const routingEditSchema = z.union([
   z.strictObject({
-    table: z.strictObject({ routes: z.array(route), services: z.array(service), limits }),
+    table: z.strictObject({
+      routes: z.array(route),
+      services: z.array(service),
+      limits,
+      customers: z.array(customer).optional(),
+    }),
   }),
   z.strictObject({
     patch: z.strictObject({
@@ -45,6 +60,8 @@
       removeRoutes: z.array(name).default([]),
       removeServices: z.array(name).default([]),
       limits: limits.optional(),
+      upsertCustomers: z.array(customer).optional(),
+      removeCustomers: z.array(name).optional(),
     }),
   }),
 ]);
--- a/src/gateway/ActiveRouting.ts
+++ b/src/gateway/ActiveRouting.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from '../common/Random.js';
 import { RouteIndex } from '../common/routing/RouteIndex.js';
 import type { Route, RoutedService, RoutingTable, RoutingView } from '../common/routing/Types.js';
+import { CustomerIndex } from './customers/CustomerIndex.js';
 import { SplitChooser } from './SplitChooser.js';
 
 /** Routing in force at one entry host; it never reverts to an older version. */
@@ -9,6 +10,9 @@
 
   table: RoutingTable | null = null;
 
+  /** Null in deployments whose calls carry no keys. */
+  customers: CustomerIndex | null = null;
+
   version = 0;
 
   /** Log index of the last change applied. */
@@ -30,6 +34,7 @@
     if (view.table && view.version !== this.version) {
       this.table = view.table;
       this.index = new RouteIndex(view.table);
+      this.customers = view.table.customers ? new CustomerIndex(view.table.customers) : null;
       this.split.reset();
     }
     this.version = view.version;
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -63,10 +63,24 @@
   readonly backendId: string;
 }
 
+/** Request headers by which callers and backend servers identify customers. */
+export interface CustomerWire {
+  /** Lower-case names of headers that are not passed on if the routing has customers. */
+  readonly headerNames: ReadonlySet<string>;
+  /** Key that a call carries; undefined without one. */
+  readKey(headers: IncomingHttpHeaders): string | undefined;
+  /** Headers that name the customer to a backend server, names and values in turn. */
+  customerHeaders(name: string): string[];
+  /** Headers of an answer to a call without a known key, names and values in turn. */
+  readonly challengeHeaders: readonly string[];
+}
+
 /** Maps the types above to and from HTTP headers; one implementation per environment. */
 export interface WireProfile {
   /** Lower-case names of request headers that only this system sets on attempts. */
   readonly attemptHeaderNames: ReadonlySet<string>;
+  /** Omitted if calls carry no keys. */
+  readonly customers?: CustomerWire;
   readCall(headers: IncomingHttpHeaders): CallHead;
   attemptHeaders(head: AttemptHead): string[];
   readAnswer(statusCode: number, headers: IncomingHttpHeaders): AnswerHead;
@@ -85,6 +99,8 @@
   readonly service: string;
   /** Name of the customer; undefined in deployments without customers. */
   readonly customer?: string;
+  /** True if the routing has customers, so that the caller's headers for them are not passed on. */
+  readonly isKeyChecked?: boolean;
   readonly arrivedAtMs: number;
   /** Deadline for the final answer. */
   readonly dueAtMs: number;
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -15,6 +15,7 @@
   type SendAttempt,
 } from '../DispatchTypes.js';
 import type { ActiveRouting } from '../ActiveRouting.js';
+import { CustomerCheck } from '../customers/CustomerCheck.js';
 import type { BackendAnswer, Call, WireProfile } from '../Types.js';
 import type { BackendClient } from './BackendClient.js';
 import {
@@ -46,6 +47,8 @@
   readonly crashes: CrashWatch;
   /** Waits briefly for routing if the gateway has just started; otherwise resolves at once. */
   readonly waitUntilReady: (budgetMs: number) => Promise<void>;
+  /** True if keys must be refused because the routing may be out of date. */
+  readonly areKeysStale?: () => boolean;
   readonly createId: () => string;
   /** Connections of the callers. */
   readonly connections: HttpConnections;
@@ -85,11 +88,20 @@
 
   private readonly ownRequestHeaders: ReadonlySet<string>;
 
+  /** Request headers that are set anew where the routing has customers. */
+  private readonly checkedRequestHeaders: ReadonlySet<string>;
+
+  private readonly customers: CustomerCheck;
+
   constructor(private readonly options: CallServerOptions) {
     this.ownRequestHeaders = new Set([
       ...options.profile.attemptHeaderNames,
       ...OWN_REQUEST_HEADERS,
     ]);
+    const { profile, routing, areKeysStale } = options;
+    const customerHeaders = profile.customers?.headerNames ?? [];
+    this.checkedRequestHeaders = new Set([...this.ownRequestHeaders, ...customerHeaders]);
+    this.customers = new CustomerCheck({ routing, wire: profile.customers, isStale: areKeysStale });
   }
 
   get openCalls(): number {
@@ -157,6 +169,16 @@
       this.refuse(response, callId, new EgretError(ErrorKind.NotFound, detail));
       return;
     }
+    const { headers } = request;
+    const checked = this.customers.check({ route, headers, forwarded: mark?.customer });
+    if (checked.type === 'refused') {
+      const { kind, detail } = checked.error;
+      options.log('call_unauthenticated', { call: callId, route: route.name, kind, detail });
+      this.refuse(response, callId, checked.error);
+      return;
+    }
+    const isChecked = checked.type === 'checked';
+    const priority = (isChecked ? checked.priority : undefined) ?? route.priority;
     const service = options.routing.nextService(route);
     const read = await readRequestBody(request, table.limits.bodyBytesMax);
     if (read.type === 'broken') return;
@@ -179,8 +201,10 @@
     const attemptsMax = Math.min(route.attemptsMax, mark?.attemptsMax ?? route.attemptsMax);
     const call: Call = {
       callId,
-      route: { ...route, attemptsMax: singleAttempt ? 1 : attemptsMax },
+      route: { ...route, priority, attemptsMax: singleAttempt ? 1 : attemptsMax },
       service: service.name,
+      customer: isChecked ? checked.customer : undefined,
+      isKeyChecked: isChecked,
       arrivedAtMs,
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs - (mark?.elapsedMs ?? 0),
@@ -245,7 +269,7 @@
     bodyRest: IncomingMessage | null,
   ): Promise<DispatchOutcome> {
     const { dispatcher, client, peerClient, marks, nowMs, connections } = this.options;
-    const rawHeaders = copyEndToEnd(request.rawHeaders, this.ownRequestHeaders);
+    const rawHeaders = this.copyRequestHeaders(call, request);
     const attempt = {
       method: request.method ?? 'GET',
       target: request.url ?? '/',
@@ -257,7 +281,9 @@
     const send: SendAttempt = (view, remainingMs) => client.send(view, { ...attempt, remainingMs });
     const createPeerSender: CallSenders['createPeerSender'] = (options) => {
       const sendToPeer: SendAttempt = (view, remainingMs) => {
-        const mark = marks.headers({ ...options, elapsedMs: nowMs() - call.arrivedAtMs });
+        const customer = call.isKeyChecked ? (call.customer ?? '') : undefined;
+        const elapsedMs = nowMs() - call.arrivedAtMs;
+        const mark = marks.headers({ ...options, elapsedMs, customer });
         const marked = [...rawHeaders, ...mark];
         const connectTimeoutMs = PEER_CONNECT_TIMEOUT_MS;
         return peerClient.send(view, {
@@ -275,6 +301,17 @@
     });
   }
 
+  /** Headers of all attempts of a call, those to other gateways included. */
+  private copyRequestHeaders(call: Call, { rawHeaders }: IncomingMessage): string[] {
+    if (!call.isKeyChecked) return copyEndToEnd(rawHeaders, this.ownRequestHeaders);
+    const copied = copyEndToEnd(rawHeaders, this.checkedRequestHeaders);
+    const { customers } = this.options.profile;
+    if (call.customer !== undefined && customers) {
+      copied.push(...customers.customerHeaders(call.customer));
+    }
+    return copied;
+  }
+
   private finish(
     call: Call,
     route: Route,
@@ -284,7 +321,8 @@
     const { metrics, nowMs, log } = this.options;
     const elapsedMs = nowMs() - call.arrivedAtMs;
     metrics.noteCall(route.name, outcome.type, elapsedMs);
-    const fields = { call: call.callId, route: route.name, service: call.service, elapsedMs };
+    const { callId, service, customer } = call;
+    const fields = { call: callId, route: route.name, service, customer, elapsedMs };
     switch (outcome.type) {
       case DispatchOutcomeType.Answer: {
         const late = elapsedMs > route.objectiveMs;
@@ -387,6 +425,9 @@
       'Content-Length',
       String(Buffer.byteLength(text)),
     ];
+    if (error.kind === ErrorKind.CustomerUnknown) {
+      headers.push(...(profile.customers?.challengeHeaders ?? []));
+    }
     if (error.outcome) headers.push('Egret-Outcome', error.outcome);
     if (this.options.servesPeers) {
       headers.push(PEER_ANSWER_HEADER, peerAnswer);
--- a/src/gateway/server/ForwardMark.ts
+++ b/src/gateway/server/ForwardMark.ts
@@ -25,6 +25,25 @@
   readonly isCounted: boolean;
   /** Time since the call arrived at the first gateway. */
   readonly elapsedMs: number;
+  /**
+   * Customer of the call, empty without one; undefined if the forwarding gateway has not checked
+   * the key, as in earlier versions.
+   */
+  readonly customer?: string;
+}
+
+/** Separates the customer, which may be empty, from the preceding fields. */
+const CUSTOMER_PREFIX = 'customer=';
+
+/** Decodes the customer's field; undefined if it is missing or malformed. */
+function decodeCustomer(field: string | undefined): string | undefined {
+  if (!field?.startsWith(CUSTOMER_PREFIX)) return undefined;
+  try {
+    return decodeURIComponent(field.slice(CUSTOMER_PREFIX.length));
+  } catch {
+    // The key is checked here instead, as for a mark of an earlier version.
+    return undefined;
+  }
 }
 
 /** Creates and checks forward marks, which only hosts with the shared secret can make. */
@@ -39,21 +58,28 @@
   }
 
   /** Request headers of a forwarded call, names and values in turn. */
-  headers({ attemptsMax, isCounted, elapsedMs }: Omit<ForwardMark, 'from'>): string[] {
+  headers({ attemptsMax, isCounted, elapsedMs, customer }: Omit<ForwardMark, 'from'>): string[] {
     const roundedMs = Math.max(0, Math.round(elapsedMs));
     const mark = [this.selfId, attemptsMax, Number(isCounted), roundedMs, this.mac];
+    // Earlier versions ignore fields after the code.
+    if (customer !== undefined) mark.push(CUSTOMER_PREFIX + encodeURIComponent(customer));
     return [FORWARD_HEADER, mark.join(' ')];
   }
 
   /** Reads the mark of a forwarded call; undefined if it is missing, malformed or forged. */
   read({ headers }: IncomingMessage): ForwardMark | undefined {
-    const [from, attempts, counted, elapsed, mac] = String(headers[FORWARD_HEADER] ?? '').split(
-      ' ',
-    );
+    const fields = String(headers[FORWARD_HEADER] ?? '').split(' ');
+    const [from, attempts, counted, elapsed, mac, customer] = fields;
     if (!from || !mac || !checkForwardMac(this.secret, from, mac)) return undefined;
     const [attemptsMax, elapsedMs] = [Number(attempts), Number(elapsed)];
     if (!Number.isSafeInteger(attemptsMax) || attemptsMax < 1 || !(elapsedMs >= 0))
       return undefined;
-    return { from, attemptsMax, isCounted: counted === '1', elapsedMs };
+    return {
+      from,
+      attemptsMax,
+      isCounted: counted === '1',
+      elapsedMs,
+      customer: decodeCustomer(customer),
+    };
   }
 }
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -1,4 +1,9 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import { closeServer, listen } from '../src/runtime/HttpJson.js';
 import { createAnnouncement } from './ProviderDocuments.js';
 import { sendDocument } from './SendDocument.js';
@@ -40,6 +45,7 @@
   readonly budgetMs: number;
   /** Names of the request's headers, in lower case. */
   readonly headerNames: readonly string[];
+  readonly headers: IncomingHttpHeaders;
 }
 
 const BODY = 'the body of the answer';
@@ -139,6 +145,7 @@
       body,
       budgetMs: Number(incoming.headers['x-deadline-ms']),
       headerNames: Object.keys(incoming.headers),
+      headers: incoming.headers,
     });
     this.openRequests += 1;
     response.once('close', () => {
