--- a/src/control/AdminReads.ts
+++ b/src/control/AdminReads.ts
@@ -1,6 +1,7 @@
 import Result from 'true-myth/result';
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import { buildCatalog, readPath, subtreeOf } from '../common/SettingsTree.js';
+import { withKeyDigests } from '../runtime/KeyDigest.js';
 import type { ReplicatedState } from './ReplicatedState.js';
 import type { EntrySessions } from './EntrySessions.js';
 import type { RaftNode } from './raft/RaftNode.js';
@@ -73,7 +74,10 @@
           policy: item.settings.policy,
         })),
       }),
-    [AdminRequestType.GetRouting]: () => Result.ok(this.replicatedState.routing.view),
+    [AdminRequestType.GetRouting]: ({ includesKeys }: RequestOf<AdminRequestType.GetRouting>) => {
+      const { view } = this.replicatedState.routing;
+      return Result.ok(includesKeys ? view : withKeyDigests(view));
+    },
     [AdminRequestType.EntryHosts]: () =>
       Result.ok({
         revision: this.replicatedState.revision,
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -49,7 +49,11 @@
     }
   | { readonly type: AdminRequestType.PromoteMember; readonly id: string }
   | { readonly type: AdminRequestType.RemoveMember; readonly id: string }
-  | { readonly type: AdminRequestType.GetRouting }
+  | {
+      readonly type: AdminRequestType.GetRouting;
+      /** True for the keys of customers as sent; the administration API never sets it. */
+      readonly includesKeys?: boolean;
+    }
   | {
       readonly type: AdminRequestType.ChangeRouting;
       readonly changeId: string;
