A probe that timed out keeps its connection for the late answer

Hosts and servers are busy in bursts, probes take longer than 60 ms, and each timeout closed the connection, so that the next probe or call opened another one just when there was least time for it.

Change: the probe fails at its timeout as before; the connection is closed only if no answer arrives within a second, and is not used by others until then.

--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -57,6 +57,9 @@
 
 const DEFAULT_PROBE_TIMEOUT_MS = 60;
 
+/** Time after its timeout in which the answer to a probe may still arrive, to keep the connection. */
+const PROBE_END_TIMEOUT_MS = 1_000;
+
 /** Largest body of a health answer; its headers hold all that is used. */
 const HEALTH_BODY_MAX_BYTES = 64 * 1024;
 
@@ -132,6 +135,8 @@
       const guard = new AnswerGuard(request);
       const { reach } = this.options;
       let timer: NodeJS.Timeout | undefined;
+      let endTimer: NodeJS.Timeout | undefined;
+      request.once('close', () => clearTimeout(endTimer));
       let finished = false;
       const finish = (report: HealthReport | null) => {
         if (finished) return;
@@ -143,7 +148,8 @@
       };
       timer = setTimeout(() => {
         finish(null);
-        request.destroy();
+        // A late answer leaves the connection usable; a new one costs more while hosts are busy.
+        endTimer = setTimeout(() => request.destroy(), PROBE_END_TIMEOUT_MS);
       }, probeTimeoutMs);
       request.on('socket', (socket) => {
         if (socket.connecting) socket.once('connect', () => reach?.noteConnected());
