Count bytes by purpose, control message and pair of availability zones

Cause: cross-zone bytes are the largest cost and were not measured by any process. egret_zone_bytes_total counts them at the sockets: the gateway counts both directions of connections to backend servers and other gateways, each end of a control link counts what it sends. Zones have at most 16 labels, message types those of the protocol. The ends of a control link exchange their zones in the handshake; earlier versions ignore the field.

--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -15,12 +15,14 @@
 import { addGauge } from '../../runtime/Gauges.js';
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
+import { TrafficPurpose, ZoneTraffic } from '../../runtime/ZoneTraffic.js';
 import type { Logger } from '../../runtime/Logger.js';
+import { LINK_OVERHEAD } from '../../runtime/LinkBytes.js';
 import type { LinkTiming } from '../../runtime/MessageClient.js';
 import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
 import { ControlReducer } from '../ControlReducer.js';
 import type { RaftTiming } from '../raft/RaftState.js';
-import type { Member, RaftMessage } from '../raft/Types.js';
+import { RaftMessageType, type Member, type RaftMessage } from '../raft/Types.js';
 import { shouldRequestJoin, type AutoMembershipOptions } from '../AutoMembership.js';
 import { BackendsFile } from '../storage/BackendsFile.js';
 import { DataFolder } from '../storage/DataFolder.js';
@@ -96,6 +98,13 @@
   [ControlMessageType.ReportRelay]: 2,
 };
 
+/** Message types that the byte counts name. */
+const LINK_MESSAGE_TYPES: readonly string[] = [
+  ...Object.values(ControlMessageType),
+  ...Object.values(RaftMessageType),
+  LINK_OVERHEAD,
+];
+
 /** Messages that an entry host sends once for each link; their number is bounded by the sessions. */
 const SENT_ONCE: ReadonlySet<ControlMessageType> = new Set([
   ControlMessageType.Hello,
@@ -173,9 +182,19 @@
       isReady: () => this.reducer.raft.state.leaderId !== null,
       nowMs: () => this.clock.nowMs(),
     });
+    const { availabilityZone } = file;
+    const traffic = new ZoneTraffic({
+      registry: this.registry,
+      availabilityZone: availabilityZone ?? '',
+      messageTypes: LINK_MESSAGE_TYPES,
+    });
+    const onBytes = (message: string, bytes: number, peerZone: string | undefined) =>
+      traffic.noteSent({ purpose: TrafficPurpose.Control, message, peerZone, bytes });
     this.messages = new MessageServer({
       secret,
       logger,
+      availabilityZone,
+      onBytes,
       fields: { ...RAFT_FIELDS, ...CONTROL_PEER_FIELDS, ...ENTRY_FIELDS },
       admit: (role, open) => this.admission.admit(role, open),
       onOpen: (session) => this.sessions.set(session.sessionId, session),
@@ -205,6 +224,8 @@
       secret,
       logger,
       timing: options.linkTiming,
+      availabilityZone,
+      onBytes,
       onOpen: (memberId) => {
         logger.info('control_link_opened', { host: file.id, member: memberId });
         const random = this.random.next();
@@ -569,7 +590,7 @@
       const bytes = isCompressed
         ? this.compressor.compress(message)
         : this.compressor.encode(message);
-      this.sessions.get(sessionId)?.sendEncoded(bytes);
+      this.sessions.get(sessionId)?.sendEncoded(bytes, message.type);
     });
   }
 
@@ -578,9 +599,9 @@
     if (!session) return;
     const message = this.packer.packFor(effect);
     if (message.type === ControlMessageType.PackedRouting) {
-      session.sendEncoded(this.compressor.encode(message));
+      session.sendEncoded(this.compressor.encode(message), message.type);
     } else if (effect.acceptsCompressed) {
-      session.sendEncoded(this.compressor.compress(message));
+      session.sendEncoded(this.compressor.compress(message), message.type);
     } else session.send(message);
   }
 
--- a/src/control/server/RaftLinks.ts
+++ b/src/control/server/RaftLinks.ts
@@ -11,6 +11,10 @@
   readonly secret: string;
   readonly logger: Logger;
   readonly timing?: LinkTiming;
+  /** Own availability zone. */
+  readonly availabilityZone?: string;
+  /** Receives the bytes sent by message type. */
+  readonly onBytes?: (messageType: string, bytes: number, memberZone: string | undefined) => void;
   readonly onOpen?: (memberId: string) => void;
   readonly onClose?: (memberId: string) => void;
 }
@@ -69,6 +73,8 @@
         logger,
         fields: {},
         timing: this.options.timing,
+        availabilityZone: this.options.availabilityZone,
+        onBytes: this.options.onBytes,
         onOpen: () => this.options.onOpen?.(member.id),
         onMessage: () => {},
         onClose: () => this.options.onClose?.(member.id),
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -30,6 +30,8 @@
 export interface AttemptObserver {
   /** A new connection to the backend server is open. */
   onConnect(): void;
+  /** The request was created; its connection follows. */
+  onRequest?(request: http.ClientRequest): void;
   /** The head of an answer to this attempt arrived. */
   onLimit(reading: LimitReading): void;
 }
@@ -99,6 +101,7 @@
       setHost: false,
       headers: headers as unknown as http.OutgoingHttpHeaders,
     });
+    observer.onRequest?.(this.request);
     this.guard = new AnswerGuard(this.request);
     const endTimer = setTimeout(() => this.request.destroy(), remainingMs + ANSWER_GRACE_MS);
     this.request.once('close', () => clearTimeout(endTimer));
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -2,6 +2,7 @@
 import net from 'node:net';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import { GuardedAgent, type Connect } from '../../runtime/GuardedAgent.js';
+import { SocketBytes, type ByteCounts } from '../../runtime/SocketBytes.js';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
 import { ConnectResult } from '../ReachMonitor.js';
@@ -39,6 +40,8 @@
   readonly onRequest?: (view: BackendView, kind: RequestKind) => void;
   /** Called with the request limit in every answer of the backend server itself. */
   readonly onLimit?: (answer: LimitAnswer) => void;
+  /** Called with the bytes of every request and its answer once they have ended. */
+  readonly onBytes?: (view: BackendView, kind: RequestKind, counts: ByteCounts) => void;
   /** Opens connections to backend servers; `net.connect` by default. */
   readonly connect?: Connect;
   /** Receives what requests show about the links to backend servers. */
@@ -74,6 +77,8 @@
   /** Connections opened so far. */
   connects = 0;
 
+  private readonly socketBytes = new SocketBytes();
+
   private readonly agent = new GuardedAgent({
     keepAlive: true,
     keepAliveMsecs: TCP_KEEP_ALIVE_DELAY_MS,
@@ -125,6 +130,7 @@
         setHost: false,
         headers: { Host: `${view.record.address}:${view.record.port}` },
       });
+      this.countBytes(request, view, RequestKind.Probe);
       const guard = new AnswerGuard(request);
       const { reach } = this.options;
       let timer: NodeJS.Timeout | undefined;
@@ -180,7 +186,11 @@
       this.connects += 1;
       reach?.noteConnected();
     };
-    const run = new AttemptRun(this.agent, profile, view, attempt, { onConnect, onLimit });
+    const run = new AttemptRun(this.agent, profile, view, attempt, {
+      onConnect,
+      onLimit,
+      onRequest: (request) => this.countBytes(request, view, RequestKind.Call),
+    });
     run.result.then(
       ({ type }) => {
         const answered = type === AttemptResultType.Answer || type === AttemptResultType.NotRun;
@@ -192,6 +202,11 @@
     return { result: run.result, cancel: () => run.cancel() };
   }
 
+  private countBytes(request: http.ClientRequest, view: BackendView, kind: RequestKind): void {
+    const { onBytes } = this.options;
+    if (onBytes) this.socketBytes.watch(request, (counts) => onBytes(view, kind, counts));
+  }
+
   /** Reports a request; returns the function that reports the limit in its answer. */
   private noteRequest(view: BackendView, kind: RequestKind): (reading: LimitReading) => void {
     const { nowMs = () => performance.now(), onRequest, onLimit } = this.options;
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -31,6 +31,8 @@
 export interface ControlWatchOptions {
   readonly self: () => EntryHost;
   readonly secret: string;
+  /** Receives the bytes sent to control hosts by message type. */
+  readonly onBytes?: (messageType: string, bytes: number, controlZone: string | undefined) => void;
   readonly logger: Logger;
   /** Initial control hosts; read again whenever no control host can be reached. */
   readonly seeds: () => readonly ControlAddress[];
@@ -239,6 +241,8 @@
       logger,
       fields: CONTROL_FIELDS,
       timing: FAST_LINK_TIMING,
+      availabilityZone: self().availabilityZone,
+      onBytes: this.options.onBytes,
       onOpen: () => {
         logger.info('control_regained', { control: key });
         const entryHostUpdates = EntryHostUpdates.None;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -37,6 +37,7 @@
 import { ControlWatch, type ControlAddress } from './ControlWatch.js';
 import { ForwardMarks } from './ForwardMark.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
+import { GatewayTraffic } from './GatewayTraffic.js';
 import { createPeerProfile } from './PeerProfile.js';
 
 /** Address to listen on. */
@@ -130,6 +131,8 @@
 
   private readonly client: BackendClient;
 
+  private readonly traffic: GatewayTraffic;
+
   private readonly reach: ReachMonitor;
 
   private readonly gate: StartupGate;
@@ -196,6 +199,8 @@
       isKnown: ({ id, bornMs }) => this.pool.get(id)?.record.bornMs === bornMs,
       log,
     });
+    const { registry } = this.metrics;
+    this.traffic = new GatewayTraffic({ registry, availabilityZone });
     this.client = new BackendClient({
       profile: options.profile,
       probeTimeoutMs: options.probeTimeoutMs,
@@ -206,6 +211,7 @@
       },
       onLimit: ({ view, reading, sentAtMs }) =>
         this.limits.noteReading(view, reading, sentAtMs, nowMs()),
+      onBytes: (view, kind, counts) => this.traffic.noteBackend(view, kind, counts),
       connect: options.connect,
       reach: {
         noteConnected: () => this.reach.noteConnected(),
@@ -222,7 +228,11 @@
       onChange: () => this.watch?.ping(),
       log,
     });
-    this.peerClient = new BackendClient({ profile: createPeerProfile(options.profile), nowMs });
+    this.peerClient = new BackendClient({
+      profile: createPeerProfile(options.profile),
+      nowMs,
+      onBytes: (view, kind, counts) => this.traffic.notePeer(view, counts),
+    });
     this.peerPicker = new PeerPicker({
       selfId: options.id,
       availabilityZone: options.availabilityZone,
@@ -372,6 +382,7 @@
     this.watch = new ControlWatch({
       self: () => this.self(),
       secret: this.options.secret,
+      onBytes: (type, bytes, zone) => this.traffic.noteControl(type, bytes, zone),
       logger: log.asLogger(),
       seeds: this.options.seeds,
       followMembership: this.options.followMembership,
--- a/src/runtime/LinkAuth.ts
+++ b/src/runtime/LinkAuth.ts
@@ -18,6 +18,8 @@
   readonly role: LinkRole;
   readonly nonce: string;
   readonly mac: string;
+  /** Availability zone of the client, for the metrics; earlier versions omit it. */
+  readonly availabilityZone?: string;
 }
 
 /** Last message of the handshake: proves that the server has the secret. */
@@ -27,6 +29,8 @@
   readonly ticket: string;
   /** Protocol version of the server; version 1 omits it. */
   readonly protocol?: number;
+  /** Availability zone of the server, for the metrics; earlier versions omit it. */
+  readonly availabilityZone?: string;
 }
 
 const NONCE_BYTES = 16;
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -11,6 +11,7 @@
   type Welcome,
 } from './LinkAuth.js';
 import type { Logger } from './Logger.js';
+import { LinkBytes } from './LinkBytes.js';
 import { checkMessage, type MessageFields } from './MessageCheck.js';
 import { decodeMessage, encodeMessage } from './MessageCodec.js';
 import { RetryDelays } from './RetryDelays.js';
@@ -57,6 +58,10 @@
   /** Fields that messages of each type must have. */
   readonly fields: MessageFields;
   readonly timing?: LinkTiming;
+  /** Own availability zone, which the server uses in its metrics. */
+  readonly availabilityZone?: string;
+  /** Receives the bytes sent by message type, and the server's zone once it is known. */
+  readonly onBytes?: (messageType: string, bytes: number, serverZone: string | undefined) => void;
   readonly onOpen: () => void;
   readonly onMessage: (message: object) => void;
   readonly onClose: () => void;
@@ -110,6 +115,10 @@
   /** Bytes received on the connection at the last heartbeat. */
   private receivedBytes = 0;
 
+  private sentBytes: LinkBytes | undefined;
+
+  private serverZone: string | undefined;
+
   private disposed = false;
 
   readonly traffic: LinkTraffic = { bytes: 0, messages: 0 };
@@ -151,11 +160,13 @@
     const bytes = encodeMessage(message);
     this.countTraffic(bytes);
     this.socket.send(bytes);
+    this.sentBytes?.noteMessage(String((message as { type?: unknown }).type), bytes.length);
     return true;
   }
 
   dispose(): void {
     this.disposed = true;
+    this.sentBytes?.settle();
     clearTimeout(this.retryTimer);
     clearInterval(this.heartbeat);
     this.socket?.terminate();
@@ -180,6 +191,12 @@
     socket.once('upgrade', (response) => {
       this.connection = response.socket;
       this.receivedBytes = 0;
+      this.sentBytes = new LinkBytes({
+        connection: response.socket,
+        isClient: true,
+        onBytes: (messageType, bytes) =>
+          this.options.onBytes?.(messageType, bytes, this.serverZone),
+      });
     });
     socket.on('pong', () => {
       this.receivedAtMs = performance.now();
@@ -206,7 +223,11 @@
   > = {
     [LinkState.Connecting]: (socket, message) => {
       const { secret, id, role } = this.options;
-      this.response = respondToChallenge(secret, id, role, message as unknown as Challenge);
+      const { availabilityZone } = this.options;
+      this.response = {
+        ...respondToChallenge(secret, id, role, message as unknown as Challenge),
+        ...(availabilityZone !== undefined && { availabilityZone }),
+      };
       this.state = LinkState.Challenged;
       socket.send(encodeMessage(this.response));
     },
@@ -222,6 +243,7 @@
         return;
       }
       this.ticket = welcome.ticket;
+      if (typeof welcome.availabilityZone === 'string') this.serverZone = welcome.availabilityZone;
       this.serverProtocol = welcome.protocol ?? 1;
       this.state = LinkState.Open;
       this.retryDelays.reset();
@@ -244,6 +266,7 @@
     clearInterval(this.heartbeat);
     this.heartbeat = setInterval(() => {
       this.noteReceivedBytes();
+      this.sentBytes?.settle();
       const silentMs = performance.now() - this.receivedAtMs;
       if (silentMs > this.timing.receiveTimeoutMs) socket.terminate();
       // Messages that arrive show that the link works as well as the answer to a ping.
@@ -260,6 +283,8 @@
 
   private onClosed(socket: WebSocket): void {
     if (socket !== this.socket) return;
+    if (!this.disposed) this.sentBytes?.settle();
+    this.sentBytes = undefined;
     clearInterval(this.heartbeat);
     const wasOpen = this.state === LinkState.Open;
     this.state = LinkState.Closed;
--- a/src/runtime/MessageServer.ts
+++ b/src/runtime/MessageServer.ts
@@ -11,6 +11,7 @@
   type ChallengeResponse,
   type LinkRole,
 } from './LinkAuth.js';
+import { LinkBytes } from './LinkBytes.js';
 import type { Logger } from './Logger.js';
 import { decodeMessage, encodeMessage } from './MessageCodec.js';
 import { checkMessage, isUnknownType, type MessageFields } from './MessageCheck.js';
@@ -22,9 +23,11 @@
   readonly clientId: string;
   readonly role: LinkRole;
   readonly ticket: string;
+  /** Availability zone of the client; undefined if its version omits it. */
+  readonly availabilityZone: string | undefined;
   send(message: object): void;
-  /** Sends a message that is encoded already. */
-  sendEncoded(bytes: Buffer): void;
+  /** Sends a message of a type that is encoded already. */
+  sendEncoded(bytes: Buffer, messageType: string): void;
 }
 
 /** Options of a {@link MessageServer}. */
@@ -33,6 +36,10 @@
   readonly logger: Logger;
   /** Fields that messages of each type must have. */
   readonly fields: MessageFields;
+  /** Own availability zone, which clients use in their metrics. */
+  readonly availabilityZone?: string;
+  /** Receives the bytes sent by message type, and the client's zone if it is known. */
+  readonly onBytes?: (messageType: string, bytes: number, clientZone: string | undefined) => void;
   /** Opens the session of an authenticated link, at once or later; at once by default. */
   readonly admit?: (role: LinkRole, open: () => void) => void;
   readonly onOpen: (session: ServerSession) => void;
@@ -51,6 +58,9 @@
 /** Well below the receive timeouts of clients. */
 const PROGRESS_INTERVAL_MS = 400;
 
+/** Interval at which pings and the like are counted: several times in each scrape of the metrics. */
+const OVERHEAD_INTERVAL_MS = 1_000;
+
 const POLICY_VIOLATION_CODE = 1008;
 
 function toBuffer(data: RawData): Buffer {
@@ -58,14 +68,15 @@
   return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data);
 }
 
-/** Sends an encoded message; disconnects a client that reads too slowly. */
-function sendBytes(socket: WebSocket, bytes: Buffer): void {
-  if (socket.readyState !== socket.OPEN) return;
+/** Sends an encoded message; disconnects a client that reads too slowly. Returns false if unsent. */
+function sendBytes(socket: WebSocket, bytes: Buffer): boolean {
+  if (socket.readyState !== socket.OPEN) return false;
   if (socket.bufferedAmount > MAX_BUFFERED_BYTES) {
     socket.terminate();
-    return;
+    return false;
   }
   socket.send(bytes);
+  return true;
 }
 
 /**
@@ -153,24 +164,34 @@
         return;
       }
       reportProgress(socket, connection);
-      const open = () => this.open(socket, response);
+      const open = () => this.open(socket, connection, response);
       if (this.options.admit) this.options.admit(response.role, open);
       else open();
     });
     socket.send(encodeMessage(challenge));
   }
 
-  private open(socket: WebSocket, response: ChallengeResponse): void {
+  private open(socket: WebSocket, connection: Socket, response: ChallengeResponse): void {
     // The client may have left while its session was delayed.
     if (this.disposed || socket.readyState !== socket.OPEN) return;
-    const welcome = createWelcome(this.options.secret, response);
+    const { availabilityZone } = this.options;
+    const welcome = {
+      ...createWelcome(this.options.secret, response),
+      ...(availabilityZone !== undefined && { availabilityZone }),
+    };
+    const sentBytes = this.countBytes(socket, connection, response);
+    const sendEncoded = (bytes: Buffer, messageType: string) => {
+      if (sendBytes(socket, bytes)) sentBytes?.noteMessage(messageType, bytes.length);
+    };
     const session: ServerSession = {
       sessionId: this.nextSessionId,
       clientId: response.id,
       role: response.role,
       ticket: welcome.ticket,
-      send: (message) => sendBytes(socket, encodeMessage(message)),
-      sendEncoded: (bytes) => sendBytes(socket, bytes),
+      availabilityZone: response.availabilityZone,
+      send: (message) =>
+        sendEncoded(encodeMessage(message), String((message as { type?: unknown }).type)),
+      sendEncoded,
     };
     this.nextSessionId += 1;
     this.tickets.set(session.ticket, session);
@@ -183,6 +204,28 @@
     this.options.onOpen(session);
   }
 
+  /** Counts what is sent on a link; pings and the like are counted at intervals and at its end. */
+  private countBytes(
+    socket: WebSocket,
+    connection: Socket,
+    { availabilityZone }: ChallengeResponse,
+  ): LinkBytes | undefined {
+    const { onBytes } = this.options;
+    if (!onBytes) return undefined;
+    const clientZone = typeof availabilityZone === 'string' ? availabilityZone : undefined;
+    const sentBytes = new LinkBytes({
+      connection,
+      isClient: false,
+      onBytes: (messageType, bytes) => onBytes(messageType, bytes, clientZone),
+    });
+    const timer = setInterval(() => sentBytes.settle(), OVERHEAD_INTERVAL_MS);
+    socket.once('close', () => {
+      clearInterval(timer);
+      sentBytes.settle();
+    });
+    return sentBytes;
+  }
+
   private receive(session: ServerSession, socket: WebSocket, bytes: Buffer): void {
     // A terminated socket still emits the messages that it has read.
     if (this.disposed) return;
