Decide by price and margin when calls leave their zone

Cause: a pick probed other zones from its second round on and took a remote server whenever it was expected to be faster, also where the own zone would have answered well within the objective.

With zoneCrossing in the settings file (msPerCall, msPerKilobyte) a call stays while a server of its own zone is expected to answer within 0.7 of the time left and its queue costs no more than the price; other zones are probed after two rounds in the own one. A remote server needs a free slot. A smoothed share with two thresholds sends calls on without that search while the own zone has no capacity. Without the setting decisions are as before.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { benchControl } from './Control.js';
+import { benchCrossings } from './Crossings.js';
 import { benchMeasuring } from './Measuring.js';
 import { benchOverhead } from './Overhead.js';
 import { benchPicks } from './Picks.js';
@@ -11,6 +12,7 @@
   overhead: benchOverhead,
   policies: benchPolicies,
   picks: benchPicks,
+  crossings: benchCrossings,
   zone: benchZone,
   measuring: benchMeasuring,
   control: benchControl,
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -6,6 +6,9 @@
 import type { Call, HealthReport } from './Types.js';
 import type { RequestLimiter } from './RequestLimiter.js';
 import type { WorkEstimates } from './WorkEstimates.js';
+import type { CallNeeds, CrossingPrices } from './zones/CrossingDecision.js';
+import { LeaveShare } from './zones/LeaveShare.js';
+import { ZoneSearch, type EvaluatedCandidate } from './zones/ZoneSearch.js';
 
 /** Probes a backend server; resolves with null if there is no usable answer. */
 export type SendProbe = (view: BackendView, service: RoutedService) => Promise<HealthReport | null>;
@@ -19,6 +22,8 @@
   readonly probe: SendProbe;
   readonly nowMs: () => number;
   readonly log: DecisionLog;
+  /** Prices of calls to other zones; without them, remote candidates are probed from round two on. */
+  readonly zoneCrossing?: CrossingPrices;
 }
 
 /** State of a search for a backend server. */
@@ -27,6 +32,9 @@
   readonly remote: BackendView[];
   /** Candidates that answered a probe, or whose load is recent enough without one. */
   readonly evaluated: BackendView[];
+  /** Order of the zones and what is taken from each; undefined without prices. */
+  readonly zones: ZoneSearch<BackendView> | undefined;
+  readonly isFirst: boolean;
   round: number;
   probes: number;
 }
@@ -59,11 +67,15 @@
 /** Fixed cost of an answer across availability zones, in expected milliseconds. */
 const CROSS_ZONE_MS = 3;
 
+const BYTES_PER_KB = 1_000;
+
 /**
  * Picks a backend server just in time: a few candidates are probed for their load right before the
  * call is sent, since a load that is older than a few milliseconds predicts little.
  */
 export class BackendPicker implements Picker {
+  private readonly leaveShares = new LeaveShare();
+
   constructor(private readonly options: BackendPickerOptions) {}
 
   pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<PickResult> {
@@ -78,21 +90,26 @@
       const reason = known ? NoPickReason.Limited : NoPickReason.NoBackend;
       return Promise.resolve({ view: null, reason, probes: 0, loads: '' });
     }
-    return this.runSearch(call, service, { local, remote, evaluated: [], round: 0, probes: 0 });
+    const isFirst = tried.size === 0;
+    const zones = this.createZoneSearch(service, isFirst, local, remote);
+    const search = { local, remote, evaluated: [], zones, isFirst, round: 0, probes: 0 };
+    return this.runSearch(call, service, search);
   }
 
   private async runSearch(call: Call, service: RoutedService, search: Search): Promise<PickResult> {
     const group = BackendPicker.nextGroup(search);
     const done = group.length === 0 || search.round >= ROUNDS_MAX || !call.isCallerConnected();
-    if (done) return this.selectLowestCost(call, service, search.evaluated, search.probes);
+    if (done) return this.selectLowestCost(call, service, search);
     const accepted = await this.probeGroup(call, service, group, search);
-    if (accepted) return this.toPickResult(accepted, call, search.probes);
+    const taken = accepted ?? this.takenAfterRound(call, service, search);
+    if (taken) return this.toPickResult(taken, call, search.probes);
     search.round += 1;
     return this.runSearch(call, service, search);
   }
 
   /** Removes the next group from the lists: local candidates, and remote ones from round two on. */
-  private static nextGroup({ round, local, remote }: Search): BackendView[] {
+  private static nextGroup({ round, local, remote, zones }: Search): BackendView[] {
+    if (zones) return zones.nextGroup();
     const group = local.splice(0, PROBES_LOCAL);
     if (round > 0 || group.length === 0) group.push(...remote.splice(0, PROBES_REMOTE));
     return group;
@@ -111,7 +128,7 @@
       const evaluate = (view: BackendView | null) => {
         pending -= 1;
         if (view) search.evaluated.push(view);
-        if (view && this.isAcceptable(view, call, service)) resolve(view);
+        if (view && this.isAcceptable(view, call, service, search)) resolve(view);
         else if (pending === 0) resolve(null);
       };
       group.forEach((view) => {
@@ -179,10 +196,18 @@
     return view.expectedMs(work.workMs(call), nowMs(), work.fullFactor(call.service));
   }
 
-  private isAcceptable(view: BackendView, call: Call, service: RoutedService): boolean {
-    if (view.unhealthy || !this.maySend(view, service) || !this.options.pool.isLocal(view)) {
-      return false;
+  private isAcceptable(
+    view: BackendView,
+    call: Call,
+    service: RoutedService,
+    { zones, evaluated, isFirst }: Search,
+  ): boolean {
+    if (view.unhealthy || !this.maySend(view, service)) return false;
+    if (zones) {
+      const others = this.toCandidates(evaluated, call, service);
+      return zones.isTakenAtOnce(this.toCandidate(view, call), others, this.needs(call, isFirst));
     }
+    if (!this.options.pool.isLocal(view)) return false;
     const leftMs = call.objectiveAtMs - this.options.nowMs();
     const workMs = this.options.work.workMs(call);
     return this.expectedMs(view, call) <= Math.min(leftMs * ACCEPT_SHARE, workMs * ACCEPT_WORK);
@@ -192,8 +217,7 @@
   private selectLowestCost(
     call: Call,
     service: RoutedService,
-    evaluated: readonly BackendView[],
-    probes: number,
+    { evaluated, probes, zones, isFirst }: Search,
   ): PickResult {
     const noPick = (reason: NoPickReason): PickResult => ({
       view: null,
@@ -209,7 +233,9 @@
     }
     const leftMs = call.dueAtMs - this.options.nowMs();
     const inTime = eligible.filter((view) => this.expectedMs(view, call) < leftMs);
-    const chosen = inTime.sort((a, b) => this.cost(a, call) - this.cost(b, call))[0];
+    const chosen = zones
+      ? zones.cheapestOf(this.toCandidates(inTime, call, service), this.needs(call, isFirst))?.view
+      : inTime.sort((a, b) => this.cost(a, call) - this.cost(b, call))[0];
     if (!chosen) return noPick(NoPickReason.Overloaded);
     return this.toPickResult(chosen, call, probes);
   }
@@ -230,6 +256,55 @@
     return expectedMs + lateCost + CROSS_ZONE_MS + bytesCost;
   }
 
+  private createZoneSearch(
+    { name }: RoutedService,
+    isFirst: boolean,
+    local: BackendView[],
+    remote: BackendView[],
+  ): ZoneSearch<BackendView> | undefined {
+    const { zoneCrossing: prices, nowMs } = this.options;
+    if (!prices) return undefined;
+    const shares = this.leaveShares;
+    return new ZoneSearch({ prices, shares, service: name, isFirst, nowMs, local, remote });
+  }
+
+  private takenAfterRound(
+    call: Call,
+    service: RoutedService,
+    { zones, evaluated, isFirst }: Search,
+  ): BackendView | undefined {
+    const healthy = evaluated.filter((view) => !view.unhealthy);
+    const candidates = this.toCandidates(healthy, call, service);
+    return zones?.takenAfterRound(candidates, this.needs(call, isFirst))?.view;
+  }
+
+  private needs(call: Call, isFirst: boolean): CallNeeds {
+    const { work, nowMs } = this.options;
+    return {
+      leftMs: call.objectiveAtMs - nowMs(),
+      workMs: work.workMs(call),
+      kilobytes: work.answerKilobytes(call.route.name) + (call.bodyBytes ?? 0) / BYTES_PER_KB,
+      isFirst,
+    };
+  }
+
+  private toCandidate(view: BackendView, call: Call): EvaluatedCandidate<BackendView> {
+    const isLocal = this.options.pool.isLocal(view);
+    const expectedMs = this.expectedMs(view, call);
+    return { view, isLocal, expectedMs, isFree: view.hasFreeSlot };
+  }
+
+  /** Candidates of the search that may receive the call. */
+  private toCandidates(
+    views: readonly BackendView[],
+    call: Call,
+    service: RoutedService,
+  ): EvaluatedCandidate<BackendView>[] {
+    return views
+      .filter((view) => this.maySend(view, service))
+      .map((view) => this.toCandidate(view, call));
+  }
+
   private toPickResult(view: BackendView, call: Call, probes: number): PickResult {
     const loadAgeMs = this.options.nowMs() - view.loadAtMs;
     return { view, expectedMs: this.expectedMs(view, call), probes, loadAgeMs };
--- a/src/gateway/BackendView.ts
+++ b/src/gateway/BackendView.ts
@@ -116,6 +116,11 @@
     return Math.max(reported, this.inFlight);
   }
 
+  /** True if a call sent now finds a free slot. */
+  get hasFreeSlot(): boolean {
+    return this.occupied < this.slots;
+  }
+
   /** True if a call sent now takes the last free slot, or waits for one. */
   get isNearlyFull(): boolean {
     return this.occupied + 1 >= this.slots;
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -94,6 +94,8 @@
   readonly fingerprint: () => string;
   /** True if the retry budget of this or another gateway has counted the call. */
   readonly isCounted?: boolean;
+  /** Size of the body as far as it is known before it is sent; undefined without a body. */
+  readonly bodyBytes?: number;
   /** True if the body is too long to buffer, so that only one attempt can send all of it. */
   readonly isBodyStreamed?: boolean;
   /** True while the caller is connected. */
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -21,6 +21,7 @@
   type HealthReport,
 } from './Types.js';
 import { WorkEstimates } from './WorkEstimates.js';
+import type { CrossingPrices } from './zones/CrossingDecision.js';
 
 /** Creates the record of a ready backend server, for tests. */
 export function createBackend(id: string, changes: Partial<BackendRecord> = {}): BackendRecord {
@@ -113,6 +114,7 @@
   readonly retryRatio?: number;
   readonly selfId?: string;
   readonly entryHosts?: readonly EntryHost[];
+  readonly zoneCrossing?: CrossingPrices;
 }
 
 const PROBE_MS = 1;
@@ -155,7 +157,17 @@
       setTimer(PROBE_MS, () => resolve(report === undefined ? createHealth(id) : report));
     });
   };
-  const picker = new BackendPicker({ pool, cold, limits, work, probe, nowMs: () => nowMs, log });
+  const { zoneCrossing } = options;
+  const picker = new BackendPicker({
+    pool,
+    cold,
+    limits,
+    work,
+    probe,
+    nowMs: () => nowMs,
+    log,
+    zoneCrossing,
+  });
   const dispatcher = new Dispatcher({
     picker,
     cold,
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -186,6 +186,7 @@
       objectiveAtMs: arrivedAtMs + route.objectiveMs - (mark?.elapsedMs ?? 0),
       fingerprint,
       isCounted: mark?.isCounted ?? false,
+      bodyBytes: Number(request.headers['content-length'] ?? read.body.length),
       isBodyStreamed: read.type === 'long',
       isCallerConnected: () => options.connections.isDue(response),
       acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -32,6 +32,7 @@
 import { StartupGate } from '../StartupGate.js';
 import type { WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
+import type { CrossingPrices } from '../zones/CrossingDecision.js';
 import { BackendClient } from './BackendClient.js';
 import { CallServer } from './CallServer.js';
 import { ControlWatch, type ControlAddress } from './ControlWatch.js';
@@ -65,6 +66,8 @@
   readonly profile: WireProfile;
   /** How backend servers are picked; just in time by default. */
   readonly policy?: PickPolicy;
+  /** Prices of calls to other zones; omitted to decide by expected time alone. */
+  readonly zoneCrossing?: CrossingPrices;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Longest time from the stop signal to the end of the process. */
   readonly stopMs: number;
@@ -248,6 +251,7 @@
       probe: (view, service) => this.client.probe(view, service),
       nowMs,
       log,
+      zoneCrossing: options.zoneCrossing,
     });
     this.crashes = new CrashWatch({
       nowMs,
