--- a/src/gateway/zones/ZonePick.test.ts
+++ b/src/gateway/zones/ZonePick.test.ts
@@ -2,7 +2,7 @@
 import { createAnswer, createBackend, createDispatchWorld, createHealth } from '../fixtures.js';
 import type { HealthReport } from '../Types.js';
 
-const PRICES = { msPerCall: 100, msPerKilobyte: 4 };
+const PRICES = { msPerCall: 200, msPerKilobyte: 4 };
 
 /** Assumed work before the first answer is 0.4 of the objective: 400 ms. */
 const OBJECTIVE_MS = 1_000;
@@ -10,6 +10,8 @@
 const LOCAL = ['b-1', 'b-2', 'b-3', 'b-4', 'b-5'];
 const REMOTE = ['b-6', 'b-7'];
 
+const isRemoteId = (id: string) => REMOTE.includes(id);
+
 /** Load with calls that run or wait on three slots. */
 function loaded(calls: number, slowdown = 1) {
   const running = Math.min(3, calls);
@@ -32,17 +34,14 @@
     budgetMs: 3_000,
   });
   const { outcome } = await world.run();
-  const isRemote = (id: string) => REMOTE.includes(id);
-  return { outcome, probes: world.probes, isRemoteProbed: world.probes.some(isRemote) };
+  return { outcome, probes: world.probes, isRemoteProbed: world.probes.some(isRemoteId) };
 }
 
-const isRemoteId = (id: string) => REMOTE.includes(id);
-
 describe('the search for a backend server with prices of crossings', () => {
   // Guards against probes that cross zones while the own zone would answer in time.
   it('probes no other zone while a queue of the own zone costs less than the price', async () => {
     const { outcome, isRemoteProbed } = await runCall((id) =>
-      createHealth(id, isRemoteId(id) ? loaded(0) : loaded(2)),
+      createHealth(id, isRemoteId(id) ? loaded(0) : loaded(3)),
     );
     expect(isRemoteProbed).toBe(false);
     expect(LOCAL).toContain(outcome.type === 'answer' && outcome.backendId);
