--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -31,6 +31,8 @@
 export interface AttemptObserver {
   /** A new connection to the backend server is open. */
   onConnect(): void;
+  /** The request was created; its connection follows. */
+  onRequest?(request: http.ClientRequest): void;
   /** The head of an answer to this attempt arrived. */
   onLimit(reading: LimitReading): void;
   /** A complete answer to this attempt, or a refusal of it, states something about further calls. */
@@ -102,6 +104,7 @@
       setHost: false,
       headers: headers as unknown as http.OutgoingHttpHeaders,
     });
+    observer.onRequest?.(this.request);
     this.guard = new AnswerGuard(this.request);
     const endTimer = setTimeout(() => this.request.destroy(), remainingMs + ANSWER_GRACE_MS);
     this.request.once('close', () => clearTimeout(endTimer));
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -2,6 +2,7 @@
 import net from 'node:net';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import { GuardedAgent, type Connect } from '../../runtime/GuardedAgent.js';
+import { SocketBytes, type ByteCounts } from '../../runtime/SocketBytes.js';
 import type { RoutedService } from '../../common/routing/Types.js';
 import type { BackendView } from '../BackendView.js';
 import { ConnectResult } from '../ReachMonitor.js';
@@ -42,6 +43,8 @@
   readonly onLimit?: (answer: LimitAnswer) => void;
   /** Called with every notice in an answer of the backend server itself that changes its state. */
   readonly onNotice?: (view: BackendView, notice: BackendNotice) => void;
+  /** Called with the bytes of every request and its answer once they have ended. */
+  readonly onBytes?: (view: BackendView, kind: RequestKind, counts: ByteCounts) => void;
   /** Opens connections to backend servers; `net.connect` by default. */
   readonly connect?: Connect;
   /** Receives what requests show about the links to backend servers. */
@@ -80,6 +83,8 @@
   /** Connections opened so far. */
   connects = 0;
 
+  private readonly socketBytes = new SocketBytes();
+
   private readonly agent = new GuardedAgent({
     keepAlive: true,
     keepAliveMsecs: TCP_KEEP_ALIVE_DELAY_MS,
@@ -132,6 +137,7 @@
         setHost: false,
         headers: { Host: `${view.record.address}:${view.record.port}` },
       });
+      this.countBytes(request, view, RequestKind.Probe);
       const guard = new AnswerGuard(request);
       const { reach } = this.options;
       let timer: NodeJS.Timeout | undefined;
@@ -193,9 +199,12 @@
       this.connects += 1;
       reach?.noteConnected();
     };
-    const onNotice = this.noticeObserver(view);
-    const observer = { onConnect, onLimit, onNotice };
-    const run = new AttemptRun(this.agent, profile, view, attempt, observer);
+    const run = new AttemptRun(this.agent, profile, view, attempt, {
+      onConnect,
+      onLimit,
+      onNotice: this.noticeObserver(view),
+      onRequest: (request) => this.countBytes(request, view, RequestKind.Call),
+    });
     run.result.then(
       ({ type }) => {
         const answered = type === AttemptResultType.Answer || type === AttemptResultType.NotRun;
@@ -217,6 +226,11 @@
     };
   }
 
+  private countBytes(request: http.ClientRequest, view: BackendView, kind: RequestKind): void {
+    const { onBytes } = this.options;
+    if (onBytes) this.socketBytes.watch(request, (counts) => onBytes(view, kind, counts));
+  }
+
   /** Reports a request; returns the function that reports the limit in its answer. */
   private noteRequest(view: BackendView, kind: RequestKind): (reading: LimitReading) => void {
     const { nowMs = () => performance.now(), onRequest, onLimit } = this.options;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -32,11 +32,13 @@
 import { StartupGate } from '../StartupGate.js';
 import type { WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
+import type { CrossingPrices } from '../zones/CrossingDecision.js';
 import { BackendClient } from './BackendClient.js';
 import { CallServer } from './CallServer.js';
 import { ControlWatch, type ControlAddress } from './ControlWatch.js';
 import { ForwardMarks } from './ForwardMark.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
+import { GatewayTraffic } from './GatewayTraffic.js';
 import { createPeerProfile } from './PeerProfile.js';
 
 /** Address to listen on. */
@@ -64,6 +66,8 @@
   readonly profile: WireProfile;
   /** How backend servers are picked; just in time by default. */
   readonly policy?: PickPolicy;
+  /** Prices of calls to other zones; omitted to decide by expected time alone. */
+  readonly zoneCrossing?: CrossingPrices;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Longest time from the stop signal to the end of the process. */
   readonly stopMs: number;
@@ -130,6 +134,8 @@
 
   private readonly client: BackendClient;
 
+  private readonly traffic: GatewayTraffic;
+
   private readonly reach: ReachMonitor;
 
   private readonly gate: StartupGate;
@@ -196,6 +202,8 @@
       isKnown: ({ id, bornMs }) => this.pool.get(id)?.record.bornMs === bornMs,
       log,
     });
+    const { registry } = this.metrics;
+    this.traffic = new GatewayTraffic({ registry, availabilityZone });
     this.client = new BackendClient({
       profile: options.profile,
       probeTimeoutMs: options.probeTimeoutMs,
@@ -210,6 +218,7 @@
         const { id: backend, service } = view.record;
         log('backend_notice', { backend, service, leaving: isLeaving, quietMs });
       },
+      onBytes: (view, kind, counts) => this.traffic.noteBackend(view, kind, counts),
       connect: options.connect,
       reach: {
         noteConnected: () => this.reach.noteConnected(),
@@ -226,7 +235,11 @@
       onChange: () => this.watch?.ping(),
       log,
     });
-    this.peerClient = new BackendClient({ profile: createPeerProfile(options.profile), nowMs });
+    this.peerClient = new BackendClient({
+      profile: createPeerProfile(options.profile),
+      nowMs,
+      onBytes: (view, kind, counts) => this.traffic.notePeer(view, counts),
+    });
     this.peerPicker = new PeerPicker({
       selfId: options.id,
       availabilityZone: options.availabilityZone,
@@ -242,6 +255,7 @@
       probe: (view, service) => this.client.probe(view, service),
       nowMs,
       log,
+      zoneCrossing: options.zoneCrossing,
     });
     this.crashes = new CrashWatch({
       nowMs,
@@ -376,6 +390,7 @@
     this.watch = new ControlWatch({
       self: () => this.self(),
       secret: this.options.secret,
+      onBytes: (type, bytes, zone) => this.traffic.noteControl(type, bytes, zone),
       logger: log.asLogger(),
       seeds: this.options.seeds,
       followMembership: this.options.followMembership,
