Usage caps over all gateways: levels summed up by the control hosts

Gateways admitted every call of every customer. They now count calls by customer (usage-report), control hosts add the counts up and exchange them (usage-share), and inform gateways of the level and demand of customers near their cap (usage-update). Each gateway admits the same share of a customer's calls, computed from both; without an update for a second, it admits its own part of the cap. Calls beyond it are answered 429 with Retry-After before the body is read. A deployment without the section usageCaps has no caps and sends none of these messages.

CallServer takes the customer from the option customerOf, which the check of keys will supply.

--- a/src/common/Errors.ts
+++ b/src/common/Errors.ts
@@ -8,6 +8,7 @@
   NotCurrent = 'not-current',
   NoBackend = 'no-backend',
   Overloaded = 'overloaded',
+  UsageCap = 'usage-cap',
   DeadlineExceeded = 'deadline-exceeded',
   KeyRequired = 'idempotency-key-required',
   KeyInvalid = 'idempotency-key-invalid',
@@ -76,6 +77,12 @@
     outcome: Outcome.NotRun,
     retryAfterMs: 1000,
   },
+  [ErrorKind.UsageCap]: {
+    statusCode: 429,
+    remedy: 'Retry after the stated delay, or ask the operator for a higher rate or burst.',
+    outcome: Outcome.NotRun,
+    retryAfterMs: 1000,
+  },
   [ErrorKind.DeadlineExceeded]: {
     statusCode: 504,
     remedy: 'Allow more time with Egret-Timeout-Ms, or retry if the call is idempotent.',
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -1,4 +1,5 @@
 import type { BackendRecord } from './backends/Types.js';
+import type { LevelColumns, UsageColumns } from './caps/Types.js';
 import type { EntryHost } from './Placement.js';
 import type { RoutingView } from './routing/Types.js';
 import type { SettingsTree } from './SettingsSchema.js';
@@ -31,6 +32,9 @@
   BackendRenewals = 'backend-renewals',
   EntryHostsShare = 'entry-hosts-share',
   ReportRelay = 'report-relay',
+  UsageReport = 'usage-report',
+  UsageShare = 'usage-share',
+  UsageUpdate = 'usage-update',
 }
 
 /** How a session receives the list of entry hosts. */
@@ -323,12 +327,38 @@
   readonly report: CrashReportMessage | LimitReportMessage;
 }
 
+/** Calls of customers that an entry host counted; sent from protocol version 3 on. */
+export interface UsageReportMessage {
+  readonly type: ControlMessageType.UsageReport;
+  /** Identifies the start of the entry host's process, from which the totals count. */
+  readonly startedAtMs: number;
+  readonly usage: UsageColumns;
+}
+
+/** Customers near their usage cap, for entry hosts that report their usage. */
+export interface UsageUpdateMessage {
+  readonly type: ControlMessageType.UsageUpdate;
+  readonly levels: LevelColumns;
+}
+
+/** Calls of customers that entry hosts reported to a control host, for the other ones. */
+export interface UsageShareMessage {
+  readonly type: ControlMessageType.UsageShare;
+  readonly from: string;
+  /** Identifies the start of the sender's process, from which the totals count. */
+  readonly startedAtMs: number;
+  readonly usage: UsageColumns;
+  /** Levels of the customers near their cap; empty until the sender has counted for a window. */
+  readonly levels: LevelColumns;
+}
+
 /** Messages between control hosts about backend servers. */
 export type RegistryPeerMessage =
   BackendRelayMessage | BackendRelayAckMessage | BackendRenewalsMessage;
 
 /** Messages between control hosts outside the replicated log. */
-export type ControlPeerMessage = RegistryPeerMessage | EntryHostsShareMessage | ReportRelayMessage;
+export type ControlPeerMessage =
+  RegistryPeerMessage | EntryHostsShareMessage | ReportRelayMessage | UsageShareMessage;
 
 /** Messages from an entry host to a control host. */
 export type EntryToControlMessage =
@@ -340,7 +370,8 @@
   | WatchMessage
   | BackendsAckMessage
   | CrashReportMessage
-  | LimitReportMessage;
+  | LimitReportMessage
+  | UsageReportMessage;
 
 /** Messages from a control host to an entry host. */
 export type ControlToEntryMessage =
@@ -356,4 +387,5 @@
   | PackedRoutingMessage
   | BackendsMessage
   | CrashReportMessage
-  | LimitReportMessage;
+  | LimitReportMessage
+  | UsageUpdateMessage;
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -16,6 +16,8 @@
 import { AdminFlow, type ProposalCallbacks } from './AdminFlow.js';
 import { ReplicatedState, type SettingsDelta } from './ReplicatedState.js';
 import { CommandType, type Command } from './Commands.js';
+import type { CapBounds } from '../common/caps/Types.js';
+import { UsageFlow } from './caps/UsageFlow.js';
 import { EntrySessions } from './EntrySessions.js';
 import { withInstanceIds } from './MembershipChange.js';
 import { RegistryFlow } from './RegistryFlow.js';
@@ -46,6 +48,8 @@
   readonly autoMembership?: AutoMembershipOptions;
   /** Availability zone of this host. */
   readonly availabilityZone?: string;
+  /** Bounds of the customers' usage caps; omitted in deployments without caps. */
+  readonly capBounds?: CapBounds;
   /** Time without a heartbeat until a host is unlisted; two configuration leases by default. */
   readonly entryHeartbeatTimeoutMs?: number;
 }
@@ -75,6 +79,8 @@
 
   readonly backends: RegistryFlow;
 
+  private readonly usage: UsageFlow | null;
+
   private readonly autoMembership: AutoMembership | null;
 
   private readonly admin: AdminFlow;
@@ -129,6 +135,7 @@
       sessions: this.sessions,
       emit: (effect) => this.emit(effect),
     });
+    this.usage = options.capBounds ? this.createUsageFlow(options.capBounds) : null;
     this.admin = new AdminFlow({
       raft: this.raft,
       replicatedState: this.replicatedState,
@@ -189,6 +196,7 @@
     [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) => {
       this.sessions.close(event.sessionId);
       this.endWatch(event.sessionId);
+      this.usage?.closeSession(event.sessionId);
     },
     [ControlEventType.Admin]: (event: EventOf<ControlEventType.Admin>) =>
       this.admin.request(event.requestId, event.tokenHash, event.request, event.actor),
@@ -203,6 +211,7 @@
       this.stepRaft({ type: RaftEventType.MemberLinked, nowMs, memberId, random });
       this.backends.onControlLink(memberId);
       this.sharedHosts.sendWhole(memberId);
+      this.usage?.onControlLink(memberId, nowMs);
     },
     [ControlEventType.Join]: (event: EventOf<ControlEventType.Join>) =>
       this.autoMembership?.join(event.member, event.nowMs),
@@ -305,6 +314,10 @@
       sessionId: number,
       message: SessionMessageOf<ControlMessageType.LimitReport>,
     ) => this.forwardReport(sessionId, message),
+    [ControlMessageType.UsageReport]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.UsageReport>,
+    ) => this.usage?.onReport(sessionId, message, this.nowMs),
   };
 
   private onControlPeerMessage(message: ControlPeerMessage): void {
@@ -315,6 +328,9 @@
       case ControlMessageType.ReportRelay:
         this.sendToWatchers(message.report);
         return;
+      case ControlMessageType.UsageShare:
+        this.usage?.onShare(message, this.nowMs);
+        return;
       default:
         this.backends.onControlPeerMessage(message);
     }
@@ -376,11 +392,35 @@
       this.emit({ type: ControlEffectType.Broadcast, ...update, compressedIds });
     });
     this.backends.tick();
+    this.tickUsage();
     this.proposeAsLeader();
     this.admin.releaseConfirmations();
     this.maybeSnapshot();
   }
 
+  private tickUsage(): void {
+    if (!this.usage) return;
+    const customers = this.replicatedState.routing.view.table?.customers;
+    if (customers) this.usage.setCustomers(customers, this.nowMs);
+    this.usage.tick(this.nowMs);
+  }
+
+  private createUsageFlow(bounds: CapBounds): UsageFlow {
+    const { id } = this.raft.state;
+    return new UsageFlow({
+      bounds,
+      selfId: id,
+      peerIds: () => this.raft.state.log.membersExcept(id).map((member) => member.id),
+      sendControl: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
+      broadcast: (sessionIds, message) =>
+        this.emit({ type: ControlEffectType.Broadcast, sessionIds, message }),
+      hasQuorum: () => this.backends.hasQuorum(),
+      gatewayIdOf: (sessionId) => this.sessions.entryHostId(sessionId) || undefined,
+      gatewayIds: () => this.sessions.listedIds(this.nowMs),
+      log: (event, fields) => this.emit({ type: ControlEffectType.Log, event, fields }),
+    });
+  }
+
   /** As a leader that has committed in its term, proposes initial settings or a membership. */
   private proposeAsLeader(): void {
     if (!this.raft.isLeader || !hasCommittedInTerm(this.raft.state)) return;
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -173,6 +173,12 @@
     });
   }
 
+  /** Ids of the entry hosts that are listed, whichever control host they have a session at. */
+  listedIds(nowMs: number): Set<string> {
+    const own = this.listed(nowMs).map((session) => session.entryHost);
+    return new Set(this.withShared(own).map(({ id }) => id));
+  }
+
   /** Messages with the list, or its changes, if it has changed since they were last taken. */
   takeListUpdates(nowMs: number): ListUpdate[] {
     if (nowMs - this.listedAtMs < LIST_INTERVAL_MS) return [];
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -2,6 +2,7 @@
 import { Registry, collectDefaultMetrics } from 'prom-client';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
+import type { CapBounds } from '../../common/caps/Types.js';
 import {
   ControlMessageType,
   type ControlPeerMessage,
@@ -62,6 +63,8 @@
   readonly identity?: string;
   /** Time without a heartbeat until a host is unlisted; two configuration leases by default. */
   readonly entryHeartbeatTimeoutMs?: number;
+  /** Bounds of the customers' usage caps; omitted in deployments without caps. */
+  readonly capBounds?: CapBounds;
   /** True for a host without a disk: it holds its state in memory and never becomes a voter. */
   readonly observer?: boolean;
   /** True if a supervisor runs at most one process on the data folder. */
@@ -94,6 +97,7 @@
   [ControlMessageType.BackendRenewals]: 2,
   [ControlMessageType.EntryHostsShare]: 2,
   [ControlMessageType.ReportRelay]: 2,
+  [ControlMessageType.UsageShare]: 3,
 };
 
 /** Messages that an entry host sends once for each link; their number is bounded by the sessions. */
@@ -274,6 +278,7 @@
       snapshotEvery: options.snapshotEvery,
       autoMembership: options.autoMembership,
       availabilityZone: file.availabilityZone,
+      capBounds: options.capBounds,
       entryHeartbeatTimeoutMs: options.entryHeartbeatTimeoutMs,
     });
     return new ControlServer(options, storage, reducer);
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -77,6 +77,12 @@
     requestsWhole: FieldType.Boolean,
   },
   [ControlMessageType.ReportRelay]: { from: FieldType.String, report: FieldType.Object },
+  [ControlMessageType.UsageShare]: {
+    from: FieldType.String,
+    startedAtMs: FieldType.Number,
+    usage: FieldType.Object,
+    levels: FieldType.Object,
+  },
 };
 
 /** Required fields of a crash report, which control hosts forward unchanged. */
@@ -123,6 +129,7 @@
   [ControlMessageType.BackendsAck]: { batchId: FieldType.Number },
   [ControlMessageType.CrashReport]: CRASH_REPORT_FIELDS,
   [ControlMessageType.LimitReport]: LIMIT_REPORT_FIELDS,
+  [ControlMessageType.UsageReport]: { startedAtMs: FieldType.Number, usage: FieldType.Object },
 };
 
 /** Required fields of the messages to entry hosts. */
@@ -162,4 +169,5 @@
   },
   [ControlMessageType.CrashReport]: CRASH_REPORT_FIELDS,
   [ControlMessageType.LimitReport]: LIMIT_REPORT_FIELDS,
+  [ControlMessageType.UsageUpdate]: { levels: FieldType.Object },
 };
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -25,6 +25,7 @@
   type ForwardMarks,
 } from './ForwardMark.js';
 import type { GatewayMetrics } from './GatewayMetrics.js';
+import type { UsageCaps } from '../caps/UsageCaps.js';
 import { readRequestBody } from './RequestBody.js';
 
 /** Options of a {@link CallServer}. */
@@ -47,6 +48,10 @@
   /** Waits briefly for routing if the gateway has just started; otherwise resolves at once. */
   readonly waitUntilReady: (budgetMs: number) => Promise<void>;
   readonly createId: () => string;
+  /** Usage caps; omitted without caps and for calls that another gateway has counted. */
+  readonly caps?: Pick<UsageCaps, 'admit'>;
+  /** Name of the customer that a request's key belongs to. */
+  readonly customerOf?: (request: IncomingMessage) => string | undefined;
   /** Connections of the callers. */
   readonly connections: HttpConnections;
 }
@@ -157,6 +162,7 @@
       this.refuse(response, callId, new EgretError(ErrorKind.NotFound, detail));
       return;
     }
+    if (!this.admitUsage(response, callId, options.customerOf?.(request))) return;
     const service = options.routing.nextService(route);
     const read = await readRequestBody(request, table.limits.bodyBytesMax);
     if (read.type === 'broken') return;
@@ -197,6 +203,22 @@
     if (!response.headersSent) this.finish(call, route, response, outcome);
   }
 
+  /** Counts a call for its customer; refuses it beyond the customer's usage cap. */
+  private admitUsage(
+    response: ServerResponse,
+    callId: string,
+    customer: string | undefined,
+  ): boolean {
+    const { caps, nowMs, log } = this.options;
+    const verdict = caps?.admit({ customer, nowMs: nowMs() });
+    if (!verdict || verdict.admitted) return true;
+    const { retryAfterMs, reason } = verdict;
+    log('call_capped', { call: callId, customer: customer ?? '', reason, retryAfterMs });
+    const detail = 'The customer is beyond its usage cap.';
+    this.refuse(response, callId, new EgretError(ErrorKind.UsageCap, detail, { retryAfterMs }));
+    return false;
+  }
+
   /** Checks a call that another gateway forwards; refuses it if it is not genuine, or too many are. */
   private acceptForwarded(
     response: ServerResponse,
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -7,6 +7,7 @@
   type LimitReportMessage,
   type PackedRoutingMessage,
   type PongMessage,
+  type UsageReportMessage,
 } from '../../common/Messages.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../../common/Constants.js';
@@ -71,6 +72,9 @@
 /** Protocol version of control hosts that share their lists of entry hosts with each other. */
 const SHARING_PROTOCOL = 2;
 
+/** Protocol version of control hosts that sum up the usage of customers. */
+const USAGE_PROTOCOL = 3;
+
 /**
  * Links of one entry host to control hosts, for heartbeats, lists of hosts, routing and backend
  * servers. It links to all voters to choose among them, and then keeps the chosen ones only, unless
@@ -119,6 +123,30 @@
     targets.forEach(({ client }) => client.send(message));
   }
 
+  /** Link that usage is reported on; another one after it was lost or has become silent. */
+  private usageLink: ControlLink | undefined;
+
+  /**
+   * Sends a usage report to one watched control host.
+   *
+   * @param takeReport - creates the report; is told whether it is the first on the link
+   */
+  reportUsage(takeReport: (isFirst: boolean) => UsageReportMessage | undefined): void {
+    const nowMs = performance.now();
+    const usable = [...this.links.values()].filter(
+      ({ client, watchedAtMs }) =>
+        client.isOpen &&
+        watchedAtMs !== undefined &&
+        client.serverProtocol >= USAGE_PROTOCOL &&
+        nowMs - client.lastReceivedAtMs < UNRESPONSIVE_AFTER_MS,
+    );
+    const isKept = this.usageLink !== undefined && usable.includes(this.usageLink);
+    const link = isKept ? this.usageLink : usable[0];
+    this.usageLink = link;
+    const report = link && takeReport(!isKept);
+    if (report) link.client.send(report);
+  }
+
   dispose(): void {
     clearInterval(this.timer);
     this.links.forEach(({ client }) => client.dispose());
--- a/src/gateway/server/GatewayMetrics.ts
+++ b/src/gateway/server/GatewayMetrics.ts
@@ -9,6 +9,9 @@
 /** Routes with a label of their own; further ones share one, which limits the time series. */
 const ROUTE_LABELS_MAX = 64;
 
+/** Customers with a label of their own; further ones share one, which limits the time series. */
+const CUSTOMER_LABELS_MAX = 100;
+
 /** Counters and histograms of one gateway. */
 export class GatewayMetrics {
   readonly registry = new Registry();
@@ -51,6 +54,22 @@
     registers: [this.registry],
   });
 
+  private readonly customerLabels = new Set<string>();
+
+  private readonly capDecisions = new Counter({
+    name: 'egret_cap_decisions_total',
+    help: 'Calls of customers with a usage cap, by result: admitted, or the reason of a refusal.',
+    labelNames: ['customer', 'result'],
+    registers: [this.registry],
+  });
+
+  noteCapDecision(customer: string, result: string): void {
+    const { customerLabels } = this;
+    if (customerLabels.size < CUSTOMER_LABELS_MAX) customerLabels.add(customer);
+    const label = customerLabels.has(customer) ? customer : 'other';
+    this.capDecisions.inc({ customer: label, result });
+  }
+
   /** Counts a request to a backend server that names a limit. */
   noteLimitedRequest(kind: RequestKind): void {
     this.limitedRequests.inc({ kind });
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -16,6 +16,9 @@
 import { BackendPool, PROVISIONAL_TTL_MS } from '../BackendPool.js';
 import { BackendSources } from '../BackendSources.js';
 import type { BackendView } from '../BackendView.js';
+import type { CapBounds } from '../../common/caps/Types.js';
+import { CapReporter } from '../caps/CapReporter.js';
+import { UsageCaps } from '../caps/UsageCaps.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
@@ -65,6 +68,8 @@
   /** How backend servers are picked; just in time by default. */
   readonly policy?: PickPolicy;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
+  /** Bounds of the customers' usage caps; omitted in deployments without caps. */
+  readonly capBounds?: CapBounds;
   /** Longest time from the stop signal to the end of the process. */
   readonly stopMs: number;
   /** Digest of the settings that are common to all hosts, which operators compare. */
@@ -136,6 +141,10 @@
 
   private readonly crashes: CrashWatch;
 
+  private readonly caps: UsageCaps | undefined;
+
+  private capReporter: CapReporter | undefined;
+
   private readonly connections: HttpConnections;
 
   private readonly calls: CallServer;
@@ -267,6 +276,7 @@
       nowMs,
     });
     this.gate = new StartupGate({ nowMs, setTimer });
+    this.caps = options.capBounds && this.createCaps(options.capBounds, log);
     this.callerServer = createServer(
       { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
       (request, response) => this.calls.handle(request, response),
@@ -297,7 +307,13 @@
       waitUntilReady: (budgetMs: number) => this.gate.wait(budgetMs),
       createId: createNonce,
     };
-    this.calls = new CallServer({ ...callOptions, dispatcher, connections: this.connections });
+    const { caps } = this;
+    this.calls = new CallServer({
+      ...callOptions,
+      dispatcher,
+      caps,
+      connections: this.connections,
+    });
     this.peerCalls = new CallServer({
       ...callOptions,
       servesPeers: true,
@@ -383,6 +399,7 @@
         this.sources.remove(control);
       },
     });
+    this.capReporter?.start();
     log.line('gateway_started', { host: id, port: this.boundPort });
   }
 
@@ -408,6 +425,7 @@
 
   /** Stops the host at once. */
   dispose(): void {
+    this.capReporter?.dispose();
     this.watch?.dispose();
     clearTimeout(this.provisionalTimer);
     this.reach.dispose();
@@ -492,6 +510,9 @@
     [ControlMessageType.LimitReport]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.LimitReport }>,
     ) => this.limits.noteReport(message, this.clock.nowMs()),
+    [ControlMessageType.UsageUpdate]: (
+      message: Extract<ControlToEntryMessage, { type: ControlMessageType.UsageUpdate }>,
+    ) => this.caps?.applyUpdate(message.levels, this.clock.nowMs()),
     [ControlMessageType.EntryHosts]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.EntryHosts }>,
       control: string,
@@ -520,6 +541,7 @@
     const before = this.routing.version;
     if (!this.routing.apply(view)) return;
     this.pool.setClosedZones(view.closedZones);
+    this.caps?.setCustomers(view.table?.customers ?? []);
     if (view.table) {
       const { limits } = view.table;
       this.callerServer.keepAliveTimeout = limits.idleTimeoutMs;
@@ -534,6 +556,34 @@
     this.noteReadiness();
   }
 
+  private createCaps(bounds: CapBounds, log: DecisionLog): UsageCaps {
+    const caps = new UsageCaps({
+      bounds,
+      random: this.random,
+      gatewayCount: () => this.entryHosts.hosts().length,
+      onDecision: (customer, result) => this.metrics.noteCapDecision(customer, result),
+      onLimited: (customer, reason, level) =>
+        log('customer_capped', { customer, reason, level: Math.round(level) }),
+    });
+    this.capReporter = new CapReporter({
+      caps,
+      startedAtMs: this.clock.wallMs(),
+      nowMs: () => this.clock.nowMs(),
+      send: (takeReport) => this.watch?.reportUsage(takeReport),
+      log,
+    });
+    const { metrics } = this;
+    metrics.gauge('egret_caps_current', '1 while updates of usage caps arrive.', () =>
+      Number(caps.isCurrent(this.clock.nowMs())),
+    );
+    metrics.gauge(
+      'egret_caps_lowest_level',
+      'Calls left at once for the customer nearest to its cap; 0 if none is near.',
+      () => caps.lowestLevel ?? 0,
+    );
+    return caps;
+  }
+
   private applyProvisional(records: readonly BackendRecord[]): void {
     const count = this.pool.applyProvisional(records, this.clock.nowMs());
     if (count === 0) return;
