--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -26,6 +26,7 @@
   type ForwardMarks,
 } from './ForwardMark.js';
 import type { GatewayMetrics } from './GatewayMetrics.js';
+import type { UsageCaps } from '../caps/UsageCaps.js';
 import { readRequestBody } from './RequestBody.js';
 
 /** Options of a {@link CallServer}. */
@@ -50,6 +51,8 @@
   /** True if keys must be refused because the routing may be out of date. */
   readonly areKeysStale?: () => boolean;
   readonly createId: () => string;
+  /** Usage caps; omitted without caps and for calls that another gateway has counted. */
+  readonly caps?: Pick<UsageCaps, 'admit'>;
   /** Connections of the callers. */
   readonly connections: HttpConnections;
 }
@@ -178,7 +181,9 @@
       return;
     }
     const isChecked = checked.type === 'checked';
+    const customer = isChecked ? checked.customer : undefined;
     const priority = (isChecked ? checked.priority : undefined) ?? route.priority;
+    if (!this.admitUsage(response, callId, customer)) return;
     const service = options.routing.nextService(route);
     const read = await readRequestBody(request, table.limits.bodyBytesMax);
     if (read.type === 'broken') return;
@@ -203,7 +208,7 @@
       callId,
       route: { ...route, priority, attemptsMax: singleAttempt ? 1 : attemptsMax },
       service: service.name,
-      customer: isChecked ? checked.customer : undefined,
+      customer,
       isKeyChecked: isChecked,
       arrivedAtMs,
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
@@ -222,6 +227,22 @@
     if (!response.headersSent) this.finish(call, route, response, outcome);
   }
 
+  /** Counts a call for its customer; refuses it beyond the customer's usage cap. */
+  private admitUsage(
+    response: ServerResponse,
+    callId: string,
+    customer: string | undefined,
+  ): boolean {
+    const { caps, nowMs, log } = this.options;
+    const verdict = caps?.admit({ customer, nowMs: nowMs() });
+    if (!verdict || verdict.admitted) return true;
+    const { retryAfterMs, reason } = verdict;
+    log('call_capped', { call: callId, customer: customer ?? '', reason, retryAfterMs });
+    const detail = 'The customer is beyond its usage cap.';
+    this.refuse(response, callId, new EgretError(ErrorKind.UsageCap, detail, { retryAfterMs }));
+    return false;
+  }
+
   /** Checks a call that another gateway forwards; refuses it if it is not genuine, or too many are. */
   private acceptForwarded(
     response: ServerResponse,
