--- a/src/control/EntrySessions.test.ts
+++ b/src/control/EntrySessions.test.ts
@@ -36,6 +36,19 @@
     expect(listedIds(sessions, 7_000)).toEqual(['e-1']);
   });
 
+  // Guards against changes that are sent ten times a second while nothing changes: an entry host has
+  // sessions at several control hosts, and each shares a record of its own.
+  it('sends no change while control hosts share equal records of a host in turn', () => {
+    let shared = [createEntryHost('e-2')];
+    const sessions = new EntrySessions({ shared: () => shared });
+    sessions.open(1, createEntryHost('e-1'), 0);
+    expect(sessions.takeListUpdates(0)).toHaveLength(1);
+    shared = [createEntryHost('e-2')];
+    expect(sessions.takeListUpdates(1_000)).toEqual([]);
+    shared = [{ ...createEntryHost('e-2'), stopping: true }];
+    expect(sessions.takeListUpdates(2_000)).toHaveLength(1);
+  });
+
   it('lists a restarted host at once', () => {
     const sessions = new EntrySessions({ unlistAfterMs: UNLIST_AFTER_MS });
     sessions.open(1, createEntryHost('e-1'), 0);
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import {
   ControlMessageType,
   EntryHostUpdates,
@@ -186,7 +187,11 @@
     const own = this.listed(nowMs).map((session) => session.entryHost);
     this.options.onListed?.(own, nowMs);
     const listed = this.withShared(own);
-    const changed = listed.filter((host) => this.lastListed.get(host.id) !== host);
+    // Several control hosts share records of one entry host, so equal ones are different objects.
+    const changed = listed.filter((host) => {
+      const last = this.lastListed.get(host.id);
+      return last !== host && !isDeepStrictEqual(last, host);
+    });
     const ids = new Set(listed.map(({ id }) => id));
     const removedIds = [...this.lastListed.keys()].filter((id) => !ids.has(id));
     if (changed.length === 0 && removedIds.length === 0) return [];
