--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -17,7 +17,7 @@
 import { LimitReadingType, type WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
 import { BackendClient } from './BackendClient.js';
-import { CallServer } from './CallServer.js';
+import { CallServer, type CallServerOptions } from './CallServer.js';
 import { ForwardMarks } from './ForwardMark.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 
@@ -89,13 +89,15 @@
   readonly alpha: Readonly<Record<string, Pick<RawBackend, 'port' | 'stop'>>>;
   /** Changes of all routes. */
   readonly route?: Partial<Route>;
+  /** Further options of the server of calls. */
+  readonly calls?: Pick<CallServerOptions, 'caps' | 'customerOf'>;
 }
 
 /**
  * Starts the data plane of a gateway: routes `read` (idempotent) and `order` to the service
  * `alpha`, and the route `other` to a sound backend server of the service `beta`.
  */
-export async function startTestGateway({ alpha, route = {} }: TestGatewayOptions) {
+export async function startTestGateway({ alpha, route = {}, calls: options }: TestGatewayOptions) {
   const random = createRandom(7);
   const nowMs = () => performance.now();
   const log = () => {};
@@ -172,6 +174,7 @@
     waitUntilReady: () => Promise.resolve(),
     createId: () => 'created',
     connections,
+    ...options,
   });
   server.on('request', (request, response) => calls.handle(request, response));
   const port = await listen(server, HOST, 0);
