Usage caps: nothing is shared without caps, a bench of the model, constants in one place

Control hosts with the setting exchanged levels twice a second although no customer had a cap, and kept the caps of a routing whose customers were all removed.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,3 +1,4 @@
+import { benchCaps } from './Caps.js';
 import { benchControl } from './Control.js';
 import { benchMeasuring } from './Measuring.js';
 import { benchOverhead } from './Overhead.js';
@@ -15,6 +16,7 @@
   measuring: benchMeasuring,
   control: benchControl,
   slopes: benchSlopes,
+  caps: benchCaps,
 };
 
 const [name = '', ...args] = process.argv.slice(2);
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -17,6 +17,7 @@
 import { ReplicatedState, type SettingsDelta } from './ReplicatedState.js';
 import { CommandType, type Command } from './Commands.js';
 import type { CapBounds } from '../common/caps/Types.js';
+import type { Customer } from '../common/routing/Types.js';
 import { UsageFlow } from './caps/UsageFlow.js';
 import { EntrySessions } from './EntrySessions.js';
 import { withInstanceIds } from './MembershipChange.js';
@@ -61,6 +62,9 @@
 
 const DEFAULT_SNAPSHOT_EVERY = 20_000;
 
+/** Customers of a routing that has none. */
+const NO_CUSTOMERS: readonly Customer[] = [];
+
 /** Configuration leases without a heartbeat after which an entry-host session ends. */
 const SESSION_TIMEOUT_LEASES = 2;
 
@@ -400,8 +404,8 @@
 
   private tickUsage(): void {
     if (!this.usage) return;
-    const customers = this.replicatedState.routing.view.table?.customers;
-    if (customers) this.usage.setCustomers(customers, this.nowMs);
+    const customers = this.replicatedState.routing.view.table?.customers ?? NO_CUSTOMERS;
+    this.usage.setCustomers(customers, this.nowMs);
     this.usage.tick(this.nowMs);
   }
 
--- a/src/control/caps/AbsentGateways.ts
+++ b/src/control/caps/AbsentGateways.ts
@@ -1,9 +1,7 @@
 import { DemandRate } from '../../common/caps/DemandRate.js';
+import { USUAL_DEMAND_MS } from '../../common/caps/UsualDemand.js';
 import type { UsageColumns } from '../../common/caps/Types.js';
 
-/** Time over which the usage of a gateway is measured; gateways measure their shares so, too. */
-const USUAL_DEMAND_MS = 10_000;
-
 /**
  * Time for which a gateway without a session is assumed to serve callers: a few lifetimes of the
  * list from which callers choose gateways, which no longer has it.
--- a/src/control/caps/UsageFlow.ts
+++ b/src/control/caps/UsageFlow.ts
@@ -101,6 +101,7 @@
 
   tick(nowMs: number): void {
     const sums = this.at(nowMs);
+    if (!sums.hasLimits) return;
     if (nowMs - this.sharedAtMs >= (sums.hasChanges ? SHARE_INTERVAL_MS : SHARE_IDLE_MS)) {
       this.countAbsent(sums);
       this.sharedAtMs = nowMs;
--- a/src/control/caps/UsageSums.ts
+++ b/src/control/caps/UsageSums.ts
@@ -1,5 +1,6 @@
 import { admittedShare, capOfWindow } from '../../common/caps/AdmittedShare.js';
 import { DemandRate } from '../../common/caps/DemandRate.js';
+import { LISTED_DEMAND_SHARE, USUAL_DEMAND_MS } from '../../common/caps/UsualDemand.js';
 import { LevelBucket } from '../../common/caps/LevelBucket.js';
 import { ReceivedTotals } from '../../common/caps/ReceivedTotals.js';
 import type {
@@ -17,12 +18,6 @@
  */
 const DEMAND_MS = 300;
 
-/** Time over which the usual demand is measured; gateways measure their shares so, too. */
-const USUAL_DEMAND_MS = 10_000;
-
-/** Usual demand, as a share of the rate, from which a customer is listed in updates. */
-const LISTED_DEMAND_SHARE = 0.5;
-
 /**
  * Factor by which demand may still grow until calls would be refused, at or below which a customer
  * is listed, in updates at the short interval: demand can double between two updates.
@@ -71,6 +66,11 @@
     return nowMs - this.startedAtMs >= this.bounds.windowMs;
   }
 
+  /** True if a customer has a cap. */
+  get hasLimits(): boolean {
+    return this.limits.size > 0;
+  }
+
   /** True if there are usage counts to share. */
   get hasChanges(): boolean {
     return this.totals.hasChanges;
--- a/src/gateway/caps/UsageCaps.ts
+++ b/src/gateway/caps/UsageCaps.ts
@@ -9,6 +9,7 @@
   type UsageColumns,
 } from '../../common/caps/Types.js';
 import { UsageTotals } from '../../common/caps/UsageTotals.js';
+import { LISTED_DEMAND_SHARE, USUAL_DEMAND_MS } from '../../common/caps/UsualDemand.js';
 import type { RandomSource } from '../../common/Random.js';
 import type { Customer } from '../../common/routing/Types.js';
 
@@ -40,15 +41,6 @@
 /** Lifetime of an update: two heartbeats of the control host may be lost. */
 export const UPDATE_TTL_MS = 1_000;
 
-/** Time over which a gateway measures its own share of a customer's calls. */
-const OWN_DEMAND_MS = 10_000;
-
-/**
- * Demand, as a share of the rate, that a customer without an entry in the updates is assumed to
- * have at most; control hosts list customers from this demand on.
- */
-export const LISTED_DEMAND_SHARE = 0.5;
-
 /** Share of a cap that is divided by recent demand while there is no update; the rest is equal. */
 const DEMAND_SHARE = 0.8;
 
@@ -234,7 +226,7 @@
     let state = this.states.get(customer);
     if (!state) {
       state = {
-        own: new DemandRate(OWN_DEMAND_MS, nowMs),
+        own: new DemandRate(USUAL_DEMAND_MS, nowMs),
         ownPerSecond: 0,
         allowance: undefined,
         refusedAtMs: Number.NEGATIVE_INFINITY,
