Usage reports carry a start on the monotonic clock

Clock.test.ts failed in the whole run: the gateway read the time of day for the start that its usage reports name. It only has to tell starts apart.

Runs: Clock, programs (with a build) and UsageCap: 22 tests pass.

--- a/src/gateway/caps/CapReporter.ts
+++ b/src/gateway/caps/CapReporter.ts
@@ -6,7 +6,7 @@
 /** Options of a {@link CapReporter}. */
 export interface CapReporterOptions {
   readonly caps: Pick<UsageCaps, 'hasLimits' | 'takeReport' | 'isCurrent'>;
-  /** Start of the process, from which the totals count. */
+  /** Start of the process on its monotonic clock; the totals count from it. */
   readonly startedAtMs: number;
   readonly nowMs: () => number;
   /** Sends the report to a control host, if one can be reached. */
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -567,7 +567,7 @@
     });
     this.capReporter = new CapReporter({
       caps,
-      startedAtMs: this.clock.wallMs(),
+      startedAtMs: this.clock.nowMs(),
       nowMs: () => this.clock.nowMs(),
       send: (takeReport) => this.watch?.reportUsage(takeReport),
       log,
