--- a/bench/Crossings.ts
+++ b/bench/Crossings.ts
@@ -39,6 +39,16 @@
   answerBytes: 2_000,
 };
 
+/** Lookups of the deployment with four zones, on the given numbers of servers. */
+const LOOKUPS = {
+  slots: 4,
+  queueMax: 16,
+  workMs: 150,
+  objectiveMs: 626,
+  deadlineMs: 7_500,
+  answerBytes: 2_000,
+};
+
 const EVEN_READINGS = { ...READINGS, zones: zonesOf([32, 32, 33], 17) };
 
 /** Loads and faults, by name. */
@@ -63,6 +73,28 @@
     ...EVEN_READINGS,
     loads: [...loadsOf([200, 40, 40], 0, 4_500), ...loadsOf([40, 200, 40], 4_500)],
   },
+  'two fifths of the servers slow': {
+    ...LOOKUPS,
+    zones: zonesOf([20, 20, 20, 20], 33),
+    loads: loadsOf([93, 93, 93, 94]),
+    slowShare: 0.4,
+  },
+  'lookups at 80 % of the slots': {
+    ...LOOKUPS,
+    zones: zonesOf([5, 5, 5, 5], 33),
+    loads: loadsOf([106, 106, 106, 106]),
+  },
+  'lookups above capacity': {
+    ...LOOKUPS,
+    zones: zonesOf([5, 5, 5, 5], 33),
+    loads: loadsOf([147, 147, 147, 147]),
+    deadlineMs: 3_000,
+  },
+  'uneven readings above capacity': {
+    ...READINGS,
+    zones: zonesOf([19, 39, 39], 17),
+    loads: loadsOf([600, 250, 270]),
+  },
   'zone lost': {
     ...EVEN_READINGS,
     loads: loadsOf([75, 75, 76]),
