--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -3,12 +3,13 @@
 import type { AutoMembershipOptions } from '../src/control/AutoMembership.js';
 import { isRestorable } from '../src/control/RestoredBackends.js';
 import { ControlReducer } from '../src/control/ControlReducer.js';
-import type {
-  HardState,
-  LogEntry,
-  Member,
-  RaftMessage,
-  Snapshot,
+import {
+  RaftRole,
+  type HardState,
+  type LogEntry,
+  type Member,
+  type RaftMessage,
+  type Snapshot,
 } from '../src/control/raft/Types.js';
 import {
   ControlEffectType,
@@ -49,6 +50,8 @@
   readonly sendControl?: (to: string, message: ControlPeerMessage) => void;
   /** Present if lost control hosts are replaced without an operator. */
   readonly autoMembership?: AutoMembershipOptions;
+  /** Called when the host becomes leader of a term. */
+  readonly onElected?: (term: number) => void;
   /** Time without a heartbeat after which an entry host is no longer listed. */
   readonly entryHeartbeatTimeoutMs?: number;
 }
@@ -275,7 +278,9 @@
         this.disk.departures = effect.records;
         this.handle({ type: ControlEventType.DeparturesSaved, saveId: effect.saveId });
       }),
-    [ControlEffectType.RoleChanged]: () => {},
+    [ControlEffectType.RoleChanged]: (effect: EffectOf<ControlEffectType.RoleChanged>) => {
+      if (effect.role === RaftRole.Leader) this.options.onElected?.(effect.term);
+    },
     [ControlEffectType.Log]: () => {},
   };
 }
--- a/fuzz/DiskWorld.test.ts
+++ b/fuzz/DiskWorld.test.ts
@@ -1,7 +1,8 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import { RaftLog } from '../src/control/raft/RaftLog.js';
-import { DiskWorld } from './DiskWorld.js';
+import { RaftState } from '../src/control/raft/RaftState.js';
+import { DiskWorld, type DiskWorldOptions } from './DiskWorld.js';
 import { InvariantViolation } from './InvariantViolation.js';
 import { patch } from './Mutations.js';
 
@@ -13,6 +14,7 @@
 async function violations(
   run: (world: DiskWorld) => void,
   seeds = Array.from({ length: SEEDS }, (unused, index) => FIRST_SEED + index),
+  options: Omit<DiskWorldOptions, 'seed'> = {},
 ): Promise<string[]> {
   const found: string[] = [];
   for (let index = 0; index < seeds.length; index += 1) {
@@ -20,7 +22,7 @@
     // eslint-disable-next-line no-await-in-loop
     await nextTurn();
     try {
-      run(new DiskWorld({ seed: seeds[index]! }));
+      run(new DiskWorld({ ...options, seed: seeds[index]! }));
     } catch (error) {
       if (!(error instanceof InvariantViolation)) throw error;
       found.push(error.message);
@@ -64,3 +66,37 @@
     expect(await violations((world) => world.run(5))).toEqual([]);
   });
 });
+
+/** Hosts that are too few for a majority after the loss of `hostsLostAtOnce` disks. */
+const SMALL = [
+  { hosts: 3, voters: 3, hostsLostAtOnce: 2 },
+  { hosts: 4, voters: 4, hostsLostAtOnce: 2 },
+  { hosts: 4, voters: 3, hostsLostAtOnce: 2 },
+  { hosts: 5, voters: 3, hostsLostAtOnce: 3 },
+  { hosts: 2, voters: 2, hostsLostAtOnce: 1 },
+];
+
+const seedRange = () => Array.from({ length: SEEDS }, (unused, index) => FIRST_SEED + index);
+
+// A majority of voters is emptied at once: the rest waits for ids that never return, or leads without
+// the change that only the emptied voters held.
+describe('control hosts of which a majority may lose its disks', { timeout: 300_000 }, () => {
+  it.each(SMALL)('recover twice with all confirmed changes: %o', async (options) => {
+    expect(await violations((world) => world.runLosses(2), seedRange(), options)).toEqual([]);
+  });
+
+  it('are found to lose changes with a planted confirmation by a majority', async () => {
+    const planted = patch(RaftState, 'copiesNeeded', () => 0);
+    try {
+      expect(await violations((world) => world.runLosses(2), seedRange(), SMALL[0])).not.toEqual(
+        [],
+      );
+    } finally {
+      planted.dispose();
+    }
+  });
+
+  it.each(SMALL)('recover after random faults: %o', async (options) => {
+    expect(await violations((world) => world.run(4), seedRange(), options)).toEqual([]);
+  });
+});
--- a/fuzz/DiskWorld.ts
+++ b/fuzz/DiskWorld.ts
@@ -16,6 +16,8 @@
   readonly seed: number;
   /** Hosts with a disk, voters or not. */
   readonly hosts?: number;
+  /** Voters of the first start; three by default. */
+  readonly voters?: number;
   readonly hostsLostAtOnce?: number;
 }
 
@@ -26,6 +28,10 @@
   startedAtMs: number;
   /** True from the loss of its disk until the host has had {@link CATCH_UP_MS} without faults. */
   diskLost: boolean;
+  /** True from an outage or a cut until the host has had {@link CATCH_UP_MS} without faults. */
+  wasDown: boolean;
+  /** Member ids that the host has learned it had before its disk was lost. */
+  readonly emptiedIds: Set<string>;
 }
 
 const INITIAL_VOTERS = 3;
@@ -43,6 +49,14 @@
   return id.split(DISK_SEPARATOR)[0]!;
 }
 
+/** Marks sites as down until they have caught up. */
+function noteDown(sites: readonly Site[]): void {
+  sites.forEach((site) => {
+    const target = site;
+    target.wasDown = true;
+  });
+}
+
 /**
  * Control hosts that replace lost voters by themselves, and an operator, while disks and power are
  * lost. Every confirmed change must be readable in the end, and no read may return an older one.
@@ -60,6 +74,12 @@
 
   private readonly founders: readonly Member[];
 
+  /** Ids of hosts that started with an empty disk after a loss. */
+  private readonly replacedIds = new Set<string>();
+
+  /** Leader of each term. */
+  private readonly leaders = new Map<number, string>();
+
   private nextVersion = 1;
 
   private nextDisk = 1;
@@ -76,6 +96,7 @@
   constructor(private readonly options: DiskWorldOptions) {
     this.random = createRandom(options.seed);
     this.hostsLostAtOnce = options.hostsLostAtOnce ?? 2;
+    const voters = options.voters ?? INITIAL_VOTERS;
     this.network = new Network(this.timeline, this.random, {
       minDelayMs: 0.5,
       maxDelayMs: 5,
@@ -84,12 +105,20 @@
     });
     const addresses = Array.from({ length: options.hosts ?? 8 }, (unused, index) => `h${index}`);
     this.founders = addresses
-      .slice(0, INITIAL_VOTERS)
+      .slice(0, voters)
       .map((address) => ({ id: address, address, port: 1 }));
     addresses.forEach((address, index) => {
-      const id = index < INITIAL_VOTERS ? address : this.createId(address);
+      const id = index < voters ? address : this.createId(address);
       const host = this.createHost(id);
-      this.sites.push({ address, host, startedAtMs: 0, diskLost: false });
+      const emptiedIds = new Set<string>();
+      this.sites.push({
+        address,
+        host,
+        startedAtMs: 0,
+        diskLost: false,
+        wasDown: false,
+        emptiedIds,
+      });
     });
     this.sites.forEach((site) => this.requestJoins(site));
     this.operate();
@@ -127,14 +156,32 @@
     this.check();
   }
 
+  /**
+   * Loses disks at a confirmation several times, each time as many as the setting allows, with a
+   * recovery in between. Hosts that are down at that time count as lost.
+   */
+  runLosses(losses: number): void {
+    for (let loss = 0; loss < losses; loss += 1) {
+      this.timeline.advance(CATCH_UP_MS + this.random.next() * 1_500);
+      this.checkCatchUp();
+      const outage = this.random.next();
+      if (outage < 0.25) this.suspend(1);
+      else if (outage < 0.4) this.cut(1);
+      else if (outage < 0.5) this.wipeOne();
+      if (outage < 0.5) this.timeline.advance(this.random.next() * 4_000);
+      this.loseDisksAtConfirmation(this.random.next() < 0.5);
+      this.check();
+    }
+  }
+
   private voterIds(): string | undefined {
     return this.leader()
       ?.reducer.raft.state.log.membership.voters.map((voter) => voter.id)
       .join();
   }
 
-  /** Empties disks and cuts the power of all other hosts as soon as a change is confirmed. */
-  loseDisksAtConfirmation(): void {
+  /** Empties disks, and cuts the power of all other hosts, as soon as a change is confirmed. */
+  loseDisksAtConfirmation(cutsPower = true): void {
     let lost = false;
     this.onConfirmed = () => {
       lost = true;
@@ -142,7 +189,7 @@
       const running = this.sites.filter((site) => site.host.alive);
       const voters = this.voterSites().filter((site) => site.host.alive);
       const wiped = this.pick(this.random.next() < 0.7 ? voters : running, this.disksLeft);
-      this.sites.forEach((site) => site.host.crash());
+      if (cutsPower) this.sites.forEach((site) => site.host.crash());
       wiped.forEach((site) => this.wipe(site));
     };
     for (let waitedMs = 0; !lost && waitedMs < RECOVERY_MS; waitedMs += 5) this.timeline.advance(5);
@@ -188,7 +235,13 @@
 
   /** Number of further disks that may be lost now. */
   private get disksLeft(): number {
-    return Math.max(0, this.hostsLostAtOnce - this.sites.filter((site) => site.diskLost).length);
+    const isLost = (site: Site) => site.diskLost || (this.countsOutages && site.wasDown);
+    return Math.max(0, this.hostsLostAtOnce - this.sites.filter(isLost).length);
+  }
+
+  /** True if the hosts are too few for a majority after the loss: those that are down count as lost. */
+  private get countsOutages(): boolean {
+    return this.sites.length <= 2 * this.hostsLostAtOnce;
   }
 
   private outageMs(): number {
@@ -206,6 +259,7 @@
     this.sites.forEach((site) => {
       const target = site;
       target.diskLost = false;
+      target.wasDown = false;
     });
   }
 
@@ -224,6 +278,7 @@
 
   private cut(count: number): void {
     const sites = this.pick(this.sites, count);
+    noteDown(sites);
     this.network.cut(
       sites.map((site) => site.address),
       1,
@@ -260,6 +315,7 @@
   }
 
   private powerCycle(site: Site, outageMs: number): void {
+    noteDown([site]);
     site.host.crash();
     this.restart(site, outageMs);
   }
@@ -281,6 +337,7 @@
     site.host.crash();
     target.host = this.createHost(this.createId(site.address));
     target.host.crash();
+    this.replacedIds.add(target.host.options.id);
     target.diskLost = true;
     this.restart(site, this.random.next() * 1_500);
   }
@@ -306,7 +363,11 @@
       tree: buildTree([OTARU]),
       clockRate: 1,
       snapshotEvery: 60,
-      autoMembership: { targetVoters: requiredVoterCount(this.hostsLostAtOnce, INITIAL_VOTERS) },
+      autoMembership: {
+        targetVoters: requiredVoterCount(this.hostsLostAtOnce, this.founders.length),
+        hostsLostAtOnce: this.hostsLostAtOnce,
+      },
+      onElected: (term) => this.checkTerm(term, id),
       sendRaft: (to, message) =>
         send(to, (host) => host.handle({ type: ControlEventType.RaftMessage, message })),
       sendSession: () => {},
@@ -315,6 +376,23 @@
     });
   }
 
+  /** No two hosts may lead in one term, whatever became of their disks. */
+  private checkTerm(term: number, id: string): void {
+    const other = this.leaders.get(term);
+    if (other !== undefined && other !== id) this.fail(`${other} and ${id} lead in term ${term}`);
+    this.leaders.set(term, id);
+  }
+
+  /** Ids of the host before its disk was lost, as far as it has learned them. */
+  private emptiedIdsOf(site: Site): string[] {
+    const { host, address, emptiedIds } = site;
+    if (!this.replacedIds.has(host.options.id)) return [];
+    host.reducer.raft.state.log.membership.voters
+      .filter((voter) => voter.address === address && voter.id !== host.options.id)
+      .forEach(({ id }) => emptiedIds.add(id));
+    return [...emptiedIds];
+  }
+
   /** Sends join requests periodically while the host of a site may not be a member. */
   private requestJoins(site: Site): void {
     this.timeline.after(JOIN_INTERVAL_MS, () => this.requestJoins(site));
@@ -322,13 +400,16 @@
     const { state } = host.reducer.raft;
     if (!host.alive || !shouldRequestJoin(state, this.timeline.nowMs, site.startedAtMs)) return;
     const member = { id: host.options.id, address, port: 1 };
-    const targets = [...this.founders, ...state.log.membersExcept(member.id)];
+    const emptiedIds = this.emptiedIdsOf(site);
+    const requesters = host.reducer.joinRequesters(this.timeline.nowMs);
+    const targets = [...this.founders, ...requesters, ...state.log.membersExcept(member.id)];
+    host.handle({ type: ControlEventType.Join, member, emptiedIds });
     new Set(targets.map((target) => target.address)).forEach((to) => {
       const target = this.sites.find((other) => other.address === to);
       if (!target || target === site) return;
       this.network.send(address, to, () => {
         if (!target.host.alive) return;
-        target.host.handle({ type: ControlEventType.Join, member });
+        target.host.handle({ type: ControlEventType.Join, member, emptiedIds });
         const { membership } = target.host.reducer.raft.state.log;
         this.network.send(to, address, () => {
           if (site.host !== host || !host.alive || membership.voters.length === 0) return;
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -61,6 +61,8 @@
   departures_unsaved: 'Departures could not be saved; they are not acknowledged until they are.',
   backend_expired: 'Backend servers sent no announcement for too long and were removed.',
   membership_proposed: 'The leader proposed a new set of control hosts.',
+  host_emptied: 'A host at the address of a voter reported that its disk was empty.',
+  recovery_elected: 'This host leads without the voters whose disks were lost.',
   membership_learned: 'A joining host received the set of control hosts.',
   join_failed: 'A request to a control host to admit this one failed.',
   role_changed: 'Role, term or leader changed.',
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -1,5 +1,6 @@
 import { hasCommittedInTerm } from './raft/Replication.js';
 import type { RaftState } from './raft/RaftState.js';
+import { isRecovering, remainingVoters } from './raft/Recovery.js';
 import { RaftRole, type Member, type Membership } from './raft/Types.js';
 
 /** Options of an {@link AutoMembership}. */
@@ -8,6 +9,8 @@
   readonly replaceAfterMs?: number;
   /** Number of voters that the cluster should have. */
   readonly targetVoters?: number;
+  /** Hosts that may lose their disks simultaneously; 0 by default. */
+  readonly hostsLostAtOnce?: number;
 }
 
 /** Three voters keep a majority when one is lost. */
@@ -78,6 +81,21 @@
     this.joinRequests.set(member.id, { member, atMs: nowMs });
   }
 
+  /**
+   * Hosts that requested to join of late. A host whose seeds have all lost their disks reaches the
+   * other voters only through their requests.
+   */
+  requesters(nowMs: number): Member[] {
+    this.dropOldRequests(nowMs);
+    return [...this.joinRequests.values()].map(({ member }) => member);
+  }
+
+  private dropOldRequests(nowMs: number): void {
+    this.joinRequests.forEach(({ atMs }, id) => {
+      if (nowMs - atMs > JOIN_REQUEST_LIFETIME_MS) this.joinRequests.delete(id);
+    });
+  }
+
   /**
    * True if a leader should delay the confirmation of changes: the committed number of voters is
    * below the target and may be completed soon.
@@ -96,9 +114,8 @@
     if (state.log.membershipIndex > state.commitIndex || !hasCommittedInTerm(state)) {
       return undefined;
     }
-    this.joinRequests.forEach(({ atMs }, id) => {
-      if (nowMs - atMs > JOIN_REQUEST_LIFETIME_MS) this.joinRequests.delete(id);
-    });
+    this.dropOldRequests(nowMs);
+    if (isRecovering(state)) return AutoMembership.removeEmptied(state);
     const { voters } = state.log.membership;
     // Promotions that complete the number of voters go before joins, which add no safety.
     const completing =
@@ -111,6 +128,17 @@
     );
   }
 
+  /**
+   * Removes one emptied voter after a recovery election. Until all are removed, every other voter
+   * must acknowledge each change; hosts are readmitted afterwards.
+   */
+  private static removeEmptied(state: RaftState): Membership {
+    const { voters, learners } = state.log.membership;
+    const remaining = remainingVoters(state);
+    const emptied = voters.find((voter) => !remaining.includes(voter));
+    return { voters: voters.filter((voter) => voter !== emptied), learners };
+  }
+
   /** Admits a joining host as a learner. */
   private admit(state: RaftState): Membership | undefined {
     const { voters, learners } = state.log.membership;
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -23,7 +23,13 @@
 import { RaftNode } from './raft/RaftNode.js';
 import type { RaftOptions } from './raft/RaftState.js';
 import { hasCommittedInTerm } from './raft/Replication.js';
-import { RaftEffectType, RaftEventType, type LogEntry, type RaftEffect } from './raft/Types.js';
+import {
+  RaftEffectType,
+  RaftEventType,
+  type LogEntry,
+  type Member,
+  type RaftEffect,
+} from './raft/Types.js';
 import {
   ControlEffectType,
   ControlEventType,
@@ -106,7 +112,8 @@
   private wallMs = 0;
 
   constructor(options: ControlOptions) {
-    this.raft = new RaftNode(options.raft);
+    const hostsLostAtOnce = options.autoMembership?.hostsLostAtOnce;
+    this.raft = new RaftNode({ ...options.raft, hostsLostAtOnce });
     this.sharedHosts = new SharedEntryHosts({
       selfId: options.raft.id,
       peerIds: () => this.raft.state.log.membersExcept(options.raft.id).map(({ id }) => id),
@@ -204,8 +211,9 @@
       this.backends.onControlLink(memberId);
       this.sharedHosts.sendWhole(memberId);
     },
-    [ControlEventType.Join]: (event: EventOf<ControlEventType.Join>) =>
-      this.autoMembership?.join(event.member, event.nowMs),
+    [ControlEventType.Join]: (event: EventOf<ControlEventType.Join>) => this.onJoin(event),
+    [ControlEventType.DiskState]: ({ nowMs, refuses }: EventOf<ControlEventType.DiskState>) =>
+      this.stepRaft({ type: RaftEventType.DiskState, nowMs, refuses }),
     [ControlEventType.BackendsRestored]: (event: EventOf<ControlEventType.BackendsRestored>) =>
       this.backends.restore(event.records, event.departures),
     [ControlEventType.DeparturesSaved]: (event: EventOf<ControlEventType.DeparturesSaved>) =>
@@ -245,6 +253,7 @@
         this.failPendingProposals();
         this.admin.failConfirmations();
       }
+      if (this.raft.isLeader && this.raft.state.recoveryIds.length > 0) this.logRecovery();
       this.emit({
         type: ControlEffectType.RoleChanged,
         role: effect.role,
@@ -320,6 +329,29 @@
     }
   }
 
+  /** Hosts other than members that a join request or report should also be sent to. */
+  joinRequesters(nowMs: number): readonly Member[] {
+    return this.autoMembership?.requesters(nowMs) ?? [];
+  }
+
+  /** Handles a join request and the report of an emptied disk that it may carry; also its own. */
+  private onJoin({ member, emptiedIds = [], nowMs }: EventOf<ControlEventType.Join>): void {
+    if (!this.autoMembership) return;
+    if (member.id !== this.raft.state.id) this.autoMembership.join(member, nowMs);
+    if (emptiedIds.length === 0) return;
+    const countBefore = this.raft.state.emptiedIds.size;
+    this.stepRaft({ type: RaftEventType.HostEmptied, nowMs, reporter: member, emptiedIds });
+    if (this.raft.state.emptiedIds.size === countBefore) return;
+    const fields = { member: member.id, address: member.address, emptied: emptiedIds.join(',') };
+    this.emit({ type: ControlEffectType.Log, event: 'host_emptied', fields });
+  }
+
+  private logRecovery(): void {
+    const { term, recoveryIds } = this.raft.state;
+    const fields = { term, emptied: recoveryIds.join(',') };
+    this.emit({ type: ControlEffectType.Log, event: 'recovery_elected', fields });
+  }
+
   /** Ends the subscription of a session, whose heartbeats may go on. */
   private endWatch(sessionId: number): void {
     this.sessions.setUpdates(sessionId, EntryHostUpdates.None);
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -84,6 +84,7 @@
   ControlPeerMessage = 'control-peer-message',
   ControlLinkOpened = 'control-link-opened',
   Join = 'join',
+  DiskState = 'disk-state',
   BackendsRestored = 'backends-restored',
   DeparturesSaved = 'departures-saved',
   Stop = 'stop',
@@ -142,7 +143,13 @@
         readonly memberId: string;
         readonly random: number;
       }
-    | { readonly type: ControlEventType.Join; readonly member: Member }
+    | {
+        readonly type: ControlEventType.Join;
+        readonly member: Member;
+        /** Earlier ids of the host, if it started with an empty disk and not for the first time. */
+        readonly emptiedIds?: readonly string[];
+      }
+    | { readonly type: ControlEventType.DiskState; readonly refuses: boolean }
     | {
         /** Backend servers saved before this process started; sent once, at the start. */
         readonly type: ControlEventType.BackendsRestored;
--- /dev/null
+++ b/src/control/raft/Copies.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from 'vitest';
+import { CommandType } from '../Commands.js';
+import { committableIndex, notePause } from './Copies.js';
+import { RaftState } from './RaftState.js';
+import { RaftRole } from './Types.js';
+
+/** Leader `a` whose own log is durable up to 9, with match index and acknowledgement of others. */
+function createLeader(
+  hostsLostAtOnce: number,
+  others: Readonly<Record<string, readonly [matchIndex: number, ackedAtMs: number]>>,
+) {
+  const voters = ['a', ...Object.keys(others)].map((id) => ({ id, address: id, port: 1 }));
+  const state = new RaftState({
+    id: 'a',
+    instanceId: 'a',
+    hardState: { term: 1, votedFor: 'a' },
+    snapshot: {
+      index: 0,
+      term: 0,
+      membership: { voters, learners: [] },
+      bytes: new Uint8Array(),
+    },
+    entries: [{ index: 1, term: 1, command: { type: CommandType.Noop } }],
+    hostsLostAtOnce,
+  });
+  state.role = RaftRole.Leader;
+  state.persistedIndex = 9;
+  Object.entries(others).forEach(([id, [matchIndex, ackedAtMs]]) =>
+    state.followers.set(id, {
+      nextIndex: 10,
+      matchIndex,
+      ackedAtMs,
+      ackedRound: 0,
+      snapshotOffsetBytes: -1,
+    }),
+  );
+  state.nowMs = 5_000;
+  return state;
+}
+
+describe('number of copies before a change is committed', () => {
+  // Two of three disks may be lost: a change that only those two have is gone.
+  it('is all three voters if two disks may be lost', () => {
+    expect(committableIndex(createLeader(2, { b: [9, 4_900], c: [7, 4_900] }))).toBe(7);
+  });
+
+  it('is a majority if one of three disks may be lost', () => {
+    expect(committableIndex(createLeader(1, { b: [9, 4_900], c: [7, 4_900] }))).toBe(9);
+  });
+
+  it('is all reachable voters while one has been silent for two election timeouts', () => {
+    expect(committableIndex(createLeader(2, { b: [8, 4_900], c: [7, 3_700] }))).toBe(8);
+  });
+
+  it('is never fewer than a majority', () => {
+    expect(committableIndex(createLeader(2, { b: [7, 3_000], c: [6, 3_000] }))).toBe(7);
+  });
+
+  // After a pause, the acknowledgement that is read first would count as that of all.
+  it('includes voters whose silence fell into a pause of the leader', () => {
+    const state = createLeader(2, { b: [9, 8_000], c: [7, 4_900] });
+    notePause(state, 8_000);
+    state.nowMs = 8_000;
+    expect(committableIndex(state)).toBe(7);
+  });
+});
--- /dev/null
+++ b/src/control/raft/Copies.ts
@@ -0,0 +1,94 @@
+import type { Follower, RaftState } from './RaftState.js';
+import { isRecovering, remainingVoters } from './Recovery.js';
+
+/**
+ * Time without an acknowledgement after which a voter counts as unreachable. A change must be
+ * confirmed within 4 s; an election that fails once takes up to four election timeouts (2.4 s) of
+ * them, and two more leave 0.4 s for the change itself.
+ */
+export const UNREACHABLE_TIMEOUTS = 2;
+
+/** Share of an election timeout without any event after which this host counts as paused. */
+const PAUSE_SHARE = 0.5;
+
+/** Value of each voter, in the order of the membership. */
+function voterValues(
+  state: RaftState,
+  localValue: number,
+  get: (follower: Follower) => number,
+): { readonly id: string; readonly value: number }[] {
+  return state.log.membership.voters.map(({ id }) => {
+    if (id === state.id) return { id, value: localValue };
+    const follower = state.followers.get(id);
+    return { id, value: follower ? get(follower) : Number.NEGATIVE_INFINITY };
+  });
+}
+
+/** Highest value that a number of voters has reached. */
+function valueOf(values: readonly number[], count: number): number {
+  return [...values].sort((a, b) => b - a)[count - 1] ?? Number.NEGATIVE_INFINITY;
+}
+
+/**
+ * Highest value that a quorum of voters has reached: a majority or, while a recovery is not
+ * completed, all voters that are not emptied.
+ */
+export function quorumValue(
+  state: RaftState,
+  localValue: number,
+  get: (follower: Follower) => number,
+): number {
+  const values = voterValues(state, localValue, get);
+  if (!isRecovering(state)) {
+    return valueOf(
+      values.map(({ value }) => value),
+      state.log.quorum,
+    );
+  }
+  const remaining = new Set(remainingVoters(state).map(({ id }) => id));
+  return Math.min(...values.filter(({ id }) => remaining.has(id)).map(({ value }) => value));
+}
+
+/** True if a majority is fewer voters than must hold a change before it is confirmed. */
+export function needsMoreThanMajority(state: RaftState): boolean {
+  return state.copiesNeeded > state.log.quorum;
+}
+
+/**
+ * Restarts the times without an acknowledgement after a pause of this host: acknowledgements that
+ * arrived during the pause have not been read yet, so silence during it shows nothing.
+ */
+export function notePause(state: RaftState, nowMs: number): void {
+  if (nowMs - state.nowMs > state.timing.electionTimeoutMs * PAUSE_SHARE) {
+    state.silenceFromMs = nowMs;
+  }
+}
+
+/** True for this host, and for a voter that has acknowledged within the stated time. */
+function isReachable(state: RaftState, id: string): boolean {
+  if (id === state.id) return true;
+  const ackedAtMs = state.followers.get(id)?.ackedAtMs ?? Number.NEGATIVE_INFINITY;
+  const silentMs = state.nowMs - Math.max(ackedAtMs, state.silenceFromMs);
+  return silentMs <= state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
+}
+
+/**
+ * Highest index that may be committed: durable on a quorum and, where the loss of `hostsLostAtOnce`
+ * disks could empty a whole majority, on one more disk than may be lost, or on the disks of all
+ * reachable voters if those are fewer.
+ */
+export function committableIndex(state: RaftState): number {
+  const getMatch = (follower: Follower) => follower.matchIndex;
+  const quorumIndex = quorumValue(state, state.persistedIndex, getMatch);
+  if (!needsMoreThanMajority(state) || isRecovering(state)) return quorumIndex;
+  const values = voterValues(state, state.persistedIndex, getMatch);
+  const { copiesNeeded } = state;
+  const survivingIndex = valueOf(
+    values.map(({ value }) => value),
+    copiesNeeded,
+  );
+  const reachable = values.filter(({ id }) => isReachable(state, id));
+  if (reachable.length >= copiesNeeded) return Math.min(quorumIndex, survivingIndex);
+  const reachableIndex = Math.min(...reachable.map(({ value }) => value));
+  return Math.min(quorumIndex, Math.max(survivingIndex, reachableIndex));
+}
--- a/src/control/raft/Election.ts
+++ b/src/control/raft/Election.ts
@@ -6,6 +6,7 @@
   type VoteRequest,
 } from './Types.js';
 import type { RaftState } from './RaftState.js';
+import { confirmsEmptied, hasRecoveryVotes, nextRecoveryTerm, recoverableIds } from './Recovery.js';
 
 /** Election timeout before the first contact with a leader, as a share of the regular one. */
 const FIRST_ELECTION_SHARE = 0.15;
@@ -80,6 +81,7 @@
   state.role = RaftRole.Follower;
   state.leaderId = leaderId;
   state.votes.clear();
+  state.recoveryIds = [];
   state.followers.clear();
   failReads(state);
   if (changed) emitRoleChanged(state);
@@ -90,6 +92,7 @@
   state.role = RaftRole.Leader;
   state.leaderId = state.id;
   state.votes.clear();
+  state.silenceFromMs = state.nowMs;
   state.followers.clear();
   state.log.membersExcept(state.id).forEach((member) => {
     state.followers.set(member.id, {
@@ -115,40 +118,71 @@
         term,
         lastIndex: state.log.lastIndex,
         lastTerm: state.log.lastTerm,
+        ...(state.recoveryIds.length > 0 && { emptiedIds: state.recoveryIds }),
       });
     });
 }
 
+/** Forgets all votes but the local one. */
+function resetVotes(state: RaftState): void {
+  [state.votes, state.recoveryVotes].forEach((votes) => {
+    votes.clear();
+    votes.add(state.id);
+  });
+}
+
+/** Counts the granted vote of a voter. */
+function countVote(state: RaftState, reply: VoteReply): void {
+  if (!state.log.isVoter(reply.from)) return;
+  state.votes.add(reply.from);
+  const confirmed = reply.emptiedIds ?? [];
+  if (state.recoveryIds.every((id) => confirmed.includes(id))) state.recoveryVotes.add(reply.from);
+}
+
+/**
+ * True if the votes elect this host. A recovery election needs every voter that is not emptied, even
+ * if a majority granted: voters emptied later may have granted another candidate of the same term.
+ */
+function isElected(state: RaftState): boolean {
+  if (state.recoveryIds.length > 0) return hasRecoveryVotes(state);
+  return state.votes.size >= state.log.quorum;
+}
+
 /** Starts the actual election after a successful pre-vote. */
 function startElection(state: RaftState): void {
   state.role = RaftRole.Candidate;
-  state.term += 1;
+  state.term = state.recoveryIds.length > 0 ? nextRecoveryTerm(state.term) : state.term + 1;
   state.votedFor = state.id;
   state.persistHardState();
-  state.votes.clear();
-  state.votes.add(state.id);
+  resetVotes(state);
   emitRoleChanged(state);
-  if (state.votes.size >= state.log.quorum) {
+  if (isElected(state)) {
     becomeLeader(state);
     return;
   }
   requestVotes(state, RaftMessageType.Vote, state.term);
 }
 
+/** Starts an election once the pre-votes allow for one: an ordinary one if possible. */
+function electAfterPreVote(state: RaftState): void {
+  if (state.votes.size >= state.log.quorum) {
+    state.recoveryIds = [];
+    startElection(state);
+  } else if (hasRecoveryVotes(state)) startElection(state);
+}
+
 /** Starts a pre-vote: checks whether an election could succeed, without raising the term. */
 export function startPreVote(state: RaftState, random: number): void {
   if (state.isVoter) state.firstElections += 1;
   resetElectionTimer(state, random);
-  if (!state.isVoter) return;
+  if (!state.isVoter || state.diskRefuses) return;
   state.role = RaftRole.PreCandidate;
   state.leaderId = null;
-  state.votes.clear();
-  state.votes.add(state.id);
+  state.recoveryIds = recoverableIds(state);
+  resetVotes(state);
   emitRoleChanged(state);
-  if (state.votes.size >= state.log.quorum) {
-    startElection(state);
-    return;
-  }
+  electAfterPreVote(state);
+  if (state.role !== RaftRole.PreCandidate) return;
   requestVotes(state, RaftMessageType.PreVote, state.term + 1);
 }
 
@@ -164,6 +198,11 @@
   return state.nowMs - state.leaderContactAtMs < state.timing.electionTimeoutMs;
 }
 
+/** Field of a reply that repeats the emptied voters of a request whose reports were verified. */
+function confirmation(state: RaftState, { emptiedIds }: VoteRequest): Partial<VoteReply> {
+  return emptiedIds && confirmsEmptied(state, emptiedIds) ? { emptiedIds } : {};
+}
+
 /** Answers a pre-vote request without changing any state. */
 export function handlePreVote(state: RaftState, request: VoteRequest): void {
   const granted =
@@ -173,12 +212,15 @@
     type: RaftMessageType.PreVoteReply,
     term: granted ? request.term : state.term,
     granted,
+    ...confirmation(state, request),
   });
 }
 
 /** Answers a vote request; a granted vote is durable before the reply is sent. */
 export function handleVote(state: RaftState, request: VoteRequest): void {
   if (hasLiveLeader(state) && request.from !== state.leaderId) return;
+  // Without its own proof this host must not help to elect a leader that leaves voters out.
+  if (!confirmsEmptied(state, request.emptiedIds ?? [])) return;
   if (request.term > state.term) becomeFollower(state, request.term, null);
   const mayVote = state.votedFor === null || state.votedFor === request.from;
   const granted = request.term === state.term && mayVote && isLogCurrent(state, request);
@@ -187,7 +229,12 @@
     state.persistHardState();
     state.electionAtMs = Math.max(state.electionAtMs, state.nowMs + state.timing.electionTimeoutMs);
   }
-  state.send(request.from, { ...state.envelope, type: RaftMessageType.VoteReply, granted });
+  state.send(request.from, {
+    ...state.envelope,
+    type: RaftMessageType.VoteReply,
+    granted,
+    ...confirmation(state, request),
+  });
 }
 
 /** Counts a pre-vote reply; a majority starts the election. */
@@ -197,8 +244,8 @@
     return;
   }
   if (state.role !== RaftRole.PreCandidate || reply.term !== state.term + 1) return;
-  if (state.log.isVoter(reply.from)) state.votes.add(reply.from);
-  if (state.votes.size >= state.log.quorum) startElection(state);
+  countVote(state, reply);
+  electAfterPreVote(state);
 }
 
 /** Counts a vote reply; returns true when this host has become leader. */
@@ -210,8 +257,8 @@
   if (state.role !== RaftRole.Candidate || reply.term !== state.term || !reply.granted) {
     return false;
   }
-  if (state.log.isVoter(reply.from)) state.votes.add(reply.from);
-  if (state.votes.size < state.log.quorum) return false;
+  countVote(state, reply);
+  if (!isElected(state)) return false;
   becomeLeader(state);
   return true;
 }
--- a/src/control/raft/RaftNode.ts
+++ b/src/control/raft/RaftNode.ts
@@ -9,7 +9,9 @@
   resetElectionTimer,
   startPreVote,
 } from './Election.js';
+import { needsMoreThanMajority, notePause } from './Copies.js';
 import { RaftState, type RaftOptions } from './RaftState.js';
+import { recordEmptied } from './Recovery.js';
 import {
   advanceCommit,
   broadcastAppend,
@@ -48,6 +50,11 @@
   if (state.electionAtMs === 0) resetElectionTimer(state, event.random);
   if (state.role === RaftRole.Leader) {
     checkQuorum(state);
+    // A voter that became unreachable since the last acknowledgement may have been the missing one.
+    if (needsMoreThanMajority(state)) {
+      advanceCommit(state);
+      releaseReads(state);
+    }
     if (state.role === RaftRole.Leader && state.nowMs >= state.heartbeatAtMs) {
       state.heartbeatAtMs = state.nowMs + state.timing.heartbeatMs;
       broadcastAppend(state);
@@ -92,6 +99,12 @@
   }
 }
 
+/** A host that can not write must not lead: nothing that it appends would be on its own disk. */
+function handleDiskState(state: RaftState, event: EventOf<RaftEventType.DiskState>): void {
+  state.diskRefuses = event.refuses;
+  if (event.refuses && state.role !== RaftRole.Follower) becomeFollower(state, state.term, null);
+}
+
 const MESSAGE_HANDLERS: MessageHandlers = {
   [RaftMessageType.PreVote]: handlePreVote,
   [RaftMessageType.PreVoteReply]: handlePreVoteReply,
@@ -108,6 +121,10 @@
 function handleMessage(state: RaftState, event: EventOf<RaftEventType.Message>): void {
   const { message } = event;
   if (!state.log.matchesInstance(message.from, message.fromInstanceId)) return;
+  // The link to an earlier id of this host, which is still a member, leads back to this host.
+  if (message.from === state.id) return;
+  // Sent before the disk of the sender was lost: no part of a later term.
+  if (state.emptiedIds.has(message.from)) return;
   state.instanceIds.set(message.from, message.fromInstanceId);
   const handler = MESSAGE_HANDLERS[message.type] as
     ((target: RaftState, received: RaftMessage) => void) | undefined;
@@ -125,6 +142,10 @@
   [RaftEventType.Read]: (state, event) => requestRead(state, event.readId),
   [RaftEventType.Persisted]: handlePersisted,
   [RaftEventType.SnapshotSaved]: handleSnapshotSaved,
+  [RaftEventType.HostEmptied]: (state, event) => {
+    recordEmptied(state, event.reporter, event.emptiedIds);
+  },
+  [RaftEventType.DiskState]: handleDiskState,
 };
 
 /**
@@ -145,6 +166,7 @@
   reduce(event: RaftEvent): RaftEffect[] {
     const { state } = this;
     state.effects = [];
+    notePause(state, event.nowMs);
     state.nowMs = Math.max(state.nowMs, event.nowMs);
     const handler = EVENT_HANDLERS[event.type] as (target: RaftState, received: RaftEvent) => void;
     handler(state, event);
--- a/src/control/raft/RaftState.ts
+++ b/src/control/raft/RaftState.ts
@@ -26,6 +26,8 @@
   readonly snapshot: Snapshot;
   readonly entries: readonly LogEntry[];
   readonly timing?: RaftTiming;
+  /** Hosts that may lose their disks simultaneously; 0 by default: no recovery after that. */
+  readonly hostsLostAtOnce?: number;
 }
 
 /** Replication progress of one other member, tracked by the leader. */
@@ -68,6 +70,8 @@
 
   readonly timing: RaftTiming;
 
+  readonly hostsLostAtOnce: number;
+
   readonly log: RaftLog;
 
   role = RaftRole.Follower;
@@ -104,6 +108,21 @@
   /** Voters that granted their vote in the current pre-vote or election. */
   readonly votes = new Set<string>();
 
+  /** Former voters whose hosts reported an empty disk; their messages are ignored. */
+  readonly emptiedIds = new Set<string>();
+
+  /** Emptied voters that the current recovery election or leadership counts; else none. */
+  recoveryIds: readonly string[] = [];
+
+  /** Voters that granted their vote and confirmed the reports of a recovery election. */
+  readonly recoveryVotes = new Set<string>();
+
+  /** Time before which the silence of a voter shows nothing; after a pause of this host. */
+  silenceFromMs = 0;
+
+  /** True while the disk of this host rejects writes; it then takes part in no election. */
+  diskRefuses = false;
+
   /** Replication progress of every other member while leading. */
   readonly followers = new Map<string, Follower>();
 
@@ -127,6 +146,7 @@
     this.id = options.id;
     this.instanceId = options.instanceId;
     this.timing = options.timing ?? DEFAULT_RAFT_TIMING;
+    this.hostsLostAtOnce = options.hostsLostAtOnce ?? 0;
     this.log = new RaftLog(options.snapshot, options.entries);
     this.term = options.hardState.term;
     this.votedFor = options.hardState.votedFor;
@@ -139,6 +159,11 @@
     return this.log.isVoter(this.id);
   }
 
+  /** Voters whose disks must hold a change so that it survives the loss of `hostsLostAtOnce`. */
+  get copiesNeeded(): number {
+    return this.hostsLostAtOnce + 1;
+  }
+
   /** Adds an effect. */
   emit(effect: RaftEffect): void {
     this.effects.push(effect);
--- /dev/null
+++ b/src/control/raft/Recovery.test.ts
@@ -0,0 +1,121 @@
+import { describe, expect, it } from 'vitest';
+import { CommandType } from '../Commands.js';
+import { RaftNode } from './RaftNode.js';
+import { nextRecoveryTerm, RECOVERY_TERM_STEP } from './Recovery.js';
+import {
+  RaftEffectType,
+  RaftEventType,
+  RaftMessageType,
+  RaftRole,
+  type Member,
+  type RaftMessage,
+} from './Types.js';
+
+const member = (id: string, address = id): Member => ({ id, address, port: 7_000 });
+
+function createNode(voters: readonly string[], hostsLostAtOnce: number) {
+  const membership = { voters: voters.map((id) => member(id)), learners: [] };
+  return new RaftNode({
+    id: 'c',
+    instanceId: 'instance-c',
+    hardState: { term: 3, votedFor: null },
+    snapshot: { index: 0, term: 0, membership, bytes: new Uint8Array() },
+    entries: [{ index: 1, term: 3, command: { type: CommandType.Noop } }],
+    hostsLostAtOnce,
+  });
+}
+
+const report = (node: RaftNode, reporter: Member, emptiedIds: readonly string[]) =>
+  node.reduce({ type: RaftEventType.HostEmptied, nowMs: 1, reporter, emptiedIds });
+
+function campaign(node: RaftNode) {
+  node.reduce({ type: RaftEventType.Tick, nowMs: 2, random: 0 });
+  return node.reduce({ type: RaftEventType.Tick, nowMs: 2_000, random: 0 });
+}
+
+const receive = (node: RaftNode, message: object, nowMs = 2_001) =>
+  node.reduce({
+    type: RaftEventType.Message,
+    nowMs,
+    message: { fromInstanceId: 'any', ...message } as RaftMessage,
+  });
+
+const reply = (from: string, type: RaftMessageType, term: number, emptiedIds?: string[]) => ({
+  from,
+  type,
+  term,
+  granted: true,
+  ...(emptiedIds && { emptiedIds }),
+});
+
+describe('recovery after the loss of a majority of disks', () => {
+  it('elects the only voter left of three once both others are reported as emptied', () => {
+    const node = createNode(['a', 'b', 'c'], 2);
+    report(node, member('a-2', 'a'), ['a']);
+    campaign(node);
+    expect(node.isLeader).toBe(false);
+    report(node, member('b-2', 'b'), ['b']);
+    node.reduce({ type: RaftEventType.Tick, nowMs: 4_000, random: 0 });
+    expect(node.isLeader).toBe(true);
+    expect(node.state.term).toBe(RECOVERY_TERM_STEP);
+  });
+
+  // A report is no proof for other hosts than the reporter's own, or for an id that is in use.
+  it.each([
+    ['another address', member('a-2', 'x'), ['a']],
+    ['another port', { ...member('a-2', 'a'), port: 1 }, ['a']],
+    ['the reporter itself', member('a'), ['a']],
+    ['this host', member('c-2', 'c'), ['c']],
+    ['an id that is no voter', member('d-2', 'd'), ['d']],
+  ])('ignores a report of %s', (name, reporter, emptiedIds) => {
+    const node = createNode(['a', 'b', 'c'], 2);
+    report(node, reporter, emptiedIds);
+    expect([...node.state.emptiedIds]).toEqual([]);
+  });
+
+  it('does not recover with more emptied voters than the setting allows for', () => {
+    const node = createNode(['a', 'b', 'c', 'd'], 2);
+    ['a', 'b', 'd'].forEach((id) => report(node, member(`${id}-2`, id), [id]));
+    campaign(node);
+    expect(node.isLeader).toBe(false);
+  });
+
+  // A voter that has not verified the reports still accepts messages of the emptied ones.
+  it('needs the vote and the confirmation of every voter that is not emptied', () => {
+    const node = createNode(['a', 'b', 'c', 'd'], 2);
+    ['a', 'b'].forEach((id) => report(node, member(`${id}-2`, id), [id]));
+    campaign(node);
+    receive(node, reply('d', RaftMessageType.PreVoteReply, 4));
+    expect(node.state.role).toBe(RaftRole.PreCandidate);
+    receive(node, reply('d', RaftMessageType.PreVoteReply, 4, ['a', 'b']));
+    const term = nextRecoveryTerm(3);
+    expect([node.state.role, node.state.term]).toEqual([RaftRole.Candidate, term]);
+    receive(node, reply('d', RaftMessageType.VoteReply, term));
+    expect(node.isLeader).toBe(false);
+    receive(node, reply('d', RaftMessageType.VoteReply, term, ['a', 'b']));
+    expect(node.isLeader).toBe(true);
+  });
+
+  it('grants no recovery vote for voters that it has no report of', () => {
+    const node = createNode(['a', 'b', 'c', 'd'], 2);
+    const request = { from: 'd', type: RaftMessageType.Vote, term: RECOVERY_TERM_STEP };
+    const votes = () =>
+      receive(node, { ...request, lastIndex: 1, lastTerm: 3, emptiedIds: ['a'] }).filter(
+        (effect) => effect.type === RaftEffectType.Send,
+      );
+    expect(votes()).toEqual([]);
+    report(node, member('a-2', 'a'), ['a']);
+    expect(votes()).toMatchObject([{ message: { granted: true, emptiedIds: ['a'] } }]);
+  });
+
+  // A message of an emptied leader that was under way when its disk was lost.
+  it('ignores messages of emptied voters, and its own over the link to its earlier id', () => {
+    const node = createNode(['a', 'b', 'c'], 2);
+    report(node, member('a-2', 'a'), ['a']);
+    const append = { type: RaftMessageType.Append, term: 9, prevIndex: 1, prevTerm: 3, round: 0 };
+    ['a', 'c'].forEach((from) =>
+      receive(node, { ...append, from, entries: [], commitIndex: 1, fromInstanceId: 'instance-c' }),
+    );
+    expect(node.state.term).toBe(3);
+  });
+});
--- /dev/null
+++ b/src/control/raft/Recovery.ts
@@ -0,0 +1,94 @@
+import type { Member } from './Types.js';
+import type { RaftState } from './RaftState.js';
+
+/**
+ * Distance between the terms of two recovery elections. Terms that emptied voters used among
+ * themselves are unknown to the others, so a recovery starts at a multiple of this number, which no
+ * ordinary election reaches: at one election every 90 ms, 2^32 elections take twelve years. A
+ * JavaScript number holds 2^21 such recoveries.
+ */
+export const RECOVERY_TERM_STEP = 2 ** 32;
+
+/** First term after the given one that belongs to recovery elections. */
+export function nextRecoveryTerm(term: number): number {
+  return (Math.floor(term / RECOVERY_TERM_STEP) + 1) * RECOVERY_TERM_STEP;
+}
+
+/** Number of recovery elections that led to a term. */
+export function recoveriesBefore(term: number): number {
+  return Math.floor(term / RECOVERY_TERM_STEP);
+}
+
+function countAddresses(members: readonly Member[]): number {
+  return new Set(members.map(({ address, port }) => `${address}:${port}`)).size;
+}
+
+/** True if the voters are so few that losing `hostsLostAtOnce` disks leaves no majority of them. */
+export function mayNeedRecovery(state: RaftState): boolean {
+  const { voters } = state.log.membership;
+  return countAddresses(voters) <= 2 * state.hostsLostAtOnce;
+}
+
+/**
+ * Records the report of a host that its disk was empty. The id counts as emptied only if the
+ * membership has it as a voter at the address and port of the reporting host, under another id than
+ * the reporter's. Ids are never used again after their disk is lost, so a late or repeated report
+ * is as true as the first one.
+ *
+ * @returns the ids that count as emptied from now on and did not before
+ * @example
+ * recordEmptied(state, { id: 'c-2', address: '10.0.0.3', port: 7540 }, ['c']); // ['c']
+ */
+export function recordEmptied(
+  state: RaftState,
+  reporter: Member,
+  emptiedIds: readonly string[],
+): string[] {
+  if (state.hostsLostAtOnce === 0) return [];
+  const added = state.log.membership.voters
+    .filter(
+      (voter) =>
+        emptiedIds.includes(voter.id) &&
+        voter.id !== state.id &&
+        voter.id !== reporter.id &&
+        voter.address === reporter.address &&
+        voter.port === reporter.port &&
+        !state.emptiedIds.has(voter.id),
+    )
+    .map(({ id }) => id);
+  added.forEach((id) => state.emptiedIds.add(id));
+  return added;
+}
+
+/**
+ * Emptied voters without whose votes an election may be held; none if a majority of voters must be
+ * left by the setting, or if more hosts are emptied than the setting allows for.
+ */
+export function recoverableIds(state: RaftState): string[] {
+  if (state.emptiedIds.size === 0 || !mayNeedRecovery(state)) return [];
+  const emptied = state.log.membership.voters.filter(({ id }) => state.emptiedIds.has(id));
+  return countAddresses(emptied) <= state.hostsLostAtOnce ? emptied.map(({ id }) => id) : [];
+}
+
+/** True if this host has verified every one of the reports. */
+export function confirmsEmptied(state: RaftState, ids: readonly string[]): boolean {
+  return ids.every((id) => state.emptiedIds.has(id));
+}
+
+/** Voters that the current recovery does not count as emptied. */
+export function remainingVoters(state: RaftState): Member[] {
+  return state.log.membership.voters.filter(({ id }) => !state.recoveryIds.includes(id));
+}
+
+/** True if every voter that is not emptied has voted and confirmed the reports. */
+export function hasRecoveryVotes(state: RaftState): boolean {
+  return (
+    state.recoveryIds.length > 0 &&
+    remainingVoters(state).every(({ id }) => state.recoveryVotes.has(id))
+  );
+}
+
+/** True while a leader that a recovery elected still has emptied voters in its membership. */
+export function isRecovering(state: RaftState): boolean {
+  return state.recoveryIds.some((id) => state.log.isVoter(id));
+}
--- a/src/control/raft/Replication.ts
+++ b/src/control/raft/Replication.ts
@@ -1,6 +1,8 @@
 import { CommandType, type Command } from '../Commands.js';
+import { committableIndex, quorumValue } from './Copies.js';
 import { becomeFollower } from './Election.js';
 import type { Follower, RaftState } from './RaftState.js';
+import { isRecovering } from './Recovery.js';
 import {
   RaftEffectType,
   RaftMessageType,
@@ -73,7 +75,7 @@
       round: state.round,
     },
     // The votes of others show that the term is durable; a single voter leads before it is.
-    state.log.quorum > 1,
+    state.log.quorum > 1 && !isRecovering(state),
   );
 }
 
@@ -109,25 +111,10 @@
   broadcastAppend(state);
 }
 
-/** Highest value that a majority of voters has reached. */
-function majorityValue(
-  state: RaftState,
-  localValue: number,
-  get: (follower: Follower) => number,
-): number {
-  const values = state.log.membership.voters.map((member) => {
-    if (member.id === state.id) return localValue;
-    const follower = state.followers.get(member.id);
-    return follower ? get(follower) : Number.NEGATIVE_INFINITY;
-  });
-  values.sort((a, b) => b - a);
-  return values[state.log.quorum - 1] ?? Number.NEGATIVE_INFINITY;
-}
-
-/** Commits entries durable on a majority once the last is of this term (Raft section 5.4.2). */
+/** Commits entries that are on enough disks once the last is of this term (Raft section 5.4.2). */
 export function advanceCommit(state: RaftState): void {
   if (state.role !== RaftRole.Leader) return;
-  const index = majorityValue(state, state.persistedIndex, (follower) => follower.matchIndex);
+  const index = committableIndex(state);
   if (index <= state.commitIndex || state.log.termAt(index) !== state.term) return;
   state.commitIndex = index;
   state.applyCommitted();
@@ -144,7 +131,7 @@
 /** Completes the reads whose confirmation round a majority has acknowledged. */
 export function releaseReads(state: RaftState): void {
   if (state.pendingReads.length === 0 || !hasCommittedInTerm(state)) return;
-  const confirmedRound = majorityValue(state, state.round, (follower) => follower.ackedRound);
+  const confirmedRound = quorumValue(state, state.round, (follower) => follower.ackedRound);
   const ready = state.pendingReads.filter(
     (read) => read.round <= confirmedRound && read.readIndex <= state.appliedIndex,
   );
@@ -170,7 +157,7 @@
  * still has its role when it resumes, while the others may have elected another one.
  */
 export function hasRecentMajority(state: RaftState, nowMs: number): boolean {
-  const majorityReplyAtMs = majorityValue(state, nowMs, (follower) => follower.ackedAtMs);
+  const majorityReplyAtMs = quorumValue(state, nowMs, (follower) => follower.ackedAtMs);
   return nowMs - majorityReplyAtMs <= state.timing.electionTimeoutMs;
 }
 
--- a/src/control/raft/Types.ts
+++ b/src/control/raft/Types.ts
@@ -68,11 +68,15 @@
   readonly type: RaftMessageType.PreVote | RaftMessageType.Vote;
   readonly lastIndex: number;
   readonly lastTerm: number;
+  /** Emptied voters of a recovery election; only voters that verified the reports may grant it. */
+  readonly emptiedIds?: readonly string[];
 }
 
 export interface VoteReply extends MessageBase {
   readonly type: RaftMessageType.PreVoteReply | RaftMessageType.VoteReply;
   readonly granted: boolean;
+  /** Emptied voters of the request, if the sender verified all of the reports. */
+  readonly emptiedIds?: readonly string[];
 }
 
 export interface AppendRequest extends MessageBase {
@@ -123,6 +127,10 @@
   Read = 'read',
   Persisted = 'persisted',
   SnapshotSaved = 'snapshot-saved',
+  /** A host reported that its disk was empty. */
+  HostEmptied = 'host-emptied',
+  /** The disk of this host started to reject writes, or accepts them again. */
+  DiskState = 'disk-state',
 }
 
 export type RaftEvent =
@@ -148,7 +156,15 @@
       readonly snapshot: Snapshot;
       /** True for a snapshot received from the leader. */
       readonly received: boolean;
-    };
+    }
+  | {
+      readonly type: RaftEventType.HostEmptied;
+      readonly nowMs: number;
+      readonly reporter: Member;
+      /** Ids that the host had before its disk was lost. */
+      readonly emptiedIds: readonly string[];
+    }
+  | { readonly type: RaftEventType.DiskState; readonly nowMs: number; readonly refuses: boolean };
 
 export enum RaftEffectType {
   Persist = 'persist',
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -20,6 +20,7 @@
 import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
 import { ControlReducer } from '../ControlReducer.js';
 import type { RaftTiming } from '../raft/RaftState.js';
+import { recoveriesBefore } from '../raft/Recovery.js';
 import type { Member, RaftMessage } from '../raft/Types.js';
 import { shouldRequestJoin, type AutoMembershipOptions } from '../AutoMembership.js';
 import { BackendsFile } from '../storage/BackendsFile.js';
@@ -37,6 +38,7 @@
 } from '../Types.js';
 import { AdminApi, type AdminResult } from './AdminApi.js';
 import { DurableSender } from './DurableSender.js';
+import { EmptiedIds } from './EmptiedReports.js';
 import { answerJoin, JOIN_PATH, requestJoin } from './JoinEndpoint.js';
 import { CONTROL_PEER_FIELDS, ENTRY_FIELDS, RAFT_FIELDS } from './MessageFields.js';
 import { MessageCompressor } from './MessageCompressor.js';
@@ -68,6 +70,8 @@
   readonly supervised?: boolean;
   /** Present if lost control hosts are replaced without an operator. */
   readonly autoMembership?: AutoMembershipOptions;
+  /** True if the data folder was created empty, and not at the first start of the system. */
+  readonly wasEmptied?: boolean;
   /** Control hosts that receive join requests while this host is not a member. */
   readonly seeds?: () => readonly { readonly address: string; readonly port: number }[];
 }
@@ -148,6 +152,9 @@
   /** Callbacks of unanswered announcements, by request id. */
   private readonly pendingAnnouncements = new Map<string, (confirmed: boolean) => void>();
 
+  /** Ids that this host had before its disk was lost. */
+  private readonly emptiedIds = new EmptiedIds(() => this.self());
+
   private startedAtMs = 0;
 
   /** Settles once the stop has ended; undefined before it begins. */
@@ -191,7 +198,8 @@
         answerJoin(request, response, {
           secret,
           membership: () => this.reducer.raft.state.log.membership,
-          onJoin: (member) => this.post({ type: ControlEventType.Join, member }),
+          onJoin: (member, emptiedIds) =>
+            this.post({ type: ControlEventType.Join, member, emptiedIds }),
         });
         return;
       }
@@ -254,7 +262,10 @@
    */
   static async open(options: ControlServerOptions): Promise<ControlServer> {
     const { file } = options;
-    const storage = await ControlServer.openStorage(options);
+    const diskState: { report?: (refuses: boolean) => void } = {};
+    const storage = await ControlServer.openStorage(options, (refuses) =>
+      diskState.report?.(refuses),
+    );
     const { instanceId, hardState, snapshot, entries } = storage.stored;
     const reducer = new ControlReducer({
       raft: {
@@ -276,10 +287,16 @@
       availabilityZone: file.availabilityZone,
       entryHeartbeatTimeoutMs: options.entryHeartbeatTimeoutMs,
     });
-    return new ControlServer(options, storage, reducer);
+    const server = new ControlServer(options, storage, reducer);
+    diskState.report = (refuses) =>
+      server.postReliably({ type: ControlEventType.DiskState, refuses });
+    return server;
   }
 
-  private static async openStorage(options: ControlServerOptions): Promise<Storage> {
+  private static async openStorage(
+    options: ControlServerOptions,
+    onDiskState: (refuses: boolean) => void,
+  ): Promise<Storage> {
     const { file, logger, initialize, identity, supervised } = options;
     if (options.observer) return createMemoryStorage();
     return DataFolder.open({
@@ -287,9 +304,14 @@
       initialize,
       identity,
       supervised,
-      onWritesRefused: (error) =>
-        logger.error('disk_refusing', { host: file.id, detail: String(error) }),
-      onWritesAccepted: (refusedMs) => logger.info('disk_taking', { host: file.id, refusedMs }),
+      onWritesRefused: (error) => {
+        logger.error('disk_refusing', { host: file.id, detail: String(error) });
+        onDiskState(true);
+      },
+      onWritesAccepted: (refusedMs) => {
+        logger.info('disk_taking', { host: file.id, refusedMs });
+        onDiskState(false);
+      },
     });
   }
 
@@ -428,17 +450,21 @@
     const { state } = this.reducer.raft;
     const { file, secret, logger } = this.options;
     if (!shouldRequestJoin(state, this.clock.nowMs(), this.startedAtMs)) return;
-    const { observer } = this.options;
-    const { address } = file.listen;
-    const member = { id: file.id, address, port: this.boundPort, ...(observer && { observer }) };
+    const member = this.self();
     const otherMembers = state.log.membersExcept(file.id);
-    [...(this.options.seeds?.() ?? []), ...otherMembers]
+    const requesters = this.reducer.joinRequesters(this.clock.nowMs());
+    if (this.options.wasEmptied) this.emptiedIds.learn(state.log.membership);
+    const emptiedIds = this.emptiedIds.list();
+    // This host is the first witness that its earlier ids are gone.
+    if (emptiedIds.length > 0) this.post({ type: ControlEventType.Join, member, emptiedIds });
+    [...(this.options.seeds?.() ?? []), ...requesters, ...otherMembers]
       .filter((target) => target.address !== member.address || target.port !== member.port)
       .forEach((target) => {
-        requestJoin(target, member, secret).then(
+        requestJoin(target, member, secret, emptiedIds).then(
           (membership) => {
-            if (this.stopped) return;
-            if (!membership || state.log.membership.voters.length > 0) return;
+            if (this.stopped || !membership) return;
+            if (this.options.wasEmptied) this.emptiedIds.learn(membership);
+            if (state.log.membership.voters.length > 0) return;
             if (state.log.lastIndex > 0 || membership.voters.length === 0) return;
             state.log.adoptMembership(membership);
             logger.info('membership_learned', {
@@ -454,6 +480,13 @@
       });
   }
 
+  /** This host as a member. */
+  private self(): Member {
+    const { file, observer } = this.options;
+    const { address } = file.listen;
+    return { id: file.id, address, port: this.boundPort, ...(observer && { observer }) };
+  }
+
   private withTimes(event: Untimed<ControlEvent>): ControlEvent {
     const times = { nowMs: this.clock.nowMs(), wallMs: this.clock.wallMs() };
     return { ...event, ...times } as ControlEvent;
@@ -616,6 +649,16 @@
     gauge('egret_control_term', 'Current term.', () => reducer.raft.state.term);
     gauge('egret_control_commit_index', 'Commit index.', () => reducer.raft.state.commitIndex);
     gauge('egret_control_is_leader', '1 on the leader.', () => Number(reducer.raft.isLeader));
+    gauge(
+      'egret_control_recoveries',
+      'Elections without emptied voters that led to the term.',
+      () => recoveriesBefore(reducer.raft.state.term),
+    );
+    gauge(
+      'egret_control_emptied_voters',
+      'Ids of voters that this host counts as emptied.',
+      () => reducer.raft.state.emptiedIds.size,
+    );
     gauge('egret_control_revision', 'Settings revision.', () => reducer.replicatedState.revision);
     gauge(
       'egret_control_claims',
--- a/src/control/server/JoinEndpoint.ts
+++ b/src/control/server/JoinEndpoint.ts
@@ -17,17 +17,48 @@
   return createHmac('sha256', secret).update(text).digest('base64url');
 }
 
+/** Signs a report by itself, so that earlier versions accept the join request that carries it. */
+function signReport(secret: string, member: Member, emptiedIds: readonly string[]): string {
+  const text = JSON.stringify(['emptied', member.id, member.address, member.port, emptiedIds]);
+  return createHmac('sha256', secret).update(text).digest('base64url');
+}
+
+function isEqual(expected: string, received: unknown): boolean {
+  const [left, right] = [Buffer.from(expected), Buffer.from(String(received))];
+  return left.length === right.length && timingSafeEqual(left, right);
+}
+
+/** Report of a host that started with an empty disk, and not for the first time. */
+interface EmptiedReport {
+  /** Member ids that the host had before. */
+  readonly emptiedIds: readonly string[];
+  readonly mac: string;
+}
+
+/** Returns the ids of an authentic report; none without one. */
+function readReport(secret: string, { member, report }: JoinRequest): readonly string[] {
+  if (!report) return [];
+  const { emptiedIds, mac } = report;
+  const isList = Array.isArray(emptiedIds) && emptiedIds.every((id) => typeof id === 'string');
+  if (!isList) throw new EgretError(ErrorKind.BadRequest, 'The emptied ids are not a list of ids.');
+  if (!isEqual(signReport(secret, member, emptiedIds), mac)) {
+    throw new EgretError(ErrorKind.Unauthorized, 'Invalid signature of the emptied ids.');
+  }
+  return emptiedIds;
+}
+
 /** Join request of a control host, authenticated with the shared secret. */
 interface JoinRequest {
   readonly member: Member;
   readonly mac: string;
+  readonly report?: EmptiedReport;
 }
 
 /** Options of {@link answerJoin}. */
 export interface AnswerJoinOptions {
   readonly secret: string;
   readonly membership: () => Membership;
-  readonly onJoin: (member: Member) => void;
+  readonly onJoin: (member: Member, emptiedIds: readonly string[]) => void;
 }
 
 /** Answers a join request with this host's current membership. */
@@ -36,21 +67,18 @@
   response: ServerResponse,
   options: AnswerJoinOptions,
 ): void {
-  readJson(request).then(
-    (body) => {
+  readJson(request)
+    .then((body) => {
       const { member, mac } = body as JoinRequest;
       const { id, address, port, observer } = member;
-      const expected = Buffer.from(sign(options.secret, member));
-      const received = Buffer.from(String(mac));
-      if (expected.length !== received.length || !timingSafeEqual(expected, received)) {
-        sendError(response, new EgretError(ErrorKind.Unauthorized, 'Invalid join signature.'));
-        return;
+      if (!isEqual(sign(options.secret, member), mac)) {
+        throw new EgretError(ErrorKind.Unauthorized, 'Invalid join signature.');
       }
-      options.onJoin({ id, address, port, ...(observer === true ? { observer } : {}) });
+      const emptiedIds = readReport(options.secret, body as JoinRequest);
+      options.onJoin({ id, address, port, ...(observer === true ? { observer } : {}) }, emptiedIds);
       sendJson(response, 200, options.membership());
-    },
-    (error: unknown) => sendError(response, toEgretError(error, ErrorKind.BadRequest)),
-  );
+    })
+    .catch((error: unknown) => sendError(response, toEgretError(error, ErrorKind.BadRequest)));
 }
 
 /**
@@ -64,9 +92,15 @@
   target: { readonly address: string; readonly port: number },
   member: Member,
   secret: string,
+  emptiedIds: readonly string[] = [],
 ): Promise<Membership | undefined> {
   return new Promise((resolve) => {
-    const body = JSON.stringify({ member, mac: sign(secret, member) });
+    const report = { emptiedIds, mac: signReport(secret, member, emptiedIds) };
+    const body = JSON.stringify({
+      member,
+      mac: sign(secret, member),
+      ...(emptiedIds.length > 0 && { report }),
+    });
     const request = httpRequest({
       host: target.address,
       port: target.port,
