--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -152,6 +152,11 @@
     this.announcementCallbacks.clear();
   }
 
+  /** Index of the last entry on the disk. */
+  get lastDurableIndex(): number {
+    return this.disk.entries.at(-1)?.index ?? this.disk.snapshot?.index ?? 0;
+  }
+
   /** Delays every write from now on until a time has passed. */
   stallDisk(stallMs: number): void {
     this.syncedAtMs = Math.max(this.syncedAtMs, this.options.timeline.nowMs + stallMs);
--- a/fuzz/DiskWorld.ts
+++ b/fuzz/DiskWorld.ts
@@ -42,6 +42,9 @@
 const CATCH_UP_MS = 6_000;
 const RECOVERY_MS = 15_000;
 
+/** Longest stall of a disk; a voter is unreachable after 1.2 s. */
+const MAX_STALL_MS = 1_000;
+
 /** Separates the address from the number of the disk in a member id. */
 const DISK_SEPARATOR = '~';
 
@@ -169,26 +172,39 @@
       else if (outage < 0.4) this.cut(1);
       else if (outage < 0.5) this.wipeOne();
       if (outage < 0.5) this.timeline.advance(this.random.next() * 4_000);
-      this.loseDisksAtConfirmation(this.random.next() < 0.5);
+      if (this.random.next() < 0.5) this.stallOne();
+      this.loseDisksAtConfirmation(this.random.next() < 0.5, this.random.next() < 0.5);
       this.check();
     }
   }
 
+  /** Delays the writes of one voter, so that the newest changes are on the other disks only. */
+  private stallOne(): void {
+    const [site] = this.pick(this.voterSites(), 1);
+    site?.host.stallDisk(this.random.next() * MAX_STALL_MS);
+  }
+
   private voterIds(): string | undefined {
     return this.leader()
       ?.reducer.raft.state.log.membership.voters.map((voter) => voter.id)
       .join();
   }
 
-  /** Empties disks, and cuts the power of all other hosts, as soon as a change is confirmed. */
-  loseDisksAtConfirmation(cutsPower = true): void {
+  /**
+   * Empties disks, and cuts the power of all other hosts, as soon as a change is confirmed. The
+   * disks are chosen at random, or are those of the voters with the newest entries.
+   */
+  loseDisksAtConfirmation(cutsPower = true, choosesNewest = false): void {
     let lost = false;
     this.onConfirmed = () => {
       lost = true;
       this.checkCatchUp();
       const running = this.sites.filter((site) => site.host.alive);
       const voters = this.voterSites().filter((site) => site.host.alive);
-      const wiped = this.pick(this.random.next() < 0.7 ? voters : running, this.disksLeft);
+      const count = this.disksLeft;
+      const wiped = choosesNewest
+        ? voters.sort((a, b) => b.host.lastDurableIndex - a.host.lastDurableIndex).slice(0, count)
+        : this.pick(this.random.next() < 0.7 ? voters : running, count);
       if (cutsPower) this.sites.forEach((site) => site.host.crash());
       wiped.forEach((site) => this.wipe(site));
     };
