Recovery only on sustained reports of emptied disks

Cause: a voter that was replaced during an outage has an old membership. If the voters that know the newer one are emptied, it would count them and lead alone beside the leader of the newer membership.

Change: an emptied host reports only while no leader reaches it, and a recovery needs reports repeated for four election timeouts without a gap of 1.5 s.

--- a/fuzz/DiskWorld.ts
+++ b/fuzz/DiskWorld.ts
@@ -2,6 +2,7 @@
 import { createTable } from '../src/common/routing/fixtures.js';
 import { requiredVoterCount, shouldRequestJoin } from '../src/control/AutoMembership.js';
 import type { RoutingView } from '../src/common/routing/Types.js';
+import { shouldReportEmptied } from '../src/control/raft/Recovery.js';
 import type { Member } from '../src/control/raft/Types.js';
 import { AdminRequestType, ControlEventType } from '../src/control/Types.js';
 import { hashToken } from '../src/runtime/LinkAuth.js';
@@ -402,8 +403,10 @@
   /** Ids of the host before its disk was lost, as far as it has learned them. */
   private emptiedIdsOf(site: Site): string[] {
     const { host, address, emptiedIds } = site;
+    const { state } = host.reducer.raft;
     if (!this.replacedIds.has(host.options.id)) return [];
-    host.reducer.raft.state.log.membership.voters
+    if (!shouldReportEmptied(state, this.timeline.nowMs)) return [];
+    state.log.membership.voters
       .filter((voter) => voter.address === address && voter.id !== host.options.id)
       .forEach(({ id }) => emptiedIds.add(id));
     return [...emptiedIds];
--- a/src/control/raft/RaftState.ts
+++ b/src/control/raft/RaftState.ts
@@ -111,6 +111,9 @@
   /** Former voters whose hosts reported an empty disk; their messages are ignored. */
   readonly emptiedIds = new Set<string>();
 
+  /** Times of the first and last report of each emptied voter, without a longer gap in between. */
+  readonly reportTimes = new Map<string, { readonly firstMs: number; readonly lastMs: number }>();
+
   /** Emptied voters that the current recovery election or leadership counts; else none. */
   recoveryIds: readonly string[] = [];
 
--- a/src/control/raft/Recovery.test.ts
+++ b/src/control/raft/Recovery.test.ts
@@ -13,6 +13,8 @@
 
 const member = (id: string, address = id): Member => ({ id, address, port: 7_000 });
 
+const REPORTED_MS = 3_000;
+
 function createNode(voters: readonly string[], hostsLostAtOnce: number) {
   const membership = { voters: voters.map((id) => member(id)), learners: [] };
   return new RaftNode({
@@ -25,15 +27,26 @@
   });
 }
 
-const report = (node: RaftNode, reporter: Member, emptiedIds: readonly string[]) =>
-  node.reduce({ type: RaftEventType.HostEmptied, nowMs: 1, reporter, emptiedIds });
+/** Report that is repeated every 500 ms, by default from 0 to 3,000 ms. */
+function report(
+  node: RaftNode,
+  reporter: Member,
+  emptiedIds: readonly string[],
+  fromMs = 0,
+  toMs = REPORTED_MS,
+): void {
+  for (let nowMs = fromMs; nowMs <= toMs; nowMs += 500) {
+    Object.assign(node.state, { nowMs });
+    node.reduce({ type: RaftEventType.HostEmptied, nowMs, reporter, emptiedIds });
+  }
+}
 
 function campaign(node: RaftNode) {
-  node.reduce({ type: RaftEventType.Tick, nowMs: 2, random: 0 });
-  return node.reduce({ type: RaftEventType.Tick, nowMs: 2_000, random: 0 });
+  node.reduce({ type: RaftEventType.Tick, nowMs: 3_001, random: 0 });
+  return node.reduce({ type: RaftEventType.Tick, nowMs: 4_000, random: 0 });
 }
 
-const receive = (node: RaftNode, message: object, nowMs = 2_001) =>
+const receive = (node: RaftNode, message: object, nowMs = 4_001) =>
   node.reduce({
     type: RaftEventType.Message,
     nowMs,
@@ -55,7 +68,9 @@
     campaign(node);
     expect(node.isLeader).toBe(false);
     report(node, member('b-2', 'b'), ['b']);
-    node.reduce({ type: RaftEventType.Tick, nowMs: 4_000, random: 0 });
+    report(node, member('a-2', 'a'), ['a']);
+    campaign(node);
+    node.reduce({ type: RaftEventType.Tick, nowMs: 4_400, random: 0 });
     expect(node.isLeader).toBe(true);
     expect(node.state.term).toBe(RECOVERY_TERM_STEP);
   });
@@ -73,6 +88,29 @@
     expect([...node.state.emptiedIds]).toEqual([]);
   });
 
+  // A leader of the other voters has reached the host, which has stopped to report.
+  it('does not recover on a single report, or on reports that have ended', () => {
+    const node = createNode(['b', 'c'], 1);
+    report(node, member('b-2', 'b'), ['b'], 3_000, 3_000);
+    campaign(node);
+    expect(node.isLeader).toBe(false);
+    report(node, member('b-2', 'b'), ['b'], 5_000, 8_000);
+    node.reduce({ type: RaftEventType.Tick, nowMs: 10_000, random: 0 });
+    expect(node.isLeader).toBe(false);
+  });
+
+  it('gives up leadership and starts no election while its disk rejects writes', () => {
+    const node = createNode(['c'], 0);
+    campaign(node);
+    expect(node.isLeader).toBe(true);
+    node.reduce({ type: RaftEventType.DiskState, nowMs: 4_001, refuses: true });
+    node.reduce({ type: RaftEventType.Tick, nowMs: 6_000, random: 0 });
+    expect(node.isLeader).toBe(false);
+    node.reduce({ type: RaftEventType.DiskState, nowMs: 6_001, refuses: false });
+    node.reduce({ type: RaftEventType.Tick, nowMs: 8_000, random: 0 });
+    expect(node.isLeader).toBe(true);
+  });
+
   it('does not recover with more emptied voters than the setting allows for', () => {
     const node = createNode(['a', 'b', 'c', 'd'], 2);
     ['a', 'b', 'd'].forEach((id) => report(node, member(`${id}-2`, id), [id]));
--- a/src/control/raft/Recovery.ts
+++ b/src/control/raft/Recovery.ts
@@ -19,6 +19,16 @@
   return Math.floor(term / RECOVERY_TERM_STEP);
 }
 
+/**
+ * Time for which the reports of an emptied voter must have been repeated before a recovery: a leader
+ * elected by the other voters reaches the reporting host within an election that fails once (four
+ * election timeouts), and the host then stops reporting.
+ */
+const SUSTAINED_REPORT_TIMEOUTS = 4;
+
+/** Longest gap between two reports; they are sent every 500 ms, of which one may be lost. */
+const REPORT_GAP_MS = 1_500;
+
 function countAddresses(members: readonly Member[]): number {
   return new Set(members.map(({ address, port }) => `${address}:${port}`)).size;
 }
@@ -29,6 +39,31 @@
   return countAddresses(voters) <= 2 * state.hostsLostAtOnce;
 }
 
+function noteReport(state: RaftState, id: string): void {
+  const lastMs = state.nowMs;
+  const times = state.reportTimes.get(id);
+  const continues = times !== undefined && lastMs - times.lastMs <= REPORT_GAP_MS;
+  state.reportTimes.set(id, { firstMs: continues ? times.firstMs : lastMs, lastMs });
+}
+
+/** True if the host at the address of a voter has reported for a while, and still does. */
+function isReportSustained(state: RaftState, id: string): boolean {
+  const times = state.reportTimes.get(id);
+  if (!times || state.nowMs - times.lastMs > REPORT_GAP_MS) return false;
+  const sustainedMs = state.timing.electionTimeoutMs * SUSTAINED_REPORT_TIMEOUTS;
+  return times.lastMs - times.firstMs >= sustainedMs;
+}
+
+/**
+ * True if a host with an emptied disk should report it: no leader has reached it for a while. A host
+ * that was replaced during an outage has an old membership, in which the voters that know the newer
+ * one may all be emptied; contact with a leader shows that the others need no recovery.
+ */
+export function shouldReportEmptied(state: RaftState, nowMs: number): boolean {
+  const silentMs = nowMs - state.leaderContactAtMs;
+  return silentMs > state.timing.electionTimeoutMs * SUSTAINED_REPORT_TIMEOUTS;
+}
+
 /**
  * Records the report of a host that its disk was empty. The id counts as emptied only if the
  * membership has it as a voter at the address and port of the reporting host, under another id than
@@ -45,17 +80,18 @@
   emptiedIds: readonly string[],
 ): string[] {
   if (state.hostsLostAtOnce === 0) return [];
-  const added = state.log.membership.voters
+  const reported = state.log.membership.voters
     .filter(
       (voter) =>
         emptiedIds.includes(voter.id) &&
         voter.id !== state.id &&
         voter.id !== reporter.id &&
         voter.address === reporter.address &&
-        voter.port === reporter.port &&
-        !state.emptiedIds.has(voter.id),
+        voter.port === reporter.port,
     )
     .map(({ id }) => id);
+  reported.forEach((id) => noteReport(state, id));
+  const added = reported.filter((id) => !state.emptiedIds.has(id));
   added.forEach((id) => state.emptiedIds.add(id));
   return added;
 }
@@ -67,7 +103,9 @@
 export function recoverableIds(state: RaftState): string[] {
   if (state.emptiedIds.size === 0 || !mayNeedRecovery(state)) return [];
   const emptied = state.log.membership.voters.filter(({ id }) => state.emptiedIds.has(id));
-  return countAddresses(emptied) <= state.hostsLostAtOnce ? emptied.map(({ id }) => id) : [];
+  if (countAddresses(emptied) > state.hostsLostAtOnce) return [];
+  if (!emptied.every(({ id }) => isReportSustained(state, id))) return [];
+  return emptied.map(({ id }) => id);
 }
 
 /** True if this host has verified every one of the reports. */
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -20,7 +20,7 @@
 import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
 import { ControlReducer } from '../ControlReducer.js';
 import type { RaftTiming } from '../raft/RaftState.js';
-import { recoveriesBefore } from '../raft/Recovery.js';
+import { recoveriesBefore, shouldReportEmptied } from '../raft/Recovery.js';
 import type { Member, RaftMessage } from '../raft/Types.js';
 import { shouldRequestJoin, type AutoMembershipOptions } from '../AutoMembership.js';
 import { BackendsFile } from '../storage/BackendsFile.js';
@@ -454,7 +454,8 @@
     const otherMembers = state.log.membersExcept(file.id);
     const requesters = this.reducer.joinRequesters(this.clock.nowMs());
     if (this.options.wasEmptied) this.emptiedIds.learn(state.log.membership);
-    const emptiedIds = this.emptiedIds.list();
+    const reports = shouldReportEmptied(state, this.clock.nowMs());
+    const emptiedIds = reports ? this.emptiedIds.list() : [];
     // This host is the first witness that its earlier ids are gone.
     if (emptiedIds.length > 0) this.post({ type: ControlEventType.Join, member, emptiedIds });
     [...(this.options.seeds?.() ?? []), ...requesters, ...otherMembers]
