--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -3,12 +3,13 @@
 import type { AutoMembershipOptions } from '../src/control/AutoMembership.js';
 import { isRestorable } from '../src/control/RestoredBackends.js';
 import { ControlReducer } from '../src/control/ControlReducer.js';
-import type {
-  HardState,
-  LogEntry,
-  Member,
-  RaftMessage,
-  Snapshot,
+import {
+  RaftRole,
+  type HardState,
+  type LogEntry,
+  type Member,
+  type RaftMessage,
+  type Snapshot,
 } from '../src/control/raft/Types.js';
 import {
   ControlEffectType,
@@ -49,6 +50,8 @@
   readonly sendControl?: (to: string, message: ControlPeerMessage) => void;
   /** Present if lost control hosts are replaced without an operator. */
   readonly autoMembership?: AutoMembershipOptions;
+  /** Called when the host becomes leader of a term. */
+  readonly onElected?: (term: number) => void;
   /** Time without a heartbeat after which an entry host is no longer listed. */
   readonly entryHeartbeatTimeoutMs?: number;
 }
@@ -149,6 +152,11 @@
     this.announcementCallbacks.clear();
   }
 
+  /** Index of the last entry on the disk. */
+  get lastDurableIndex(): number {
+    return this.disk.entries.at(-1)?.index ?? this.disk.snapshot?.index ?? 0;
+  }
+
   /** Delays every write from now on until a time has passed. */
   stallDisk(stallMs: number): void {
     this.syncedAtMs = Math.max(this.syncedAtMs, this.options.timeline.nowMs + stallMs);
@@ -275,7 +283,9 @@
         this.disk.departures = effect.records;
         this.handle({ type: ControlEventType.DeparturesSaved, saveId: effect.saveId });
       }),
-    [ControlEffectType.RoleChanged]: () => {},
+    [ControlEffectType.RoleChanged]: (effect: EffectOf<ControlEffectType.RoleChanged>) => {
+      if (effect.role === RaftRole.Leader) this.options.onElected?.(effect.term);
+    },
     [ControlEffectType.Log]: () => {},
   };
 }
--- a/src/gateway/server/UsageCap.test.ts
+++ b/src/gateway/server/UsageCap.test.ts
@@ -10,12 +10,16 @@
 import { openSingleControl } from '../../control/server/fixtures.js';
 import { AdminRequestType } from '../../control/Types.js';
 import { FAST_LINK_TIMING } from '../../runtime/MessageClient.js';
+import { digestOfKey } from '../../runtime/KeyDigest.js';
 import { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
 import { CapRefusal, type UsageCaps } from '../caps/UsageCaps.js';
 import { GatewayServer } from './GatewayServer.js';
 import { soundReply, startTestGateway, TEST_PROFILE } from './fixtures.js';
 
 const HOST = '127.0.0.1';
+
+const KEY = 'key-of-a';
+
 const BOUNDS = { windowMs: 5_000, overshootRatio: 0.1, slackCalls: 20 };
 
 const stops: (() => Promise<void> | void)[] = [];
@@ -27,7 +31,7 @@
 /** Sends the head of a call with a body that never arrives, and returns the answer. */
 function sendHead(port: number): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
-    const headers = { Host: 'calls.example', 'Content-Length': '1000' };
+    const headers = { Host: 'calls.example', Key: KEY, 'Content-Length': '1000' };
     const sent = sendRequest({ host: HOST, port, method: 'POST', path: '/order/x', headers });
     sent.on('response', (answer) => {
       resolve(answer);
@@ -49,7 +53,8 @@
     await backend.start();
     const gateway = await startTestGateway({
       alpha: { 'b-1': backend },
-      calls: { caps: { admit }, customerOf: () => 'a' },
+      calls: { caps: { admit } },
+      customers: [{ name: 'a', keys: [], keyDigests: [digestOfKey(KEY)] }],
     });
     stops.push(() => gateway.stop());
     const answer = await sendHead(gateway.port);
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -2,7 +2,7 @@
 import { RawBackend, headerOf, type RawReply } from '../../../standin/RawBackend.js';
 import { createRandom } from '../../common/Random.js';
 import { createRoute, createService, createTable } from '../../common/routing/fixtures.js';
-import { RouteKind, type Route } from '../../common/routing/Types.js';
+import { RouteKind, type Customer, type Route } from '../../common/routing/Types.js';
 import { HttpConnections } from '../../runtime/HttpConnections.js';
 import { closeServer, listen } from '../../runtime/HttpJson.js';
 import { ActiveRouting } from '../ActiveRouting.js';
@@ -34,6 +34,12 @@
 /** Header names of the test's environment. */
 export const TEST_PROFILE: WireProfile = {
   attemptHeaderNames: new Set(['budget-ms']),
+  customers: {
+    headerNames: new Set(['key', 'customer']),
+    readKey: (headers) => headers.key as string | undefined,
+    customerHeaders: (name) => ['Customer', name],
+    challengeHeaders: [],
+  },
   readCall: (headers) => ({
     callId: headers['call-id'] as string | undefined,
     budgetMs: headers['budget-ms'] === undefined ? undefined : Number(headers['budget-ms']),
@@ -100,14 +106,21 @@
   /** Changes of all routes. */
   readonly route?: Partial<Route>;
   /** Further options of the server of calls. */
-  readonly calls?: Pick<CallServerOptions, 'caps' | 'customerOf'>;
+  readonly calls?: Pick<CallServerOptions, 'caps'>;
+  /** Customers with the digests of their keys; none by default, so that calls need no key. */
+  readonly customers?: readonly Customer[];
 }
 
 /**
  * Starts the data plane of a gateway: routes `read` (idempotent) and `order` to the service
  * `alpha`, and the route `other` to a sound backend server of the service `beta`.
  */
-export async function startTestGateway({ alpha, route = {}, calls: options }: TestGatewayOptions) {
+export async function startTestGateway({
+  alpha,
+  route = {},
+  calls: options,
+  customers,
+}: TestGatewayOptions) {
   const random = createRandom(7);
   const nowMs = () => performance.now();
   const log = () => {};
@@ -138,6 +151,7 @@
     ...createTable(routes),
     services,
     limits: { ...limits, bodyBytesMax: 64 * 1024 * 1024 },
+    ...(customers && { customers }),
   };
   routing.apply({ index: 1, version: 1, table, closedZones: [] });
   const cold = new ColdLimiter({ selfId: 'entry-1' });
