Rollouts: orders, versions of attempts, evidence and verdicts

Operators order a rollout of a service; order, share and verdict are commands of the replicated log and part of the routing view, so that a change of leader or a restart keeps them. Gateways choose the version of each attempt before servers are ranked, count answers by route and version while a rollout runs, and report the counts to the control host that they watch, which passes them to the leader. The leader raises the share in three phases and compares both versions by a cumulative sum test.

--- a/src/common/Errors.ts
+++ b/src/common/Errors.ts
@@ -23,6 +23,7 @@
   ReplayedSequence = 'replayed-sequence',
   InvalidSettings = 'invalid-settings',
   Conflict = 'conflict',
+  RolloutRunning = 'rollout-running',
   BodyTooLarge = 'body-too-large',
   HeadersTooLarge = 'headers-too-large',
   SlowClient = 'slow-client',
@@ -147,6 +148,10 @@
     statusCode: 409,
     remedy: 'Read the subtree again and send the change with its current revision.',
   },
+  [ErrorKind.RolloutRunning]: {
+    statusCode: 409,
+    remedy: 'Wait until the rollout has ended, or end it with "egretctl rollout abort SERVICE".',
+  },
   [ErrorKind.BodyTooLarge]: {
     statusCode: 413,
     remedy: 'Send a smaller body, or raise maxBodyBytes of the service.',
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -1,5 +1,6 @@
 import type { BackendRecord } from './backends/Types.js';
 import type { EntryHost } from './Placement.js';
+import type { EvidenceRow } from './rollouts/Evidence.js';
 import type { RoutingView } from './routing/Types.js';
 import type { SettingsTree } from './SettingsSchema.js';
 import type { ErrorKind } from './Errors.js';
@@ -31,6 +32,8 @@
   BackendRenewals = 'backend-renewals',
   EntryHostsShare = 'entry-hosts-share',
   ReportRelay = 'report-relay',
+  RolloutEvidence = 'rollout-evidence',
+  RolloutEvidenceRelay = 'rollout-evidence-relay',
 }
 
 /** How a session receives the list of entry hosts. */
@@ -270,6 +273,29 @@
   readonly perSecond: number | null;
 }
 
+/** Evidence of one gateway on a running rollout; earlier versions ignore it. */
+export interface RolloutEvidenceMessage {
+  readonly type: ControlMessageType.RolloutEvidence;
+  readonly gatewayId: string;
+  /** Distinguishes process starts of the gateway, whose counts begin again. */
+  readonly startId: string;
+  /** Increases with each report, so that a late one is ignored. */
+  readonly sequence: number;
+  readonly service: string;
+  readonly orderIndex: number;
+  /** Log index of the routing that the gateway applies. */
+  readonly routingIndex: number;
+  /** Counts since the gateway learned of the rollout; a lost report is made good by the next. */
+  readonly rows: readonly EvidenceRow[];
+}
+
+/** Passes evidence on to the leader; earlier versions ignore it. */
+export interface RolloutEvidenceRelayMessage {
+  readonly type: ControlMessageType.RolloutEvidenceRelay;
+  readonly from: string;
+  readonly evidence: RolloutEvidenceMessage;
+}
+
 /** Relays announcements to another control host. */
 export interface BackendRelayMessage {
   readonly type: ControlMessageType.BackendRelay;
@@ -328,7 +354,8 @@
   BackendRelayMessage | BackendRelayAckMessage | BackendRenewalsMessage;
 
 /** Messages between control hosts outside the replicated log. */
-export type ControlPeerMessage = RegistryPeerMessage | EntryHostsShareMessage | ReportRelayMessage;
+export type ControlPeerMessage =
+  RegistryPeerMessage | EntryHostsShareMessage | ReportRelayMessage | RolloutEvidenceRelayMessage;
 
 /** Messages from an entry host to a control host. */
 export type EntryToControlMessage =
@@ -340,7 +367,8 @@
   | WatchMessage
   | BackendsAckMessage
   | CrashReportMessage
-  | LimitReportMessage;
+  | LimitReportMessage
+  | RolloutEvidenceMessage;
 
 /** Messages from a control host to an entry host. */
 export type ControlToEntryMessage =
--- a/src/common/backends/BackendRegistry.ts
+++ b/src/common/backends/BackendRegistry.ts
@@ -89,6 +89,7 @@
       old.port === record.port &&
       old.slots === record.slots &&
       old.availabilityZone === record.availabilityZone &&
+      old.version === record.version &&
       Math.abs(expectedColdMs - record.coldLeftMs) < COLD_CHANGE_MS;
     return same ? RegistryChange.Renewed : RegistryChange.Changed;
   }
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -8,6 +8,7 @@
 import type { EntrySessions } from './EntrySessions.js';
 import { isMemberRequest, planMembership } from './MembershipChange.js';
 import type { RaftNode } from './raft/RaftNode.js';
+import { isRolloutRequest, proposeRollout } from './rollouts/RolloutRequests.js';
 import { RoutingVerdict, type RoutingResult } from './RoutingState.js';
 import { AdminRequestType, type Actor, type AdminRequest } from './Types.js';
 
@@ -112,7 +113,15 @@
       return;
     }
     if (request.type === AdminRequestType.Change) this.proposeChange(requestId, request, actor);
-    else if (request.type === AdminRequestType.ChangeRouting) {
+    else if (isRolloutRequest(request)) {
+      proposeRollout(this.options, request, {
+        actor,
+        wallMs: this.times.wallMs,
+        onApplied: (body, error) =>
+          error ? answer(requestId, null, error) : this.confirm(requestId, body),
+        onLost: () => this.answerNotLeader(requestId),
+      });
+    } else if (request.type === AdminRequestType.ChangeRouting) {
       this.proposeRouting(requestId, request, actor);
     } else if (request.type === AdminRequestType.CloseZone) {
       this.proposeZoneClosure(requestId, request, actor);
--- a/src/control/AdminReads.ts
+++ b/src/control/AdminReads.ts
@@ -4,6 +4,7 @@
 import type { ReplicatedState } from './ReplicatedState.js';
 import type { EntrySessions } from './EntrySessions.js';
 import type { RaftNode } from './raft/RaftNode.js';
+import { rolloutOf } from './rollouts/RolloutBook.js';
 import { AdminRequestType, type AdminRequest } from './Types.js';
 
 type RequestOf<T extends AdminRequestType> = Extract<AdminRequest, { type: T }>;
@@ -74,6 +75,12 @@
         })),
       }),
     [AdminRequestType.GetRouting]: () => Result.ok(this.replicatedState.routing.view),
+    [AdminRequestType.ShowRollout]: (request: RequestOf<AdminRequestType.ShowRollout>) => {
+      const rollout = rolloutOf(this.replicatedState.routing.view, request.service);
+      return rollout
+        ? Result.ok<unknown, EgretError>(rollout)
+        : notFound(`There was no rollout of service ${request.service}.`);
+    },
     [AdminRequestType.EntryHosts]: () =>
       Result.ok({
         revision: this.replicatedState.revision,
--- a/src/control/Authorization.ts
+++ b/src/control/Authorization.ts
@@ -26,6 +26,9 @@
   [AdminRequestType.GetRouting]: Role.Reader,
   [AdminRequestType.ChangeRouting]: Role.Operator,
   [AdminRequestType.CloseZone]: Role.Operator,
+  [AdminRequestType.StartRollout]: Role.Operator,
+  [AdminRequestType.ShowRollout]: Role.Reader,
+  [AdminRequestType.AbortRollout]: Role.Operator,
 };
 
 /** Requests about the whole system, which need a token for all teams. */
@@ -35,6 +38,8 @@
   AdminRequestType.RemoveMember,
   AdminRequestType.ChangeRouting,
   AdminRequestType.CloseZone,
+  AdminRequestType.StartRollout,
+  AdminRequestType.AbortRollout,
 ]);
 
 /** Team of a token that covers every team. */
--- a/src/control/Commands.ts
+++ b/src/control/Commands.ts
@@ -2,6 +2,7 @@
 import type { ClaimOutcome, ReplayAnswer } from '../common/Messages.js';
 import type { SettingsTree } from '../common/SettingsSchema.js';
 import type { Membership } from './raft/Types.js';
+import type { RolloutOrderCommand, RolloutVerdictCommand } from './rollouts/RolloutCommands.js';
 import type { RoutingChangeCommand, ZoneClosureCommand } from './RoutingCommands.js';
 
 /** Kinds of commands in the replicated log. */
@@ -15,6 +16,8 @@
   Settle = 'settle',
   RoutingChange = 'routing-change',
   ZoneClosure = 'zone-closure',
+  RolloutOrder = 'rollout-order',
+  RolloutVerdict = 'rollout-verdict',
 }
 
 export interface NoopCommand {
@@ -89,4 +92,6 @@
   | ClaimCommand
   | SettleCommand
   | RoutingChangeCommand
-  | ZoneClosureCommand;
+  | ZoneClosureCommand
+  | RolloutOrderCommand
+  | RolloutVerdictCommand;
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -8,6 +8,7 @@
   type CrashReportMessage,
   type LimitReportMessage,
   type PingMessage,
+  type RolloutEvidenceMessage,
   type SettleMessage,
   type EntryToControlMessage,
 } from '../common/Messages.js';
@@ -21,6 +22,8 @@
 import { RegistryFlow } from './RegistryFlow.js';
 import { SharedEntryHosts } from './SharedEntryHosts.js';
 import { RaftNode } from './raft/RaftNode.js';
+import type { RolloutSettings } from '../common/rollouts/Types.js';
+import { RolloutSteering } from './rollouts/RolloutSteering.js';
 import type { RaftOptions } from './raft/RaftState.js';
 import { hasCommittedInTerm } from './raft/Replication.js';
 import { RaftEffectType, RaftEventType, type LogEntry, type RaftEffect } from './raft/Types.js';
@@ -48,6 +51,8 @@
   readonly availabilityZone?: string;
   /** Time without a heartbeat until a host is unlisted; two configuration leases by default. */
   readonly entryHeartbeatTimeoutMs?: number;
+  /** Limits of rollouts; those of the requirement by default. */
+  readonly rollouts?: RolloutSettings;
 }
 
 /** Callbacks of a proposed command, with the term of the proposal. */
@@ -71,6 +76,8 @@
 
   readonly sessions: EntrySessions;
 
+  readonly steering: RolloutSteering;
+
   private readonly sharedHosts: SharedEntryHosts;
 
   readonly backends: RegistryFlow;
@@ -107,6 +114,7 @@
 
   constructor(options: ControlOptions) {
     this.raft = new RaftNode(options.raft);
+    this.steering = new RolloutSteering({ settings: options.rollouts });
     this.sharedHosts = new SharedEntryHosts({
       selfId: options.raft.id,
       peerIds: () => this.raft.state.log.membersExcept(options.raft.id).map(({ id }) => id),
@@ -241,6 +249,7 @@
     [RaftEffectType.ReadFailed]: (effect: RaftEffectOf<RaftEffectType.ReadFailed>) =>
       this.admin.failRead(effect.readId),
     [RaftEffectType.RoleChanged]: (effect: RaftEffectOf<RaftEffectType.RoleChanged>) => {
+      this.steering.reset();
       if (!this.raft.isLeader) {
         this.failPendingProposals();
         this.admin.failConfirmations();
@@ -305,8 +314,23 @@
       sessionId: number,
       message: SessionMessageOf<ControlMessageType.LimitReport>,
     ) => this.forwardReport(sessionId, message),
+    [ControlMessageType.RolloutEvidence]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.RolloutEvidence>,
+    ) => this.receiveEvidence(message),
   };
 
+  /** Takes evidence as the leader, or passes it on to the leader. */
+  private receiveEvidence(evidence: RolloutEvidenceMessage): void {
+    const { id, leaderId } = this.raft.state;
+    if (this.raft.isLeader) this.steering.receive(evidence, this.nowMs);
+    else if (leaderId !== null && leaderId !== id) {
+      const type = ControlMessageType.RolloutEvidenceRelay;
+      const message = { type, from: id, evidence } as const;
+      this.emit({ type: ControlEffectType.SendControl, to: leaderId, message });
+    }
+  }
+
   private onControlPeerMessage(message: ControlPeerMessage): void {
     switch (message.type) {
       case ControlMessageType.EntryHostsShare:
@@ -315,6 +339,10 @@
       case ControlMessageType.ReportRelay:
         this.sendToWatchers(message.report);
         return;
+      case ControlMessageType.RolloutEvidenceRelay:
+        // Evidence that arrives after a change of leader comes again with the next report.
+        if (this.raft.isLeader) this.steering.receive(message.evidence, this.nowMs);
+        return;
       default:
         this.backends.onControlPeerMessage(message);
     }
@@ -384,6 +412,7 @@
   /** As a leader that has committed in its term, proposes initial settings or a membership. */
   private proposeAsLeader(): void {
     if (!this.raft.isLeader || !hasCommittedInTerm(this.raft.state)) return;
+    this.steerRollouts();
     if (
       this.replicatedState.revision === 0 &&
       this.initialSettings &&
@@ -410,6 +439,20 @@
     }
   }
 
+  private steerRollouts(): void {
+    const { view } = this.replicatedState.routing;
+    this.steering.tick(view, this.nowMs, this.wallMs).forEach((change) => {
+      const { service, state, share, reason } = change;
+      this.emit({
+        type: ControlEffectType.Log,
+        event: 'rollout_steered',
+        fields: { service, state, share, reason, exposedCalls: this.steering.exposedCalls },
+      });
+      const type = CommandType.RolloutVerdict;
+      this.propose({ type, ...change, actor: 'system', atMs: this.wallMs });
+    });
+  }
+
   private maybeSnapshot(): void {
     const { state } = this.raft;
     const applied = state.appliedIndex - state.log.snapshot.index;
--- a/src/control/ReplicatedState.ts
+++ b/src/control/ReplicatedState.ts
@@ -10,6 +10,12 @@
   type RoutingSnapshot,
 } from './RoutingState.js';
 import type { RoutingChangeCommand, ZoneClosureCommand } from './RoutingCommands.js';
+import type { RolloutOrderResult } from './rollouts/RolloutBook.js';
+import {
+  RolloutOrderVerdict,
+  type RolloutOrderCommand,
+  type RolloutVerdictCommand,
+} from './rollouts/RolloutCommands.js';
 import {
   CommandType,
   type BootstrapCommand,
@@ -71,6 +77,8 @@
   readonly settled: boolean;
   /** Present for a change of the routing table. */
   readonly routing?: RoutingResult;
+  /** Present for an order of a rollout. */
+  readonly rolloutOrder?: RolloutOrderResult;
   /** True if entry hosts need the new routing. */
   readonly routingChanged?: boolean;
   /** Change of the settings tree, if the command made one. */
@@ -221,8 +229,50 @@
       this.applyRouting(index, command),
     [CommandType.ZoneClosure]: (command: ZoneClosureCommand, index: number) =>
       this.applyZoneClosure(index, command),
+    [CommandType.RolloutOrder]: (command: RolloutOrderCommand, index: number) =>
+      this.applyRolloutOrder(index, command),
+    [CommandType.RolloutVerdict]: (command: RolloutVerdictCommand, index: number) =>
+      this.applyRolloutVerdict(index, command),
   };
 
+  private applyRolloutOrder(index: number, command: RolloutOrderCommand): ApplyResult {
+    const rolloutOrder = this.routing.orderRollout(index, command);
+    const { verdict, repeated } = rolloutOrder;
+    const accepted = verdict === RolloutOrderVerdict.Accepted;
+    if (!repeated) {
+      this.appendAuditRecord({
+        atMs: command.atMs,
+        actor: command.actor,
+        path: `/system/rollouts/${command.service}`,
+        changeId: '',
+        from: null,
+        to: command.toVersion,
+        outcome: accepted ? AuditOutcome.Accepted : AuditOutcome.Refused,
+        revision: this.revision,
+        detail: verdict,
+      });
+    }
+    return { ...NO_EFFECT, rolloutOrder, routingChanged: accepted && !repeated };
+  }
+
+  private applyRolloutVerdict(index: number, command: RolloutVerdictCommand): ApplyResult {
+    const routingChanged = this.routing.changeRollout(index, command);
+    if (routingChanged) {
+      this.appendAuditRecord({
+        atMs: command.atMs,
+        actor: command.actor,
+        path: `/system/rollouts/${command.service}`,
+        changeId: '',
+        from: null,
+        to: { state: command.state, share: command.share },
+        outcome: AuditOutcome.Accepted,
+        revision: this.revision,
+        detail: command.reason,
+      });
+    }
+    return { ...NO_EFFECT, routingChanged };
+  }
+
   private applyRouting(index: number, command: RoutingChangeCommand): ApplyResult {
     const before = this.routing.view.version;
     const routing = this.routing.change(index, command);
--- a/src/control/RoutingState.ts
+++ b/src/control/RoutingState.ts
@@ -6,6 +6,8 @@
   type RoutingChangeCommand,
   type ZoneClosureCommand,
 } from './RoutingCommands.js';
+import { applyOrder, applyVerdict, type RolloutOrderResult } from './rollouts/RolloutBook.js';
+import type { RolloutOrderCommand, RolloutVerdictCommand } from './rollouts/RolloutCommands.js';
 
 /** Verdict on a change of the routing table. */
 export enum RoutingVerdict {
@@ -91,6 +93,20 @@
     return changed;
   }
 
+  /** Applies the order of a rollout. */
+  orderRollout(index: number, command: RolloutOrderCommand): RolloutOrderResult {
+    const result = applyOrder(this.view, index, command);
+    this.view = result.view;
+    return result;
+  }
+
+  /** Applies a new share or the verdict on a rollout; returns false if it changes nothing. */
+  changeRollout(index: number, command: RolloutVerdictCommand): boolean {
+    const before = this.view;
+    this.view = applyVerdict(before, index, command);
+    return this.view !== before;
+  }
+
   toSnapshot(): RoutingSnapshot {
     return { view: this.view, accepted: [...this.accepted] };
   }
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -24,6 +24,9 @@
   GetRouting = 'get-routing',
   ChangeRouting = 'change-routing',
   CloseZone = 'close-zone',
+  StartRollout = 'start-rollout',
+  ShowRollout = 'show-rollout',
+  AbortRollout = 'abort-rollout',
 }
 
 /** Request of an operator, as the administration API passes it on. */
@@ -61,7 +64,15 @@
       readonly type: AdminRequestType.CloseZone;
       readonly zone: string;
       readonly closed: boolean;
-    };
+    }
+  | {
+      readonly type: AdminRequestType.StartRollout;
+      readonly service: string;
+      readonly toVersion: string;
+      readonly durationMs: number;
+    }
+  | { readonly type: AdminRequestType.ShowRollout; readonly service: string }
+  | { readonly type: AdminRequestType.AbortRollout; readonly service: string };
 
 /** Authenticated operator. */
 export interface Actor {
--- /dev/null
+++ b/src/control/rollouts/RouteEvidence.ts
@@ -0,0 +1,172 @@
+import { BUCKET_COUNT, bucketsForFactor, fromSparse } from '../../common/rollouts/Evidence.js';
+import type { EvidenceRow, SparseCounts } from '../../common/rollouts/Evidence.js';
+import type { Trials } from './SequentialTest.js';
+
+/** Time over which lost attempts of one server count as one: a crash ends all that it runs. */
+const LOST_WINDOW_MS = 1_000;
+
+/** Half-life of recent counts: disturbances of both versions last from one to several seconds. */
+const RECENT_HALF_LIFE_MS = 1_000;
+
+/** Weight of the rate since the order in the recent one, in answers. */
+const PRIOR_COUNT = 15;
+
+/** Latency, as a multiple of the old version's median, from which an answer counts as slow. */
+const SLOW_FACTOR = 2;
+
+function addTo(target: number[], counts: readonly number[], sign = 1): void {
+  counts.forEach((count, bucket) => {
+    target[bucket]! += sign * count;
+  });
+}
+
+function sumFrom(counts: readonly number[], bucket: number): number {
+  return counts.slice(bucket).reduce((sum, count) => sum + count, 0);
+}
+
+function emptyCounts(): number[] {
+  return new Array<number>(BUCKET_COUNT).fill(0);
+}
+
+/** Evidence on one route and arm from all gateways. */
+export class RouteEvidence {
+  /** Attempts sent since the order. */
+  sent = 0;
+
+  /** Good answers of warm servers since the order. */
+  warmAnswers = 0;
+
+  private readonly answered = emptyCounts();
+
+  private readonly cancelled = emptyCounts();
+
+  private readonly running = emptyCounts();
+
+  private failureTotal: { count: number; badCount: number } = { count: 0, badCount: 0 };
+
+  private readonly recentFailures = { count: 0, badCount: 0 };
+
+  private recentAnswered = emptyCounts();
+
+  private pendingFailures = { count: 0, badCount: 0 };
+
+  private pendingAnswered = emptyCounts();
+
+  private pendingCancelled = emptyCounts();
+
+  private readonly lostAtMs = new Map<string, number>();
+
+  private decayedAtMs = 0;
+
+  /** Adds the difference between two reports of one gateway on this route and arm. */
+  add(row: EvidenceRow, before: EvidenceRow | undefined, nowMs: number): void {
+    const difference = (after: SparseCounts, old: SparseCounts | undefined) => {
+      const counts = fromSparse(after);
+      if (old) addTo(counts, fromSparse(old), -1);
+      return counts;
+    };
+    this.sent += row.sent - (before?.sent ?? 0);
+    const answered = difference(row.answered, before?.answered);
+    addTo(this.answered, answered);
+    addTo(this.pendingAnswered, answered);
+    addTo(this.recentAnswered, answered);
+    const cancelled = difference(row.cancelled, before?.cancelled);
+    addTo(this.cancelled, cancelled);
+    addTo(this.pendingCancelled, cancelled);
+    addTo(this.running, difference(row.running, before?.running));
+    const warm = sumFrom(answered, 0);
+    this.warmAnswers += warm;
+    const cold = row.coldAnswered - (before?.coldAnswered ?? 0);
+    const bad = row.failed - (before?.failed ?? 0) + this.countLost(row, before, nowMs);
+    [this.failureTotal, this.recentFailures, this.pendingFailures].forEach((trials) => {
+      trials.count += warm + cold + bad;
+      trials.badCount += bad;
+    });
+  }
+
+  /** Removes the attempts in progress of a gateway that no longer reports. */
+  forget(row: EvidenceRow): void {
+    addTo(this.running, fromSparse(row.running), -1);
+  }
+
+  /** Bucket from which a latency is slow compared with this arm; undefined without enough answers. */
+  slowBucket(minAnswers: number): number | undefined {
+    const total = sumFrom(this.answered, 0);
+    if (total < minAnswers) return undefined;
+    let below = 0;
+    const median = this.answered.findIndex((count) => {
+      below += count;
+      return below * 2 >= total;
+    });
+    return median + bucketsForFactor(SLOW_FACTOR) + 1;
+  }
+
+  /** Larger one of the rates since the order and of late; the second covers disturbances. */
+  failureRate(): number {
+    return RouteEvidence.higherRate(this.failureTotal, this.recentFailures);
+  }
+
+  /** As {@link failureRate}, of slow answers; attempts that already take too long count. */
+  slowRate(slowBucket: number): number {
+    const overdue = sumFrom(this.running, slowBucket);
+    const slowCancelled = sumFrom(this.cancelled, slowBucket);
+    const total = {
+      count: sumFrom(this.answered, 0) + slowCancelled,
+      badCount: sumFrom(this.answered, slowBucket) + slowCancelled,
+    };
+    const recent = {
+      count: sumFrom(this.recentAnswered, 0) + overdue,
+      badCount: sumFrom(this.recentAnswered, slowBucket) + overdue,
+    };
+    return RouteEvidence.higherRate(total, recent);
+  }
+
+  /** Attempts in progress that are already slow. */
+  overdue(slowBucket: number): number {
+    return sumFrom(this.running, slowBucket);
+  }
+
+  /** Returns and clears the answers since the last call, by failure. */
+  takeFailures(): Trials {
+    const taken = this.pendingFailures;
+    this.pendingFailures = { count: 0, badCount: 0 };
+    return taken;
+  }
+
+  /** Returns and clears the warm answers since the last call, by slowness. */
+  takeSlow(slowBucket: number): Trials {
+    const slowCancelled = sumFrom(this.pendingCancelled, slowBucket);
+    const taken = {
+      count: sumFrom(this.pendingAnswered, 0) + slowCancelled,
+      badCount: sumFrom(this.pendingAnswered, slowBucket) + slowCancelled,
+    };
+    this.pendingAnswered = emptyCounts();
+    this.pendingCancelled = emptyCounts();
+    return taken;
+  }
+
+  /** Lets recent counts fade. */
+  decay(nowMs: number): void {
+    const factor = 0.5 ** (Math.max(0, nowMs - this.decayedAtMs) / RECENT_HALF_LIFE_MS);
+    this.decayedAtMs = nowMs;
+    this.recentFailures.count *= factor;
+    this.recentFailures.badCount *= factor;
+    this.recentAnswered = this.recentAnswered.map((count) => count * factor);
+  }
+
+  private countLost(row: EvidenceRow, before: EvidenceRow | undefined, nowMs: number): number {
+    return Object.entries(row.lost).filter(([backend, count]) => {
+      if (count === (before?.lost[backend] ?? 0)) return false;
+      const isSameCrash = nowMs - (this.lostAtMs.get(backend) ?? -Infinity) < LOST_WINDOW_MS;
+      if (!isSameCrash) this.lostAtMs.set(backend, nowMs);
+      return !isSameCrash;
+    }).length;
+  }
+
+  private static higherRate(total: Trials, recent: Trials): number {
+    const overall = (total.badCount + 0.5) / (total.count + 1);
+    const base = total.count < PRIOR_COUNT ? Math.min(overall, 0.05) : overall;
+    const late = (recent.badCount + base * PRIOR_COUNT) / (recent.count + PRIOR_COUNT);
+    return Math.max(base, late);
+  }
+}
--- a/src/control/server/AdminApi.ts
+++ b/src/control/server/AdminApi.ts
@@ -46,6 +46,13 @@
     zone: z.string().min(1).max(63),
     closed: z.boolean(),
   }),
+  [AdminRequestType.StartRollout]: z.strictObject({
+    service: z.string().min(1).max(253),
+    toVersion: z.string().min(1).max(253),
+    durationMs: z.number().int().min(1),
+  }),
+  [AdminRequestType.ShowRollout]: z.strictObject({ service: z.string().min(1).max(253) }),
+  [AdminRequestType.AbortRollout]: z.strictObject({ service: z.string().min(1).max(253) }),
 };
 
 /** Result of one administration request. */
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -8,6 +8,7 @@
   type EntryToControlMessage,
 } from '../../common/Messages.js';
 import type { ControlFile } from '../../common/ProcessSettings.js';
+import { RolloutState, type RolloutSettings } from '../../common/rollouts/Types.js';
 import { createRandom, type RandomSource } from '../../common/Random.js';
 import { AdminListener } from '../../runtime/AdminListener.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
@@ -68,6 +69,8 @@
   readonly supervised?: boolean;
   /** Present if lost control hosts are replaced without an operator. */
   readonly autoMembership?: AutoMembershipOptions;
+  /** Limits of rollouts; those of the requirement by default. */
+  readonly rollouts?: RolloutSettings;
   /** Control hosts that receive join requests while this host is not a member. */
   readonly seeds?: () => readonly { readonly address: string; readonly port: number }[];
 }
@@ -273,6 +276,7 @@
       initialSettings: file.initialSettings ?? null,
       snapshotEvery: options.snapshotEvery,
       autoMembership: options.autoMembership,
+      rollouts: options.rollouts,
       availabilityZone: file.availabilityZone,
       entryHeartbeatTimeoutMs: options.entryHeartbeatTimeoutMs,
     });
@@ -624,6 +628,15 @@
     );
     gauge('egret_control_waiting', 'Links that wait for a session.', () => this.admission.size);
     gauge('egret_control_sessions', 'Entry-host sessions.', () => reducer.sessions.size);
+    gauge('egret_control_rollouts', 'Running rollouts.', () => {
+      const { rollouts = [] } = reducer.replicatedState.routing.view;
+      return rollouts.filter(({ state }) => state === RolloutState.Running).length;
+    });
+    gauge(
+      'egret_control_rollout_calls',
+      'Attempts at new versions in running rollouts, on the leader.',
+      () => reducer.steering.exposedCalls,
+    );
     gauge('egret_control_syncs', 'Syncs of the log.', () => storage.syncs);
     gauge('egret_control_events_refused', 'Events lost to a full channel.', () => loop.refused);
   }
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -76,6 +76,10 @@
     baseVersion: FieldType.Number,
     requestsWhole: FieldType.Boolean,
   },
+  [ControlMessageType.RolloutEvidenceRelay]: {
+    from: FieldType.String,
+    evidence: FieldType.Object,
+  },
   [ControlMessageType.ReportRelay]: { from: FieldType.String, report: FieldType.Object },
 };
 
@@ -123,6 +127,15 @@
   [ControlMessageType.BackendsAck]: { batchId: FieldType.Number },
   [ControlMessageType.CrashReport]: CRASH_REPORT_FIELDS,
   [ControlMessageType.LimitReport]: LIMIT_REPORT_FIELDS,
+  [ControlMessageType.RolloutEvidence]: {
+    gatewayId: FieldType.String,
+    startId: FieldType.String,
+    sequence: FieldType.Number,
+    service: FieldType.String,
+    orderIndex: FieldType.Number,
+    routingIndex: FieldType.Number,
+    rows: FieldType.Object,
+  },
 };
 
 /** Required fields of the messages to entry hosts. */
--- a/src/gateway/ActiveRouting.ts
+++ b/src/gateway/ActiveRouting.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '../common/Random.js';
 import { RouteIndex } from '../common/routing/RouteIndex.js';
+import type { Rollout } from '../common/rollouts/Types.js';
 import type { Route, RoutedService, RoutingTable, RoutingView } from '../common/routing/Types.js';
 import { SplitChooser } from './SplitChooser.js';
 
@@ -16,6 +17,8 @@
 
   closedZones: readonly string[] = [];
 
+  rollouts: readonly Rollout[] = [];
+
   private readonly split: SplitChooser;
 
   constructor(random: RandomSource) {
@@ -27,6 +30,7 @@
     if (view.index <= this.logIndex) return false;
     this.logIndex = view.index;
     this.closedZones = view.closedZones;
+    this.rollouts = view.rollouts ?? [];
     if (view.table && view.version !== this.version) {
       this.table = view.table;
       this.index = new RouteIndex(view.table);
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -5,6 +5,7 @@
 import { NoPickReason, type DecisionLog, type PickResult, type Picker } from './DispatchTypes.js';
 import type { Call, HealthReport } from './Types.js';
 import type { RequestLimiter } from './RequestLimiter.js';
+import type { VersionFilter } from './rollouts/VersionChooser.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
 /** Probes a backend server; resolves with null if there is no usable answer. */
@@ -66,10 +67,15 @@
 export class BackendPicker implements Picker {
   constructor(private readonly options: BackendPickerOptions) {}
 
-  pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<PickResult> {
+  pick(
+    call: Call,
+    service: RoutedService,
+    tried: ReadonlySet<string>,
+    versions?: readonly VersionFilter[],
+  ): Promise<PickResult> {
     const { pool, limits } = this.options;
     const nowMs = this.options.nowMs();
-    const candidates = pool.candidates({ service: service.name, nowMs, tried });
+    const candidates = pool.candidates({ service: service.name, nowMs, tried, versions });
     const isWithinLimit = (view: BackendView) => limits.maySend(view, nowMs);
     const local = candidates.local.filter(isWithinLimit);
     const remote = candidates.remote.filter(isWithinLimit);
--- a/src/gateway/BackendPool.ts
+++ b/src/gateway/BackendPool.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../common/Random.js';
 import { BackendSubset } from './BackendSubset.js';
 import { BackendView } from './BackendView.js';
+import type { VersionFilter } from './rollouts/VersionChooser.js';
 
 /** Options of a {@link BackendPool}. */
 export interface BackendPoolOptions {
@@ -19,6 +20,8 @@
   readonly nowMs: number;
   /** Backend servers that the call was sent to before. */
   readonly tried: ReadonlySet<string>;
+  /** Versions to choose from: the first one with an untried server; all if empty or omitted. */
+  readonly versions?: readonly VersionFilter[];
 }
 
 /** How long a departure is kept, so that a late announcement does not undo it. */
@@ -152,8 +155,11 @@
 
   /** Returns the backend servers that may receive a call, in the order in which to probe them. */
   candidates(query: CandidateQuery): { local: BackendView[]; remote: BackendView[] } {
-    const usable = [...(this.byService.get(query.service) ?? [])].filter(
-      (view) => this.isUsable(view) && !query.tried.has(view.record.id),
+    const usable = BackendPool.ofVersions(
+      [...(this.byService.get(query.service) ?? [])].filter(
+        (view) => this.isUsable(view) && !query.tried.has(view.record.id),
+      ),
+      query.versions ?? [],
     );
     const withoutBackoff = usable.filter((view) => view.backoffUntilMs <= query.nowMs);
     const candidates = withoutBackoff.length > 0 ? withoutBackoff : usable;
@@ -170,6 +176,16 @@
     };
   }
 
+  private static ofVersions(
+    views: readonly BackendView[],
+    filters: readonly VersionFilter[],
+  ): readonly BackendView[] {
+    if (filters.length === 0) return views;
+    return filters
+      .map((filter) => views.filter(({ record }) => filter(record.version)))
+      .reduce((chosen, next) => (chosen.length > 0 ? chosen : next));
+  }
+
   private static replaces(record: BackendRecord, existing: BackendView): boolean {
     if (existing.provisional) return !isNewer(existing.record, record);
     return isNewer(record, existing.record);
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -338,6 +338,7 @@
     view.inFlight += 1;
     view.sentSinceLoad += 1;
     const handle = this.send(view, remainingMs);
+    options.observe?.(call, view, handle);
     const { expectedMs, probes, loadAgeMs } = pick;
     const { running, waiting, slowdown } = view.load ?? {};
     const inputs = { cause, expectedMs, probes, loadAgeMs, running, waiting, slowdown };
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -2,6 +2,7 @@
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
 import type { RoutedService } from '../common/routing/Types.js';
+import type { VersionFilter } from './rollouts/VersionChooser.js';
 import type { AttemptHandle, BackendAnswer, Call } from './Types.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
@@ -46,7 +47,15 @@
 
 /** Chooses a backend server for one attempt. */
 export interface Picker {
-  pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<PickResult>;
+  /**
+   * @param versions Versions to choose from, the first one with an untried server; all by default.
+   */
+  pick(
+    call: Call,
+    service: RoutedService,
+    tried: ReadonlySet<string>,
+    versions?: readonly VersionFilter[],
+  ): Promise<PickResult>;
 }
 
 /** Policies for picking a backend server; the values are those of the settings. */
@@ -93,6 +102,8 @@
   readonly work: WorkEstimates;
   /** Notified of connections lost while a call was running, and of completed calls. */
   readonly crashes: CrashObserver;
+  /** Notified of each attempt that was sent. */
+  readonly observe?: (call: Call, view: BackendView, handle: AttemptHandle) => void;
   readonly nowMs: () => number;
   readonly setTimer: (delayMs: number, fire: () => void) => () => void;
   readonly log: DecisionLog;
--- a/src/gateway/ProbelessPicker.ts
+++ b/src/gateway/ProbelessPicker.ts
@@ -5,6 +5,7 @@
 import { NoPickReason, type PickResult, type Picker } from './DispatchTypes.js';
 import type { Call } from './Types.js';
 import type { RequestLimiter } from './RequestLimiter.js';
+import type { VersionFilter } from './rollouts/VersionChooser.js';
 import type { WorkEstimates } from './WorkEstimates.js';
 
 /** Options of a {@link ProbelessPicker}. */
@@ -42,10 +43,15 @@
 export class ProbelessPicker implements Picker {
   constructor(private readonly options: ProbelessPickerOptions) {}
 
-  pick(call: Call, service: RoutedService, tried: ReadonlySet<string>): Promise<PickResult> {
+  pick(
+    call: Call,
+    service: RoutedService,
+    tried: ReadonlySet<string>,
+    versions?: readonly VersionFilter[],
+  ): Promise<PickResult> {
     const { pool, cold, limits, work, choose } = this.options;
     const nowMs = this.options.nowMs();
-    const { local, remote } = pool.candidates({ service: service.name, nowMs, tried });
+    const { local, remote } = pool.candidates({ service: service.name, nowMs, tried, versions });
     const announced = [...local, ...remote];
     const withinLimit = announced.filter((view) => limits.maySend(view, nowMs));
     const eligible = withinLimit.filter((view) => cold.maySend(view, service.coldPerSecond, nowMs));
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -7,6 +7,7 @@
   type LimitReportMessage,
   type PackedRoutingMessage,
   type PongMessage,
+  type RolloutEvidenceMessage,
 } from '../../common/Messages.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../../common/Constants.js';
@@ -112,7 +113,7 @@
   }
 
   /** Sends a report to the other entry hosts, through one control host if it informs the others. */
-  report(message: CrashReportMessage | LimitReportMessage): void {
+  report(message: CrashReportMessage | LimitReportMessage | RolloutEvidenceMessage): void {
     const open = [...this.links.values()].filter(({ client }) => client.isOpen);
     const sharing = open.find(({ client }) => client.serverProtocol >= SHARING_PROTOCOL);
     const targets = sharing && this.allShare ? [sharing] : open;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -26,6 +26,7 @@
 import { PeerPicker } from '../PeerPicker.js';
 import { createPicker } from '../Pickers.js';
 import { ReachMonitor } from '../ReachMonitor.js';
+import { GatewayRollouts } from '../rollouts/GatewayRollouts.js';
 import { RequestLimiter } from '../RequestLimiter.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
@@ -64,6 +65,8 @@
   readonly profile: WireProfile;
   /** How backend servers are picked; just in time by default. */
   readonly policy?: PickPolicy;
+  /** True to hold back new versions until the order of their rollout arrives. */
+  readonly holdsNewVersions?: boolean;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Longest time from the stop signal to the end of the process. */
   readonly stopMs: number;
@@ -136,6 +139,8 @@
 
   private readonly crashes: CrashWatch;
 
+  private readonly rollouts: GatewayRollouts;
+
   private readonly connections: HttpConnections;
 
   private readonly calls: CallServer;
@@ -230,6 +235,17 @@
       nowMs,
     });
     const work = new WorkEstimates();
+    this.rollouts = new GatewayRollouts({
+      gatewayId: selfId,
+      startId: createNonce(),
+      random,
+      nowMs,
+      wallMs: () => this.clock.wallMs(),
+      holdsNewVersions: options.holdsNewVersions,
+      routingIndex: () => this.routing.logIndex,
+      report: (evidence) => this.watch?.report(evidence),
+      log,
+    });
     const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
       pool: this.pool,
       cold: this.cold,
@@ -249,7 +265,13 @@
     });
     const dispatchOptions = { cold: this.cold, crashes: this.crashes, nowMs, setTimer, log };
     const { budget } = this;
-    const local = new Dispatcher({ ...dispatchOptions, picker, budget, work });
+    const local = new Dispatcher({
+      ...dispatchOptions,
+      picker: this.rollouts.picker(picker),
+      budget,
+      work,
+      observe: (call, view, handle) => this.rollouts.evidence.observe(call, view, handle),
+    });
     const dispatcher = new ForwardingDispatcher({
       local,
       peers: new Dispatcher({
@@ -409,6 +431,7 @@
   /** Stops the host at once. */
   dispose(): void {
     this.watch?.dispose();
+    this.rollouts.dispose();
     clearTimeout(this.provisionalTimer);
     this.reach.dispose();
     this.client.dispose();
@@ -469,6 +492,7 @@
         this.applyProvisional(message.records);
         return;
       }
+      this.rollouts.noteRecords(message.records);
       const changed = this.pool.apply(message.records, this.clock.nowMs());
       changed.forEach(({ record, coldUntilMs }) =>
         this.options.log.line('backend_learned', {
@@ -520,6 +544,7 @@
     const before = this.routing.version;
     if (!this.routing.apply(view)) return;
     this.pool.setClosedZones(view.closedZones);
+    this.rollouts.apply(this.routing.rollouts);
     if (view.table) {
       const { limits } = view.table;
       this.callerServer.keepAliveTimeout = limits.idleTimeoutMs;
