--- a/src/control/rollouts/RolloutJudge.ts
+++ b/src/control/rollouts/RolloutJudge.ts
@@ -54,6 +54,12 @@
 /** Age at which a gateway's report no longer counts as current; gateways report every second. */
 const REPORT_CURRENT_MS = 1_500;
 
+/**
+ * Silence after which a gateway counts as gone. Until then it may be paused and go on with an older
+ * routing, so that the old servers must not stop.
+ */
+const GATEWAY_GONE_MS = 2_500;
+
 /** Name of the tests over all routes. */
 const ALL_ROUTES = 'all';
 
@@ -92,9 +98,16 @@
     return this.current(nowMs).length;
   }
 
-  /** True if every gateway that reported lately applies the routing of this log index. */
+  /** True if every gateway that is not gone applies the routing of this log index. */
   isApplied(routingIndex: number, nowMs: number): boolean {
-    return this.current(nowMs).every(({ message }) => message.routingIndex >= routingIndex);
+    return [...this.reports.values()]
+      .filter(({ receivedAtMs }) => nowMs - receivedAtMs <= GATEWAY_GONE_MS)
+      .every(({ message }) => message.routingIndex >= routingIndex);
+  }
+
+  /** Attempts in progress at warm servers of an arm. */
+  running(arm: RolloutArm): number {
+    return [...this.routes].reduce((sum, route) => sum + this.evidence(route, arm).running, 0);
   }
 
   /** Adds a report; ignores one that is older than another one of the same process. */
@@ -118,21 +131,16 @@
   evaluate(nowMs: number): RolloutFault | null {
     this.dropStale(nowMs);
     this.highestRatio = 0;
-    const pooled: Record<EvidenceSignal, number> = {
-      [EvidenceSignal.Failures]: 0,
-      [EvidenceSignal.Latency]: 0,
-    };
     this.routes.forEach((route) => {
       const baseline = this.evidence(route, RolloutArm.Baseline);
       const candidate = this.evidence(route, RolloutArm.Candidate);
       const failureRate = baseline.failureRate();
-      this.update(EvidenceSignal.Failures, route, candidate.takeFailures(), failureRate, pooled);
+      this.update(EvidenceSignal.Failures, route, candidate.takeFailures(), failureRate);
       const slowBucket = baseline.slowBucket(BASELINE_ANSWERS_MIN);
       if (slowBucket !== undefined) {
         const slow = candidate.takeSlow(slowBucket);
-        const slowRate = baseline.slowRate(slowBucket);
-        const overdue = candidate.overdue(slowBucket);
-        this.update(EvidenceSignal.Latency, route, slow, slowRate, pooled, overdue);
+        baseline.takeSlow(slowBucket);
+        this.update(EvidenceSignal.Latency, route, slow, baseline.slowRate(slowBucket));
       }
       baseline.decay(nowMs);
       candidate.decay(nowMs);
@@ -140,22 +148,10 @@
     return this.fault;
   }
 
-  private update(
-    signal: EvidenceSignal,
-    route: string,
-    trials: Trials,
-    rate: number,
-    pooled: Record<EvidenceSignal, number>,
-    overdue = 0,
-  ): void {
+  private update(signal: EvidenceSignal, route: string, trials: Trials, rate: number): void {
     const baseRate = rate + MARGIN[signal];
-    const test = this.test(signal, route);
-    const unfinished = { count: overdue, badCount: overdue };
-    const ahead = overdue > 0 ? test.gain(unfinished, baseRate) : 0;
-    this.note(signal, route, test.add(trials, baseRate) + ahead);
-    const all = this.test(signal, ALL_ROUTES);
-    pooled[signal] += ahead;
-    this.note(signal, ALL_ROUTES, all.add(trials, baseRate) + pooled[signal]);
+    this.note(signal, route, this.test(signal, route).add(trials, baseRate));
+    this.note(signal, ALL_ROUTES, this.test(signal, ALL_ROUTES).add(trials, baseRate));
   }
 
   private note(signal: EvidenceSignal, route: string, ratio: number): void {
--- a/src/control/rollouts/RolloutSteering.ts
+++ b/src/control/rollouts/RolloutSteering.ts
@@ -157,7 +157,10 @@
     const answers = judge.candidateAnswers - steered.answersAtPhase;
     const { rampAtMs } = RolloutSteering.schedule(rollout);
     if (share === FULL_SHARE) {
-      const isDone = phaseMs >= FULL_MS && answers >= RAMP_ANSWERS_MIN;
+      // The old servers stop at once when the rollout is completed, with the calls that they run.
+      const isDrained =
+        judge.running(RolloutArm.Baseline) === 0 || wallMs >= dueAtMs - LATEST_MARGIN_MS;
+      const isDone = phaseMs >= FULL_MS && answers >= RAMP_ANSWERS_MIN && isDrained;
       if (!isDone || !judge.isApplied(routingIndex, nowMs)) return null;
       return change(RolloutState.Completed, FULL_SHARE, 'as good as the old version');
     }
--- a/src/control/rollouts/RouteEvidence.ts
+++ b/src/control/rollouts/RouteEvidence.ts
@@ -28,6 +28,21 @@
   return new Array<number>(BUCKET_COUNT).fill(0);
 }
 
+function sumTo(counts: readonly number[], bucket: number): number {
+  return sumFrom(counts, 0) - sumFrom(counts, bucket);
+}
+
+/** Attempts at warm servers by latency, or by age until now. */
+interface WarmCounts {
+  readonly answered: number[];
+  readonly cancelled: number[];
+  readonly running: number[];
+}
+
+function emptyWarmCounts(): WarmCounts {
+  return { answered: emptyCounts(), cancelled: emptyCounts(), running: emptyCounts() };
+}
+
 /** Evidence on one route and arm from all gateways. */
 export class RouteEvidence {
   /** Attempts sent since the order. */
@@ -36,28 +51,28 @@
   /** Good answers of warm servers since the order. */
   warmAnswers = 0;
 
-  private readonly answered = emptyCounts();
+  private readonly counts: WarmCounts = emptyWarmCounts();
 
-  private readonly cancelled = emptyCounts();
+  /** Counts at the last call of {@link takeSlow}. */
+  private seen: WarmCounts = emptyWarmCounts();
 
-  private readonly running = emptyCounts();
+  private readonly recentSlow = { count: 0, badCount: 0 };
 
   private failureTotal: { count: number; badCount: number } = { count: 0, badCount: 0 };
 
   private readonly recentFailures = { count: 0, badCount: 0 };
 
-  private recentAnswered = emptyCounts();
-
   private pendingFailures = { count: 0, badCount: 0 };
 
-  private pendingAnswered = emptyCounts();
-
-  private pendingCancelled = emptyCounts();
-
   private readonly lostAtMs = new Map<string, number>();
 
   private decayedAtMs = 0;
 
+  /** Attempts in progress at warm servers. */
+  get running(): number {
+    return sumFrom(this.counts.running, 0);
+  }
+
   /** Adds the difference between two reports of one gateway on this route and arm. */
   add(row: EvidenceRow, before: EvidenceRow | undefined, nowMs: number): void {
     const difference = (after: SparseCounts, old: SparseCounts | undefined) => {
@@ -67,13 +82,9 @@
     };
     this.sent += row.sent - (before?.sent ?? 0);
     const answered = difference(row.answered, before?.answered);
-    addTo(this.answered, answered);
-    addTo(this.pendingAnswered, answered);
-    addTo(this.recentAnswered, answered);
-    const cancelled = difference(row.cancelled, before?.cancelled);
-    addTo(this.cancelled, cancelled);
-    addTo(this.pendingCancelled, cancelled);
-    addTo(this.running, difference(row.running, before?.running));
+    addTo(this.counts.answered, answered);
+    addTo(this.counts.cancelled, difference(row.cancelled, before?.cancelled));
+    addTo(this.counts.running, difference(row.running, before?.running));
     const warm = sumFrom(answered, 0);
     this.warmAnswers += warm;
     const cold = row.coldAnswered - (before?.coldAnswered ?? 0);
@@ -86,15 +97,15 @@
 
   /** Removes the attempts in progress of a gateway that no longer reports. */
   forget(row: EvidenceRow): void {
-    addTo(this.running, fromSparse(row.running), -1);
+    addTo(this.counts.running, fromSparse(row.running), -1);
   }
 
   /** Bucket from which a latency is slow compared with this arm; undefined without enough answers. */
   slowBucket(minAnswers: number): number | undefined {
-    const total = sumFrom(this.answered, 0);
+    const total = sumFrom(this.counts.answered, 0);
     if (total < minAnswers) return undefined;
     let below = 0;
-    const median = this.answered.findIndex((count) => {
+    const median = this.counts.answered.findIndex((count) => {
       below += count;
       return below * 2 >= total;
     });
@@ -106,24 +117,11 @@
     return RouteEvidence.higherRate(this.failureTotal, this.recentFailures);
   }
 
-  /** As {@link failureRate}, of slow answers; attempts that already take too long count. */
+  /** As {@link failureRate}, of slow answers. */
   slowRate(slowBucket: number): number {
-    const overdue = sumFrom(this.running, slowBucket);
-    const slowCancelled = sumFrom(this.cancelled, slowBucket);
-    const total = {
-      count: sumFrom(this.answered, 0) + slowCancelled,
-      badCount: sumFrom(this.answered, slowBucket) + slowCancelled,
-    };
-    const recent = {
-      count: sumFrom(this.recentAnswered, 0) + overdue,
-      badCount: sumFrom(this.recentAnswered, slowBucket) + overdue,
-    };
-    return RouteEvidence.higherRate(total, recent);
-  }
-
-  /** Attempts in progress that are already slow. */
-  overdue(slowBucket: number): number {
-    return sumFrom(this.running, slowBucket);
+    const badCount = RouteEvidence.slowCount(this.counts, slowBucket);
+    const count = badCount + sumTo(this.counts.answered, slowBucket);
+    return RouteEvidence.higherRate({ count, badCount }, this.recentSlow);
   }
 
   /** Returns and clears the answers since the last call, by failure. */
@@ -133,15 +131,23 @@
     return taken;
   }
 
-  /** Returns and clears the warm answers since the last call, by slowness. */
+  /**
+   * Returns the warm attempts since the last call, by slowness. An attempt counts as slow as soon as
+   * it has taken too long, and once: not again when it ends.
+   */
   takeSlow(slowBucket: number): Trials {
-    const slowCancelled = sumFrom(this.pendingCancelled, slowBucket);
-    const taken = {
-      count: sumFrom(this.pendingAnswered, 0) + slowCancelled,
-      badCount: sumFrom(this.pendingAnswered, slowBucket) + slowCancelled,
+    const { counts, seen } = this;
+    const slow = (of: WarmCounts) => RouteEvidence.slowCount(of, slowBucket);
+    const badCount = Math.max(0, slow(counts) - slow(seen));
+    const good = sumTo(counts.answered, slowBucket) - sumTo(seen.answered, slowBucket);
+    const taken = { count: badCount + good, badCount };
+    this.seen = {
+      answered: [...counts.answered],
+      cancelled: [...counts.cancelled],
+      running: [...counts.running],
     };
-    this.pendingAnswered = emptyCounts();
-    this.pendingCancelled = emptyCounts();
+    this.recentSlow.count += taken.count;
+    this.recentSlow.badCount += taken.badCount;
     return taken;
   }
 
@@ -151,7 +157,8 @@
     this.decayedAtMs = nowMs;
     this.recentFailures.count *= factor;
     this.recentFailures.badCount *= factor;
-    this.recentAnswered = this.recentAnswered.map((count) => count * factor);
+    this.recentSlow.count *= factor;
+    this.recentSlow.badCount *= factor;
   }
 
   private countLost(row: EvidenceRow, before: EvidenceRow | undefined, nowMs: number): number {
@@ -163,6 +170,10 @@
     }).length;
   }
 
+  private static slowCount({ answered, cancelled, running }: WarmCounts, bucket: number): number {
+    return sumFrom(answered, bucket) + sumFrom(cancelled, bucket) + sumFrom(running, bucket);
+  }
+
   private static higherRate(total: Trials, recent: Trials): number {
     const overall = (total.badCount + 0.5) / (total.count + 1);
     const base = total.count < PRIOR_COUNT ? Math.min(overall, 0.05) : overall;
--- a/src/control/rollouts/SequentialTest.ts
+++ b/src/control/rollouts/SequentialTest.ts
@@ -34,8 +34,7 @@
     return this.sum;
   }
 
-  /** Change of the ratio by further answers, before they are final. */
-  gain({ count, badCount }: Trials, baseRate: number): number {
+  private gain({ count, badCount }: Trials, baseRate: number): number {
     const base = Math.min(BASE_RATE_MAX, baseRate);
     const faulty = base + this.options.minIncrease * (1 - base);
     const good = Math.max(0, count - badCount);
--- a/src/gateway/rollouts/GatewayRollouts.ts
+++ b/src/gateway/rollouts/GatewayRollouts.ts
@@ -28,7 +28,7 @@
  * Interval of reports while a rollout runs: a bad version at full share must be found within about
  * a second (exposure limit), most of which its answers themselves take.
  */
-const REPORT_INTERVAL_MS = 150;
+const REPORT_INTERVAL_MS = 200;
 
 /** Rollouts at one gateway: versions of attempts, evidence and its reports. */
 export class GatewayRollouts implements Disposable {
--- a/src/gateway/rollouts/VersionHold.ts
+++ b/src/gateway/rollouts/VersionHold.ts
@@ -12,6 +12,12 @@
  */
 const HOLD_MS = 10_000;
 
+/**
+ * Versions that started within this time of each other are established together: servers announce
+ * themselves every 1.5 s, and a gateway that starts learns of all of them at once.
+ */
+const SAME_START_MS = 1_500;
+
 /**
  * Holds back versions that are announced beside an established one, because the order of their
  * rollout may not have arrived yet. The age of a version is that of the oldest process seen with it,
@@ -34,7 +40,8 @@
       const versions = this.sinceMs.get(service) ?? new Map<string | undefined, number>();
       this.sinceMs.set(service, versions);
       const known = versions.get(version) ?? nowMs;
-      versions.set(version, Math.min(known, bornMs));
+      // Without a start time, the version is as old as this host's knowledge of it.
+      versions.set(version, bornMs > 0 ? Math.min(known, bornMs) : known);
     });
   }
 
@@ -43,10 +50,11 @@
     const versions = this.sinceMs.get(service);
     if (!versions || versions.size < 2) return new Set();
     const nowMs = this.options.wallMs();
-    const established = [...versions].reduce((a, b) => (b[1] < a[1] ? b : a))[0];
+    const establishedMs = Math.min(...versions.values());
     return new Set(
       [...versions]
-        .filter(([version, since]) => version !== established && nowMs - since < this.holdMs)
+        .filter(([, since]) => since - establishedMs > SAME_START_MS)
+        .filter(([, since]) => nowMs - since < this.holdMs)
         .map(([version]) => version),
     );
   }
