--- a/src/bin/egretctl.ts
+++ b/src/bin/egretctl.ts
@@ -2,6 +2,7 @@
 import { ExplainCommand } from '../ctl/ExplainCommand.js';
 import * as lists from '../ctl/ListCommands.js';
 import * as settings from '../ctl/SettingsCommands.js';
+import * as rollouts from '../ctl/RolloutCommands.js';
 import * as routing from '../ctl/RoutingCommands.js';
 import { ZoneInCommand, ZoneListCommand, ZoneOutCommand } from '../ctl/ZoneCommands.js';
 import { runProgram } from './Program.js';
@@ -19,6 +20,9 @@
   routing.RoutingApplyCommand,
   routing.RoutingCloseZoneCommand,
   routing.RoutingOpenZoneCommand,
+  rollouts.RolloutStartCommand,
+  rollouts.RolloutStatusCommand,
+  rollouts.RolloutAbortCommand,
   ExplainCommand,
   lists.ServicesCommand,
   lists.BackendsCommand,
--- a/src/control/rollouts/RolloutOrders.test.ts
+++ b/src/control/rollouts/RolloutOrders.test.ts
@@ -1,9 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { ControlCluster } from '../../../fuzz/ControlCluster.js';
 import { ErrorKind } from '../../common/Errors.js';
+import { ControlMessageType } from '../../common/Messages.js';
+import { RolloutArm } from '../../common/rollouts/Evidence.js';
 import { RolloutState, type Rollout } from '../../common/rollouts/Types.js';
 import { createTable } from '../../common/routing/fixtures.js';
-import { AdminRequestType } from '../Types.js';
+import { AdminRequestType, ControlEventType } from '../Types.js';
 
 const ORDER = { service: 'alpha', toVersion: 'v2', durationMs: 12_000 };
 
@@ -71,4 +73,37 @@
     cluster.run(4_000);
     expect(show()).toMatchObject({ toVersion: 'v2', state: RolloutState.RolledBack });
   });
+
+  it('passes evidence that a follower receives on to the leader', () => {
+    const { cluster, order, show } = createRoutedCluster();
+    order();
+    const { orderIndex } = show()!;
+    const leader = cluster.leader();
+    const follower = [...cluster.hosts.values()].find((host) => host !== leader)!;
+    const row = { route: 'read', arm: RolloutArm.Candidate, sent: 4, failed: 0, coldAnswered: 4 };
+    follower.handle({
+      type: ControlEventType.SessionMessage,
+      sessionId: 1,
+      message: {
+        type: ControlMessageType.RolloutEvidence,
+        gatewayId: 'g-1',
+        startId: 'first',
+        sequence: 1,
+        service: 'alpha',
+        orderIndex,
+        routingIndex: orderIndex,
+        rows: [{ ...row, answered: [], cancelled: [], running: [], lost: {} }],
+      },
+    });
+    cluster.run(100);
+    expect(leader.reducer.steering.exposedCalls).toBe(4);
+    expect(follower.reducer.steering.exposedCalls).toBe(0);
+  });
+
+  it('rolls back at the deadline when no gateway reports anything', () => {
+    const { cluster, order, show } = createRoutedCluster();
+    order();
+    cluster.run(12_500);
+    expect(show()).toMatchObject({ state: RolloutState.RolledBack, share: 0 });
+  });
 });
--- a/src/control/rollouts/RolloutSteering.test.ts
+++ b/src/control/rollouts/RolloutSteering.test.ts
@@ -15,6 +15,14 @@
   readonly lostPerTick?: number;
 }
 
+/** What happens to the gateway's reports. */
+interface RunOptions {
+  /** True if none arrive. */
+  readonly silent?: boolean;
+  /** Routing that the gateway applies; the newest by default. */
+  readonly appliedIndex?: number;
+}
+
 /** Creates a rollout whose evidence comes from one gateway at constant rates. */
 function createSteered(candidate: ArmRate, baseline: ArmRate = { perTick: 10 }) {
   const steering = new RolloutSteering();
@@ -58,25 +66,25 @@
     ...changes,
   });
   const shares: number[] = [];
-  /** Runs until a time; without reports from a gateway if `silent`. */
-  const runUntil = (untilMs: number, options: { silent?: boolean; appliedIndex?: number } = {}) => {
+  const step = (nowMs: number, { silent, appliedIndex = routingIndex }: RunOptions) => {
+    if (!silent) steering.receive(report({ routingIndex: appliedIndex }), nowMs);
+    const view: RoutingView = {
+      index: routingIndex,
+      version: 1,
+      table: null,
+      closedZones: [],
+      rollouts: [rollout],
+    };
+    steering.tick(view, nowMs, nowMs).forEach(({ state, share }) => {
+      rollout = { ...rollout, state, share, shareSinceMs: nowMs };
+      routingIndex += 1;
+      shares.push(share);
+    });
+  };
+  const runUntil = (untilMs: number, options: RunOptions = {}) => {
     while (ticks * TICK_MS < untilMs && rollout.state === RolloutState.Running) {
       ticks += 1;
-      const nowMs = ticks * TICK_MS;
-      const applied = options.appliedIndex ?? routingIndex;
-      if (!options.silent) steering.receive(report({ routingIndex: applied }), nowMs);
-      const view: RoutingView = {
-        index: routingIndex,
-        version: 1,
-        table: null,
-        closedZones: [],
-        rollouts: [rollout],
-      };
-      steering.tick(view, nowMs, nowMs).forEach(({ state, share }) => {
-        rollout = { ...rollout, state, share, shareSinceMs: nowMs };
-        routingIndex += 1;
-        shares.push(share);
-      });
+      step(ticks * TICK_MS, options);
     }
     return { rollout, endedAtMs: ticks * TICK_MS };
   };
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -18,6 +18,8 @@
   Unframed = 'unframed',
   /** Answers with status 204, which has neither a body nor a length. */
   NoContent = 'no-content',
+  /** Runs the request and answers with status 500. */
+  Fail = 'fail',
   /** Never answers. */
   Hang = 'hang',
 }
@@ -27,6 +29,9 @@
   readonly id: string;
   readonly service?: string;
   readonly availabilityZone?: string;
+  readonly version?: string;
+  /** Unix time of its start; that of the sample documents by default. */
+  readonly bornMs?: number;
   readonly behaviour?: BackendBehaviour;
   readonly workMs?: number;
 }
@@ -93,11 +98,13 @@
 
   /** Sends an announcement to a control host and resolves with the HTTP status of its answer. */
   announce(controlPort: number, state = 'ready'): Promise<number> {
-    const { id, service = 'alpha', availabilityZone = 'perth' } = this.options;
+    const { id, service = 'alpha', availabilityZone = 'perth', version = 'v1' } = this.options;
+    const { bornMs } = this.options;
     this.sequence += 1;
     const body = createAnnouncement(`127.0.0.1:${this.port}`, this.sequence, {
-      info: { service, version: 'v1', zone: availabilityZone, slots: 3 },
+      info: { service, version, zone: availabilityZone, slots: 3 },
       status: { state, sequence: this.sequence, cold_left_ms: this.coldLeftMs },
+      ...(bornMs !== undefined && { born: bornMs }),
     });
     const path = `/egretcourse/instances/${id}`;
     return sendDocument({ port: controlPort, method: 'PUT', path, body }).then(
@@ -167,6 +174,7 @@
       response.end(this.body);
     },
     [BackendBehaviour.NoContent]: (response) => response.writeHead(204).end(),
+    [BackendBehaviour.Fail]: (response) => response.writeHead(500).end(),
     [BackendBehaviour.Hang]: () => {},
   };
 }
