--- a/src/control/rollouts/RolloutJudge.ts
+++ b/src/control/rollouts/RolloutJudge.ts
@@ -28,7 +28,7 @@
  * of wrong rejections in a rollout is some tens of times as high; the trials in
  * docs/design/rollouts.md state it.
  */
-const ERROR_RATE = 0.0001;
+const ERROR_RATE = 0.001;
 
 /** Log-likelihood ratio at which the new version is rejected. */
 export const REJECT_RATIO = Math.log(1 / ERROR_RATE);
--- a/src/control/rollouts/RolloutSteering.ts
+++ b/src/control/rollouts/RolloutSteering.ts
@@ -29,6 +29,9 @@
 /** Evidence collected before the first share, to know the rate of calls. */
 const WARM_UP_MS = 500;
 
+/** Time in which a new leader has a report of every gateway; they report at least every second. */
+const COLLECTION_MS = 1_200;
+
 /** Part of the exposure limit that the canary phase may use; the rest is for the full share. */
 const CANARY_EXPOSURE = 0.3;
 
@@ -42,6 +45,12 @@
 /** Shortest ramp phase: answers take up to a second, and their reports 0.2 s. */
 const RAMP_MS = 900;
 
+/** Longest ramp phase, which leaves most of a rollout of 12 s to the canary phase. */
+const RAMP_MAX_MS = 2_500;
+
+/** Part of the exposure limit that a longer ramp phase may use, for routes of few calls. */
+const RAMP_EXPOSURE = 0.15;
+
 /** Shortest time at full share before the old servers may stop: their last calls end meanwhile. */
 const FULL_MS = 2_000;
 
@@ -58,8 +67,12 @@
 const CANARY_ANSWERS_MIN = 10;
 const RAMP_ANSWERS_MIN = 5;
 
-/** Part of the rejection threshold above which the share does not grow. */
-const DOUBT = 0.6;
+/**
+ * Parts of the rejection threshold above which the share does not grow, and above which a rollout is
+ * not completed. More doubt is allowed at the end, because the deadline would reject the version.
+ */
+const DOUBT = 0.4;
+const FINAL_DOUBT = 0.55;
 
 /** A change that is not applied after this time is proposed again. */
 const PROPOSAL_TIMEOUT_MS = 1_000;
@@ -69,6 +82,17 @@
 
 const FULL_SHARE = 1;
 
+/** Phases of a rollout. */
+interface Plan {
+  /** Rate of the service's calls; 0 until it is known. */
+  readonly callsPerMs: number;
+  /** Calls that may reach a bad version. */
+  readonly limit: number;
+  readonly rampMs: number;
+  /** Unix time at which the canary phase ends. */
+  readonly rampAtMs: number;
+}
+
 /** Evidence and progress of one rollout at the leader. */
 interface Steered {
   readonly judge: RolloutJudge;
@@ -152,10 +176,12 @@
       return change(RolloutState.RolledBack, 0, `${fault.signal} on route ${fault.route}`);
     }
     if (wallMs >= dueAtMs) return change(RolloutState.RolledBack, 0, 'no verdict by the deadline');
-    if (judge.currentGateways(nowMs) === 0 || judge.ratio > REJECT_RATIO * DOUBT) return null;
+    const doubt = share === FULL_SHARE ? FINAL_DOUBT : DOUBT;
+    if (judge.currentGateways(nowMs) === 0 || judge.ratio > REJECT_RATIO * doubt) return null;
     const phaseMs = wallMs - rollout.shareSinceMs;
     const answers = judge.candidateAnswers - steered.answersAtPhase;
-    const { rampAtMs } = RolloutSteering.schedule(rollout);
+    const plan = this.plan(rollout, steered, wallMs);
+    const { rampAtMs, rampMs } = plan;
     if (share === FULL_SHARE) {
       // The old servers stop at once when the rollout is completed, with the calls that they run.
       const isDrained =
@@ -166,32 +192,27 @@
     }
     const latestFullAtMs = dueAtMs - FULL_MS - LATEST_MARGIN_MS;
     if (share === RAMP_SHARE) {
-      if (phaseMs < RAMP_MS || answers < RAMP_ANSWERS_MIN || wallMs > latestFullAtMs) return null;
+      if (phaseMs < rampMs || answers < RAMP_ANSWERS_MIN || wallMs > latestFullAtMs) return null;
       return change(RolloutState.Running, FULL_SHARE, 'no fault at the ramp share');
     }
     const mayRamp = wallMs >= rampAtMs && judge.candidateAnswers >= CANARY_ANSWERS_MIN;
     if (mayRamp && wallMs <= latestFullAtMs - RAMP_MS) {
       return change(RolloutState.Running, RAMP_SHARE, 'no fault at the canary share');
     }
-    return this.adjustCanary(rollout, steered, nowMs, change);
+    const collectedMs = nowMs - steered.sinceMs;
+    return collectedMs < (share === 0 ? WARM_UP_MS : COLLECTION_MS)
+      ? null
+      : RolloutSteering.adjustCanary(rollout, plan, change);
   }
 
   /** Sets the canary share so that its calls use the planned part of the exposure limit. */
-  private adjustCanary(
+  private static adjustCanary(
     rollout: Rollout,
-    { judge, sinceMs }: Steered,
-    nowMs: number,
+    { callsPerMs, rampAtMs, limit }: Plan,
     change: (state: RolloutState, share: number, reason: string) => RolloutChange,
   ): RolloutChange | null {
-    const observedMs = nowMs - sinceMs;
-    if (observedMs < WARM_UP_MS) return null;
-    const callsPerMs =
-      (judge.sent(RolloutArm.Baseline) + judge.sent(RolloutArm.Candidate)) / observedMs;
     if (callsPerMs === 0) return null;
-    const durationMs = rollout.dueAtMs - rollout.orderedAtMs;
-    const { exposureShare, exposureSlack } = this.settings;
-    const limit = exposureShare * callsPerMs * durationMs + exposureSlack;
-    const canaryMs = RolloutSteering.schedule(rollout).rampAtMs - rollout.orderedAtMs;
+    const canaryMs = rampAtMs - rollout.orderedAtMs;
     const exact = (CANARY_EXPOSURE * limit) / (callsPerMs * canaryMs);
     // The ramp share has a phase of its own.
     const bounded = Math.min(CANARY_SHARE_MAX, Math.max(CANARY_SHARE_MIN, exact));
@@ -200,11 +221,20 @@
     return isClose ? null : change(RolloutState.Running, share, 'canary share');
   }
 
-  /** Unix time at which the canary phase ends: as late as the deadline allows, to see late faults. */
-  private static schedule({ orderedAtMs, dueAtMs }: Rollout): { readonly rampAtMs: number } {
-    const latest = dueAtMs - FINISH_MARGIN_MS - FULL_MS - RAMP_MS;
-    const earliest = orderedAtMs + (dueAtMs - orderedAtMs) * CANARY_DURATION_MIN;
-    return { rampAtMs: Math.max(earliest, latest) };
+  /** Plans the phases; the canary phase ends as late as the deadline allows, to see late faults. */
+  private plan({ orderedAtMs, dueAtMs }: Rollout, { judge }: Steered, wallMs: number): Plan {
+    // Gateways count from the order on, also for a leader that is new.
+    const observedMs = wallMs - orderedAtMs;
+    const calls = judge.sent(RolloutArm.Baseline) + judge.sent(RolloutArm.Candidate);
+    const callsPerMs = observedMs < WARM_UP_MS ? 0 : calls / observedMs;
+    const durationMs = dueAtMs - orderedAtMs;
+    const { exposureShare, exposureSlack } = this.settings;
+    const limit = exposureShare * callsPerMs * durationMs + exposureSlack;
+    const longRampMs = callsPerMs > 0 ? (RAMP_EXPOSURE * limit) / (callsPerMs * RAMP_SHARE) : 0;
+    const rampMs = Math.min(RAMP_MAX_MS, Math.max(RAMP_MS, longRampMs));
+    const latest = dueAtMs - FINISH_MARGIN_MS - FULL_MS - rampMs;
+    const earliest = orderedAtMs + durationMs * CANARY_DURATION_MIN;
+    return { callsPerMs, limit, rampMs, rampAtMs: Math.max(earliest, latest) };
   }
 
   private steeredOf(orderIndex: number, nowMs: number): Steered {
--- a/src/control/rollouts/RouteEvidence.ts
+++ b/src/control/rollouts/RouteEvidence.ts
@@ -14,6 +14,12 @@
 /** Latency, as a multiple of the old version's median, from which an answer counts as slow. */
 const SLOW_FACTOR = 2;
 
+/**
+ * A cancelled attempt counts as slow this many buckets earlier: a hedge that answers first cancels
+ * it at about twice the usual latency, and its own would have been longer.
+ */
+const CANCELLED_LEAD_BUCKETS = bucketsForFactor(1.5);
+
 function addTo(target: number[], counts: readonly number[], sign = 1): void {
   counts.forEach((count, bucket) => {
     target[bucket]! += sign * count;
@@ -21,7 +27,7 @@
 }
 
 function sumFrom(counts: readonly number[], bucket: number): number {
-  return counts.slice(bucket).reduce((sum, count) => sum + count, 0);
+  return counts.slice(Math.max(0, bucket)).reduce((sum, count) => sum + count, 0);
 }
 
 function emptyCounts(): number[] {
@@ -171,7 +177,8 @@
   }
 
   private static slowCount({ answered, cancelled, running }: WarmCounts, bucket: number): number {
-    return sumFrom(answered, bucket) + sumFrom(cancelled, bucket) + sumFrom(running, bucket);
+    const overdue = sumFrom(cancelled, bucket - CANCELLED_LEAD_BUCKETS);
+    return sumFrom(answered, bucket) + overdue + sumFrom(running, bucket);
   }
 
   private static higherRate(total: Trials, recent: Trials): number {
