--- a/src/common/rollouts/Types.ts
+++ b/src/common/rollouts/Types.ts
@@ -32,13 +32,10 @@
   readonly exposureShare: number;
   /** Number of calls that may reach a bad version in addition to the share. */
   readonly exposureSlack: number;
-  /** Time from a bad version's 50th bad answer to its last call. */
-  readonly rollbackMs: number;
 }
 
 /** Limits that the operators' requirements name (part 2 of docs/design/requirements.md). */
 export const DEFAULT_ROLLOUT_SETTINGS: RolloutSettings = {
   exposureShare: 0.1,
   exposureSlack: 50,
-  rollbackMs: 5_000,
 };
