--- a/src/control/EarlierVersions.test.ts
+++ b/src/control/EarlierVersions.test.ts
@@ -8,7 +8,9 @@
 } from '../common/Messages.js';
 import { createBackend, createEntryHost } from '../gateway/fixtures.js';
 import { BackendState } from '../common/backends/Types.js';
-import { ControlEventType } from './Types.js';
+import type { Rollout } from '../common/rollouts/Types.js';
+import { createTable } from '../common/routing/fixtures.js';
+import { AdminRequestType, ControlEventType } from './Types.js';
 
 /** Types of messages that protocol version 1 has for entry hosts of routed services. */
 const VERSION_1_TYPES: readonly ControlMessageType[] = [
@@ -87,6 +89,30 @@
     expect(types.has(ControlMessageType.Backends)).toBe(true);
   });
 
+  it('receives only messages that it knows while a rollout runs and evidence arrives', () => {
+    const { cluster, host, receive, messagesTo } = createMixed();
+    const edit = { table: createTable() };
+    const routing = { changeId: 'change-1', baseVersion: 0, version: 1, edit };
+    cluster.admin(host, { type: AdminRequestType.ChangeRouting, ...routing });
+    const order = { service: 'alpha', toVersion: 'v2', durationMs: 2_000 };
+    const outcome = cluster.admin(host, { type: AdminRequestType.StartRollout, ...order });
+    const { orderIndex } = outcome!.body as Rollout;
+    receive(2, {
+      type: ControlMessageType.RolloutEvidence,
+      gatewayId: 'new',
+      startId: 'first',
+      sequence: 1,
+      service: 'alpha',
+      orderIndex,
+      routingIndex: orderIndex,
+      rows: [],
+    });
+    cluster.run(2_500);
+    const types = new Set(messagesTo(1).map(({ type }) => type));
+    expect([...types].filter((type) => !VERSION_1_TYPES.includes(type))).toEqual([]);
+    expect(types.has(ControlMessageType.Routing)).toBe(true);
+  });
+
   it('gets an answer to every heartbeat, as its version expects', () => {
     const { receive, messagesTo } = createMixed();
     const count = () => messagesTo(1).filter(({ type }) => type === ControlMessageType.Pong).length;
