Rollouts: hold back new versions without the time of day

src/runtime/Clock.test.ts failed: VersionHold compared process starts with this host's time of day, and egretctl formatted a date. Start times are now compared only with each other, and the hold runs on the monotonic clock.

--- a/src/ctl/RolloutCommands.ts
+++ b/src/ctl/RolloutCommands.ts
@@ -16,7 +16,7 @@
     const rollout = await this.client().send<Rollout>(this.request());
     this.print(rollout, [
       `service=${rollout.service} toVersion=${rollout.toVersion} state=${rollout.state} ` +
-        `share=${rollout.share} dueAt=${new Date(rollout.dueAtMs).toISOString()}`,
+        `share=${rollout.share} dueAtMs=${rollout.dueAtMs}`,
     ]);
   }
 }
--- a/src/gateway/rollouts/GatewayRollouts.ts
+++ b/src/gateway/rollouts/GatewayRollouts.ts
@@ -16,7 +16,6 @@
   readonly startId: string;
   readonly random: RandomSource;
   readonly nowMs: () => number;
-  readonly wallMs: () => number;
   /** True to hold back new versions until the order of their rollout arrives. */
   readonly holdsNewVersions?: boolean;
   readonly routingIndex: () => number;
@@ -43,8 +42,8 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: GatewayRolloutsOptions) {
-    const { random, wallMs, holdsNewVersions } = options;
-    this.hold = holdsNewVersions ? new VersionHold({ wallMs }) : undefined;
+    const { random, nowMs, holdsNewVersions } = options;
+    this.hold = holdsNewVersions ? new VersionHold({ nowMs }) : undefined;
     this.versions = new VersionChooser({ random, hold: this.hold });
     this.evidence = new EvidenceRecorder({ ...options, versions: this.versions });
   }
--- a/src/gateway/rollouts/VersionChooser.test.ts
+++ b/src/gateway/rollouts/VersionChooser.test.ts
@@ -88,18 +88,18 @@
     hold.note([createBackend('b-9', { version, bornMs })]);
 
   it('keeps a version that appears beside an established one without calls until the order', () => {
-    let wallMs = ORDERED_MS;
-    const hold = new VersionHold({ wallMs: () => wallMs });
+    let nowMs = ORDERED_MS;
+    const hold = new VersionHold({ nowMs: () => nowMs });
     announce(hold, 'v1', ORDERED_MS - 60_000);
     announce(hold, 'v2', ORDERED_MS - 500);
     expect(createChoice(null, ['v1', 'v2'], hold).chosen()).toEqual({ v1: 400 });
     expect(createChoice(null, ['v2'], hold).chosen()).toEqual({ v2: 400 });
-    wallMs += 10_000;
+    nowMs += 10_000;
     expect(Object.keys(createChoice(null, ['v1', 'v2'], hold).chosen())).toHaveLength(2);
   });
 
   it('does not hold the old version when all of its servers restart', () => {
-    const hold = new VersionHold({ wallMs: () => ORDERED_MS });
+    const hold = new VersionHold({ nowMs: () => ORDERED_MS });
     announce(hold, 'v1', ORDERED_MS - 60_000);
     announce(hold, 'v2', ORDERED_MS - 5_000);
     announce(hold, 'v1', ORDERED_MS - 100);
@@ -107,7 +107,7 @@
   });
 
   it('holds nothing while two versions without start times are learned together', () => {
-    const hold = new VersionHold({ wallMs: () => ORDERED_MS });
+    const hold = new VersionHold({ nowMs: () => ORDERED_MS });
     announce(hold, 'v1', 0);
     announce(hold, 'v2', 0);
     expect(hold.heldVersions('alpha').size).toBe(0);
--- a/src/gateway/rollouts/VersionHold.ts
+++ b/src/gateway/rollouts/VersionHold.ts
@@ -2,7 +2,7 @@
 
 /** Options of a {@link VersionHold}. */
 export interface VersionHoldOptions {
-  readonly wallMs: () => number;
+  readonly nowMs: () => number;
   readonly holdMs?: number;
 }
 
@@ -18,14 +18,29 @@
  */
 const SAME_START_MS = 1_500;
 
+/** What is known about one version of a service. */
+interface KnownVersion {
+  readonly seenAtMs: number;
+  /** Unix time of the earliest start of its processes; undefined if they announce none. */
+  bornMs: number | undefined;
+}
+
+/** True if the first version appeared later than the second one. */
+function isLater(version: KnownVersion, other: KnownVersion): boolean {
+  if (version.bornMs !== undefined && other.bornMs !== undefined) {
+    return version.bornMs - other.bornMs > SAME_START_MS;
+  }
+  return version.seenAtMs - other.seenAtMs > SAME_START_MS;
+}
+
 /**
  * Holds back versions that are announced beside an established one, because the order of their
- * rollout may not have arrived yet. The age of a version is that of the oldest process seen with it,
- * so that a gateway that starts later decides alike, and a restart of all old servers changes nothing.
+ * rollout may not have arrived yet. The earliest process start of each version shows which one is
+ * established, so that a gateway that starts later decides alike, and a restart of all old servers
+ * changes nothing. Start times are compared only with each other, never with this host's time of day.
  */
 export class VersionHold {
-  /** Unix time of the earliest known start of each version, by service. */
-  private readonly sinceMs = new Map<string, Map<string | undefined, number>>();
+  private readonly known = new Map<string, Map<string | undefined, KnownVersion>>();
 
   private readonly holdMs: number;
 
@@ -35,26 +50,25 @@
 
   /** Records the versions of announced backend servers. */
   note(records: readonly BackendRecord[]): void {
-    const nowMs = this.options.wallMs();
+    const seenAtMs = this.options.nowMs();
     records.forEach(({ service, version, bornMs }) => {
-      const versions = this.sinceMs.get(service) ?? new Map<string | undefined, number>();
-      this.sinceMs.set(service, versions);
-      const known = versions.get(version) ?? nowMs;
-      // Without a start time, the version is as old as this host's knowledge of it.
-      versions.set(version, bornMs > 0 ? Math.min(known, bornMs) : known);
+      const versions = this.known.get(service) ?? new Map<string | undefined, KnownVersion>();
+      this.known.set(service, versions);
+      const entry = versions.get(version) ?? { seenAtMs, bornMs: undefined };
+      if (bornMs > 0) entry.bornMs = Math.min(entry.bornMs ?? bornMs, bornMs);
+      versions.set(version, entry);
     });
   }
 
   /** Versions of a service that get no calls yet, unless no other one has a usable server. */
   heldVersions(service: string): ReadonlySet<string | undefined> {
-    const versions = this.sinceMs.get(service);
-    if (!versions || versions.size < 2) return new Set();
-    const nowMs = this.options.wallMs();
-    const establishedMs = Math.min(...versions.values());
+    const versions = [...(this.known.get(service) ?? [])];
+    if (versions.length < 2) return new Set();
+    const nowMs = this.options.nowMs();
     return new Set(
-      [...versions]
-        .filter(([, since]) => since - establishedMs > SAME_START_MS)
-        .filter(([, since]) => nowMs - since < this.holdMs)
+      versions
+        .filter(([, entry]) => nowMs - entry.seenAtMs < this.holdMs)
+        .filter(([, entry]) => versions.some(([, other]) => isLater(entry, other)))
         .map(([version]) => version),
     );
   }
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -240,7 +240,6 @@
       startId: createNonce(),
       random,
       nowMs,
-      wallMs: () => this.clock.wallMs(),
       holdsNewVersions: options.holdsNewVersions,
       routingIndex: () => this.routing.logIndex,
       report: (evidence) => this.watch?.report(evidence),
