--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -1,6 +1,7 @@
 import type { BackendRecord } from './backends/Types.js';
 import type { LevelColumns, UsageColumns } from './caps/Types.js';
 import type { EntryHost } from './Placement.js';
+import type { EvidenceRow } from './rollouts/Evidence.js';
 import type { RoutingView } from './routing/Types.js';
 import type { SettingsTree } from './SettingsSchema.js';
 import type { ErrorKind } from './Errors.js';
@@ -35,6 +36,8 @@
   UsageReport = 'usage-report',
   UsageShare = 'usage-share',
   UsageUpdate = 'usage-update',
+  RolloutEvidence = 'rollout-evidence',
+  RolloutEvidenceRelay = 'rollout-evidence-relay',
 }
 
 /** How a session receives the list of entry hosts. */
@@ -274,6 +277,29 @@
   readonly perSecond: number | null;
 }
 
+/** Evidence of one gateway on a running rollout; earlier versions ignore it. */
+export interface RolloutEvidenceMessage {
+  readonly type: ControlMessageType.RolloutEvidence;
+  readonly gatewayId: string;
+  /** Distinguishes process starts of the gateway, whose counts begin again. */
+  readonly startId: string;
+  /** Increases with each report, so that a late one is ignored. */
+  readonly sequence: number;
+  readonly service: string;
+  readonly orderIndex: number;
+  /** Log index of the routing that the gateway applies. */
+  readonly routingIndex: number;
+  /** Counts since the gateway learned of the rollout; a lost report is made good by the next. */
+  readonly rows: readonly EvidenceRow[];
+}
+
+/** Passes evidence on to the leader; earlier versions ignore it. */
+export interface RolloutEvidenceRelayMessage {
+  readonly type: ControlMessageType.RolloutEvidenceRelay;
+  readonly from: string;
+  readonly evidence: RolloutEvidenceMessage;
+}
+
 /** Relays announcements to another control host. */
 export interface BackendRelayMessage {
   readonly type: ControlMessageType.BackendRelay;
@@ -358,7 +384,11 @@
 
 /** Messages between control hosts outside the replicated log. */
 export type ControlPeerMessage =
-  RegistryPeerMessage | EntryHostsShareMessage | ReportRelayMessage | UsageShareMessage;
+  | RegistryPeerMessage
+  | EntryHostsShareMessage
+  | ReportRelayMessage
+  | UsageShareMessage
+  | RolloutEvidenceRelayMessage;
 
 /** Messages from an entry host to a control host. */
 export type EntryToControlMessage =
@@ -371,7 +401,8 @@
   | BackendsAckMessage
   | CrashReportMessage
   | LimitReportMessage
-  | UsageReportMessage;
+  | UsageReportMessage
+  | RolloutEvidenceMessage;
 
 /** Messages from a control host to an entry host. */
 export type ControlToEntryMessage =
--- a/src/control/AdminReads.ts
+++ b/src/control/AdminReads.ts
@@ -5,6 +5,7 @@
 import type { ReplicatedState } from './ReplicatedState.js';
 import type { EntrySessions } from './EntrySessions.js';
 import type { RaftNode } from './raft/RaftNode.js';
+import { rolloutOf } from './rollouts/RolloutBook.js';
 import { AdminRequestType, type AdminRequest } from './Types.js';
 
 type RequestOf<T extends AdminRequestType> = Extract<AdminRequest, { type: T }>;
@@ -78,6 +79,12 @@
       const { view } = this.replicatedState.routing;
       return Result.ok(includesKeys ? view : withKeyDigests(view));
     },
+    [AdminRequestType.ShowRollout]: (request: RequestOf<AdminRequestType.ShowRollout>) => {
+      const rollout = rolloutOf(this.replicatedState.routing.view, request.service);
+      return rollout
+        ? Result.ok<unknown, EgretError>(rollout)
+        : notFound(`There was no rollout of service ${request.service}.`);
+    },
     [AdminRequestType.EntryHosts]: () =>
       Result.ok({
         revision: this.replicatedState.revision,
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -8,6 +8,7 @@
   type CrashReportMessage,
   type LimitReportMessage,
   type PingMessage,
+  type RolloutEvidenceMessage,
   type SettleMessage,
   type EntryToControlMessage,
 } from '../common/Messages.js';
@@ -24,6 +25,8 @@
 import { RegistryFlow } from './RegistryFlow.js';
 import { SharedEntryHosts } from './SharedEntryHosts.js';
 import { RaftNode } from './raft/RaftNode.js';
+import type { RolloutSettings } from '../common/rollouts/Types.js';
+import { RolloutSteering } from './rollouts/RolloutSteering.js';
 import type { RaftOptions } from './raft/RaftState.js';
 import { hasCommittedInTerm } from './raft/Replication.js';
 import {
@@ -59,6 +62,8 @@
   readonly capBounds?: CapBounds;
   /** Time without a heartbeat until a host is unlisted; two configuration leases by default. */
   readonly entryHeartbeatTimeoutMs?: number;
+  /** Limits of rollouts; those of the requirement by default. */
+  readonly rollouts?: RolloutSettings;
 }
 
 /** Callbacks of a proposed command, with the term of the proposal. */
@@ -85,6 +90,8 @@
 
   readonly sessions: EntrySessions;
 
+  readonly steering: RolloutSteering;
+
   private readonly sharedHosts: SharedEntryHosts;
 
   readonly backends: RegistryFlow;
@@ -124,6 +131,7 @@
   constructor(options: ControlOptions) {
     const hostsLostAtOnce = options.autoMembership?.hostsLostAtOnce;
     this.raft = new RaftNode({ ...options.raft, hostsLostAtOnce });
+    this.steering = new RolloutSteering({ settings: options.rollouts });
     this.sharedHosts = new SharedEntryHosts({
       selfId: options.raft.id,
       peerIds: () => this.raft.state.log.membersExcept(options.raft.id).map(({ id }) => id),
@@ -262,6 +270,7 @@
     [RaftEffectType.ReadFailed]: (effect: RaftEffectOf<RaftEffectType.ReadFailed>) =>
       this.admin.failRead(effect.readId),
     [RaftEffectType.RoleChanged]: (effect: RaftEffectOf<RaftEffectType.RoleChanged>) => {
+      this.steering.reset();
       if (!this.raft.isLeader) {
         this.failPendingProposals();
         this.admin.failConfirmations();
@@ -331,8 +340,23 @@
       sessionId: number,
       message: SessionMessageOf<ControlMessageType.UsageReport>,
     ) => this.usage?.onReport(sessionId, message, this.nowMs),
+    [ControlMessageType.RolloutEvidence]: (
+      sessionId: number,
+      message: SessionMessageOf<ControlMessageType.RolloutEvidence>,
+    ) => this.receiveEvidence(message),
   };
 
+  /** Takes evidence as the leader, or passes it on to the leader. */
+  private receiveEvidence(evidence: RolloutEvidenceMessage): void {
+    const { id, leaderId } = this.raft.state;
+    if (this.raft.isLeader) this.steering.receive(evidence, this.nowMs);
+    else if (leaderId !== null && leaderId !== id) {
+      const type = ControlMessageType.RolloutEvidenceRelay;
+      const message = { type, from: id, evidence } as const;
+      this.emit({ type: ControlEffectType.SendControl, to: leaderId, message });
+    }
+  }
+
   private onControlPeerMessage(message: ControlPeerMessage): void {
     switch (message.type) {
       case ControlMessageType.EntryHostsShare:
@@ -344,6 +368,10 @@
       case ControlMessageType.UsageShare:
         this.usage?.onShare(message, this.nowMs);
         return;
+      case ControlMessageType.RolloutEvidenceRelay:
+        // Evidence that arrives after a change of leader comes again with the next report.
+        if (this.raft.isLeader) this.steering.receive(message.evidence, this.nowMs);
+        return;
       default:
         this.backends.onControlPeerMessage(message);
     }
@@ -460,6 +488,7 @@
   /** As a leader that has committed in its term, proposes initial settings or a membership. */
   private proposeAsLeader(): void {
     if (!this.raft.isLeader || !hasCommittedInTerm(this.raft.state)) return;
+    this.steerRollouts();
     if (
       this.replicatedState.revision === 0 &&
       this.initialSettings &&
@@ -486,6 +515,20 @@
     }
   }
 
+  private steerRollouts(): void {
+    const { view } = this.replicatedState.routing;
+    this.steering.tick(view, this.nowMs, this.wallMs).forEach((change) => {
+      const { service, state, share, reason } = change;
+      this.emit({
+        type: ControlEffectType.Log,
+        event: 'rollout_steered',
+        fields: { service, state, share, reason, exposedCalls: this.steering.exposedCalls },
+      });
+      const type = CommandType.RolloutVerdict;
+      this.propose({ type, ...change, actor: 'system', atMs: this.wallMs });
+    });
+  }
+
   private maybeSnapshot(): void {
     const { state } = this.raft;
     const applied = state.appliedIndex - state.log.snapshot.index;
--- a/src/gateway/ActiveRouting.ts
+++ b/src/gateway/ActiveRouting.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '../common/Random.js';
 import { RouteIndex } from '../common/routing/RouteIndex.js';
+import type { Rollout } from '../common/rollouts/Types.js';
 import type { Route, RoutedService, RoutingTable, RoutingView } from '../common/routing/Types.js';
 import { CustomerIndex } from './customers/CustomerIndex.js';
 import { SplitChooser } from './SplitChooser.js';
@@ -20,6 +21,8 @@
 
   closedZones: readonly string[] = [];
 
+  rollouts: readonly Rollout[] = [];
+
   private readonly split: SplitChooser;
 
   constructor(random: RandomSource) {
@@ -31,6 +34,7 @@
     if (view.index <= this.logIndex) return false;
     this.logIndex = view.index;
     this.closedZones = view.closedZones;
+    this.rollouts = view.rollouts ?? [];
     if (view.table && view.version !== this.version) {
       this.table = view.table;
       this.index = new RouteIndex(view.table);
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -29,6 +29,7 @@
 import { PeerPicker } from '../PeerPicker.js';
 import { createPicker } from '../Pickers.js';
 import { ReachMonitor } from '../ReachMonitor.js';
+import { GatewayRollouts } from '../rollouts/GatewayRollouts.js';
 import { RequestLimiter } from '../RequestLimiter.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
@@ -71,6 +72,8 @@
   readonly policy?: PickPolicy;
   /** Prices of calls to other zones; omitted to decide by expected time alone. */
   readonly zoneCrossing?: CrossingPrices;
+  /** True to hold back new versions until the order of their rollout arrives. */
+  readonly holdsNewVersions?: boolean;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Bounds of the customers' usage caps; omitted in deployments without caps. */
   readonly capBounds?: CapBounds;
@@ -150,6 +153,7 @@
   private readonly caps: UsageCaps | undefined;
 
   private capReporter: CapReporter | undefined;
+  private readonly rollouts: GatewayRollouts;
 
   private readonly connections: HttpConnections;
 
@@ -256,6 +260,16 @@
       nowMs,
     });
     const work = new WorkEstimates();
+    this.rollouts = new GatewayRollouts({
+      gatewayId: selfId,
+      startId: createNonce(),
+      random,
+      nowMs,
+      holdsNewVersions: options.holdsNewVersions,
+      routingIndex: () => this.routing.logIndex,
+      report: (evidence) => this.watch?.report(evidence),
+      log,
+    });
     const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
       pool: this.pool,
       cold: this.cold,
@@ -276,7 +290,13 @@
     });
     const dispatchOptions = { cold: this.cold, crashes: this.crashes, nowMs, setTimer, log };
     const { budget } = this;
-    const local = new Dispatcher({ ...dispatchOptions, picker, budget, work });
+    const local = new Dispatcher({
+      ...dispatchOptions,
+      picker: this.rollouts.picker(picker),
+      budget,
+      work,
+      observe: (call, view, handle) => this.rollouts.evidence.observe(call, view, handle),
+    });
     const dispatcher = new ForwardingDispatcher({
       local,
       peers: new Dispatcher({
@@ -446,6 +466,7 @@
   dispose(): void {
     this.capReporter?.dispose();
     this.watch?.dispose();
+    this.rollouts.dispose();
     clearTimeout(this.provisionalTimer);
     this.reach.dispose();
     this.client.dispose();
@@ -508,6 +529,7 @@
         this.applyProvisional(message.records);
         return;
       }
+      this.rollouts.noteRecords(message.records);
       const changed = this.pool.apply(message.records, this.clock.nowMs());
       changed.forEach(({ record, coldUntilMs }) =>
         this.options.log.line('backend_learned', {
@@ -563,6 +585,7 @@
     if (!this.routing.apply(view)) return;
     this.pool.setClosedZones(view.closedZones);
     this.caps?.setCustomers(view.table?.customers ?? []);
+    this.rollouts.apply(this.routing.rollouts);
     if (view.table) {
       const { limits } = view.table;
       this.callerServer.keepAliveTimeout = limits.idleTimeoutMs;
