Bound the probes of each backend server, and probe less as free capacity shrinks

Change: each gateway keeps to its share of probesPerServerPerSecond (setting, only where usage caps are), by service and by server, crash checks included; candidates that are not probed are estimated from known loads with their age; rounds and parallel probes shrink with the share of recent probes that found a free slot. Without the setting nothing changes.

--- a/bench/Picks.ts
+++ b/bench/Picks.ts
@@ -49,7 +49,7 @@
     });
     // One simulation at a time, so that each has the processor to itself.
     // eslint-disable-next-line no-await-in-loop
-    const result = await world.run();
+    const { withinByPriority, ...result } = await world.run();
     rows.push({ policy, ...result });
   }
   printTable(rows);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 import { benchControl } from './Control.js';
 import { benchMeasuring } from './Measuring.js';
+import { benchOverload } from './Overload.js';
 import { benchOverhead } from './Overhead.js';
 import { benchPicks } from './Picks.js';
 import { benchPolicies } from './Policies.js';
@@ -9,6 +10,7 @@
 /** Benches by name. */
 const BENCHES: Readonly<Record<string, (args: readonly string[]) => Promise<void>>> = {
   overhead: benchOverhead,
+  overload: benchOverload,
   policies: benchPolicies,
   picks: benchPicks,
   zone: benchZone,
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -26,6 +26,8 @@
   call_crashed: 'Handling a call failed with an unexpected error.',
   // State of a gateway.
   probe_unanswered: 'A backend server did not answer a probe; its backoff lasts pausedMs.',
+  probe_budget_exhausted:
+    'Picks use backend servers unprobed, as the probe budget of a service is used up.',
   probe_misdirected: 'Another backend server answered the probe at this address.',
   backend_cold: 'A probe reported that a backend server is cold.',
   reach_checked:
--- a/src/gateway/BackendPicker.ts
+++ b/src/gateway/BackendPicker.ts
@@ -1,4 +1,5 @@
 import type { RoutedService } from '../common/routing/Types.js';
+import type { ProbeAdmission } from './admission/ProbeAdmission.js';
 import type { BackendPool } from './BackendPool.js';
 import type { BackendView } from './BackendView.js';
 import type { ColdLimiter } from './ColdLimiter.js';
@@ -19,6 +20,8 @@
   readonly probe: SendProbe;
   readonly nowMs: () => number;
   readonly log: DecisionLog;
+  /** Bounds the probes; without it, every round probes all of its candidates. */
+  readonly admission?: ProbeAdmission;
 }
 
 /** State of a search for a backend server. */
@@ -114,11 +117,19 @@
         if (view && this.isAcceptable(view, call, service)) resolve(view);
         else if (pending === 0) resolve(null);
       };
-      group.forEach((view) => {
+      group.forEach((view, indexInRound) => {
         if (nowMs() - view.loadAtMs < LOAD_FRESH_MS || this.isUsedUnprobed(view)) {
           evaluate(view);
           return;
         }
+        const place = { view, round: search.round, indexInRound };
+        if (this.options.admission?.tryProbe(place) === false) {
+          // A load that is not current is compared with the others but never accepted at once.
+          pending -= 1;
+          search.evaluated.push(view);
+          if (pending === 0) resolve(null);
+          return;
+        }
         search.probes += 1;
         probe(view, service).then(
           (report) => evaluate(this.noteProbe(view, report) ? view : null),
@@ -158,6 +169,7 @@
     const wasCold = view.isCold(now);
     const wasUnhealthy = view.unhealthy;
     view.noteHealth(report, now);
+    this.options.admission?.noteProbed(view);
     if (!wasCold && view.isCold(now)) {
       log('backend_cold', { backend, service, coldLeftMs: view.coldUntilMs - now });
     }
@@ -176,8 +188,10 @@
   }
 
   private expectedMs(view: BackendView, call: Call): number {
-    const { work, nowMs } = this.options;
-    return view.expectedMs(work.workMs(call), nowMs(), work.fullFactor(call.service));
+    const { work, nowMs, admission } = this.options;
+    const fullFactor = work.fullFactor(call.service);
+    if (admission) return admission.expectedMs(view, work.workMs(call), fullFactor);
+    return view.expectedMs(work.workMs(call), nowMs(), fullFactor);
   }
 
   private isAcceptable(view: BackendView, call: Call, service: RoutedService): boolean {
--- a/src/gateway/BackendPool.ts
+++ b/src/gateway/BackendPool.ts
@@ -136,6 +136,12 @@
     });
   }
 
+  /** Number of backend servers of a service that may receive calls. */
+  usableCount(service: string): number {
+    const views = this.byService.get(service) ?? [];
+    return [...views].filter((view) => this.isUsable(view)).length;
+  }
+
   /** All backend servers that may receive calls. */
   usable(): BackendView[] {
     return [...this.views.values()].filter((view) => this.isUsable(view));
--- /dev/null
+++ b/src/gateway/admission/ProbeAdmission.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest';
+import { BackendView } from '../BackendView.js';
+import { createBackend } from '../fixtures.js';
+import { ProbeAdmission } from './ProbeAdmission.js';
+
+const FULL = { running: 3, waiting: 2, slots: 3, slowdown: 1 };
+const IDLE = { running: 0, waiting: 0, slots: 3, slowdown: 1 };
+
+function createWorld() {
+  const world = { nowMs: 1_000, logged: [] as string[] };
+  const admission = new ProbeAdmission({
+    probesPerServerPerSecond: 1_000,
+    serversOf: () => 40,
+    nowMs: () => world.nowMs,
+    log: (event) => world.logged.push(event),
+  });
+  admission.setGateways(1);
+  const createView = (id: string) => new BackendView(createBackend(id));
+  const view = createView('b-1');
+  const probe = (load: typeof FULL, times: number) =>
+    Array.from({ length: times }).forEach(() => {
+      view.noteLoad(load, world.nowMs);
+      admission.noteProbed(view);
+    });
+  // The bucket of a service starts empty.
+  admission.tryProbe({ view, round: 0, indexInRound: 0 });
+  world.nowMs += 100;
+  world.logged.length = 0;
+  return { world, admission, createView, view, probe };
+}
+
+describe('picks while every probe finds full servers', () => {
+  // Guards against four rounds of probes for each call at all gateways at once.
+  it('send one probe in one round, and all again once probes find free slots', () => {
+    const { admission, view, probe } = createWorld();
+    probe(FULL, 20);
+    expect(admission.tryProbe({ view, round: 0, indexInRound: 0 })).toBe(true);
+    expect(admission.tryProbe({ view, round: 0, indexInRound: 1 })).toBe(false);
+    expect(admission.tryProbe({ view, round: 1, indexInRound: 0 })).toBe(false);
+    probe(IDLE, 4);
+    expect(admission.tryProbe({ view, round: 3, indexInRound: 1 })).toBe(true);
+  });
+
+  // Guards against a share of an earlier overload that limits the first calls of the next load.
+  it('forget the overload after two seconds without probes', () => {
+    const { world, admission, view, probe } = createWorld();
+    probe(FULL, 20);
+    world.nowMs += 2_000;
+    expect(admission.tryProbe({ view, round: 3, indexInRound: 1 })).toBe(true);
+  });
+});
+
+describe('picks while the probe budget is used up', () => {
+  // Guards against a log line for each call of an overload.
+  it('are counted, and logged once', () => {
+    const { world, admission, view } = createWorld();
+    const tries = Array.from({ length: 20 }, () =>
+      admission.tryProbe({ view, round: 0, indexInRound: 0 }),
+    );
+    expect(tries.filter(Boolean)).toHaveLength(3);
+    expect(admission.overBudget).toBeGreaterThanOrEqual(17);
+    expect(world.logged.length).toBeLessThanOrEqual(1);
+  });
+
+  // Guards against calls that follow an old report of an idle server into its queue.
+  it('prefer a fresh load over an old one, and few own calls over many', () => {
+    const { world, admission, createView, probe } = createWorld();
+    probe(FULL, 20);
+    const [fresh, old, busy] = ['b-2', 'b-3', 'b-4'].map(createView);
+    old!.noteLoad(IDLE, world.nowMs - 900);
+    fresh!.noteLoad(IDLE, world.nowMs);
+    busy!.inFlight = 9;
+    const [freshMs, oldMs, busyMs] = [fresh!, old!, busy!].map((view) =>
+      admission.expectedMs(view, 90, 1),
+    );
+    expect(freshMs).toBe(90);
+    expect(oldMs).toBeGreaterThan(150);
+    expect(busyMs).toBeGreaterThan(oldMs!);
+  });
+});
--- /dev/null
+++ b/src/gateway/admission/ProbeBudget.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from 'vitest';
+import { createBackend } from '../fixtures.js';
+import { ProbeBudget } from './ProbeBudget.js';
+
+const SERVERS = Array.from({ length: 10 }, (unused, index) => ({
+  record: createBackend(`b-${index}`),
+}));
+
+function createBudget(gateways: number): ProbeBudget {
+  const budget = new ProbeBudget({ probesPerServerPerSecond: 42, serversOf: () => SERVERS.length });
+  budget.setGateways(gateways);
+  budget.tryTake(SERVERS[0]!, 1);
+  return budget;
+}
+
+/** Number of probes granted in ten seconds of constant demand for the servers in turn. */
+function countGranted(budget: ProbeBudget, servers = SERVERS): number {
+  const moments = Array.from({ length: 10_000 }, (unused, index) => 1 + index);
+  return moments.filter((nowMs) => budget.tryTake(servers[nowMs % servers.length]!, nowMs)).length;
+}
+
+describe('ProbeBudget with demand far above the budget', () => {
+  // Guards against probes that grow with the load: 50.9 per server and second where 42 are allowed.
+  it.each([20, 133])('all of %i gateways together keep to the limit', (gateways) => {
+    const perServer = (countGranted(createBudget(gateways)) * gateways) / SERVERS.length / 10;
+    expect(perServer).toBeLessThanOrEqual(42);
+    expect(perServer).toBeGreaterThan(38);
+  });
+
+  // Guards against picks that send the share of the whole service to the server they prefer.
+  it('one preferred server gets no more than its own share', () => {
+    const granted = countGranted(createBudget(20), SERVERS.slice(0, 1));
+    expect(granted / 10).toBeLessThanOrEqual(42 / 20 + 0.3);
+  });
+
+  // Guards against crash checks that come on top of the budget in a mass failure.
+  it('probes of other purposes delay those of picks', () => {
+    const budget = createBudget(20);
+    Array.from({ length: 100 }).forEach(() => budget.charge(SERVERS[1]!, 1));
+    expect(countGranted(budget)).toBeLessThanOrEqual(42 * 0.5 * 10 - 100 + 1);
+  });
+
+  // Guards against gateways that each use the whole budget after they lose the control hosts.
+  it('an empty list of gateways changes no share', () => {
+    const budget = createBudget(20);
+    budget.setGateways(0);
+    expect(budget.perSecond('alpha')).toBe(21);
+  });
+});
--- /dev/null
+++ b/src/gateway/admission/ProbeBudget.ts
@@ -0,0 +1,104 @@
+import { PacedBucket, type Pace } from '../../common/PacedBucket.js';
+import type { BackendView } from '../BackendView.js';
+
+/** Options of a {@link ProbeBudget}. */
+export interface ProbeBudgetOptions {
+  /** Probes that one backend server receives per second from all gateways together. */
+  readonly probesPerServerPerSecond: number;
+  /** Number of backend servers known for a service. */
+  readonly serversOf: (service: string) => number;
+}
+
+/**
+ * Time whose share a bucket holds at most. The limit is stated per second, so that after a pause a
+ * quarter of a second's probes may come on top.
+ */
+const BURST_SECONDS = 0.25;
+
+/** Smallest burst: the candidates that the first round of a pick probes in parallel. */
+const BURST_MIN = 2;
+
+/**
+ * Probes of one backend server in a row: its own share is below one per second with more gateways
+ * than the limit, and random candidates come unevenly. Over time its share still holds.
+ */
+const SERVER_BURST = 3;
+
+const MS_PER_SECOND = 1_000;
+
+/** Backend server as far as its budget depends on it. */
+export type ProbedServer = Pick<BackendView, 'record'>;
+
+/**
+ * Part of this gateway in the probes that backend servers receive. Every service has a bucket of its
+ * own and so has every backend server, since the limit holds for each one: picks prefer servers that
+ * accept calls, and under load these would get a multiple of the mean. The buckets of services start
+ * empty, so that restarts add no probes.
+ */
+export class ProbeBudget {
+  private readonly buckets = new Map<string, PacedBucket>();
+
+  private readonly serverBuckets = new WeakMap<ProbedServer, PacedBucket>();
+
+  /** Unknown until the first list of gateways arrives; until then no pick sends probes. */
+  private gateways = Infinity;
+
+  constructor(private readonly options: ProbeBudgetOptions) {}
+
+  /** Sets the number of live gateways; an empty list, as without control hosts, changes nothing. */
+  setGateways(count: number): void {
+    if (count > 0) this.gateways = count;
+  }
+
+  /** Own share of the probes of a service per second. */
+  perSecond(service: string): number {
+    const { probesPerServerPerSecond, serversOf } = this.options;
+    return (probesPerServerPerSecond * serversOf(service)) / this.gateways;
+  }
+
+  /** Takes one probe from the budget; false if it is used up. */
+  tryTake(view: ProbedServer, nowMs: number): boolean {
+    const { service } = view.record;
+    const bucket = this.bucket(service, nowMs);
+    if (!bucket.hasToken(this.pace(service), nowMs)) return false;
+    if (!this.serverBucket(view, nowMs).hasToken(this.serverPace, nowMs)) return false;
+    this.charge(view, nowMs);
+    return true;
+  }
+
+  /** Counts a probe that is sent whatever the budget is, such as a crash check; later ones wait. */
+  charge(view: ProbedServer, nowMs: number): void {
+    const { service } = view.record;
+    this.bucket(service, nowMs).take(this.pace(service), nowMs);
+    this.serverBucket(view, nowMs).take(this.serverPace, nowMs);
+  }
+
+  private get serverPace(): Pace {
+    const perSecond = this.options.probesPerServerPerSecond / this.gateways;
+    return { perSecond, burst: SERVER_BURST };
+  }
+
+  /** Bucket of a backend server; it starts full, since that of the service bounds a restart. */
+  private serverBucket(view: ProbedServer, nowMs: number): PacedBucket {
+    const known = this.serverBuckets.get(view);
+    if (known) return known;
+    const created = new PacedBucket(
+      nowMs - (SERVER_BURST * MS_PER_SECOND) / this.serverPace.perSecond,
+    );
+    this.serverBuckets.set(view, created);
+    return created;
+  }
+
+  private pace(service: string): Pace {
+    const perSecond = this.perSecond(service);
+    return { perSecond, burst: Math.max(BURST_MIN, perSecond * BURST_SECONDS) };
+  }
+
+  private bucket(service: string, nowMs: number): PacedBucket {
+    const known = this.buckets.get(service);
+    if (known) return known;
+    const created = new PacedBucket(nowMs);
+    this.buckets.set(service, created);
+    return created;
+  }
+}
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -16,6 +16,7 @@
 import { BackendPool, PROVISIONAL_TTL_MS } from '../BackendPool.js';
 import { BackendSources } from '../BackendSources.js';
 import type { BackendView } from '../BackendView.js';
+import { ProbeAdmission } from '../admission/ProbeAdmission.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
@@ -64,6 +65,8 @@
   readonly profile: WireProfile;
   /** How backend servers are picked; just in time by default. */
   readonly policy?: PickPolicy;
+  /** Probes that a backend server receives per second from all gateways; unbounded if omitted. */
+  readonly probesPerServerPerSecond?: number;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Longest time from the stop signal to the end of the process. */
   readonly stopMs: number;
@@ -126,6 +129,9 @@
 
   private readonly limits: RequestLimiter;
 
+  /** Bounds the probes of backend servers; undefined without a bound. */
+  private readonly admission: ProbeAdmission | undefined;
+
   private readonly budget: RetryBudget;
 
   private readonly client: BackendClient;
@@ -233,6 +239,16 @@
       random,
       nowMs,
     });
+    const { probesPerServerPerSecond } = options;
+    this.admission =
+      probesPerServerPerSecond === undefined
+        ? undefined
+        : new ProbeAdmission({
+            probesPerServerPerSecond,
+            serversOf: (service) => this.pool.usableCount(service),
+            nowMs,
+            log,
+          });
     const work = new WorkEstimates();
     const picker = createPicker(options.policy ?? PickPolicy.JustInTime, {
       pool: this.pool,
@@ -242,6 +258,7 @@
       probe: (view, service) => this.client.probe(view, service),
       nowMs,
       log,
+      admission: this.admission,
     });
     this.crashes = new CrashWatch({
       nowMs,
@@ -438,7 +455,9 @@
     // It answered not long ago, and a probe is a request that it asked not to receive.
     if (view.isQuiet(this.clock.nowMs())) return true;
     const service = this.routing.index?.service(view.record.service);
-    return service === undefined || (await this.client.probe(view, service)) !== null;
+    if (service === undefined) return true;
+    this.admission?.charge(view);
+    return (await this.client.probe(view, service)) !== null;
   }
 
   private self(): EntryHost {
@@ -520,6 +539,7 @@
     this.limits.setEntryHosts(entryHosts);
     this.peerPicker.setEntryHosts(entryHosts);
     this.budget.setEntryHosts(entryHosts.length);
+    this.admission?.setGateways(entryHosts.length);
   }
 
   private applyRouting(view: RoutingView): void {
@@ -574,6 +594,17 @@
     const { metrics, pool, client, routing } = this;
     metrics.gauge('egret_backends', 'Backend servers known.', () => pool.size);
     metrics.gauge('egret_probes', 'Probes sent.', () => client.probes);
+    const { admission } = this;
+    metrics.gauge(
+      'egret_probes_over_budget',
+      'Probes not sent because the budget was used up.',
+      () => admission?.overBudget ?? 0,
+    );
+    metrics.gauge(
+      'egret_probes_over_depth',
+      'Probes not sent because recent ones found few free slots.',
+      () => admission?.overDepth ?? 0,
+    );
     metrics.gauge('egret_connects', 'Connections to backend servers.', () => client.connects);
     metrics.gauge('egret_backends_cut', '1 while cut off from all backend servers.', () =>
       Number(this.reach.isCut),
--- a/standin/RoutedWorld.ts
+++ b/standin/RoutedWorld.ts
@@ -75,6 +75,15 @@
   readonly served: number;
 }
 
+/** Kind of calls with a priority of its own. */
+export interface CallClass {
+  readonly priority: number;
+  /** Part of all calls. */
+  readonly share: number;
+  readonly objectiveMs: number;
+  readonly deadlineMs: number;
+}
+
 /** Options of a {@link RoutedWorld}; times are in milliseconds of virtual time. */
 export interface RoutedWorldOptions {
   readonly policy: PickPolicy;
@@ -93,6 +102,10 @@
   readonly slowFactor: number;
   /** Mean length of a period. */
   readonly slowPeriodMs: number;
+  /** Kinds of calls; by default all are alike. */
+  readonly classes?: readonly CallClass[];
+  /** Probe budget of each backend server; undefined for none. */
+  readonly probesPerServerPerSecond?: number;
   readonly limit?: LimitTrouble;
   readonly restarts?: RestartTrouble;
   readonly cut?: CutTrouble;
@@ -113,6 +126,14 @@
   readonly p99Ms: number;
   readonly probesPerCall: number;
   readonly attemptsPerCall: number;
+  /** Share of the attempts that a backend server rejected as not run. */
+  readonly rejectedShare: number;
+  /** Most probes that one backend server received within one second, by the clock's seconds. */
+  readonly serverProbesMax: number;
+  /** Mean number of probes per backend server in the busiest second. */
+  readonly meanProbesMax: number;
+  /** Share of the calls of each priority that were answered within the objective. */
+  readonly withinByPriority: Readonly<Record<number, number>>;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -174,6 +195,13 @@
 
   private attempts = 0;
 
+  private rejected = 0;
+
+  /** Probes by second and backend server. */
+  private readonly probesBySecond = new Map<number, Map<string, number>>();
+
+  private readonly byPriority = new Map<number, { calls: number; within: number }>();
+
   constructor(private readonly options: RoutedWorldOptions) {
     this.random = createRandom(options.seed);
     this.backends = Array.from(
@@ -246,6 +274,22 @@
       p99Ms: this.latencies.quantile(0.99),
       probesPerCall: this.probes / calls,
       attemptsPerCall: this.attempts / calls,
+      rejectedShare: this.rejected / Math.max(1, this.attempts),
+      ...this.probePeaks(),
+      withinByPriority: Object.fromEntries(
+        [...this.byPriority]
+          .sort(([a], [b]) => a - b)
+          .map(([key, seen]) => [key, seen.within / seen.calls]),
+      ),
+    };
+  }
+
+  private probePeaks(): Pick<RoutedWorldResult, 'serverProbesMax' | 'meanProbesMax'> {
+    const seconds = [...this.probesBySecond.values()].map((byServer) => [...byServer.values()]);
+    const sums = seconds.map((counts) => counts.reduce((sum, count) => sum + count, 0));
+    return {
+      serverProbesMax: Math.max(0, ...seconds.flat()),
+      meanProbesMax: Math.max(0, ...sums) / this.options.backends,
     };
   }
 
@@ -255,6 +299,7 @@
       id,
       seed: seed + this.starts,
       policy,
+      probesPerServerPerSecond: this.options.probesPerServerPerSecond,
       timeline: this.timeline,
       backends,
       probe: (from, view) => this.probe(from, view),
@@ -364,6 +409,10 @@
 
   private probe(gateway: SimulatedGateway, view: BackendView): Promise<HealthReport | null> {
     this.probes += 1;
+    const second = Math.floor(this.timeline.nowMs / MS_PER_SECOND);
+    const counts = this.probesBySecond.get(second) ?? new Map<string, number>();
+    counts.set(view.record.id, (counts.get(view.record.id) ?? 0) + 1);
+    this.probesBySecond.set(second, counts);
     const failure = this.failureOf(gateway, view);
     const sentAtMs = this.timeline.nowMs;
     return new Promise((resolve) => {
@@ -420,6 +469,7 @@
         this.timeline.after(HOP_MS, () => {
           cancel = backend.run((completed, load) => {
             if (completed) this.runs.get(callId)!.count += 1;
+            else this.rejected += 1;
             this.timeline.after(HOP_MS, () => {
               this.deliverLimit(gateway, view, sentAtMs, completed);
               resolve(
@@ -500,11 +550,12 @@
   }
 
   private call(): void {
-    const { objectiveMs, deadlineMs, nonIdempotentShare = 0 } = this.options;
+    const { nonIdempotentShare = 0 } = this.options;
+    const { objectiveMs, deadlineMs, priority } = this.drawClass();
     const { nowMs } = this.timeline;
     const isRepeatable = this.random.next() >= nonIdempotentShare;
     const kind = isRepeatable ? RouteKind.Idempotent : RouteKind.NonIdempotent;
-    const route = createRoute('read', { objectiveMs, timeoutMs: deadlineMs, kind });
+    const route = createRoute('read', { objectiveMs, timeoutMs: deadlineMs, kind, priority });
     this.counts.calls += 1;
     const callId = `call-${this.counts.calls}`;
     this.runs.set(callId, { count: 0, allowed: isRepeatable ? route.attemptsMax : 1 });
@@ -528,24 +579,42 @@
     gateway.dispatcher
       .run(call, createService('alpha'), senders, () => {})
       .then(
-        (outcome) => this.recordOutcome(gateway.id, outcome, nowMs),
-        () => this.recordOutcome(gateway.id, undefined, nowMs),
+        (outcome) => this.recordOutcome(gateway.id, outcome, call),
+        () => this.recordOutcome(gateway.id, undefined, call),
       );
   }
 
+  /** Draws the kind of a call; takes no random number without kinds, so that seeds keep their runs. */
+  private drawClass(): Omit<CallClass, 'share'> {
+    const { classes, objectiveMs, deadlineMs } = this.options;
+    if (!classes) return { objectiveMs, deadlineMs, priority: 1 };
+    let left = this.random.next();
+    return (
+      classes.find(({ share }) => {
+        left -= share;
+        return left < 0;
+      }) ?? classes.at(-1)!
+    );
+  }
+
   private recordOutcome(
     gatewayId: string,
     outcome: DispatchOutcome | undefined,
-    arrivedAtMs: number,
+    { arrivedAtMs, objectiveAtMs, route }: Call,
   ): void {
     const elapsedMs = this.timeline.nowMs - arrivedAtMs;
     const isServed =
       outcome?.type === DispatchOutcomeType.Answer && outcome.answer.statusCode === 200;
     this.recordFirstTry(gatewayId, arrivedAtMs, isServed);
+    const seen = this.byPriority.get(route.priority) ?? { calls: 0, within: 0 };
+    this.byPriority.set(route.priority, seen);
+    seen.calls += 1;
     if (isServed) {
       this.latencies.add(elapsedMs);
-      if (elapsedMs <= this.options.objectiveMs) this.counts.within += 1;
-      else this.counts.late += 1;
+      if (this.timeline.nowMs <= objectiveAtMs) {
+        this.counts.within += 1;
+        seen.within += 1;
+      } else this.counts.late += 1;
     } else if (outcome?.type === DispatchOutcomeType.Refused) this.counts.refused += 1;
     else this.counts.failed += 1;
   }
--- a/standin/SimulatedGateway.ts
+++ b/standin/SimulatedGateway.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '../src/common/Random.js';
 import { BackendPool } from '../src/gateway/BackendPool.js';
 import type { BackendView } from '../src/gateway/BackendView.js';
+import { ProbeAdmission } from '../src/gateway/admission/ProbeAdmission.js';
 import { ColdLimiter } from '../src/gateway/ColdLimiter.js';
 import { Dispatcher } from '../src/gateway/Dispatcher.js';
 import type { CallDispatcher, PickPolicy } from '../src/gateway/DispatchTypes.js';
@@ -22,6 +23,8 @@
   readonly seed: number;
   readonly policy: PickPolicy;
   readonly timeline: Timeline;
+  /** Probe budget of each backend server; undefined for none. */
+  readonly probesPerServerPerSecond?: number;
   /** Number of backend servers, named b-0, b-1 and so on. */
   readonly backends: number;
   /** Requests health and load of a backend server. */
@@ -59,6 +62,8 @@
 
   private readonly budget: RetryBudget;
 
+  private readonly admission: ProbeAdmission | undefined;
+
   constructor(private readonly options: SimulatedGatewayOptions) {
     const { id, seed, policy, timeline } = options;
     const nowMs = () => timeline.nowMs;
@@ -78,6 +83,17 @@
     });
     this.budget = new RetryBudget({ ...BUDGET, startedAtMs: -BUDGET.windowMs });
     const { cold, limits, budget } = this;
+    const { probesPerServerPerSecond } = options;
+    this.admission =
+      probesPerServerPerSecond === undefined
+        ? undefined
+        : new ProbeAdmission({
+            probesPerServerPerSecond,
+            serversOf: (service) => pool.usableCount(service),
+            nowMs,
+            log,
+          });
+    const { admission } = this;
     const work = new WorkEstimates();
     const probe = (view: BackendView) => options.probe(this, view);
     const setTimer = (delayMs: number, fire: () => void) => {
@@ -91,7 +107,7 @@
     const shared = { budget, work, crashes, nowMs, setTimer, log };
     this.local = new Dispatcher({
       ...shared,
-      picker: createPicker(policy, { pool, cold, limits, work, probe, nowMs, log }),
+      picker: createPicker(policy, { pool, cold, limits, work, probe, nowMs, log, admission }),
       cold,
     });
     this.reach = new ReachMonitor({
@@ -134,6 +150,7 @@
     this.limits.setEntryHosts(entryHosts);
     this.budget.setEntryHosts(entryHosts.length);
     this.peerPicker.setEntryHosts(entryHosts);
+    this.admission?.setGateways(entryHosts.length);
   }
 
   /** Counts a request that is sent now. */
