Schedule calls by urgency when capacity is short, as an option

Cause: late and less urgent calls fill the queues of backend servers, so that in overload nearly every lookup is late. Change: with the setting overload (off; not in the template), a call that would be late, or that a more urgent priority outranks while its objective is far, waits at the gateway and is picked again; calls that miss their deadline, and those above 64 waiting, are refused at once with a spread retry time. Partial: no fair shares and minimum for customers.

--- a/bench/Overload.ts
+++ b/bench/Overload.ts
@@ -22,18 +22,22 @@
  * Compares picks with and without a probe budget on the same seeded loads in virtual time.
  *
  * Options: `--factors` (multiples of the capacity), `--gateways`, `--backends`, `--probes` (per
- * backend server and second; 0 for no budget), `--seconds`, `--seed`.
+ * backend server and second; 0 for no budget), `--orders` (0 or 1: scheduling order), `--seconds`,
+ * `--seed`.
  */
 export async function benchOverload(args: readonly string[]): Promise<void> {
   const backends = Number(readOption(args, '--backends', '40'));
   const seconds = Number(readOption(args, '--seconds', '8'));
   const rows: BenchRow[] = [];
+  const orders = numbers(readOption(args, '--orders', '0,1'));
   const cases = numbers(readOption(args, '--gateways', '20,133')).flatMap((gateways) =>
     numbers(readOption(args, '--factors', '0.5,0.9,1.2,2')).flatMap((factor) =>
-      numbers(readOption(args, '--probes', '0,42')).map((probes) => ({ gateways, factor, probes })),
+      numbers(readOption(args, '--probes', '0,42')).flatMap((probes) =>
+        orders.map((order) => ({ gateways, factor, probes, order })),
+      ),
     ),
   );
-  for (const { gateways, factor, probes } of cases) {
+  for (const { gateways, factor, probes, order } of cases) {
     const world = new RoutedWorld({
       policy: PickPolicy.JustInTime,
       seed: Number(readOption(args, '--seed', '7')),
@@ -45,6 +49,7 @@
       objectiveMs: 626,
       deadlineMs: 7_500,
       classes: CLASSES,
+      overload: order === 1,
       phases: [
         {
           durationMs: seconds * MS_PER_SECOND,
@@ -64,6 +69,7 @@
       gateways,
       factor,
       probes,
+      order,
       ...(Object.fromEntries(within) as Record<string, number>),
       probesPerCall: result.probesPerCall,
       rejectedShare: result.rejectedShare,
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -91,6 +91,9 @@
 
   private lastNoPickReason: NoPickReason = NoPickReason.NoBackend;
 
+  /** Retry delay of the last pick without a backend server, if it named one. */
+  private pickRetryAfterMs: number | undefined;
+
   private readonly cancelTimers: (() => void)[] = [];
 
   constructor(
@@ -300,7 +303,8 @@
       return { type: DispatchOutcomeType.Failed, reason: this.lastFailureReason, attempts };
     }
     const wasSent = this.sentCount > 0;
-    const retryAfterMs = wasSent ? RETRY_AFTER_REJECTED_MS : RETRY_AFTER_MS[this.lastNoPickReason];
+    const unsentMs = this.pickRetryAfterMs ?? RETRY_AFTER_MS[this.lastNoPickReason];
+    const retryAfterMs = wasSent ? RETRY_AFTER_REJECTED_MS : unsentMs;
     const reason = wasSent ? this.lastFailureReason : this.lastNoPickReason;
     const attempts = this.sentCount;
     return { type: DispatchOutcomeType.Refused, reason, retryAfterMs, attempts };
@@ -312,6 +316,7 @@
     const pick = await options.picker.pick(call, this.service, this.tried);
     if (!pick.view) {
       this.lastNoPickReason = pick.reason;
+      this.pickRetryAfterMs = pick.retryAfterMs;
       this.log('no_backend', {
         cause,
         reason: pick.reason,
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -42,6 +42,8 @@
       readonly probes: number;
       /** Loads of the backend servers that answered, for the log. */
       readonly loads: string;
+      /** Caller's retry delay, if it depends on the call. */
+      readonly retryAfterMs?: number;
     };
 
 /** Chooses a backend server for one attempt. */
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -16,6 +16,7 @@
 import { BackendPool, PROVISIONAL_TTL_MS } from '../BackendPool.js';
 import { BackendSources } from '../BackendSources.js';
 import type { BackendView } from '../BackendView.js';
+import { OrderedPicker } from '../admission/OrderedPicker.js';
 import { ProbeAdmission } from '../admission/ProbeAdmission.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
@@ -31,7 +32,7 @@
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
 import { StartupGate } from '../StartupGate.js';
-import type { WireProfile } from '../Types.js';
+import type { Call, WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
 import { BackendClient } from './BackendClient.js';
 import { CallServer } from './CallServer.js';
@@ -67,6 +68,8 @@
   readonly policy?: PickPolicy;
   /** Probes that a backend server receives per second from all gateways; unbounded if omitted. */
   readonly probesPerServerPerSecond?: number;
+  /** True to schedule calls by urgency when capacity is short. */
+  readonly overload?: boolean;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Longest time from the stop signal to the end of the process. */
   readonly stopMs: number;
@@ -270,7 +273,11 @@
     });
     const dispatchOptions = { cold: this.cold, crashes: this.crashes, nowMs, setTimer, log };
     const { budget } = this;
-    const local = new Dispatcher({ ...dispatchOptions, picker, budget, work });
+    const workMs = (call: Call) => work.workMs(call);
+    const ordered = new OrderedPicker({ picker, workMs, random, nowMs, setTimer });
+    const chosenPicker = options.overload ? ordered : picker;
+    const local = new Dispatcher({ ...dispatchOptions, picker: chosenPicker, budget, work });
+    this.metrics.gauge('egret_calls_waiting', 'Calls that wait for a slot.', () => ordered.waiting);
     const dispatcher = new ForwardingDispatcher({
       local,
       peers: new Dispatcher({
--- a/standin/RoutedWorld.ts
+++ b/standin/RoutedWorld.ts
@@ -106,6 +106,8 @@
   readonly classes?: readonly CallClass[];
   /** Probe budget of each backend server; undefined for none. */
   readonly probesPerServerPerSecond?: number;
+  /** True to schedule calls by urgency when capacity is short. */
+  readonly overload?: boolean;
   readonly limit?: LimitTrouble;
   readonly restarts?: RestartTrouble;
   readonly cut?: CutTrouble;
@@ -300,6 +302,7 @@
       seed: seed + this.starts,
       policy,
       probesPerServerPerSecond: this.options.probesPerServerPerSecond,
+      overload: this.options.overload,
       timeline: this.timeline,
       backends,
       probe: (from, view) => this.probe(from, view),
--- a/standin/SimulatedGateway.ts
+++ b/standin/SimulatedGateway.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '../src/common/Random.js';
 import { BackendPool } from '../src/gateway/BackendPool.js';
 import type { BackendView } from '../src/gateway/BackendView.js';
+import { OrderedPicker } from '../src/gateway/admission/OrderedPicker.js';
 import { ProbeAdmission } from '../src/gateway/admission/ProbeAdmission.js';
 import { ColdLimiter } from '../src/gateway/ColdLimiter.js';
 import { Dispatcher } from '../src/gateway/Dispatcher.js';
@@ -25,6 +26,8 @@
   readonly timeline: Timeline;
   /** Probe budget of each backend server; undefined for none. */
   readonly probesPerServerPerSecond?: number;
+  /** True to schedule calls by urgency when capacity is short. */
+  readonly overload?: boolean;
   /** Number of backend servers, named b-0, b-1 and so on. */
   readonly backends: number;
   /** Requests health and load of a backend server. */
@@ -105,9 +108,26 @@
     };
     const crashes = { noteConnectionLost: () => {}, noteCompleted: () => {} };
     const shared = { budget, work, crashes, nowMs, setTimer, log };
+    const picker = createPicker(policy, {
+      pool,
+      cold,
+      limits,
+      work,
+      probe,
+      nowMs,
+      log,
+      admission,
+    });
+    const ordered = new OrderedPicker({
+      picker,
+      workMs: (call) => work.workMs(call),
+      random: createRandom(seed),
+      nowMs,
+      setTimer,
+    });
     this.local = new Dispatcher({
       ...shared,
-      picker: createPicker(policy, { pool, cold, limits, work, probe, nowMs, log, admission }),
+      picker: options.overload ? ordered : picker,
       cold,
     });
     this.reach = new ReachMonitor({
