--- a/src/gateway/admission/ProbeDepth.ts
+++ b/src/gateway/admission/ProbeDepth.ts
@@ -16,7 +16,8 @@
  *
  * - From a half on, the first round finds a slot in three of four picks; further rounds are rare.
  * - From a quarter on, two rounds of two send the four probes that one slot costs at p = 1/4.
- * - Below that, most picks end in a queue whatever they probe: one probe keeps the share current.
+ * - Below that, most picks end in a queue whatever they probe: one round compares two queues.
+ * - Below a tenth, nearly all do, and one probe keeps the share current.
  */
 const DEPTH_STEPS: readonly DepthStep[] = [
   { freeShareMin: 0.5, rounds: Infinity, parallel: Infinity },
