--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import { benchControl } from './Control.js';
 import { benchCrossings } from './Crossings.js';
 import { benchMeasuring } from './Measuring.js';
+import { benchOverload } from './Overload.js';
 import { benchOverhead } from './Overhead.js';
 import { benchPicks } from './Picks.js';
 import { benchPolicies } from './Policies.js';
@@ -11,6 +12,7 @@
 /** Benches by name. */
 const BENCHES: Readonly<Record<string, (args: readonly string[]) => Promise<void>>> = {
   overhead: benchOverhead,
+  overload: benchOverload,
   policies: benchPolicies,
   picks: benchPicks,
   crossings: benchCrossings,
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -19,6 +19,8 @@
 import type { CapBounds } from '../../common/caps/Types.js';
 import { CapReporter } from '../caps/CapReporter.js';
 import { UsageCaps } from '../caps/UsageCaps.js';
+import { OrderedPicker } from '../admission/OrderedPicker.js';
+import { ProbeAdmission } from '../admission/ProbeAdmission.js';
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
@@ -34,7 +36,7 @@
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
 import { StartupGate } from '../StartupGate.js';
-import type { WireProfile } from '../Types.js';
+import type { Call, WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
 import type { CrossingPrices } from '../zones/CrossingDecision.js';
 import { BackendClient } from './BackendClient.js';
@@ -74,6 +76,10 @@
   readonly zoneCrossing?: CrossingPrices;
   /** True to hold back new versions until the order of their rollout arrives. */
   readonly holdsNewVersions?: boolean;
+  /** Probes that a backend server receives per second from all gateways; unbounded if omitted. */
+  readonly probesPerServerPerSecond?: number;
+  /** True to schedule calls by urgency when capacity is short. */
+  readonly overload?: boolean;
   readonly budget: Omit<RetryBudgetOptions, 'startedAtMs'>;
   /** Bounds of the customers' usage caps; omitted in deployments without caps. */
   readonly capBounds?: CapBounds;
@@ -138,6 +144,9 @@
 
   private readonly limits: RequestLimiter;
 
+  /** Bounds the probes of backend servers; undefined without a bound. */
+  private readonly admission: ProbeAdmission | undefined;
+
   private readonly budget: RetryBudget;
 
   private readonly client: BackendClient;
@@ -259,6 +268,16 @@
       random,
       nowMs,
     });
+    const { probesPerServerPerSecond } = options;
+    this.admission =
+      probesPerServerPerSecond === undefined
+        ? undefined
+        : new ProbeAdmission({
+            probesPerServerPerSecond,
+            serversOf: (service) => this.pool.usableCount(service),
+            nowMs,
+            log,
+          });
     const work = new WorkEstimates();
     this.rollouts = new GatewayRollouts({
       gatewayId: selfId,
@@ -279,6 +298,7 @@
       nowMs,
       log,
       zoneCrossing: options.zoneCrossing,
+      admission: this.admission,
     });
     this.crashes = new CrashWatch({
       nowMs,
@@ -290,9 +310,12 @@
     });
     const dispatchOptions = { cold: this.cold, crashes: this.crashes, nowMs, setTimer, log };
     const { budget } = this;
+    const workMs = (call: Call) => work.workMs(call);
+    const ordered = new OrderedPicker({ picker, workMs, random, nowMs, setTimer });
+    this.metrics.gauge('egret_calls_waiting', 'Calls that wait for a slot.', () => ordered.waiting);
     const local = new Dispatcher({
       ...dispatchOptions,
-      picker: this.rollouts.picker(picker),
+      picker: this.rollouts.picker(options.overload ? ordered : picker),
       budget,
       work,
       observe: (call, view, handle) => this.rollouts.evidence.observe(call, view, handle),
@@ -492,7 +515,9 @@
     // It answered not long ago, and a probe is a request that it asked not to receive.
     if (view.isQuiet(this.clock.nowMs())) return true;
     const service = this.routing.index?.service(view.record.service);
-    return service === undefined || (await this.client.probe(view, service)) !== null;
+    if (service === undefined) return true;
+    this.admission?.charge(view);
+    return (await this.client.probe(view, service)) !== null;
   }
 
   private self(): EntryHost {
@@ -578,6 +603,7 @@
     this.limits.setEntryHosts(entryHosts);
     this.peerPicker.setEntryHosts(entryHosts);
     this.budget.setEntryHosts(entryHosts.length);
+    this.admission?.setGateways(entryHosts.length);
   }
 
   private applyRouting(view: RoutingView): void {
@@ -662,6 +688,17 @@
     const { metrics, pool, client, routing } = this;
     metrics.gauge('egret_backends', 'Backend servers known.', () => pool.size);
     metrics.gauge('egret_probes', 'Probes sent.', () => client.probes);
+    const { admission } = this;
+    metrics.gauge(
+      'egret_probes_over_budget',
+      'Probes not sent because the budget was used up.',
+      () => admission?.overBudget ?? 0,
+    );
+    metrics.gauge(
+      'egret_probes_over_depth',
+      'Probes not sent because recent ones found few free slots.',
+      () => admission?.overDepth ?? 0,
+    );
     metrics.gauge('egret_connects', 'Connections to backend servers.', () => client.connects);
     metrics.gauge('egret_backends_cut', '1 while cut off from all backend servers.', () =>
       Number(this.reach.isCut),
