--- a/src/gateway/caps/UsageCaps.test.ts
+++ b/src/gateway/caps/UsageCaps.test.ts
@@ -48,6 +48,20 @@
     expect(Math.max(...delays)).toBeLessThan(7_500);
   });
 
+  // Load: a customer somewhat above its cap, whose refused calls come back after seconds and use up
+  // the rate of calls that could still be in time.
+  it('guards against retries that come too late to be in time', () => {
+    const caps = createCaps();
+    caps.applyUpdate({ customers: ['a'], levels: [-40], demand: [48] }, 1_000);
+    const verdicts = Array.from({ length: 50 }, () =>
+      caps.admit({ customer: 'a', nowMs: 1_000, objectiveMs: 600 }),
+    );
+    const delays = verdicts.flatMap((verdict) => (verdict.admitted ? [] : [verdict.retryAfterMs]));
+    expect(delays).toHaveLength(50);
+    expect(Math.max(...delays)).toBeLessThan(600 / 2);
+    expect(Math.min(...delays)).toBeGreaterThan(50);
+  });
+
   it('guards against a paused gateway that uses an outdated update', () => {
     const caps = createCaps();
     caps.applyUpdate(NO_LEVELS, 1_000);
--- a/src/gateway/caps/UsageCaps.ts
+++ b/src/gateway/caps/UsageCaps.ts
@@ -26,6 +26,15 @@
   | { readonly admitted: true }
   | { readonly admitted: false; readonly retryAfterMs: number; readonly reason: CapRefusal };
 
+/** Call that is counted towards a cap. */
+export interface CappedCall {
+  /** Undefined for a call without a known key. */
+  readonly customer: string | undefined;
+  readonly nowMs: number;
+  /** Latency objective of the call, which bounds the retry delay; no bound by default. */
+  readonly objectiveMs?: number;
+}
+
 /** Options of {@link UsageCaps}. */
 export interface UsageCapsOptions {
   readonly bounds: CapBounds;
@@ -44,6 +53,12 @@
 /** Share of a cap that is divided by recent demand while there is no update; the rest is equal. */
 const DEMAND_SHARE = 0.8;
 
+/**
+ * Largest retry delay as a share of the call's objective. A later retry would use the customer's rate
+ * for an answer that is late in any case; two retries and the work itself fit into the objective.
+ */
+const RETRY_OBJECTIVE_SHARE = 0.25;
+
 /** Spread of a retry delay, as shares of the delay. */
 const RETRY_SPREAD_MIN = 0.75;
 const RETRY_SPREAD = 0.75;
@@ -148,13 +163,13 @@
    * const verdict = caps.admit({ customer: 'a', nowMs });
    * if (!verdict.admitted) refuse(verdict.retryAfterMs);
    */
-  admit({ customer, nowMs }: { customer: string | undefined; nowMs: number }): CapVerdict {
+  admit({ customer, nowMs, objectiveMs = Infinity }: CappedCall): CapVerdict {
     const limit = customer === undefined ? undefined : this.limits.get(customer);
     if (customer === undefined || !limit) return ADMITTED;
     const state = this.stateOf(customer, nowMs);
     state.own.add(1, nowMs);
     const verdict = this.isCurrent(nowMs)
-      ? this.admitListed(customer, limit)
+      ? this.admitListed(customer, limit, objectiveMs)
       : this.admitAlone(customer, limit, state, nowMs);
     this.totals.add(customer, {
       admitted: verdict.admitted ? 1 : 0,
@@ -165,7 +180,7 @@
     return verdict;
   }
 
-  private admitListed(customer: string, limit: CapLimit): CapVerdict {
+  private admitListed(customer: string, limit: CapLimit, objectiveMs: number): CapVerdict {
     const listed = this.listed.get(customer);
     if (!listed) return ADMITTED;
     const { bounds, random } = this.options;
@@ -174,7 +189,8 @@
     if (share >= 1 || random.next() < share) return ADMITTED;
     const missing = 1 - level - reserveCalls(limit, bounds);
     const excess = demandPerSecond - limit.ratePerSecond;
-    const delayMs = (Math.max(1, missing, excess) / limit.ratePerSecond) * MS_PER_SECOND;
+    const refillMs = (Math.max(1, missing, excess) / limit.ratePerSecond) * MS_PER_SECOND;
+    const delayMs = Math.min(refillMs, objectiveMs * RETRY_OBJECTIVE_SHARE);
     return { admitted: false, reason: CapRefusal.Cap, retryAfterMs: this.spread(delayMs) };
   }
 
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -183,7 +183,7 @@
     const isChecked = checked.type === 'checked';
     const customer = isChecked ? checked.customer : undefined;
     const priority = (isChecked ? checked.priority : undefined) ?? route.priority;
-    if (!this.admitUsage(response, callId, customer)) return;
+    if (!this.admitUsage(response, callId, customer, route.objectiveMs)) return;
     const service = options.routing.nextService(route);
     const read = await readRequestBody(request, table.limits.bodyBytesMax);
     if (read.type === 'broken') return;
@@ -232,9 +232,10 @@
     response: ServerResponse,
     callId: string,
     customer: string | undefined,
+    objectiveMs: number,
   ): boolean {
     const { caps, nowMs, log } = this.options;
-    const verdict = caps?.admit({ customer, nowMs: nowMs() });
+    const verdict = caps?.admit({ customer, nowMs: nowMs(), objectiveMs });
     if (!verdict || verdict.admitted) return true;
     const { retryAfterMs, reason } = verdict;
     log('call_capped', { call: callId, customer: customer ?? '', reason, retryAfterMs });
