--- a/src/common/rollouts/Evidence.ts
+++ b/src/common/rollouts/Evidence.ts
@@ -29,7 +29,7 @@
   readonly lost: Readonly<Record<string, number>>;
 }
 
-/** Lower end of the first bucket; faster answers are not told apart. */
+/** Lower end of the first bucket; faster answers are not distinguished. */
 const FIRST_BUCKET_MS = 5;
 
 /** Buckets for each doubling of the latency, fine enough to tell a factor of 3 from one of 2. */
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -82,7 +82,7 @@
   }
 
   /**
-   * Hosts that requested to join of late. A host whose seeds have all lost their disks reaches the
+   * Hosts that requested to join recently. A host whose seeds have all lost their disks reaches the
    * other voters only through their requests.
    */
   requesters(nowMs: number): Member[] {
--- a/src/control/caps/UsageSums.ts
+++ b/src/control/caps/UsageSums.ts
@@ -44,7 +44,7 @@
   readonly usual: DemandRate;
 }
 
-/** Usage of all customers as one control host knows it. */
+/** Usage of all customers as counted by one control host. */
 export class UsageSums {
   private limits: ReadonlyMap<string, CapLimit> = new Map();
 
--- a/src/control/rollouts/RouteEvidence.ts
+++ b/src/control/rollouts/RouteEvidence.ts
@@ -118,7 +118,7 @@
     return median + bucketsForFactor(SLOW_FACTOR) + 1;
   }
 
-  /** Larger one of the rates since the order and of late; the second covers disturbances. */
+  /** Larger of the rate since the order and the recent rate; the second covers disturbances. */
   failureRate(): number {
     return RouteEvidence.higherRate(this.failureTotal, this.recentFailures);
   }
--- a/src/gateway/admission/KnownLoad.ts
+++ b/src/gateway/admission/KnownLoad.ts
@@ -17,9 +17,9 @@
 const FAILURE_WORK = 2;
 
 /**
- * Expected time in milliseconds of a call at a backend server that is not probed now. A load tells
- * less the older it is: the calls in it end after about one work time, which is therefore its time
- * constant. What replaces it is the usual load of the service, the own calls in flight and the own
+ * Expected time in milliseconds of a call at a backend server that is not probed now. A load
+ * report loses accuracy with its age: the calls in it end after about one work time, which is
+ * therefore its time constant. What replaces it is the usual load of the service, the own calls in flight and the own
  * recent failures, which are always current.
  *
  * @example
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -132,7 +132,7 @@
   /**
    * Sends a usage report to one watched control host.
    *
-   * @param takeReport - creates the report; is told whether it is the first on the link
+   * @param takeReport - creates the report; its argument is true for the first report on the link
    */
   reportUsage(takeReport: (isFirst: boolean) => UsageReportMessage | undefined): void {
     const nowMs = performance.now();
