--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -162,6 +162,7 @@
   private readonly caps: UsageCaps | undefined;
 
   private capReporter: CapReporter | undefined;
+
   private readonly rollouts: GatewayRollouts;
 
   private readonly connections: HttpConnections;
