--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -3,46 +3,34 @@
 import { RouteKind, type Route, type RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
-import type { ClosedBy, HttpConnections } from '../../runtime/HttpConnections.js';
+import type { ClosedBy } from '../../runtime/HttpConnections.js';
 import { CallStanding } from '../CrashSuspects.js';
 import type { CrashWatch } from '../CrashWatch.js';
 import {
   DispatchOutcomeType,
   type CallDispatcher,
   type CallSenders,
-  type DecisionLog,
   type DispatchOutcome,
   type SendAttempt,
 } from '../DispatchTypes.js';
 import type { ActiveRouting } from '../ActiveRouting.js';
+import type { UsageCaps } from '../caps/UsageCaps.js';
 import { CustomerCheck } from '../customers/CustomerCheck.js';
-import type { BackendAnswer, Call, WireProfile } from '../Types.js';
+import type { Call } from '../Types.js';
+import { AnswerWriter, type AnswerWriterOptions } from './AnswerWriter.js';
 import type { BackendClient } from './BackendClient.js';
-import {
-  FORWARD_HEADER,
-  PEER_ANSWER_HEADER,
-  PeerAnswer,
-  type ForwardMark,
-  type ForwardMarks,
-} from './ForwardMark.js';
-import type { GatewayMetrics } from './GatewayMetrics.js';
-import type { UsageCaps } from '../caps/UsageCaps.js';
+import { FORWARD_HEADER, PeerAnswer, type ForwardMark, type ForwardMarks } from './ForwardMark.js';
 import { readRequestBody } from './RequestBody.js';
 
 /** Options of a {@link CallServer}. */
-export interface CallServerOptions {
-  readonly profile: WireProfile;
+export interface CallServerOptions extends AnswerWriterOptions {
   readonly routing: ActiveRouting;
   readonly dispatcher: CallDispatcher;
   readonly client: BackendClient;
   /** Sends calls to other gateways. */
   readonly peerClient: BackendClient;
   readonly marks: ForwardMarks;
-  /** True if only other gateways connect, which forward calls of their callers. */
-  readonly servesPeers?: boolean;
-  readonly metrics: GatewayMetrics;
   readonly nowMs: () => number;
-  readonly log: DecisionLog;
   /** True from the start of a planned stop. */
   readonly isStopping: () => boolean;
   readonly crashes: CrashWatch;
@@ -53,8 +41,6 @@
   readonly createId: () => string;
   /** Usage caps; omitted without caps and for calls that another gateway has counted. */
   readonly caps?: Pick<UsageCaps, 'admit'>;
-  /** Connections of the callers. */
-  readonly connections: HttpConnections;
 }
 
 /** Time budget of a call whose caller sends no deadline. */
@@ -75,9 +61,6 @@
 /** Longest wait for a connection to another gateway; a lost one leaves the list within a second. */
 const PEER_CONNECT_TIMEOUT_MS = 250;
 
-/** Answer headers that are set anew instead of copied. */
-const OWN_ANSWER_HEADERS = new Set(['content-length', PEER_ANSWER_HEADER]);
-
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length', FORWARD_HEADER];
 
@@ -96,11 +79,14 @@
 
   private readonly customers: CustomerCheck;
 
+  private readonly answers: AnswerWriter;
+
   constructor(private readonly options: CallServerOptions) {
     this.ownRequestHeaders = new Set([
       ...options.profile.attemptHeaderNames,
       ...OWN_REQUEST_HEADERS,
     ]);
+    this.answers = new AnswerWriter(options);
     const { profile, routing, areKeysStale } = options;
     const customerHeaders = profile.customers?.headerNames ?? [];
     this.checkedRequestHeaders = new Set([...this.ownRequestHeaders, ...customerHeaders]);
@@ -134,7 +120,7 @@
       const reason = 'the host stops';
       this.options.log('call_timed_out', { call: callId, reason });
       const error = new EgretError(ErrorKind.DeadlineExceeded, `${reason}.`);
-      this.refuse(response, callId, error, PeerAnswer.Final);
+      this.answers.refuse(response, callId, error, PeerAnswer.Final);
       abandon();
     });
   }
@@ -163,13 +149,13 @@
     if (!index || !table) {
       const retry = { retryAfterMs: RETRY_AFTER_NO_ROUTING_MS };
       const error = new EgretError(ErrorKind.NotCurrent, 'No routing received yet.', retry);
-      this.refuse(response, callId, error);
+      this.answers.refuse(response, callId, error);
       return;
     }
     const route = index.match(request.headers.host ?? '', request.url ?? '/');
     if (!route) {
       const detail = `No route matches ${request.headers.host ?? ''}${request.url ?? ''}.`;
-      this.refuse(response, callId, new EgretError(ErrorKind.NotFound, detail));
+      this.answers.refuse(response, callId, new EgretError(ErrorKind.NotFound, detail));
       return;
     }
     const { headers } = request;
@@ -177,7 +163,7 @@
     if (checked.type === 'refused') {
       const { kind, detail } = checked.error;
       options.log('call_unauthenticated', { call: callId, route: route.name, kind, detail });
-      this.refuse(response, callId, checked.error);
+      this.answers.refuse(response, callId, checked.error);
       return;
     }
     const isChecked = checked.type === 'checked';
@@ -189,7 +175,7 @@
     if (read.type === 'broken') return;
     if (read.type === 'too-large' || !service) {
       const kind = service ? ErrorKind.BodyTooLarge : ErrorKind.NoBackend;
-      this.refuse(response, callId, new EgretError(kind, 'The call can not be served.'));
+      this.answers.refuse(response, callId, new EgretError(kind, 'The call can not be served.'));
       return;
     }
     const budgetMs = Math.min(callerBudgetMs, route.timeoutMs);
@@ -199,7 +185,7 @@
       const retry = { retryAfterMs: RETRY_AFTER_QUARANTINE_MS };
       options.log('call_quarantined', { call: callId, route: route.name });
       const error = new EgretError(ErrorKind.Overloaded, 'The call crashes servers.', retry);
-      this.refuse(response, callId, error);
+      this.answers.refuse(response, callId, error);
       return;
     }
     const singleAttempt = read.type === 'long' || standing === CallStanding.Suspect;
@@ -240,7 +226,11 @@
     const { retryAfterMs, reason } = verdict;
     log('call_capped', { call: callId, customer: customer ?? '', reason, retryAfterMs });
     const detail = 'The customer is beyond its usage cap.';
-    this.refuse(response, callId, new EgretError(ErrorKind.UsageCap, detail, { retryAfterMs }));
+    this.answers.refuse(
+      response,
+      callId,
+      new EgretError(ErrorKind.UsageCap, detail, { retryAfterMs }),
+    );
     return false;
   }
 
@@ -251,13 +241,17 @@
     mark: ForwardMark | undefined,
   ): boolean {
     if (!mark) {
-      this.refuse(response, callId, new EgretError(ErrorKind.Forbidden, 'Not a forwarded call.'));
+      this.answers.refuse(
+        response,
+        callId,
+        new EgretError(ErrorKind.Forbidden, 'Not a forwarded call.'),
+      );
       return false;
     }
     this.options.log('call_received', { call: callId, from: mark.from, elapsedMs: mark.elapsedMs });
     if (this.openCalls <= FORWARDED_CALLS_MAX) return true;
     const error = new EgretError(ErrorKind.Overloaded, 'Too many forwarded calls.');
-    this.refuse(response, callId, error);
+    this.answers.refuse(response, callId, error);
     return false;
   }
 
@@ -356,7 +350,7 @@
           routing: this.options.routing.version,
           ...(late ? outcome.inputs : {}),
         });
-        this.answer(response, outcome.answer);
+        this.answers.answer(response, outcome.answer);
         break;
       }
       case DispatchOutcomeType.Abandoned:
@@ -367,7 +361,7 @@
         log('call_refused', { ...fields, reason, retryAfterMs });
         const error = new EgretError(ErrorKind.Overloaded, `${reason}.`, { retryAfterMs });
         const peerAnswer = attempts > 0 ? PeerAnswer.Final : PeerAnswer.Unsent;
-        this.refuse(response, call.callId, error, peerAnswer);
+        this.answers.refuse(response, call.callId, error, peerAnswer);
         break;
       }
       default: {
@@ -375,92 +369,8 @@
         log(timedOut ? 'call_timed_out' : 'call_failed', { ...fields, reason: outcome.reason });
         const kind = timedOut ? ErrorKind.DeadlineExceeded : ErrorKind.OutcomeUnknown;
         const error = new EgretError(kind, `${outcome.reason}.`);
-        this.refuse(response, call.callId, error, PeerAnswer.Final);
+        this.answers.refuse(response, call.callId, error, PeerAnswer.Final);
       }
     }
   }
-
-  private answer(response: ServerResponse, answer: BackendAnswer): void {
-    const { connections } = this.options;
-    if (!connections.isDue(response)) {
-      answer.rest?.cancel();
-      return;
-    }
-    const headers = copyEndToEnd(answer.rawHeaders, OWN_ANSWER_HEADERS);
-    const { body, rest } = answer;
-    const declared = CallServer.declaredLength(answer);
-    if (rest) {
-      if (declared !== undefined) headers.push('Content-Length', declared);
-    } else if (response.req.method === 'HEAD') {
-      if (declared !== undefined) headers.push('Content-Length', declared);
-    } else if (answer.statusCode !== 204 && answer.statusCode !== 304 && answer.framed) {
-      headers.push('Content-Length', String(body.length));
-    }
-    // It is unknown here whether an unframed body is complete, so no framing may mark its end.
-    if (!answer.framed) {
-      response.useChunkedEncodingByDefault = false;
-      connections.endWith(response);
-    } else if (connections.endsConnection(response)) headers.push('Connection', 'close');
-    response.writeHead(answer.statusCode, answer.statusMessage, headers);
-    if (!rest) {
-      response.end(body);
-      return;
-    }
-    response.write(body);
-    response.on('drain', () => rest.resume());
-    connections.whenEnded(response, (closedBy) => {
-      if (closedBy) rest.cancel();
-    });
-    rest.read({
-      onData: (chunk) => response.write(chunk),
-      onEnd: () => response.end(),
-      // A truncated answer must not look complete; without framing, only a reset marks it.
-      onBroken: () => connections.abort(response, { reset: !answer.framed }),
-    });
-  }
-
-  private static declaredLength(answer: BackendAnswer): string | undefined {
-    for (let index = 0; index < answer.rawHeaders.length; index += 2) {
-      if (answer.rawHeaders[index]!.toLowerCase() === 'content-length') {
-        return answer.rawHeaders[index + 1];
-      }
-    }
-    return undefined;
-  }
-
-  /** Sends an error answer of this host; `peerAnswer` marks it for another gateway. */
-  private refuse(
-    response: ServerResponse,
-    callId: string,
-    error: EgretError,
-    peerAnswer = PeerAnswer.Unsent,
-  ): void {
-    const { metrics, profile, log } = this.options;
-    metrics.noteOwnAnswer(error.statusCode, error.kind);
-    if (error.kind === ErrorKind.NotFound || error.kind === ErrorKind.NotCurrent) {
-      log('call_unrouted', { call: callId, kind: error.kind, detail: error.detail });
-    }
-    if (response.destroyed || response.headersSent) return;
-    const text = JSON.stringify(error.toBody(callId));
-    const headers = [
-      'Content-Type',
-      'application/json',
-      'Content-Length',
-      String(Buffer.byteLength(text)),
-    ];
-    if (error.kind === ErrorKind.CustomerUnknown) {
-      headers.push(...(profile.customers?.challengeHeaders ?? []));
-    }
-    if (error.outcome) headers.push('Egret-Outcome', error.outcome);
-    if (this.options.servesPeers) {
-      headers.push(PEER_ANSWER_HEADER, peerAnswer);
-      headers.push(...this.options.profile.callIdHeaders(callId));
-    }
-    if (error.retryAfterMs !== undefined) {
-      headers.push('Retry-After', profile.retryAfter(error.retryAfterMs));
-    }
-    if (this.options.connections.endsConnection(response)) headers.push('Connection', 'close');
-    response.writeHead(error.statusCode, headers);
-    response.end(text);
-  }
 }
