--- a/fuzz/rollouts/main.ts
+++ b/fuzz/rollouts/main.ts
@@ -10,7 +10,6 @@
 renderTrials(trials).forEach(write);
 trials
   .filter((trial) => !isRight(trial) || isOverexposed(trial))
-
   .forEach(({ options, result }) => {
     const { seed: number, fault, disturbance, callsPerSecond } = options;
     const { state, exposed, allowed, endedAfterMs } = result;
