--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -93,6 +93,13 @@
   readonly isVoter: boolean;
   /** Availability zone of this control host; earlier versions omit it. */
   readonly availabilityZone?: string;
+  /** Log index of the newest routing that this control host has applied; earlier versions omit it. */
+  readonly routingIndex?: number;
+  /**
+   * True if this control host is in contact with a majority and has applied all that was committed
+   * when the contact began; earlier versions omit it.
+   */
+  readonly isCurrent?: boolean;
 }
 
 export interface FetchSettingsMessage {
