Planned stop: no retry, hedge or late first attempt that its end would cut

Callers would see a 504 that promises nothing, for a call that was sent again shortly before the host ended it. CallRun compared a retry or a hedge with the call's own deadline only, whatever the host did meanwhile; so a call that a server had refused as not run was sent elsewhere and then cut at work, although a truthful 503 was at hand.

The answer never turns from no to yes for a call, so that a refusal stays true. CallRun asks before each attempt, and again after the pick, which may take long. ForwardingDispatcher forwards no such call either: the refusal that follows would hide that an attempt may have run.

--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -10,6 +10,7 @@
   type PickInputs,
 } from './DispatchTypes.js';
 import { EventQueue } from './EventQueue.js';
+import { RETRY_AFTER_STOPPING_MS } from './StopSchedule.js';
 import {
   AttemptResultType,
   type AttemptHandle,
@@ -70,6 +71,7 @@
   [NoPickReason.Cold]: 300,
   [NoPickReason.Limited]: 300,
   [NoPickReason.Unreachable]: 100,
+  [NoPickReason.Stopping]: RETRY_AFTER_STOPPING_MS,
 };
 
 /** One call from its first attempt to its outcome. */
@@ -122,6 +124,17 @@
     return this.call.route.kind !== RouteKind.NonIdempotent;
   }
 
+  /** True once a planned stop leaves too little time for a further attempt. */
+  private get isStopped(): boolean {
+    return this.call.mayBeSent?.() === false;
+  }
+
+  private noteStopped(): false {
+    this.lastNoPickReason = NoPickReason.Stopping;
+    this.pickRetryAfterMs = undefined;
+    return false;
+  }
+
   private async loop(): Promise<DispatchOutcome> {
     if (!(await this.startAttempt())) return this.failOrRefuse();
     return this.processEvents();
@@ -285,6 +298,7 @@
     const nowMs = options.nowMs();
     const maySend =
       call.isCallerConnected() &&
+      !this.isStopped &&
       !call.isBodyStreamed &&
       nowMs < call.dueAtMs &&
       this.notRunCount < NOT_RUN_ATTEMPTS_MAX &&
@@ -313,7 +327,9 @@
   /** Picks a backend server and sends an attempt; returns false if none was sent. */
   private async startAttempt(cause = 'first', maxExpectedMs = Infinity): Promise<boolean> {
     const { options, call } = this;
+    if (this.isStopped) return this.noteStopped();
     const pick = await options.picker.pick(call, this.service, this.tried);
+    if (this.isStopped) return this.noteStopped();
     if (!pick.view) {
       this.lastNoPickReason = pick.reason;
       this.pickRetryAfterMs = pick.retryAfterMs;
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -27,6 +27,8 @@
   Limited = 'limited',
   /** No backend server answered a probe. */
   Unreachable = 'unreachable',
+  /** A planned stop of this host leaves too little time for the call. */
+  Stopping = 'stopping',
 }
 
 /** Result of picking a backend server. */
--- a/src/gateway/ForwardingDispatcher.ts
+++ b/src/gateway/ForwardingDispatcher.ts
@@ -77,7 +77,7 @@
   /** Number of attempts that another gateway may make after the outcome; 0 if it is final. */
   private attemptsLeft(call: Call, outcome: DispatchOutcome): number {
     const { attemptsMax, kind } = call.route;
-    if (!call.isCallerConnected()) return 0;
+    if (!call.isCallerConnected() || call.mayBeSent?.() === false) return 0;
     if (outcome.type === DispatchOutcomeType.Refused) {
       if (SHARED_REASONS.has(outcome.reason)) return 0;
       // The rest of a streamed body can be sent only once.
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -150,6 +150,11 @@
   readonly isBodyStreamed?: boolean;
   /** True while the caller is connected. */
   isCallerConnected(): boolean;
+  /**
+   * False once a planned stop of this host leaves too little time for a further attempt; it then
+   * stays false. Omitted if the host never stops.
+   */
+  mayBeSent?(): boolean;
   /**
    * True if an answer without a length can be sent: it ends with the connection, so that answers to
    * later requests on the connection would be lost.
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -121,6 +121,8 @@
   readonly selfId?: string;
   readonly entryHosts?: readonly EntryHost[];
   readonly zoneCrossing?: CrossingPrices;
+  /** Last time at which a planned stop leaves enough time for the call; none by default. */
+  readonly sendableUntilMs?: number;
   /** False for servers whose share of probes is used up; all may be probed by default. */
   readonly mayProbe?: (view: BackendView) => boolean;
 }
@@ -222,6 +224,7 @@
     objectiveAtMs: nowMs + route.objectiveMs,
     fingerprint: () => 'GET /read/x',
     isCallerConnected: () => connected,
+    mayBeSent: () => nowMs <= (options.sendableUntilMs ?? Number.POSITIVE_INFINITY),
     acceptsUnframedAnswer: () => true,
   });
   const send = (view: BackendView) => {
