Planned stop: calls that can't end before it are refused, not sent and cut

Callers saw a 504 in place of a call at which a backend server was at work, or the end of the connection and no answer.

Cause: connections decided alone whether a call is admitted in a planned stop. Kept ones admit until the process ends, each for 50 ms after its last answer, whatever time the call has; a call whose body came late, or that waited for unrepeatable ones ahead, was sent whenever it was ready. At 93 % of the stop time the host answered all of them itself, once; a call admitted after that got nothing.

Now a call is asked for when its route is known, again when its body is there and when it is sent; calls that wait are looked at every 20 ms of the stop. One that can't end in time, by the limit of its caller or route, is refused at once: 503, not run, 15 ms to retry, connection closed; unsent for another gateway, so that it may choose a third one. At the end the host answers 504 only where an attempt may have run, and 503 elsewhere.

Ruled out: the directory and the readiness check, which leave at the signal; the order of answers on a connection, which held in all cases.

--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -20,10 +20,13 @@
 import { AnswerWriter, type AnswerWriterOptions } from './AnswerWriter.js';
 import type { BackendClient } from './BackendClient.js';
 import { FORWARD_HEADER, PeerAnswer, type ForwardMark, type ForwardMarks } from './ForwardMark.js';
+import { OpenCall } from './OpenCall.js';
+import { OpenCalls, type OpenCallsOptions } from './OpenCalls.js';
 import { readRequestBody } from './RequestBody.js';
 
 /** Options of a {@link CallServer}. */
-export interface CallServerOptions extends AnswerWriterOptions {
+export interface CallServerOptions
+  extends AnswerWriterOptions, Pick<OpenCallsOptions, 'stopSchedule'> {
   readonly routing: ActiveRouting;
   readonly dispatcher: CallDispatcher;
   readonly client: BackendClient;
@@ -66,8 +69,8 @@
 
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
-  /** Answers that are not yet sent completely, with a function that cancels the call's attempts. */
-  private readonly openRequests = new Map<ServerResponse, () => void>();
+  /** Calls whose answers are not yet sent completely. */
+  private readonly inProgress: OpenCalls;
 
   /** Answers of non-idempotent calls. */
   private readonly unrepeatable = new WeakSet<ServerResponse>();
@@ -87,6 +90,7 @@
       ...OWN_REQUEST_HEADERS,
     ]);
     this.answers = new AnswerWriter(options);
+    this.inProgress = new OpenCalls({ ...options, answers: this.answers });
     const { profile, routing, areKeysStale } = options;
     const customerHeaders = profile.customers?.headerNames ?? [];
     this.checkedRequestHeaders = new Set([...this.ownRequestHeaders, ...customerHeaders]);
@@ -94,35 +98,33 @@
   }
 
   get openCalls(): number {
-    return this.openRequests.size;
+    return this.inProgress.size;
   }
 
   /** Handles one request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const { connections } = this.options;
     if (!connections.admit(request, response)) return;
-    this.openRequests.set(response, () => {});
+    const open = new OpenCall(response);
+    this.inProgress.add(open);
     connections.whenEnded(response, (closedBy) => {
-      this.openRequests.delete(response);
+      this.inProgress.delete(open);
       if (closedBy) this.logUndelivered(request, closedBy);
     });
-    this.serve(request, response).catch((error: unknown) => {
+    this.serve(request, response, open).catch((error: unknown) => {
       this.options.log('call_crashed', { detail: String(error) });
       connections.abort(response);
     });
   }
 
+  /** Refuses the calls that have not run and that a planned stop leaves too little time for. */
+  refuseLateCalls(): void {
+    this.inProgress.refuseLate();
+  }
+
   /** Answers all calls without an answer, at the end of a planned stop. */
   endOpenCalls(): void {
-    [...this.openRequests].forEach(([response, abandon]) => {
-      if (response.headersSent) return;
-      const callId = this.options.profile.readCall(response.req.headers).callId ?? '';
-      const reason = 'the host stops';
-      this.options.log('call_timed_out', { call: callId, reason });
-      const error = new EgretError(ErrorKind.DeadlineExceeded, `${reason}.`);
-      this.answers.refuse(response, callId, error, PeerAnswer.Final);
-      abandon();
-    });
+    this.inProgress.end();
   }
 
   /** Logs an answer that its caller did not get completely. */
@@ -136,10 +138,15 @@
     });
   }
 
-  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    open: OpenCall,
+  ): Promise<void> {
     const { options } = this;
     const head = options.profile.readCall(request.headers);
     const callId = head.callId ?? options.createId();
+    open.identify(callId);
     const mark = options.servesPeers ? options.marks.read(request) : undefined;
     if (options.servesPeers && !this.acceptForwarded(response, callId, mark)) return;
     const arrivedAtMs = options.nowMs();
@@ -166,19 +173,26 @@
       this.answers.refuse(response, callId, checked.error);
       return;
     }
+    const budgetMs = Math.min(callerBudgetMs, route.timeoutMs);
+    open.setLimit({
+      route: route.name,
+      arrivedAtMs,
+      endsAtMs: arrivedAtMs + budgetMs,
+      isRepeatable: route.kind !== RouteKind.NonIdempotent,
+    });
+    if (!this.inProgress.admit(open)) return;
     const isChecked = checked.type === 'checked';
     const customer = isChecked ? checked.customer : undefined;
     const priority = (isChecked ? checked.priority : undefined) ?? route.priority;
     if (!this.admitUsage(response, callId, customer, route.objectiveMs)) return;
     const service = options.routing.nextService(route);
     const read = await readRequestBody(request, table.limits.bodyBytesMax);
-    if (read.type === 'broken') return;
+    if (read.type === 'broken' || !this.inProgress.admit(open)) return;
     if (read.type === 'too-large' || !service) {
       const kind = service ? ErrorKind.BodyTooLarge : ErrorKind.NoBackend;
       this.answers.refuse(response, callId, new EgretError(kind, 'The call can not be served.'));
       return;
     }
-    const budgetMs = Math.min(callerBudgetMs, route.timeoutMs);
     const fingerprint = () => fingerprintOf(request.method ?? 'GET', request.url ?? '/', read.body);
     const standing = options.crashes.standingOf(fingerprint);
     if (standing === CallStanding.Quarantined) {
@@ -204,11 +218,13 @@
       bodyBytes: Number(request.headers['content-length'] ?? read.body.length),
       isBodyStreamed: read.type === 'long',
       isCallerConnected: () => options.connections.isDue(response),
+      mayBeSent: () => this.inProgress.mayBeSent(open),
       acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
     if (!(await this.waitForUnrepeatableCalls(route, response))) return;
+    if (!this.inProgress.admit(open)) return;
     const rest = read.type === 'long' ? request : null;
-    const outcome = await this.dispatch(call, service, request, response, read.body, rest);
+    const outcome = await this.dispatch(call, service, request, open, read.body, rest);
     // At the end of a planned stop the call has been answered.
     if (!response.headersSent) this.finish(call, route, response, outcome);
   }
@@ -281,7 +297,7 @@
     call: Call,
     service: RoutedService,
     request: IncomingMessage,
-    response: ServerResponse,
+    open: OpenCall,
     body: Buffer,
     bodyRest: IncomingMessage | null,
   ): Promise<DispatchOutcome> {
@@ -295,7 +311,8 @@
       body,
       bodyRest,
     };
-    const send: SendAttempt = (view, remainingMs) => client.send(view, { ...attempt, remainingMs });
+    const send: SendAttempt = (view, remainingMs) =>
+      open.track(client.send(view, { ...attempt, remainingMs }));
     const createPeerSender: CallSenders['createPeerSender'] = (options) => {
       const sendToPeer: SendAttempt = (view, remainingMs) => {
         const customer = call.isKeyChecked ? (call.customer ?? '') : undefined;
@@ -303,18 +320,14 @@
         const mark = marks.headers({ ...options, elapsedMs, customer });
         const marked = [...rawHeaders, ...mark];
         const connectTimeoutMs = PEER_CONNECT_TIMEOUT_MS;
-        return peerClient.send(view, {
-          ...attempt,
-          rawHeaders: marked,
-          remainingMs,
-          connectTimeoutMs,
-        });
+        const forwarded = { ...attempt, rawHeaders: marked, remainingMs, connectTimeoutMs };
+        return open.track(peerClient.send(view, forwarded));
       };
       return sendToPeer;
     };
     return dispatcher.run(call, service, { send, createPeerSender }, (abandon) => {
-      if (connections.isDue(response)) this.openRequests.set(response, abandon);
-      connections.whenEnded(response, abandon);
+      open.onAbandoned(abandon);
+      connections.whenEnded(open.response, abandon);
     });
   }
 
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -38,6 +38,7 @@
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
 import { ActiveRouting } from '../ActiveRouting.js';
 import { StartupGate } from '../StartupGate.js';
+import { StopSchedule } from '../StopSchedule.js';
 import { isMiss, type Call, type WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
 import type { CrossingPrices } from '../zones/CrossingDecision.js';
@@ -107,15 +108,7 @@
 /** Largest header block that any routing may allow. */
 const HEADER_BYTES_MAX = 64 * 1024;
 
-/** Share of the stop time during which callers that still have the address are accepted. */
-const LINGER_SHARE = 0.45;
-
-/** Share of the stop time after which calls in progress are no longer awaited. */
-const FINISH_SHARE = 0.93;
-
-/** Share of the stop time after which answers are no longer awaited by their callers' connections. */
-const FLUSH_SHARE = 0.97;
-
+/** Interval at which a planned stop looks for calls to refuse and connections to end. */
 const STOP_POLL_MS = 20;
 
 /** Shortest idle timeout of a caller's connection, used until a routing table arrives. */
@@ -202,7 +195,8 @@
 
   private watch: ControlWatch | undefined;
 
-  private stopping = false;
+  /** Set from the start of a planned stop. */
+  private stopSchedule: StopSchedule | undefined;
 
   private wasReady = false;
 
@@ -388,6 +382,7 @@
       nowMs,
       log,
       isStopping: () => this.stopping,
+      stopSchedule: () => this.stopSchedule,
       crashes: this.crashes,
       waitUntilReady: (budgetMs: number) => this.gate.wait(budgetMs),
       createId: createNonce,
@@ -448,6 +443,10 @@
     return chooseEntryHosts({ entryHosts, availabilityZone, closedZones, random: this.random });
   }
 
+  private get stopping(): boolean {
+    return this.stopSchedule !== undefined;
+  }
+
   private get openCalls(): number {
     return this.calls.openCalls + this.peerCalls.openCalls;
   }
@@ -489,21 +488,24 @@
     log.line('gateway_started', { host: id, port: this.boundPort });
   }
 
-  /** Planned stop: leaves the directory, accepts callers for a while, awaits calls in progress. */
+  /**
+   * Planned stop: leaves the directory, accepts callers for a while, awaits calls in progress. Calls
+   * whose time limit ends later than the stop are refused before they are sent.
+   */
   async stop(): Promise<void> {
     if (this.stopping) return;
     const { stopMs, log, id } = this.options;
-    const startedAtMs = this.clock.nowMs();
-    this.stopping = true;
+    const schedule = new StopSchedule({ startedAtMs: this.clock.nowMs(), stopMs });
+    this.stopSchedule = schedule;
     log.line('gateway_stopping', { host: id, openCalls: this.openCalls });
     this.watch?.ping();
-    await sleep(stopMs * LINGER_SHARE);
+    await this.linger(schedule.lingerUntilMs);
     this.callerServer.close();
     this.peerServer.close();
-    await this.drainConnections(startedAtMs + stopMs * FINISH_SHARE);
+    await this.drainConnections(schedule.finishAtMs);
     this.calls.endOpenCalls();
     this.peerCalls.endOpenCalls();
-    await this.drainConnections(startedAtMs + stopMs * FLUSH_SHARE);
+    await this.drainConnections(schedule.flushUntilMs);
     log.line('gateway_stopped', { host: id, openCalls: this.openCalls });
     this.dispose();
     await log.flush();
@@ -524,8 +526,22 @@
     this.metricsListener?.stop().catch(() => {});
   }
 
+  /** Accepts callers until `lastAtMs`. */
+  private async linger(lastAtMs: number): Promise<void> {
+    this.refuseLateCalls();
+    if (this.clock.nowMs() >= lastAtMs) return;
+    await sleep(STOP_POLL_MS);
+    await this.linger(lastAtMs);
+  }
+
+  private refuseLateCalls(): void {
+    this.calls.refuseLateCalls();
+    this.peerCalls.refuseLateCalls();
+  }
+
   /** Waits until all answers are sent and their connections closed, or until `lastAtMs`. */
   private async drainConnections(lastAtMs: number): Promise<void> {
+    this.refuseLateCalls();
     this.connections.closeIdle();
     this.peerConnections.closeIdle();
     const open = this.connections.size + this.peerConnections.size;
