Control hosts report which gateways apply the newest routing

Callers saw a gateway handle calls by a routing that a confirmed change had replaced. Neither logs nor metrics could tell a late gateway from one that was never sent the routing, and nothing showed how long a change takes to reach the last gateway.

- Pongs hold the index of the newest routing that the control host has applied, and whether it is current: in contact with a majority, and with all applied that was committed when the contact began (raft/CaughtUp).
- Control hosts report to the leader which of their gateways are behind, and by which index (RoutingProgress, protocol version 4; earlier versions are not sent it).
A report is sent only when it changes.
- The leader logs routing_in_force for each change, with the last gateway and those missing after 2.5 s; metrics egret_control_routing_in_force_seconds and egret_control_gateways_behind.

--- a/fuzz/ControlCluster.ts
+++ b/fuzz/ControlCluster.ts
@@ -5,13 +5,14 @@
 import { AdminRequestType, ControlEventType, type AdminRequest } from '../src/control/Types.js';
 import { hashToken } from '../src/runtime/LinkAuth.js';
 import { ADMIN_TOKEN, buildTree, OTARU } from '../standin/Deployments.js';
-import { ControlHost } from './ControlHost.js';
+import { ControlHost, type LogFields } from './ControlHost.js';
 import { Network } from './Network.js';
 import { Timeline } from './Timeline.js';
 
 /** Options of a {@link ControlCluster}. */
 export interface ControlClusterOptions {
   readonly sendSession?: (sessionId: number, message: ControlToEntryMessage, from: string) => void;
+  readonly log?: (event: string, fields: LogFields, from: string) => void;
   readonly entryHeartbeatTimeoutMs?: number;
   readonly count?: number;
   readonly seed?: number;
@@ -89,6 +90,7 @@
         this.network.send(id, to, () =>
           this.hosts.get(to)?.handle({ type: ControlEventType.ControlPeerMessage, message }),
         ),
+      log: (event, fields) => this.options.log?.(event, fields, id),
       entryHeartbeatTimeoutMs: this.options.entryHeartbeatTimeoutMs,
     });
     this.hosts.set(id, host);
--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -52,10 +52,15 @@
   readonly autoMembership?: AutoMembershipOptions;
   /** Called when the host becomes leader of a term. */
   readonly onElected?: (term: number) => void;
+  /** Receives log lines; dropped by default. */
+  readonly log?: (event: string, fields: LogFields) => void;
   /** Time without a heartbeat after which an entry host is no longer listed. */
   readonly entryHeartbeatTimeoutMs?: number;
 }
 
+/** Fields of a log line. */
+export type LogFields = EffectOf<ControlEffectType.Log>['fields'];
+
 type EffectOf<T extends ControlEffectType> = Extract<ControlEffect, { type: T }>;
 type Untimed<E> = E extends unknown ? Omit<E, 'nowMs' | 'wallMs'> : never;
 
@@ -286,6 +291,7 @@
     [ControlEffectType.RoleChanged]: (effect: EffectOf<ControlEffectType.RoleChanged>) => {
       if (effect.role === RaftRole.Leader) this.options.onElected?.(effect.term);
     },
-    [ControlEffectType.Log]: () => {},
+    [ControlEffectType.Log]: ({ event, fields }: EffectOf<ControlEffectType.Log>) =>
+      this.options.log?.(event, fields),
   };
 }
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -51,6 +51,8 @@
   backends_provisional: 'Backend servers known before a restart are used until they announce.',
   provisional_dropped: 'Backend servers known before a restart did not announce and were dropped.',
   routing_applied: 'A newer routing is in force on this host.',
+  routing_in_force:
+    'All gateways in contact apply a change, or the wait for them ended; with those missing.',
   rollout_applied: 'This gateway applies a new share or the verdict of a rollout.',
   gateway_started: 'The process is listening.',
   gateway_ready: 'The gateway has a routing and backend servers, and can serve callers.',
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -38,6 +38,7 @@
   UsageUpdate = 'usage-update',
   RolloutEvidence = 'rollout-evidence',
   RolloutEvidenceRelay = 'rollout-evidence-relay',
+  RoutingProgress = 'routing-progress',
 }
 
 /** How a session receives the list of entry hosts. */
@@ -385,6 +386,18 @@
   readonly levels: LevelColumns;
 }
 
+/** Routing at the gateways of a control host, for the leader; from protocol version 4 on. */
+export interface RoutingProgressMessage {
+  readonly type: ControlMessageType.RoutingProgress;
+  readonly from: string;
+  /** Log index of the newest routing that the sender has applied. */
+  readonly routingIndex: number;
+  /** Ids of the gateways in contact that have not applied that routing. */
+  readonly behind: readonly string[];
+  /** Log indexes of the routings that these gateways apply, in the same order. */
+  readonly appliedIndexes: readonly number[];
+}
+
 /** Messages between control hosts about backend servers. */
 export type RegistryPeerMessage =
   BackendRelayMessage | BackendRelayAckMessage | BackendRenewalsMessage;
@@ -395,7 +408,8 @@
   | EntryHostsShareMessage
   | ReportRelayMessage
   | UsageShareMessage
-  | RolloutEvidenceRelayMessage;
+  | RolloutEvidenceRelayMessage
+  | RoutingProgressMessage;
 
 /** Messages from an entry host to a control host. */
 export type EntryToControlMessage =
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -21,9 +21,13 @@
 import type { Customer } from '../common/routing/Types.js';
 import { UsageFlow } from './caps/UsageFlow.js';
 import { EntrySessions } from './EntrySessions.js';
+import { GatewayProgress } from './GatewayProgress.js';
 import { withInstanceIds } from './MembershipChange.js';
 import { RegistryFlow } from './RegistryFlow.js';
+import { RoutingInForce } from './RoutingInForce.js';
+import { RoutingProgress } from './RoutingProgress.js';
 import { SharedEntryHosts } from './SharedEntryHosts.js';
+import { isCaughtUp } from './raft/CaughtUp.js';
 import { RaftNode } from './raft/RaftNode.js';
 import type { RolloutSettings } from '../common/rollouts/Types.js';
 import { RolloutSteering } from './rollouts/RolloutSteering.js';
@@ -92,6 +96,12 @@
 
   readonly steering: RolloutSteering;
 
+  readonly routingInForce: RoutingInForce;
+
+  private readonly gateways = new GatewayProgress();
+
+  private readonly routingProgress: RoutingProgress;
+
   private readonly sharedHosts: SharedEntryHosts;
 
   readonly backends: RegistryFlow;
@@ -137,6 +147,16 @@
       peerIds: () => this.raft.state.log.membersExcept(options.raft.id).map(({ id }) => id),
       send: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
     });
+    this.routingProgress = new RoutingProgress({
+      raft: this.raft.state,
+      gateways: this.gateways,
+      routingIndex: () => this.replicatedState.routing.view.index,
+      send: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
+    });
+    this.routingInForce = new RoutingInForce({
+      missing: (index, nowMs) => this.routingProgress.missing(index, nowMs),
+      log: (event, fields) => this.emit({ type: ControlEffectType.Log, event, fields }),
+    });
     this.sessions = new EntrySessions({
       unlistAfterMs: options.entryHeartbeatTimeoutMs,
       shared: () => this.sharedHosts.hosts(),
@@ -213,6 +233,7 @@
     [ControlEventType.SessionMessage]: (event: EventOf<ControlEventType.SessionMessage>) =>
       this.onSessionMessage(event.sessionId, event.message),
     [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) => {
+      this.gateways.close(event.sessionId, event.nowMs);
       this.sessions.close(event.sessionId);
       this.endWatch(event.sessionId);
       this.usage?.closeSession(event.sessionId);
@@ -226,8 +247,9 @@
     [ControlEventType.ControlPeerMessage]: (event: EventOf<ControlEventType.ControlPeerMessage>) =>
       this.onControlPeerMessage(event.message),
     [ControlEventType.ControlLinkOpened]: (event: EventOf<ControlEventType.ControlLinkOpened>) => {
-      const { memberId, random, nowMs } = event;
+      const { memberId, random, nowMs, protocol } = event;
       this.stepRaft({ type: RaftEventType.MemberLinked, nowMs, memberId, random });
+      this.routingProgress.onControlLink(memberId, protocol);
       this.backends.onControlLink(memberId);
       this.sharedHosts.sendWhole(memberId);
       this.usage?.onControlLink(memberId, nowMs);
@@ -271,6 +293,8 @@
       this.admin.failRead(effect.readId),
     [RaftEffectType.RoleChanged]: (effect: RaftEffectOf<RaftEffectType.RoleChanged>) => {
       this.steering.reset();
+      this.routingProgress.onRoleChanged();
+      this.routingInForce.reset();
       if (!this.raft.isLeader) {
         this.failPendingProposals();
         this.admin.failConfirmations();
@@ -312,6 +336,8 @@
         return;
       }
       const { departures, entryHostUpdates, acceptsCompressed = false } = message;
+      const gatewayId = this.sessions.entryHostId(sessionId);
+      this.gateways.watch(sessionId, gatewayId, message.routingIndex, this.nowMs);
       const list = entryHostUpdates && this.sessions.setUpdates(sessionId, entryHostUpdates);
       if (list) {
         const type = ControlEffectType.SendSession;
@@ -372,11 +398,19 @@
         // Evidence that arrives after a change of leader comes again with the next report.
         if (this.raft.isLeader) this.steering.receive(message.evidence, this.nowMs);
         return;
+      case ControlMessageType.RoutingProgress:
+        this.routingProgress.receive(message);
+        return;
       default:
         this.backends.onControlPeerMessage(message);
     }
   }
 
+  /** Number of gateways in contact that have not applied the newest routing of this host. */
+  gatewaysBehind(nowMs: number): number {
+    return this.gateways.behind(this.replicatedState.routing.view.index, nowMs).length;
+  }
+
   /** Hosts other than members that a join request or report should also be sent to. */
   joinRequesters(nowMs: number): readonly Member[] {
     return this.autoMembership?.requesters(nowMs) ?? [];
@@ -404,6 +438,7 @@
   private endWatch(sessionId: number): void {
     this.sessions.setUpdates(sessionId, EntryHostUpdates.None);
     this.watchers.delete(sessionId);
+    this.gateways.endWatch(sessionId);
     this.packedWatchers.delete(sessionId);
     this.backends.closeSession(sessionId);
   }
@@ -458,6 +493,8 @@
     this.backends.tick();
     this.tickUsage();
     this.proposeAsLeader();
+    this.routingProgress.report(this.nowMs);
+    this.routingInForce.check(this.nowMs);
     this.admin.releaseConfirmations();
     this.maybeSnapshot();
   }
@@ -581,6 +618,7 @@
         fields: { index: entry.index, version, closedZones: closedZones.join(',') },
       });
       this.routingDirty = true;
+      if (this.raft.isLeader) this.routingInForce.noteCommitted(entry.index, version, this.nowMs);
     }
     const proposal = this.pendingProposals.get(entry.index);
     if (!proposal) return;
@@ -649,6 +687,7 @@
   private onPing(sessionId: number, message: PingMessage): void {
     const hadSession = this.sessions.has(sessionId);
     this.sessions.ping(sessionId, message, this.nowMs);
+    this.gateways.noteHeartbeat(sessionId, message.appliedIndex, this.nowMs);
     if (!hadSession) return;
     const { state } = this.raft;
     const { membershipIndex } = state.log;
@@ -664,6 +703,8 @@
       // Sent only if changed: pongs are most of the traffic between zones under normal load.
       voters: isNew ? state.log.membership.voters : [],
       isVoter: state.isVoter,
+      routingIndex: this.replicatedState.routing.view.index,
+      isCurrent: isCaughtUp(state, this.nowMs),
       ...(isNew && availabilityZone !== undefined && { availabilityZone }),
     });
     if (message.subscribe && message.appliedIndex < this.replicatedState.settingsIndex) {
--- /dev/null
+++ b/src/control/RoutingProgress.test.ts
@@ -0,0 +1,68 @@
+import { describe, expect, it } from 'vitest';
+import { createRoutedCluster, routingIndexAt } from './fixtures.js';
+
+describe('the progress of the routing', () => {
+  // Guards against a gateway that can't tell a late routing from a missing one.
+  it('is in the answers to heartbeats, with whether the control host is current', () => {
+    const { cluster, addGateway, changeRouting } = createRoutedCluster();
+    const leader = cluster.leader();
+    const gateway = addGateway('g-1', [leader]);
+    changeRouting(1);
+    cluster.run(2_000);
+    const routingIndex = routingIndexAt(leader);
+    expect(gateway.pongs.get(leader.options.id)).toMatchObject({ routingIndex, isCurrent: true });
+    cluster.network.cut([leader.options.id], 1);
+    cluster.run(2_000);
+    expect(gateway.pongs.get(leader.options.id)).toMatchObject({ isCurrent: false });
+  });
+
+  // Guards against a late gateway that no log line of a control host names.
+  it('is logged by the leader, with the last gateway, also if that is linked elsewhere', () => {
+    const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
+    addGateway('g-quick', [cluster.leader()]);
+    const slow = addGateway('g-slow', [followers()[0]!]);
+    cluster.run(1_000);
+    slow.routingMs = 700;
+    changeRouting(1);
+    cluster.run(3_000);
+    const [line, ...others] = lines.filter(({ event }) => event === 'routing_in_force');
+    expect(others).toEqual([]);
+    expect(line?.from).toBe(cluster.leader().options.id);
+    expect(line?.fields).toMatchObject({ version: 1, lastGateway: 'g-slow', missing: '' });
+    expect(line?.fields.waitedMs).toBeGreaterThanOrEqual(700);
+    expect(line?.fields.waitedMs).toBeLessThan(900);
+  });
+
+  // Guards against a wait without an end for a gateway that refuses a routing.
+  it('names a gateway that has not applied a change by the end of the wait', () => {
+    const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
+    const stuck = addGateway('g-stuck', followers());
+    cluster.run(1_000);
+    stuck.applies = false;
+    changeRouting(1);
+    cluster.run(3_000);
+    const logged = lines.filter(({ event }) => event === 'routing_in_force');
+    expect(logged.map(({ fields }) => fields.missing)).toEqual(['g-stuck']);
+    expect(cluster.leader().reducer.routingInForce.latestWaitMs).toBeGreaterThanOrEqual(2_500);
+  });
+
+  // Guards against reports that a new leader, or one with a new link, never receives.
+  it('reaches a new leader', () => {
+    const { cluster, lines, addGateway, changeRouting } = createRoutedCluster();
+    const hosts = [...cluster.hosts.values()];
+    const old = cluster.leader();
+    const gateway = addGateway(
+      'g-1',
+      hosts.filter((host) => host !== old),
+    );
+    cluster.run(1_000);
+    old.crash();
+    cluster.run(3_000);
+    gateway.routingMs = 300;
+    changeRouting(1);
+    cluster.run(3_000);
+    const [line] = lines.filter(({ event }) => event === 'routing_in_force');
+    expect(line?.from).toBe(cluster.leader().options.id);
+    expect(line?.fields).toMatchObject({ version: 1, lastGateway: 'g-1', missing: '' });
+  });
+});
--- /dev/null
+++ b/src/control/RoutingProgress.ts
@@ -0,0 +1,104 @@
+import { PROTOCOL_VERSION } from '../common/Constants.js';
+import { ControlMessageType, type RoutingProgressMessage } from '../common/Messages.js';
+import type { GatewayProgress } from './GatewayProgress.js';
+import type { RaftState } from './raft/RaftState.js';
+import { RaftRole } from './raft/Types.js';
+
+/** Dependencies of {@link RoutingProgress}. */
+export interface RoutingProgressOptions {
+  readonly raft: RaftState;
+  readonly gateways: GatewayProgress;
+  /** Log index of the routing that this control host has applied. */
+  readonly routingIndex: () => number;
+  readonly send: (to: string, message: RoutingProgressMessage) => void;
+}
+
+/** What has not applied a routing yet, as far as the leader knows. */
+export interface MissingProgress {
+  readonly gatewayIds: readonly string[];
+  /** Control hosts whose report does not cover the routing yet. */
+  readonly controlHostIds: readonly string[];
+}
+
+/** Protocol version from which control hosts report the progress of their gateways. */
+export const PROGRESS_PROTOCOL = 4;
+
+/**
+ * Progress of the routing at the gateways of all control hosts. Each reports to the leader which of
+ * its gateways are behind, whenever that changes; a report holds until the next one.
+ */
+export class RoutingProgress {
+  /** Latest reports to this leader, by control host. */
+  private readonly reports = new Map<string, RoutingProgressMessage>();
+
+  /** Protocol versions of the other control hosts. */
+  private readonly protocols = new Map<string, number>();
+
+  /** Content of the last report and its receiver; empty if it is to be sent again. */
+  private lastReported = '';
+
+  constructor(private readonly options: RoutingProgressOptions) {}
+
+  /** Notes a new link to a control host; what was sent on an earlier one may be lost. */
+  onControlLink(memberId: string, protocol = PROTOCOL_VERSION): void {
+    this.protocols.set(memberId, protocol);
+    if (memberId === this.options.raft.leaderId) this.lastReported = '';
+  }
+
+  /** Forgets the reports to an earlier leadership of this host. */
+  onRoleChanged(): void {
+    this.reports.clear();
+    this.lastReported = '';
+  }
+
+  receive(message: RoutingProgressMessage): void {
+    if (this.options.raft.role === RaftRole.Leader) this.reports.set(message.from, message);
+  }
+
+  /** Reports to the leader if something has changed; called once in each tick. */
+  report(nowMs: number): void {
+    const { raft, gateways, send } = this.options;
+    const { id, leaderId, term } = raft;
+    if (leaderId === null || leaderId === id) return;
+    const routingIndex = this.options.routingIndex();
+    const lagging = gateways.behind(routingIndex, nowMs);
+    const behind = lagging.map((gateway) => gateway.id);
+    const appliedIndexes = lagging.map(({ appliedIndex }) => appliedIndex);
+    const content = JSON.stringify([leaderId, term, routingIndex, behind, appliedIndexes]);
+    if (content === this.lastReported) return;
+    this.lastReported = content;
+    const type = ControlMessageType.RoutingProgress;
+    send(leaderId, { type, from: id, routingIndex, behind, appliedIndexes });
+  }
+
+  /** What this leader waits for until a routing is in force at every gateway in contact. */
+  missing(index: number, nowMs: number): MissingProgress {
+    const { gateways } = this.options;
+    const gatewayIds = new Set(gateways.behind(index, nowMs).map(({ id }) => id));
+    const controlHostIds: string[] = [];
+    this.reportingIds(nowMs).forEach((memberId) => {
+      const report = this.reports.get(memberId);
+      if (!report || report.routingIndex < index) {
+        controlHostIds.push(memberId);
+        return;
+      }
+      report.behind
+        .filter((id, position) => (report.appliedIndexes[position] ?? 0) < index)
+        .filter((id) => !gateways.hasApplied(id, index))
+        .forEach((id) => gatewayIds.add(id));
+    });
+    return { gatewayIds: [...gatewayIds].sort(), controlHostIds };
+  }
+
+  /** Control hosts that this leader has a recent acknowledgement of, and whose version reports. */
+  private reportingIds(nowMs: number): string[] {
+    const { followers, timing, silenceFromMs } = this.options.raft;
+    return [...followers]
+      .filter(([, follower]) => {
+        const heardAtMs = Math.max(follower.ackedAtMs, silenceFromMs);
+        return nowMs - heardAtMs <= timing.electionTimeoutMs;
+      })
+      .map(([id]) => id)
+      .filter((id) => (this.protocols.get(id) ?? PROTOCOL_VERSION) >= PROGRESS_PROTOCOL);
+  }
+}
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -157,6 +157,8 @@
         readonly type: ControlEventType.ControlLinkOpened;
         readonly memberId: string;
         readonly random: number;
+        /** Protocol version of the member; that of this host if omitted. */
+        readonly protocol?: number;
       }
     | {
         readonly type: ControlEventType.Join;
--- a/src/control/raft/RaftState.ts
+++ b/src/control/raft/RaftState.ts
@@ -100,6 +100,12 @@
   /** Time of the last message from a leader; negative infinity before the first one. */
   leaderContactAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Time since which there has been contact with leaders without a silence. */
+  contactSinceMs = Number.NEGATIVE_INFINITY;
+
+  /** Commit index that the leader sent when its contact began; 0 while none is known. */
+  contactCommitIndex = 0;
+
   /** Elections started before the first contact with a leader. */
   firstElections = 0;
 
--- a/src/control/raft/Replication.ts
+++ b/src/control/raft/Replication.ts
@@ -1,6 +1,7 @@
 import { CommandType, type Command } from '../Commands.js';
 import { committableIndex, quorumValue } from './Copies.js';
 import { becomeFollower } from './Election.js';
+import { noteLeaderCommit, noteLeaderContact } from './LeaderContact.js';
 import type { Follower, RaftState } from './RaftState.js';
 import { isRecovering } from './Recovery.js';
 import {
@@ -169,7 +170,9 @@
 /** Accepts the sender as leader of the current term. */
 function followLeader(state: RaftState, leaderId: string, term: number): void {
   const sameLeader = state.role === RaftRole.Follower && state.leaderId === leaderId;
-  if (!sameLeader || term > state.term) becomeFollower(state, term, leaderId);
+  const isNewLeader = !sameLeader || term > state.term;
+  if (isNewLeader) becomeFollower(state, term, leaderId);
+  noteLeaderContact(state, isNewLeader);
   state.leaderContactAtMs = state.nowMs;
   state.deferredElections = 0;
   state.electionAtMs = Math.max(state.electionAtMs, state.nowMs + state.timing.electionTimeoutMs);
@@ -197,6 +200,7 @@
     return;
   }
   followLeader(state, request.from, request.term);
+  noteLeaderCommit(state, request.commitIndex);
   const isCompacted = request.prevIndex < state.log.snapshot.index;
   if (!isCompacted && state.log.termAt(request.prevIndex) !== request.prevTerm) {
     const retryIndex = Math.min(request.prevIndex - 1, state.log.lastIndex);
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -107,6 +107,7 @@
   [ControlMessageType.EntryHostsShare]: 2,
   [ControlMessageType.ReportRelay]: 2,
   [ControlMessageType.UsageShare]: 3,
+  [ControlMessageType.RoutingProgress]: 4,
 };
 
 /** Message types that the byte counts name. */
@@ -241,10 +242,10 @@
       timing: options.linkTiming,
       availabilityZone,
       onBytes,
-      onOpen: (memberId) => {
+      onOpen: (memberId, protocol) => {
         logger.info('control_link_opened', { host: file.id, member: memberId });
         const random = this.random.next();
-        this.post({ type: ControlEventType.ControlLinkOpened, memberId, random });
+        this.post({ type: ControlEventType.ControlLinkOpened, memberId, random, protocol });
       },
       onClose: (memberId) => logger.warn('control_link_lost', { host: file.id, member: memberId }),
     });
@@ -707,6 +708,16 @@
       'Attempts at new versions in running rollouts, on the leader.',
       () => reducer.steering.exposedCalls,
     );
+    gauge(
+      'egret_control_routing_in_force_seconds',
+      'Time from the commit of the latest change to its application by the last gateway (leader).',
+      () => reducer.routingInForce.latestWaitMs / 1_000,
+    );
+    gauge(
+      'egret_control_gateways_behind',
+      'Gateways in contact with this host that have not applied its newest routing.',
+      () => reducer.gatewaysBehind(this.clock.nowMs()),
+    );
     gauge('egret_control_syncs', 'Syncs of the log.', () => storage.syncs);
     gauge('egret_control_events_refused', 'Events lost to a full channel.', () => loop.refused);
   }
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -80,6 +80,12 @@
     from: FieldType.String,
     evidence: FieldType.Object,
   },
+  [ControlMessageType.RoutingProgress]: {
+    from: FieldType.String,
+    routingIndex: FieldType.Number,
+    behind: FieldType.Object,
+    appliedIndexes: FieldType.Object,
+  },
   [ControlMessageType.ReportRelay]: { from: FieldType.String, report: FieldType.Object },
   [ControlMessageType.UsageShare]: {
     from: FieldType.String,
--- a/src/control/server/RaftLinks.ts
+++ b/src/control/server/RaftLinks.ts
@@ -15,7 +15,7 @@
   readonly availabilityZone?: string;
   /** Receives the bytes sent by message type. */
   readonly onBytes?: (messageType: string, bytes: number, memberZone: string | undefined) => void;
-  readonly onOpen?: (memberId: string) => void;
+  readonly onOpen?: (memberId: string, protocol: number) => void;
   readonly onClose?: (memberId: string) => void;
 }
 
@@ -51,7 +51,11 @@
 
   /** True if the member's version knows the messages of a protocol version. */
   supports(to: string, protocol: number): boolean {
-    return (this.clients.get(to)?.serverProtocol ?? 1) >= protocol;
+    return this.protocolOf(to) >= protocol;
+  }
+
+  private protocolOf(memberId: string): number {
+    return this.clients.get(memberId)?.serverProtocol ?? 1;
   }
 
   dispose(): void {
@@ -75,7 +79,7 @@
         timing: this.options.timing,
         availabilityZone: this.options.availabilityZone,
         onBytes: this.options.onBytes,
-        onOpen: () => this.options.onOpen?.(member.id),
+        onOpen: () => this.options.onOpen?.(member.id, this.protocolOf(member.id)),
         onMessage: () => {},
         onClose: () => this.options.onClose?.(member.id),
       }),
