At most one routing is on its way to a gateway, and it is sent again if missed

Callers saw a gateway handle calls by a routing that a confirmed change had replaced. Each version was sent once, whole, to the sessions of that moment: on a slow link the versions of a series queued behind each other; a push that was lost with its link, dropped or refused was never made good; a control host that had just restarted sent the superseded version that it had replayed.

RoutingDelivery decides now, for each session: the newest routing is sent when nothing is on its way, or once a heartbeat tells that what was sent is applied; if not, it is sent again after 1 s, 2 s, 4 s, then every 8 s. Hosts that are not caught up send none, unless they have had no majority for 3 s.

Failed on the reducer before: a slow gateway was sent all 8 versions of a series (now 2); a dropped push was not sent again in 1.5 s; a restarted host sent [8, 10] instead of [10]; a host without a leader sent at once.

--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -24,6 +24,7 @@
 import { GatewayProgress } from './GatewayProgress.js';
 import { withInstanceIds } from './MembershipChange.js';
 import { RegistryFlow } from './RegistryFlow.js';
+import { RoutingDelivery } from './RoutingDelivery.js';
 import { RoutingInForce } from './RoutingInForce.js';
 import { RoutingProgress } from './RoutingProgress.js';
 import { SharedEntryHosts } from './SharedEntryHosts.js';
@@ -100,6 +101,8 @@
 
   private readonly gateways = new GatewayProgress();
 
+  private readonly delivery = new RoutingDelivery();
+
   private readonly routingProgress: RoutingProgress;
 
   private readonly sharedHosts: SharedEntryHosts;
@@ -127,8 +130,8 @@
   /** Watchers that accept a compressed routing. */
   private readonly packedWatchers = new Set<number>();
 
-  /** True from the application of a routing change until it is pushed. */
-  private routingDirty = false;
+  /** True if a session may be due to receive the routing. */
+  private deliveryDue = false;
 
   private snapshotRunning = false;
 
@@ -202,7 +205,7 @@
     const handler = this.eventHandlers[event.type] as (received: ControlEvent) => void;
     handler(event);
     // One push for all entries of an event, so that the replay after a start sends no old version.
-    if (this.routingDirty) this.pushRouting();
+    if (this.deliveryDue) this.deliverRouting();
     return this.effects;
   }
 
@@ -285,7 +288,7 @@
     [RaftEffectType.Restore]: (effect: RaftEffectOf<RaftEffectType.Restore>) => {
       this.replicatedState.restore(effect.snapshot.bytes);
       this.pushFull();
-      this.routingDirty = true;
+      this.deliveryDue = true;
     },
     [RaftEffectType.ReadReady]: (effect: RaftEffectOf<RaftEffectType.ReadReady>) =>
       this.admin.finishRead(effect.readId),
@@ -347,8 +350,8 @@
       this.watchers.add(sessionId);
       if (message.acceptsPacked === true) this.packedWatchers.add(sessionId);
       else this.packedWatchers.delete(sessionId);
-      if (message.routingIndex < this.replicatedState.routing.view.index)
-        this.sendRouting(sessionId);
+      this.delivery.watch(sessionId, message.routingIndex);
+      this.deliveryDue = true;
     },
     [ControlMessageType.BackendsAck]: (
       sessionId: number,
@@ -439,6 +442,7 @@
     this.sessions.setUpdates(sessionId, EntryHostUpdates.None);
     this.watchers.delete(sessionId);
     this.gateways.endWatch(sessionId);
+    this.delivery.end(sessionId);
     this.packedWatchers.delete(sessionId);
     this.backends.closeSession(sessionId);
   }
@@ -497,6 +501,7 @@
     this.routingInForce.check(this.nowMs);
     this.admin.releaseConfirmations();
     this.maybeSnapshot();
+    this.deliveryDue = true;
   }
 
   private tickUsage(): void {
@@ -617,7 +622,7 @@
         event: 'routing_applied',
         fields: { index: entry.index, version, closedZones: closedZones.join(',') },
       });
-      this.routingDirty = true;
+      this.deliveryDue = true;
       if (this.raft.isLeader) this.routingInForce.noteCommitted(entry.index, version, this.nowMs);
     }
     const proposal = this.pendingProposals.get(entry.index);
@@ -637,19 +642,23 @@
     this.sessions.subscribers().forEach((session) => this.sendSettings(session.sessionId));
   }
 
-  private pushRouting(): void {
-    this.routingDirty = false;
-    this.watchers.forEach((sessionId) => this.sendRouting(sessionId));
-  }
-
-  private sendRouting(sessionId: number): void {
+  /** Sends the newest routing to the sessions that are due. */
+  private deliverRouting(): void {
+    this.deliveryDue = false;
     const { view } = this.replicatedState.routing;
-    this.emit({
-      type: ControlEffectType.SendSession,
-      sessionId,
-      message: { type: ControlMessageType.Routing, view },
-      acceptsPacked: this.packedWatchers.has(sessionId),
-    });
+    const times = {
+      nowMs: this.nowMs,
+      isCaughtUp: isCaughtUp(this.raft.state, this.nowMs),
+      hasQuorum: this.backends.hasQuorum(),
+    };
+    this.delivery.takeDue(view.index, times).forEach((sessionId) =>
+      this.emit({
+        type: ControlEffectType.SendSession,
+        sessionId,
+        message: { type: ControlMessageType.Routing, view },
+        acceptsPacked: this.packedWatchers.has(sessionId),
+      }),
+    );
   }
 
   private pushDelta(delta: SettingsDelta): void {
@@ -687,7 +696,9 @@
   private onPing(sessionId: number, message: PingMessage): void {
     const hadSession = this.sessions.has(sessionId);
     this.sessions.ping(sessionId, message, this.nowMs);
-    this.gateways.noteHeartbeat(sessionId, message.appliedIndex, this.nowMs);
+    const { appliedIndex } = message;
+    this.delivery.noteApplied(sessionId, appliedIndex);
+    if (this.gateways.noteHeartbeat(sessionId, appliedIndex, this.nowMs)) this.deliveryDue = true;
     if (!hadSession) return;
     const { state } = this.raft;
     const { membershipIndex } = state.log;
--- a/src/control/fixtures.ts
+++ b/src/control/fixtures.ts
@@ -1,4 +1,8 @@
-import { ControlCluster, type AdminOutcome } from '../../fuzz/ControlCluster.js';
+import {
+  ControlCluster,
+  type AdminOutcome,
+  type ControlClusterOptions,
+} from '../../fuzz/ControlCluster.js';
 import type { ControlHost, LogFields } from '../../fuzz/ControlHost.js';
 import { ADMIN_TOKEN } from '../../standin/Deployments.js';
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../common/Constants.js';
@@ -43,11 +47,12 @@
 const DELAY_MS = 2;
 
 /** Control hosts in virtual time, with gateways that apply what they are sent. */
-export function createRoutedCluster() {
+export function createRoutedCluster(options: Pick<ControlClusterOptions, 'snapshotEvery'> = {}) {
   const gateways: TestGateway[] = [];
   const lines: LoggedLine[] = [];
   const receivers: ((message: ControlToEntryMessage, from: string) => void)[] = [];
   const cluster = new ControlCluster({
+    ...options,
     sendSession: (sessionId, message, from) => receivers[sessionId - 1]?.(message, from),
     log: (event, fields, from) => lines.push({ event, fields, from }),
   });
