A change of the routing is confirmed once the gateways in contact apply it

Callers saw a call handled by version 23, 2.27 s after version 25 had been confirmed. A change was confirmed as soon as it was on enough disks; no gateway was waited for, so the promise that a confirmed change is in force within 2 s rested on the usual speed of delivery.

The confirmation of changes of the routing, of closed zones and of rollout orders, sent once or again, now waits until every gateway in contact applies them: heartbeat within a second at a control host, or session closed less than that ago. The leader knows its own gateways and has the reports of the other control hosts. It waits at most 2.5 s from the commit, then confirms with the line confirmed_not_in_force, so that one gateway does not keep operators from changes.

Ruled out: a bound at the gateways alone (they can't know of a change that no one has told them), and waiting alone (a gateway without contact is not waited for).

RoutedFuzzWorld checks at each confirmation that the gateways in touch apply it; planted defect: confirmed before, which it detects.

--- a/fuzz/GatewayModel.ts
+++ b/fuzz/GatewayModel.ts
@@ -103,7 +103,9 @@
   receive(message: ControlToEntryMessage, control: string): void {
     const { nowMs } = this.options.timeline;
     if (message.type === ControlMessageType.Routing) {
-      if (this.routing.apply(message.view)) this.pool.setClosedZones(message.view.closedZones);
+      if (!this.routing.apply(message.view)) return;
+      this.pool.setClosedZones(message.view.closedZones);
+      this.sendPings();
       return;
     }
     if (message.type === ControlMessageType.EntryHosts) {
@@ -191,9 +193,13 @@
     };
   }
 
+  private sendPings(): void {
+    this.links.forEach((control) => this.options.send(control, this.createPing()));
+  }
+
   private tick(epoch: number): void {
     if (epoch !== this.epoch || !this.alive) return;
-    this.links.forEach((control) => this.options.send(control, this.createPing()));
+    this.sendPings();
     this.options.timeline.after(ENTRY_HEARTBEAT_INTERVAL_MS, () => this.tick(epoch));
   }
 }
--- a/fuzz/Routed.test.ts
+++ b/fuzz/Routed.test.ts
@@ -3,6 +3,7 @@
 import { EntrySessions } from '../src/control/EntrySessions.js';
 import { RegistryFlow } from '../src/control/RegistryFlow.js';
 import type { RoutingChangeCommand } from '../src/control/RoutingCommands.js';
+import { RoutingProgress } from '../src/control/RoutingProgress.js';
 import { RoutingState } from '../src/control/RoutingState.js';
 import { RaftLog } from '../src/control/raft/RaftLog.js';
 import { BackendPool } from '../src/gateway/BackendPool.js';
@@ -40,6 +41,11 @@
       );
     },
   },
+  {
+    name: 'changes of the routing confirmed before gateways apply them',
+    violates: [Invariant.ActiveConfig],
+    apply: () => patch(RoutingProgress, 'missing', () => ({ gatewayIds: [], controlHostIds: [] })),
+  },
   {
     name: 'departures confirmed without a majority of control hosts',
     violates: [Invariant.Departure],
--- a/fuzz/RoutedFuzzWorld.ts
+++ b/fuzz/RoutedFuzzWorld.ts
@@ -489,10 +489,19 @@
       if (error) return;
       const other = this.acknowledged.find((change) => change.base === base);
       if (other) this.fail(Invariant.ActiveConfig, `two changes of base ${base} acknowledged`);
+      this.checkConfirmed(version);
       this.acknowledged.push({ base, version, atMs: timeline.nowMs });
     });
   }
 
+  /** Checks that every gateway in touch applies a change that is being confirmed. */
+  private checkConfirmed(version: number): void {
+    this.gateways.forEach((gateway) => {
+      if (!this.isInTouch(gateway) || gateway.routing.version >= version) return;
+      this.fail(Invariant.ActiveConfig, `${version} confirmed before ${gateway.id} applies it`);
+    });
+  }
+
   /** Two operators send changes of the same base version, of which at most one may be accepted. */
   private raceOperators(): void {
     this.changeRouting();
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -53,6 +53,8 @@
   routing_applied: 'A newer routing is in force on this host.',
   routing_in_force:
     'All gateways in contact apply a change, or the wait for them ended; with those missing.',
+  confirmed_not_in_force:
+    'A change was confirmed at the end of the wait; with the gateways that had not applied it.',
   rollout_applied: 'This gateway applies a new share or the verdict of a rollout.',
   gateway_started: 'The process is listening.',
   gateway_ready: 'The gateway has a routing and backend servers, and can serve callers.',
--- a/src/common/LogLevels.ts
+++ b/src/common/LogLevels.ts
@@ -30,6 +30,7 @@
   backends_lost: LogLevel.Warn,
   forward_failed: LogLevel.Warn,
   no_peer: LogLevel.Warn,
+  confirmed_not_in_force: LogLevel.Warn,
   control_lost: LogLevel.Warn,
   control_link_lost: LogLevel.Warn,
   join_failed: LogLevel.Warn,
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -392,7 +392,9 @@
   readonly from: string;
   /** Log index of the newest routing that the sender has applied. */
   readonly routingIndex: number;
-  /** Ids of the gateways in contact that have not applied that routing. */
+  /** Number of gateways in contact with the sender. */
+  readonly gatewayCount: number;
+  /** Ids of those that have not applied that routing. */
   readonly behind: readonly string[];
   /** Log indexes of the routings that these gateways apply, in the same order. */
   readonly appliedIndexes: readonly number[];
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -1,6 +1,7 @@
 import Result from 'true-myth/result';
 import { MAX_CLOCK_DRIFT_RATIO } from '../common/Constants.js';
 import { EgretError, ErrorKind } from '../common/Errors.js';
+import type { Rollout } from '../common/rollouts/Types.js';
 import { AdminReads } from './AdminReads.js';
 import type { ReplicatedState, ApplyResult } from './ReplicatedState.js';
 import { authenticate, authorize } from './Authorization.js';
@@ -8,6 +9,7 @@
 import type { EntrySessions } from './EntrySessions.js';
 import { isMemberRequest, planMembership } from './MembershipChange.js';
 import type { RaftNode } from './raft/RaftNode.js';
+import { RoutingConfirmations, type RoutingConfirmationsOptions } from './RoutingConfirmations.js';
 import { isRolloutRequest, proposeRollout } from './rollouts/RolloutRequests.js';
 import { RoutingVerdict, type RoutingResult } from './RoutingState.js';
 import { AdminRequestType, type Actor, type AdminRequest } from './Types.js';
@@ -31,6 +33,9 @@
   readonly answer: (requestId: string, body: unknown, error: EgretError | null) => void;
   /** True while applied changes are not yet on enough disks to be confirmed. */
   readonly delaysConfirmation: () => boolean;
+  /** What has not applied a routing yet. */
+  readonly missing: RoutingConfirmationsOptions['missing'];
+  readonly log: RoutingConfirmationsOptions['log'];
 }
 
 /** Times of an event. */
@@ -59,6 +64,8 @@
   /** Confirmations of applied changes that wait for further voters, by request id. */
   private readonly delayedConfirmations = new Map<string, unknown>();
 
+  private readonly routingConfirmations: RoutingConfirmations;
+
   /** Local time at which a settings change was applied, by log index. */
   private readonly appliedTimes = new Map<number, number>();
 
@@ -69,12 +76,20 @@
 
   constructor(private readonly options: AdminFlowOptions) {
     this.reads = new AdminReads(options.replicatedState, options.sessions, options.raft);
+    const { missing, log } = options;
+    this.routingConfirmations = new RoutingConfirmations({
+      missing,
+      log,
+      confirm: (requestId, body) => this.confirm(requestId, body),
+    });
   }
 
   /** Sets the times of the event that is handled next. */
   beginEvent(times: EventTimes): void {
     this.times = times;
-    if (this.startedAtMs < 0) this.startedAtMs = times.nowMs;
+    if (this.startedAtMs >= 0) return;
+    this.startedAtMs = times.nowMs;
+    this.recordRouting();
   }
 
   /** Records that a settings change has been applied on this host. */
@@ -86,6 +101,12 @@
     }
   }
 
+  /** Records that the routing in force has been applied on this host. */
+  recordRouting(): void {
+    const { index, version } = this.options.replicatedState.routing.view;
+    this.routingConfirmations.noteApplied(index, version, this.times.nowMs);
+  }
+
   /** Handles one request; the answer may be an effect of a later event. */
   request(
     requestId: string,
@@ -118,7 +139,9 @@
         actor,
         wallMs: this.times.wallMs,
         onApplied: (body, error) =>
-          error ? answer(requestId, null, error) : this.confirm(requestId, body),
+          error
+            ? answer(requestId, null, error)
+            : this.confirmRouting(requestId, body, this.rolloutIndex(request, body)),
         onLost: () => this.answerNotLeader(requestId),
       });
     } else if (request.type === AdminRequestType.ChangeRouting) {
@@ -152,8 +175,24 @@
     else this.options.answer(requestId, body, null);
   }
 
-  /** Sends the delayed confirmations that are due; called periodically. */
+  /** Confirms a change of the routing once the gateways in contact apply it. */
+  private confirmRouting(requestId: string, body: unknown, index = this.routingIndex): void {
+    this.routingConfirmations.add(requestId, body, index, this.times.nowMs);
+  }
+
+  private get routingIndex(): number {
+    return this.options.replicatedState.routing.view.index;
+  }
+
+  /** Log index of an order, also of a resent one; that of the routing in force for its end. */
+  private rolloutIndex({ type }: AdminRequest, body: unknown): number {
+    const isOrder = type === AdminRequestType.StartRollout;
+    return isOrder ? (body as Rollout).orderIndex : this.routingIndex;
+  }
+
+  /** Sends the confirmations that are due; called periodically. */
   releaseConfirmations(): void {
+    this.routingConfirmations.release(this.times.nowMs);
     if (this.options.delaysConfirmation() || this.delayedConfirmations.size === 0) return;
     this.delayedConfirmations.forEach((body, requestId) =>
       this.options.answer(requestId, body, null),
@@ -161,8 +200,9 @@
     this.delayedConfirmations.clear();
   }
 
-  /** Answers the delayed confirmations when the host loses leadership. */
+  /** Answers the changes that wait for their confirmation when the host loses leadership. */
   failConfirmations(): void {
+    this.routingConfirmations.takeAll().forEach((requestId) => this.answerNotLeader(requestId));
     [...this.delayedConfirmations.keys()].forEach((requestId) => this.answerNotLeader(requestId));
     this.delayedConfirmations.clear();
   }
@@ -218,7 +258,7 @@
   private answerRouting(requestId: string, result: RoutingResult): void {
     const kind = ROUTING_ERRORS[result.verdict];
     if (kind) this.options.answer(requestId, result, new EgretError(kind, `${result.detail}.`));
-    else this.confirm(requestId, result);
+    else this.confirmRouting(requestId, result, this.routingConfirmations.indexOf(result.version));
   }
 
   private proposeZoneClosure(
@@ -231,7 +271,7 @@
     this.options.propose(
       { ...command, actor: actor.name, atMs: this.times.wallMs },
       {
-        onApplied: () => this.confirm(requestId, { zone, closed }),
+        onApplied: () => this.confirmRouting(requestId, { zone, closed }),
         onLost: () => this.answerNotLeader(requestId),
       },
     );
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -185,6 +185,8 @@
       propose: (command, callbacks) => this.propose(command, callbacks),
       requestRead: (readId) =>
         this.stepRaft({ type: RaftEventType.Read, nowMs: this.nowMs, readId }),
+      missing: (index, nowMs) => this.routingProgress.missing(index, nowMs),
+      log: (event, fields) => this.emit({ type: ControlEffectType.Log, event, fields }),
       answer: (requestId, body, error) =>
         this.emit({ type: ControlEffectType.AnswerAdmin, requestId, body, error }),
       delaysConfirmation: () =>
@@ -288,6 +290,7 @@
     [RaftEffectType.Restore]: (effect: RaftEffectOf<RaftEffectType.Restore>) => {
       this.replicatedState.restore(effect.snapshot.bytes);
       this.pushFull();
+      this.admin.recordRouting();
       this.deliveryDue = true;
     },
     [RaftEffectType.ReadReady]: (effect: RaftEffectOf<RaftEffectType.ReadReady>) =>
@@ -623,6 +626,7 @@
         fields: { index: entry.index, version, closedZones: closedZones.join(',') },
       });
       this.deliveryDue = true;
+      this.admin.recordRouting();
       if (this.raft.isLeader) this.routingInForce.noteCommitted(entry.index, version, this.nowMs);
     }
     const proposal = this.pendingProposals.get(entry.index);
--- a/src/control/GatewayProgress.ts
+++ b/src/control/GatewayProgress.ts
@@ -67,6 +67,12 @@
     return lagging;
   }
 
+  /** Number of gateways in contact. */
+  contacts(nowMs: number): number {
+    const times = [...this.entries.values()].map(({ contactAtMs }) => contactAtMs);
+    return times.filter((contactAtMs) => nowMs - contactAtMs < GATEWAY_CONTACT_MS).length;
+  }
+
   /** True if the gateway is known here to have applied this routing or a newer one. */
   hasApplied(gatewayId: string, index: number): boolean {
     const entry = this.entries.get(gatewayId);
--- /dev/null
+++ b/src/control/RoutingConfirmations.ts
@@ -0,0 +1,90 @@
+import { IN_FORCE_WAIT_MS, joinIds } from './RoutingInForce.js';
+import type { MissingProgress } from './RoutingProgress.js';
+
+/** Dependencies of {@link RoutingConfirmations}. */
+export interface RoutingConfirmationsOptions {
+  readonly missing: (index: number, nowMs: number) => MissingProgress;
+  /** Confirms a change to the operator. */
+  readonly confirm: (requestId: string, body: unknown) => void;
+  readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
+}
+
+/** Change that is confirmed once the gateways in contact apply it. */
+interface PendingConfirmation {
+  readonly body: unknown;
+  readonly index: number;
+}
+
+/** Routing that this host has applied. */
+interface AppliedRouting {
+  readonly index: number;
+  readonly version: number;
+  readonly atMs: number;
+}
+
+/** Number of routings whose time of application is kept; a resend comes within seconds. */
+const MAX_APPLIED = 1_000;
+
+/**
+ * Confirmations of changes of the routing. Each waits until every gateway in contact applies the
+ * change, but no longer than {@link IN_FORCE_WAIT_MS} from its commit: a gateway that does not apply
+ * it must not keep operators from changes, and by then refuses calls, as it knows of a newer routing.
+ *
+ * @example
+ * confirmations.add('request-1', { version: 7 }, 120, nowMs); // confirmed now or by release
+ */
+export class RoutingConfirmations {
+  private readonly pending = new Map<string, PendingConfirmation>();
+
+  private readonly applied: AppliedRouting[] = [];
+
+  constructor(private readonly options: RoutingConfirmationsOptions) {}
+
+  /** Records a routing that this host has applied, as the leader or not. */
+  noteApplied(index: number, version: number, nowMs: number): void {
+    this.applied.push({ index, version, atMs: nowMs });
+    if (this.applied.length > MAX_APPLIED) this.applied.shift();
+  }
+
+  /** Log index of the first routing of a version; undefined if this host did not record it. */
+  indexOf(version: number): number | undefined {
+    return this.applied.find((routing) => routing.version === version)?.index;
+  }
+
+  /** Confirms a change now, or once it is in force. */
+  add(requestId: string, body: unknown, index: number, nowMs: number): void {
+    this.pending.set(requestId, { body, index });
+    this.release(nowMs);
+  }
+
+  /** Confirms the changes that are in force, or whose wait has ended; called periodically. */
+  release(nowMs: number): void {
+    const checked = new Map<number, MissingProgress>();
+    this.pending.forEach(({ body, index }, requestId) => {
+      const progress = checked.get(index) ?? this.options.missing(index, nowMs);
+      checked.set(index, progress);
+      const missing = [...progress.gatewayIds, ...progress.controlHostIds];
+      if (missing.length > 0) {
+        const waitedMs = nowMs - this.committedAtMs(index);
+        if (waitedMs < IN_FORCE_WAIT_MS) return;
+        const fields = { index, waitedMs: Math.round(waitedMs), missing: joinIds(missing) };
+        this.options.log('confirmed_not_in_force', fields);
+      }
+      this.pending.delete(requestId);
+      this.options.confirm(requestId, body);
+    });
+  }
+
+  /** Removes and returns the ids of the requests that wait. */
+  takeAll(): string[] {
+    const requestIds = [...this.pending.keys()];
+    this.pending.clear();
+    return requestIds;
+  }
+
+  /** Time at which this host applied a routing, or the first one after it that it recorded. */
+  private committedAtMs(index: number): number {
+    const applied = this.applied.find((routing) => routing.index >= index);
+    return applied?.atMs ?? Number.NEGATIVE_INFINITY;
+  }
+}
--- a/src/control/RoutingProgress.ts
+++ b/src/control/RoutingProgress.ts
@@ -64,11 +64,13 @@
     const lagging = gateways.behind(routingIndex, nowMs);
     const behind = lagging.map((gateway) => gateway.id);
     const appliedIndexes = lagging.map(({ appliedIndex }) => appliedIndex);
-    const content = JSON.stringify([leaderId, term, routingIndex, behind, appliedIndexes]);
+    const gatewayCount = gateways.contacts(nowMs);
+    const figures = { routingIndex, gatewayCount, behind, appliedIndexes };
+    const content = JSON.stringify([leaderId, term, figures]);
     if (content === this.lastReported) return;
     this.lastReported = content;
     const type = ControlMessageType.RoutingProgress;
-    send(leaderId, { type, from: id, routingIndex, behind, appliedIndexes });
+    send(leaderId, { type, from: id, ...figures });
   }
 
   /** What this leader waits for until a routing is in force at every gateway in contact. */
@@ -78,7 +80,9 @@
     const controlHostIds: string[] = [];
     this.reportingIds(nowMs).forEach((memberId) => {
       const report = this.reports.get(memberId);
-      if (!report || report.routingIndex < index) {
+      // A host that replays its log lists only the gateways that are behind what it has replayed.
+      const isCovered = report && (report.routingIndex >= index || report.gatewayCount === 0);
+      if (!isCovered) {
         controlHostIds.push(memberId);
         return;
       }
--- a/src/control/server/MessageFields.ts
+++ b/src/control/server/MessageFields.ts
@@ -83,6 +83,7 @@
   [ControlMessageType.RoutingProgress]: {
     from: FieldType.String,
     routingIndex: FieldType.Number,
+    gatewayCount: FieldType.Number,
     behind: FieldType.Object,
     appliedIndexes: FieldType.Object,
   },
