--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -21,9 +21,14 @@
 import type { Customer } from '../common/routing/Types.js';
 import { UsageFlow } from './caps/UsageFlow.js';
 import { EntrySessions } from './EntrySessions.js';
+import { GatewayProgress } from './GatewayProgress.js';
 import { withInstanceIds } from './MembershipChange.js';
 import { RegistryFlow } from './RegistryFlow.js';
+import { RoutingDelivery } from './RoutingDelivery.js';
+import { RoutingInForce } from './RoutingInForce.js';
+import { RoutingProgress } from './RoutingProgress.js';
 import { SharedEntryHosts } from './SharedEntryHosts.js';
+import { isCaughtUp } from './raft/CaughtUp.js';
 import { RaftNode } from './raft/RaftNode.js';
 import type { RolloutSettings } from '../common/rollouts/Types.js';
 import { RolloutSteering } from './rollouts/RolloutSteering.js';
@@ -92,6 +97,14 @@
 
   readonly steering: RolloutSteering;
 
+  readonly routingInForce: RoutingInForce;
+
+  private readonly gateways = new GatewayProgress();
+
+  private readonly delivery = new RoutingDelivery();
+
+  private readonly routingProgress: RoutingProgress;
+
   private readonly sharedHosts: SharedEntryHosts;
 
   readonly backends: RegistryFlow;
@@ -117,8 +130,8 @@
   /** Watchers that accept a compressed routing. */
   private readonly packedWatchers = new Set<number>();
 
-  /** True from the application of a routing change until it is pushed. */
-  private routingDirty = false;
+  /** True if a session may be due to receive the routing. */
+  private deliveryDue = false;
 
   private snapshotRunning = false;
 
@@ -137,6 +150,16 @@
       peerIds: () => this.raft.state.log.membersExcept(options.raft.id).map(({ id }) => id),
       send: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
     });
+    this.routingProgress = new RoutingProgress({
+      raft: this.raft.state,
+      gateways: this.gateways,
+      routingIndex: () => this.replicatedState.routing.view.index,
+      send: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
+    });
+    this.routingInForce = new RoutingInForce({
+      missing: (index, nowMs) => this.routingProgress.missing(index, nowMs),
+      log: (event, fields) => this.emit({ type: ControlEffectType.Log, event, fields }),
+    });
     this.sessions = new EntrySessions({
       unlistAfterMs: options.entryHeartbeatTimeoutMs,
       shared: () => this.sharedHosts.hosts(),
@@ -162,6 +185,8 @@
       propose: (command, callbacks) => this.propose(command, callbacks),
       requestRead: (readId) =>
         this.stepRaft({ type: RaftEventType.Read, nowMs: this.nowMs, readId }),
+      missing: (index, nowMs) => this.routingProgress.missing(index, nowMs),
+      log: (event, fields) => this.emit({ type: ControlEffectType.Log, event, fields }),
       answer: (requestId, body, error) =>
         this.emit({ type: ControlEffectType.AnswerAdmin, requestId, body, error }),
       delaysConfirmation: () =>
@@ -182,7 +207,7 @@
     const handler = this.eventHandlers[event.type] as (received: ControlEvent) => void;
     handler(event);
     // One push for all entries of an event, so that the replay after a start sends no old version.
-    if (this.routingDirty) this.pushRouting();
+    if (this.deliveryDue) this.deliverRouting();
     return this.effects;
   }
 
@@ -213,6 +238,7 @@
     [ControlEventType.SessionMessage]: (event: EventOf<ControlEventType.SessionMessage>) =>
       this.onSessionMessage(event.sessionId, event.message),
     [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) => {
+      this.gateways.close(event.sessionId, event.nowMs);
       this.sessions.close(event.sessionId);
       this.endWatch(event.sessionId);
       this.usage?.closeSession(event.sessionId);
@@ -226,8 +252,9 @@
     [ControlEventType.ControlPeerMessage]: (event: EventOf<ControlEventType.ControlPeerMessage>) =>
       this.onControlPeerMessage(event.message),
     [ControlEventType.ControlLinkOpened]: (event: EventOf<ControlEventType.ControlLinkOpened>) => {
-      const { memberId, random, nowMs } = event;
+      const { memberId, random, nowMs, protocol } = event;
       this.stepRaft({ type: RaftEventType.MemberLinked, nowMs, memberId, random });
+      this.routingProgress.onControlLink(memberId, protocol);
       this.backends.onControlLink(memberId);
       this.sharedHosts.sendWhole(memberId);
       this.usage?.onControlLink(memberId, nowMs);
@@ -263,7 +290,8 @@
     [RaftEffectType.Restore]: (effect: RaftEffectOf<RaftEffectType.Restore>) => {
       this.replicatedState.restore(effect.snapshot.bytes);
       this.pushFull();
-      this.routingDirty = true;
+      this.admin.recordRouting();
+      this.deliveryDue = true;
     },
     [RaftEffectType.ReadReady]: (effect: RaftEffectOf<RaftEffectType.ReadReady>) =>
       this.admin.finishRead(effect.readId),
@@ -271,6 +299,8 @@
       this.admin.failRead(effect.readId),
     [RaftEffectType.RoleChanged]: (effect: RaftEffectOf<RaftEffectType.RoleChanged>) => {
       this.steering.reset();
+      this.routingProgress.onRoleChanged();
+      this.routingInForce.reset();
       if (!this.raft.isLeader) {
         this.failPendingProposals();
         this.admin.failConfirmations();
@@ -312,6 +342,8 @@
         return;
       }
       const { departures, entryHostUpdates, acceptsCompressed = false } = message;
+      const gatewayId = this.sessions.entryHostId(sessionId);
+      this.gateways.watch(sessionId, gatewayId, message.routingIndex, this.nowMs);
       const list = entryHostUpdates && this.sessions.setUpdates(sessionId, entryHostUpdates);
       if (list) {
         const type = ControlEffectType.SendSession;
@@ -321,8 +353,8 @@
       this.watchers.add(sessionId);
       if (message.acceptsPacked === true) this.packedWatchers.add(sessionId);
       else this.packedWatchers.delete(sessionId);
-      if (message.routingIndex < this.replicatedState.routing.view.index)
-        this.sendRouting(sessionId);
+      this.delivery.watch(sessionId, message.routingIndex);
+      this.deliveryDue = true;
     },
     [ControlMessageType.BackendsAck]: (
       sessionId: number,
@@ -372,11 +404,19 @@
         // Evidence that arrives after a change of leader comes again with the next report.
         if (this.raft.isLeader) this.steering.receive(message.evidence, this.nowMs);
         return;
+      case ControlMessageType.RoutingProgress:
+        this.routingProgress.receive(message);
+        return;
       default:
         this.backends.onControlPeerMessage(message);
     }
   }
 
+  /** Number of gateways in contact that have not applied the newest routing of this host. */
+  gatewaysBehind(nowMs: number): number {
+    return this.gateways.behind(this.replicatedState.routing.view.index, nowMs).length;
+  }
+
   /** Hosts other than members that a join request or report should also be sent to. */
   joinRequesters(nowMs: number): readonly Member[] {
     return this.autoMembership?.requesters(nowMs) ?? [];
@@ -404,6 +444,8 @@
   private endWatch(sessionId: number): void {
     this.sessions.setUpdates(sessionId, EntryHostUpdates.None);
     this.watchers.delete(sessionId);
+    this.gateways.endWatch(sessionId);
+    this.delivery.end(sessionId);
     this.packedWatchers.delete(sessionId);
     this.backends.closeSession(sessionId);
   }
@@ -458,8 +500,11 @@
     this.backends.tick();
     this.tickUsage();
     this.proposeAsLeader();
+    this.routingProgress.report(this.nowMs);
+    this.routingInForce.check(this.nowMs);
     this.admin.releaseConfirmations();
     this.maybeSnapshot();
+    this.deliveryDue = true;
   }
 
   private tickUsage(): void {
@@ -580,7 +625,9 @@
         event: 'routing_applied',
         fields: { index: entry.index, version, closedZones: closedZones.join(',') },
       });
-      this.routingDirty = true;
+      this.deliveryDue = true;
+      this.admin.recordRouting();
+      if (this.raft.isLeader) this.routingInForce.noteCommitted(entry.index, version, this.nowMs);
     }
     const proposal = this.pendingProposals.get(entry.index);
     if (!proposal) return;
@@ -599,19 +646,23 @@
     this.sessions.subscribers().forEach((session) => this.sendSettings(session.sessionId));
   }
 
-  private pushRouting(): void {
-    this.routingDirty = false;
-    this.watchers.forEach((sessionId) => this.sendRouting(sessionId));
-  }
-
-  private sendRouting(sessionId: number): void {
+  /** Sends the newest routing to the sessions that are due. */
+  private deliverRouting(): void {
+    this.deliveryDue = false;
     const { view } = this.replicatedState.routing;
-    this.emit({
-      type: ControlEffectType.SendSession,
-      sessionId,
-      message: { type: ControlMessageType.Routing, view },
-      acceptsPacked: this.packedWatchers.has(sessionId),
-    });
+    const times = {
+      nowMs: this.nowMs,
+      isCaughtUp: isCaughtUp(this.raft.state, this.nowMs),
+      hasQuorum: this.backends.hasQuorum(),
+    };
+    this.delivery.takeDue(view.index, times).forEach((sessionId) =>
+      this.emit({
+        type: ControlEffectType.SendSession,
+        sessionId,
+        message: { type: ControlMessageType.Routing, view },
+        acceptsPacked: this.packedWatchers.has(sessionId),
+      }),
+    );
   }
 
   private pushDelta(delta: SettingsDelta): void {
@@ -649,6 +700,9 @@
   private onPing(sessionId: number, message: PingMessage): void {
     const hadSession = this.sessions.has(sessionId);
     this.sessions.ping(sessionId, message, this.nowMs);
+    const { appliedIndex } = message;
+    this.delivery.noteApplied(sessionId, appliedIndex);
+    if (this.gateways.noteHeartbeat(sessionId, appliedIndex, this.nowMs)) this.deliveryDue = true;
     if (!hadSession) return;
     const { state } = this.raft;
     const { membershipIndex } = state.log;
@@ -664,6 +718,8 @@
       // Sent only if changed: pongs are most of the traffic between zones under normal load.
       voters: isNew ? state.log.membership.voters : [],
       isVoter: state.isVoter,
+      routingIndex: this.replicatedState.routing.view.index,
+      isCurrent: isCaughtUp(state, this.nowMs),
       ...(isNew && availabilityZone !== undefined && { availabilityZone }),
     });
     if (message.subscribe && message.appliedIndex < this.replicatedState.settingsIndex) {
