A pause of a control host does not count as silence of its gateways

Found by the review of the fix: after a pause of more than a second, the next tick runs before the heartbeats that have arrived are read. The host then reported no gateways in contact, and the leader did not wait for them. The gap between two ticks is excluded from the silence.

--- a/src/control/GatewayProgress.ts
+++ b/src/control/GatewayProgress.ts
@@ -18,8 +18,16 @@
  */
 export const GATEWAY_CONTACT_MS = 1_000;
 
+/**
+ * Gap between two checks, which are made at every tick, after which this host was paused itself:
+ * heartbeats that arrived meanwhile are read after the check.
+ */
+const PAUSED_AFTER_MS = 200;
+
 /** Routing that each gateway applies which watches this control host. */
 export class GatewayProgress {
+  private checkedAtMs = Number.POSITIVE_INFINITY;
+
   private readonly entries = new Map<string, GatewayEntry>();
 
   /** Ids of the gateways that watch, by session. */
@@ -56,8 +64,19 @@
     if (entry && nowMs - entry.contactAtMs < GATEWAY_CONTACT_MS) entry.contactAtMs = nowMs;
   }
 
+  /** Excludes a pause of this host from the silence of gateways. */
+  private excludePause(nowMs: number): void {
+    const gapMs = nowMs - this.checkedAtMs;
+    this.checkedAtMs = nowMs;
+    if (gapMs <= PAUSED_AFTER_MS) return;
+    this.entries.forEach((entry) => {
+      Object.assign(entry, { contactAtMs: Math.min(nowMs, entry.contactAtMs + gapMs) });
+    });
+  }
+
   /** Gateways in contact that apply an older routing than this one. */
   behind(index: number, nowMs: number): LaggingGateway[] {
+    this.excludePause(nowMs);
     const lagging: LaggingGateway[] = [];
     this.entries.forEach(({ sessionId, appliedIndex, contactAtMs }, id) => {
       const isInContact = nowMs - contactAtMs < GATEWAY_CONTACT_MS;
