A change of the routing that is sent again joins the first, and adds no entry to the log

A resend is answered with the result of the proposal in progress, or with that of an accepted change while a majority has replied recently.

--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -9,6 +9,7 @@
 import type { EntrySessions } from './EntrySessions.js';
 import { isMemberRequest, planMembership } from './MembershipChange.js';
 import type { RaftNode } from './raft/RaftNode.js';
+import { hasRecentMajority } from './raft/Replication.js';
 import { RoutingConfirmations, type RoutingConfirmationsOptions } from './RoutingConfirmations.js';
 import { isRolloutRequest, proposeRollout } from './rollouts/RolloutRequests.js';
 import { RoutingVerdict, type RoutingResult } from './RoutingState.js';
@@ -66,6 +67,9 @@
 
   private readonly routingConfirmations: RoutingConfirmations;
 
+  /** Requests by change id for changes of the routing that are proposed and not applied yet. */
+  private readonly proposedChanges = new Map<string, string[]>();
+
   /** Local time at which a settings change was applied, by log index. */
   private readonly appliedTimes = new Map<number, number>();
 
@@ -245,16 +249,40 @@
     actor: Actor,
   ): void {
     const { changeId, baseVersion, version, edit } = request;
+    if (this.joinRoutingChange(requestId, changeId)) return;
     const command = { type: CommandType.RoutingChange, changeId, baseVersion, version } as const;
+    const requestIds = [requestId];
+    this.proposedChanges.set(changeId, requestIds);
+    const end = (answer: (id: string) => void) => {
+      this.proposedChanges.delete(changeId);
+      requestIds.forEach(answer);
+    };
     this.options.propose(
       { ...command, edit, actor: actor.name, atMs: this.times.wallMs },
       {
-        onApplied: ({ routing }) => this.answerRouting(requestId, routing!),
-        onLost: () => this.answerNotLeader(requestId),
+        onApplied: ({ routing }) => end((id) => this.answerRouting(id, routing!)),
+        onLost: () => end((id) => this.answerNotLeader(id)),
       },
     );
   }
 
+  /**
+   * Answers a change that is sent again with the result of the first, which may be awaited yet:
+   * operators' calls give up sooner than a late gateway applies a change, and each proposal holds the
+   * whole change. Returns false if it must be proposed.
+   */
+  private joinRoutingChange(requestId: string, changeId: string): boolean {
+    const { raft, replicatedState } = this.options;
+    const proposed = this.proposedChanges.get(changeId);
+    proposed?.push(requestId);
+    if (proposed) return true;
+    const repeated = replicatedState.routing.repeatedResult(changeId);
+    // A leader that was deposed would not know of the gateways of other control hosts.
+    if (!repeated || !hasRecentMajority(raft.state, this.times.nowMs)) return false;
+    this.answerRouting(requestId, repeated);
+    return true;
+  }
+
   private answerRouting(requestId: string, result: RoutingResult): void {
     const kind = ROUTING_ERRORS[result.verdict];
     if (kind) this.options.answer(requestId, result, new EgretError(kind, `${result.detail}.`));
--- a/src/control/RoutingConfirmations.test.ts
+++ b/src/control/RoutingConfirmations.test.ts
@@ -52,6 +52,23 @@
     expect(first.afterMs).toBeGreaterThan(800);
   });
 
+  // Guards against a log that grows by the whole change with each resend of an operator that waits.
+  it('adds one entry to the log for a change that is sent three times', () => {
+    const { cluster, addGateway, changeRouting } = createRoutedCluster();
+    const gateway = addGateway('g-1', [cluster.leader()]);
+    cluster.run(1_000);
+    gateway.routingMs = 1_500;
+    const { log } = cluster.leader().reducer.raft.state;
+    const { lastIndex } = log;
+    const results = [changeRouting(1), changeRouting(1)];
+    cluster.run(1_000);
+    results.push(changeRouting(1));
+    cluster.run(3_000);
+    expect(results.map(({ outcome }) => outcome?.error)).toEqual([null, null, null]);
+    expect(results[0]!.afterMs).toBeGreaterThan(1_500);
+    expect(log.lastIndex).toBe(lastIndex + 1);
+  });
+
   // Guards against a gateway between two sessions that belongs to no control host and serves on.
   it('waits for a gateway whose session closed a moment ago', () => {
     const { cluster, addGateway, changeRouting, followers } = createRoutedCluster();
--- a/src/control/RoutingState.ts
+++ b/src/control/RoutingState.ts
@@ -48,15 +48,8 @@
   change(index: number, command: RoutingChangeCommand): RoutingResult {
     const { view } = this;
     const { version } = view;
-    const acceptedVersion = this.accepted.get(command.changeId);
-    if (acceptedVersion !== undefined) {
-      return {
-        verdict: RoutingVerdict.Accepted,
-        version: acceptedVersion,
-        repeated: true,
-        detail: '',
-      };
-    }
+    const repeated = this.repeatedResult(command.changeId);
+    if (repeated) return repeated;
     const refuse = (verdict: RoutingVerdict, detail: string): RoutingResult => ({
       verdict,
       version,
@@ -84,6 +77,13 @@
     };
   }
 
+  /** Result of a change that was accepted before; undefined for any other. */
+  repeatedResult(changeId: string): RoutingResult | undefined {
+    const version = this.accepted.get(changeId);
+    if (version === undefined) return undefined;
+    return { verdict: RoutingVerdict.Accepted, version, repeated: true, detail: '' };
+  }
+
   /** Closes or opens an availability zone; returns false if it already is. */
   closeZone(index: number, command: ZoneClosureCommand): boolean {
     const others = this.view.closedZones.filter((zone) => zone !== command.zone);
