Gateways tell which routing served a call, who sent it and which newer one they know of

An applied routing is reported by a heartbeat at once, so that a confirmation that waits for it does not wait for the next interval too.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -50,7 +50,8 @@
   backend_learned: 'A newer announcement of a backend server is in use.',
   backends_provisional: 'Backend servers known before a restart are used until they announce.',
   provisional_dropped: 'Backend servers known before a restart did not announce and were dropped.',
-  routing_applied: 'A newer routing is in force on this host.',
+  routing_applied:
+    'A newer routing is in force on this host; with the control host that sent it and the newest index known.',
   rollout_applied: 'This gateway applies a new share or the verdict of a rollout.',
   gateway_started: 'The process is listening.',
   gateway_ready: 'The gateway has a routing and backend servers, and can serve callers.',
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -351,6 +351,7 @@
     this.log('attempt_sent', {
       backend: view.record.id,
       service: call.service,
+      routing: call.routingVersion,
       zone: view.record.availabilityZone,
       remainingMs,
       ...inputs,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -131,6 +131,8 @@
   readonly route: Route;
   /** Service chosen by the route's weights. */
   readonly service: string;
+  /** Version of the routing by which the service was chosen. */
+  readonly routingVersion?: number;
   /** Name of the customer; undefined in deployments without customers. */
   readonly customer?: string;
   /** True if the routing has customers, so that the caller's headers for them are not passed on. */
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -171,6 +171,7 @@
     const priority = (isChecked ? checked.priority : undefined) ?? route.priority;
     if (!this.admitUsage(response, callId, customer, route.objectiveMs)) return;
     const service = options.routing.nextService(route);
+    const routingVersion = options.routing.version;
     const read = await readRequestBody(request, table.limits.bodyBytesMax);
     if (read.type === 'broken') return;
     if (read.type === 'too-large' || !service) {
@@ -194,6 +195,7 @@
       callId,
       route: { ...route, priority, attemptsMax: singleAttempt ? 1 : attemptsMax },
       service: service.name,
+      routingVersion,
       customer,
       isKeyChecked: isChecked,
       arrivedAtMs,
@@ -347,7 +349,7 @@
           ...fields,
           backend: outcome.backendId,
           status: outcome.answer.statusCode,
-          routing: this.options.routing.version,
+          routing: call.routingVersion,
           ...(late ? outcome.inputs : {}),
         });
         this.answers.answer(response, outcome.answer);
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -44,6 +44,8 @@
   /** Departing and departed backend servers, sent on every new link. */
   readonly departures: () => readonly BackendRecord[];
   readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
+  /** Called for each answer to a heartbeat. */
+  readonly onPong?: (pong: PongMessage, control: string) => void;
   /** Called when a control host is no longer watched, or its link was lost. */
   readonly onLost: (control: string) => void;
 }
@@ -295,6 +297,7 @@
     const link = this.links.get(key)!;
     if (message.type === ControlMessageType.Pong) {
       link.availabilityZone = message.availabilityZone ?? link.availabilityZone;
+      this.options.onPong?.(message, key);
       this.onPong(message);
       return;
     }
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -36,7 +36,8 @@
 import { GatewayRollouts } from '../rollouts/GatewayRollouts.js';
 import { RequestLimiter } from '../RequestLimiter.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
-import { ActiveRouting } from '../ActiveRouting.js';
+import type { ActiveRouting } from '../ActiveRouting.js';
+import { GatewayRouting } from '../GatewayRouting.js';
 import { StartupGate } from '../StartupGate.js';
 import { isMiss, type Call, type WireProfile } from '../Types.js';
 import { WorkEstimates } from '../WorkEstimates.js';
@@ -140,6 +141,8 @@
 
   readonly routing: ActiveRouting;
 
+  private readonly routingState: GatewayRouting;
+
   private readonly clock: Clock;
 
   private readonly random: RandomSource;
@@ -230,7 +233,14 @@
       log('backend_record_refused', { ...refused }),
     );
     this.pool = new BackendPool({ availabilityZone, random, selfId });
-    this.routing = new ActiveRouting(random);
+    this.routingState = new GatewayRouting({
+      random,
+      nowMs,
+      ping: () => this.watch?.ping(),
+      gauge: (name, help, read) => this.metrics.gauge(name, help, read),
+      log,
+    });
+    this.routing = this.routingState.active;
     this.cold = new ColdLimiter({ selfId: options.id });
     this.budget = new RetryBudget({ ...options.budget, startedAtMs: nowMs() });
     this.limits = new RequestLimiter({
@@ -480,6 +490,7 @@
       routingIndex: () => this.routing.logIndex,
       departures: () => this.pool.departures(),
       onMessage: (message, control) => this.receive(message, control),
+      onPong: (pong) => this.routingState.notePong(pong),
       onLost: (control) => {
         this.entryHosts.remove(control);
         this.sources.remove(control);
@@ -570,7 +581,8 @@
   private readonly handlers = {
     [ControlMessageType.Routing]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.Routing }>,
-    ) => this.applyRouting(message.view),
+      control: string,
+    ) => this.applyRouting(message.view, control),
     [ControlMessageType.Backends]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.Backends }>,
       control: string,
@@ -633,9 +645,8 @@
     this.probeMeter.setGateways(entryHosts.length);
   }
 
-  private applyRouting(view: RoutingView): void {
-    const before = this.routing.version;
-    if (!this.routing.apply(view)) return;
+  private applyRouting(view: RoutingView, control: string): void {
+    if (!this.routingState.apply(view, control)) return;
     this.pool.setClosedZones(view.closedZones);
     this.caps?.setCustomers(view.table?.customers ?? []);
     this.rollouts.apply(this.routing.rollouts);
@@ -644,12 +655,6 @@
       this.callerServer.keepAliveTimeout = limits.idleTimeoutMs;
       this.callerServer.headersTimeout = limits.headerTimeoutMs;
     }
-    this.options.log.line('routing_applied', {
-      index: view.index,
-      version: view.version,
-      before,
-      closedZones: view.closedZones.join(','),
-    });
     this.noteReadiness();
   }
 
@@ -712,7 +717,7 @@
   }
 
   private registerGauges(): void {
-    const { metrics, pool, client, routing } = this;
+    const { metrics, pool, client } = this;
     metrics.gauge('egret_backends', 'Backend servers known.', () => pool.size);
     metrics.gauge('egret_probes', 'Probes sent.', () => client.probes);
     metrics.gauge(
@@ -730,7 +735,6 @@
     metrics.gauge('egret_backends_cut', '1 while cut off from all backend servers.', () =>
       Number(this.reach.isCut),
     );
-    metrics.gauge('egret_routing_version', 'Routing in force.', () => routing.version);
     metrics.gauge('egret_open_calls', 'Calls in progress.', () => this.openCalls);
     metrics.gauge('egret_rss_bytes', 'Resident memory.', () => process.memoryUsage.rss());
     metrics.gauge('egret_control_watches', 'Control hosts that are watched for lists.', () =>
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingHttpHeaders } from 'node:http';
 import { RawBackend, headerOf, type RawReply } from '../../../standin/RawBackend.js';
+import type { LogEvent } from '../../common/LogEvents.js';
 import { createRandom } from '../../common/Random.js';
 import { createRoute, createService, createTable } from '../../common/routing/fixtures.js';
 import { RouteKind, type Customer, type Route } from '../../common/routing/Types.js';
@@ -10,7 +11,7 @@
 import { ColdLimiter } from '../ColdLimiter.js';
 import { CrashWatch } from '../CrashWatch.js';
 import { Dispatcher } from '../Dispatcher.js';
-import { PickPolicy } from '../DispatchTypes.js';
+import { PickPolicy, type DecisionLog } from '../DispatchTypes.js';
 import { createBackend, createEntryHost, createLimiter } from '../fixtures.js';
 import { createPicker } from '../Pickers.js';
 import { RetryBudget } from '../RetryBudget.js';
@@ -123,7 +124,8 @@
 }: TestGatewayOptions) {
   const random = createRandom(7);
   const nowMs = () => performance.now();
-  const log = () => {};
+  const logged: { event: LogEvent; fields: Readonly<Record<string, unknown>> }[] = [];
+  const log: DecisionLog = (event, fields) => logged.push({ event, fields });
   const setTimer = (delayMs: number, fire: () => void) => {
     const timer = setTimeout(fire, delayMs);
     return () => clearTimeout(timer);
@@ -206,6 +208,9 @@
   return {
     port,
     pool,
+    routing,
+    table,
+    logged,
     beta,
     openCalls: () => calls.openCalls,
     async stop(): Promise<void> {
