A gateway does not serve by a routing that it knows to be superseded, or unconfirmed after a pause

Nothing at a gateway bounded the age of its routing; src/entry bounds that of its settings.

RoutingFreshness takes the routing index of current control hosts from their answers to heartbeats, counted from the time of the heartbeat. Behind (a newer index known for 1 s): calls are refused as not run, the gateway is not ready and listed as cut off. Cut off (350 ms without an answer): calls are served by the last routing without waits. Control hosts of earlier versions report nothing, and nothing changes beside them only.

Ruled out: refusing whenever cut off, which would end the service of a cut-off host that reaches callers and backend servers.

--- a/src/common/Placement.ts
+++ b/src/common/Placement.ts
@@ -13,7 +13,10 @@
   readonly availabilityZone: string;
   /** True from the start of a planned stop. */
   readonly stopping: boolean;
-  /** True while it reaches no backend server; earlier versions omit it. */
+  /**
+   * True while it serves no calls of its own accord: it reaches no backend server, or knows of a newer
+   * routing than it has. Earlier versions omit it.
+   */
   readonly cutOff?: boolean;
   /** Digest of the settings file that it runs; earlier versions omit it. */
   readonly settingsDigest?: string;
--- /dev/null
+++ b/src/gateway/GatewayRouting.test.ts
@@ -0,0 +1,105 @@
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { describe, expect, it } from 'vitest';
+import { ControlMessageType } from '../common/Messages.js';
+import { createRandom } from '../common/Random.js';
+import { createTable } from '../common/routing/fixtures.js';
+import { GatewayRouting } from './GatewayRouting.js';
+
+/** Routing of a gateway in virtual time; index 1 is applied and confirmed at 0 ms. */
+function createWorld() {
+  let nowMs = 0;
+  let pingId = 0;
+  const timers: { atMs: number; fire: () => void }[] = [];
+  const routing: GatewayRouting = new GatewayRouting({
+    random: createRandom(1),
+    nowMs: () => nowMs,
+    setTimer: (delayMs, fire) => {
+      const timer = { atMs: nowMs + delayMs, fire };
+      timers.push(timer);
+      return () => timers.splice(timers.indexOf(timer), 1);
+    },
+    ping: () => {
+      pingId += 1;
+      routing.notePing(pingId);
+    },
+    onUsableChange: () => {},
+    gauge: () => {},
+    log: () => {},
+  });
+  const confirm = () =>
+    routing.notePong(
+      {
+        type: ControlMessageType.Pong,
+        pingId,
+        newestSettingsIndex: 0,
+        leaderId: null,
+        membershipIndex: 1,
+        voters: [],
+        isVoter: true,
+        routingIndex: 1,
+        isCurrent: true,
+      },
+      'control-1',
+    );
+  const view = { index: 1, version: 1, table: createTable(), closedZones: [] };
+  routing.apply(view, 'control-1');
+  confirm();
+  const ended: { atMs: number; served: boolean }[] = [];
+  return {
+    ended,
+    confirm,
+    call: (budgetMs: number) =>
+      routing.waitUntilConfirmed(budgetMs).then(() => {
+        ended.push({ atMs: nowMs, served: routing.refusal() === undefined });
+      }),
+    advanceTo: async (atMs: number) => {
+      nowMs = atMs;
+      [...timers].filter((timer) => timer.atMs <= nowMs).forEach((timer) => timer.fire());
+      await nextTurn();
+    },
+  };
+}
+
+describe('calls at a gateway that was paused', () => {
+  // Guards against calls that are served by what was known before the pause.
+  it('wait for the first answer of a control host', async () => {
+    const world = createWorld();
+    await world.advanceTo(5_000);
+    const calls = [world.call(1_500), world.call(1_500)];
+    await world.advanceTo(5_040);
+    expect(world.ended).toEqual([]);
+    world.confirm();
+    await Promise.all(calls);
+    expect(world.ended).toEqual([
+      { atMs: 5_040, served: true },
+      { atMs: 5_040, served: true },
+    ]);
+  });
+
+  // Guards against waits that use up the time of every call while no control host can be reached.
+  it('are served by the last routing once the gateway has waited in vain, and wait no more', async () => {
+    const world = createWorld();
+    await world.advanceTo(5_000);
+    const first = world.call(10_000);
+    await world.advanceTo(5_200);
+    const second = world.call(10_000);
+    await world.advanceTo(5_350);
+    await Promise.all([first, second]);
+    await world.advanceTo(5_400);
+    await world.call(10_000);
+    expect(world.ended).toEqual([
+      { atMs: 5_350, served: true },
+      { atMs: 5_350, served: true },
+      { atMs: 5_400, served: true },
+    ]);
+  });
+
+  it('are refused if their own time is too short to wait', async () => {
+    const world = createWorld();
+    await world.advanceTo(5_000);
+    const call = world.call(200);
+    await world.advanceTo(5_060);
+    await call;
+    expect(world.ended).toEqual([{ atMs: 5_060, served: false }]);
+  });
+});
--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -1,40 +1,68 @@
+import { EgretError, ErrorKind } from '../common/Errors.js';
 import type { PongMessage } from '../common/Messages.js';
 import type { RandomSource } from '../common/Random.js';
 import type { RoutingView } from '../common/routing/Types.js';
 import { ActiveRouting } from './ActiveRouting.js';
 import type { DecisionLog } from './DispatchTypes.js';
-import { RoutingLag } from './RoutingLag.js';
+import { HeldCalls, type HeldCallsOptions } from './HeldCalls.js';
+import { RoutingFreshness, RoutingState } from './RoutingFreshness.js';
 
 /** Options of a {@link GatewayRouting}. */
-export interface GatewayRoutingOptions {
+export interface GatewayRoutingOptions extends HeldCallsOptions {
   readonly random: RandomSource;
   readonly nowMs: () => number;
   /** Sends a heartbeat to the control hosts at once. */
   readonly ping: () => void;
+  /** Called when calls begin or cease to be refused because of the routing. */
+  readonly onUsableChange: () => void;
   /** Registers a gauge that is read at each scrape. */
   readonly gauge: (name: string, help: string, read: () => number) => void;
   readonly log: DecisionLog;
 }
 
-/** Routing of a gateway, and what the gateway knows about newer ones. */
+/**
+ * Caller's retry delay while this gateway must not use its routing; short, since another gateway may
+ * use its own.
+ */
+const RETRY_AFTER_MS = 150;
+
+/** Why a gateway refuses calls because of its routing. */
+const REFUSALS: Partial<Record<RoutingState, string>> = {
+  [RoutingState.Behind]: 'A newer routing than the applied one is known.',
+  [RoutingState.Unconfirmed]: 'No control host has confirmed the applied routing lately.',
+};
+
+/** Routing of a gateway, and whether calls may be served by it. */
 export class GatewayRouting {
   readonly active: ActiveRouting;
 
-  private readonly lag = new RoutingLag();
+  private readonly freshness: RoutingFreshness;
+
+  private readonly held: HeldCalls;
+
+  private state = RoutingState.Current;
 
   constructor(private readonly options: GatewayRoutingOptions) {
     this.active = new ActiveRouting(options.random);
+    this.freshness = new RoutingFreshness({ startedAtMs: options.nowMs() });
+    this.held = new HeldCalls(options);
     this.registerGauges();
   }
 
+  /** False while calls must not be served by the applied routing, as a newer one is known. */
+  get isUsable(): boolean {
+    return this.refresh() !== RoutingState.Behind;
+  }
+
   /** Applies a routing that a control host sent; returns false if it is not newer. */
   apply(view: RoutingView, control: string): boolean {
-    const { active, lag, options } = this;
+    const { active, options } = this;
+    const { lag } = this.freshness;
     const before = active.version;
     const newest = Math.max(lag.newestIndex, view.index);
     const behindMs = lag.behindMs(options.nowMs());
     if (!active.apply(view)) return false;
-    lag.noteApplied(view.index);
+    this.freshness.noteApplied(view.index);
     options.log('routing_applied', {
       index: view.index,
       version: view.version,
@@ -44,18 +72,65 @@
       behindMs,
       closedZones: view.closedZones.join(','),
     });
+    this.refresh();
     options.ping();
     return true;
   }
 
+  /** Records a heartbeat to all control hosts. */
+  notePing(pingId: number): void {
+    this.freshness.notePing(pingId, this.options.nowMs());
+    this.refresh();
+  }
+
   /** Takes the answer of a control host to a heartbeat. */
-  notePong({ routingIndex, isCurrent }: PongMessage): void {
-    if (routingIndex === undefined || isCurrent !== true) return;
-    this.lag.noteReported(routingIndex, this.options.nowMs());
+  notePong(pong: PongMessage, control: string): void {
+    this.freshness.notePong(control, pong, this.options.nowMs());
+    this.refresh();
+  }
+
+  /** Records that the link to a control host was lost. */
+  noteLost(control: string): void {
+    this.freshness.noteLost(control);
+  }
+
+  /** Waits briefly for news of a control host if the routing is unconfirmed. */
+  async waitUntilConfirmed(budgetMs: number): Promise<void> {
+    if (this.refresh() !== RoutingState.Unconfirmed) return;
+    await this.held.hold(budgetMs, this.freshness.unconfirmedLeftMs(this.options.nowMs()));
+  }
+
+  /** Error for a call that must not be served by the applied routing; undefined if it may. */
+  refusal(): EgretError | undefined {
+    const detail = REFUSALS[this.refresh()];
+    if (detail === undefined) return undefined;
+    return new EgretError(ErrorKind.NotCurrent, detail, { retryAfterMs: RETRY_AFTER_MS });
+  }
+
+  /** Brings the state up to date, and acts on its change. */
+  private refresh(): RoutingState {
+    const { options, freshness, active, state: before } = this;
+    const nowMs = options.nowMs();
+    const state = freshness.stateAt(nowMs);
+    if (state === before) return state;
+    this.state = state;
+    const { lag } = freshness;
+    options.log('routing_state', {
+      state,
+      before,
+      index: active.logIndex,
+      newest: lag.newestIndex,
+      behindMs: lag.behindMs(nowMs),
+    });
+    if (state !== RoutingState.Unconfirmed) this.held.release();
+    else options.ping();
+    if ([state, before].includes(RoutingState.Behind)) options.onUsableChange();
+    return state;
   }
 
   private registerGauges(): void {
-    const { active, lag, options } = this;
+    const { active, options } = this;
+    const { lag } = this.freshness;
     options.gauge('egret_routing_version', 'Routing in force.', () => active.version);
     options.gauge(
       'egret_routing_index',
--- /dev/null
+++ b/src/gateway/RoutingFreshness.test.ts
@@ -0,0 +1,235 @@
+import { describe, expect, it } from 'vitest';
+import { ControlMessageType, type PongMessage } from '../common/Messages.js';
+import { HOLD_MAX_MS } from './HeldCalls.js';
+import {
+  BEHIND_MAX_MS,
+  RoutingFreshness,
+  RoutingState,
+  UNCONFIRMED_AFTER_MS,
+} from './RoutingFreshness.js';
+
+const TICK_MS = 200;
+
+const { Current, Behind, Unconfirmed, CutOff } = RoutingState;
+
+function createPong(pingId: number, report: Partial<PongMessage>): PongMessage {
+  return {
+    type: ControlMessageType.Pong,
+    pingId,
+    newestSettingsIndex: 0,
+    leaderId: null,
+    membershipIndex: 1,
+    voters: [],
+    isVoter: true,
+    ...report,
+  };
+}
+
+/** Gateway that applies index 5, with heartbeats every 200 ms. */
+function createWorld() {
+  let nowMs = 0;
+  let pingId = 0;
+  const freshness = new RoutingFreshness({ startedAtMs: 0 });
+  freshness.noteApplied(5);
+  const ping = () => {
+    pingId += 1;
+    freshness.notePing(pingId, nowMs);
+  };
+  const pong = (report: Partial<PongMessage>, control = 'control-1', id = pingId) =>
+    freshness.notePong(control, createPong(id, report), nowMs);
+  return {
+    freshness,
+    ping,
+    pong,
+    nowMs: () => nowMs,
+    state: () => freshness.stateAt(nowMs),
+    /** Lets time pass while the process does not run. */
+    pause: (durationMs: number) => {
+      nowMs += durationMs;
+    },
+    /** Runs for a time; with a report, each heartbeat is answered at once. */
+    run(durationMs: number, report?: Partial<PongMessage>) {
+      const untilMs = nowMs + durationMs;
+      while (nowMs < untilMs) {
+        nowMs = Math.min(untilMs, nowMs + TICK_MS);
+        ping();
+        if (report) pong(report);
+        freshness.stateAt(nowMs);
+      }
+    },
+  };
+}
+
+const CONFIRMED = { routingIndex: 5, isCurrent: true };
+
+const NEWER = { routingIndex: 6, isCurrent: true };
+
+describe('a gateway in contact with a current control host', () => {
+  it('is current while its routing is the newest', () => {
+    const world = createWorld();
+    world.run(10_000, CONFIRMED);
+    expect(world.state()).toBe(Current);
+  });
+
+  // Guards against a gateway that serves by a superseded routing for as long as nothing is sent to it.
+  it('is behind after a newer routing was known for a second, until it applies it', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(200, NEWER);
+    world.run(BEHIND_MAX_MS - 1, NEWER);
+    expect(world.state()).toBe(Current);
+    world.run(1, NEWER);
+    expect(world.state()).toBe(Behind);
+    world.run(5_000, NEWER);
+    expect(world.state()).toBe(Behind);
+    world.freshness.noteApplied(6);
+    expect(world.state()).toBe(Current);
+  });
+
+  // Guards against refusals during quick changes, each of which is applied in time.
+  it('is current during a series of versions that it applies one by one', () => {
+    const world = createWorld();
+    for (let index = 6; index < 40; index += 1) {
+      world.run(400, { routingIndex: index, isCurrent: true });
+      expect(world.state()).toBe(Current);
+      world.freshness.noteApplied(index - 1);
+    }
+  });
+
+  // Guards against a control host that has just restarted, or lost its majority, as a witness.
+  it('takes nothing from a control host that is not current', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(UNCONFIRMED_AFTER_MS + TICK_MS, { routingIndex: 4, isCurrent: false });
+    expect(world.state()).toBe(Unconfirmed);
+    expect(world.freshness.lag.newestIndex).toBe(5);
+  });
+});
+
+describe('a gateway that hears nothing', () => {
+  it('is unconfirmed after the bound, and current with the first answer', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(UNCONFIRMED_AFTER_MS);
+    expect(world.state()).toBe(Current);
+    world.run(TICK_MS);
+    expect(world.state()).toBe(Unconfirmed);
+    expect(world.freshness.unconfirmedLeftMs(world.nowMs())).toBe(HOLD_MAX_MS);
+    world.pong(CONFIRMED);
+    expect(world.state()).toBe(Current);
+  });
+
+  // Guards against an outage of gateways whose links to all control hosts are cut.
+  it('is cut off once it has waited in vain, and stays so until news arrives', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(UNCONFIRMED_AFTER_MS + TICK_MS);
+    world.run(HOLD_MAX_MS);
+    expect(world.state()).toBe(CutOff);
+    world.run(60_000);
+    expect(world.state()).toBe(CutOff);
+    world.run(TICK_MS, CONFIRMED);
+    expect(world.state()).toBe(Current);
+  });
+
+  it('is cut off too if it is behind', () => {
+    const world = createWorld();
+    world.run(2_000, NEWER);
+    expect(world.state()).toBe(Behind);
+    world.run(UNCONFIRMED_AFTER_MS + TICK_MS + HOLD_MAX_MS);
+    expect(world.state()).toBe(CutOff);
+    world.run(TICK_MS, NEWER);
+    expect(world.state()).toBe(Behind);
+  });
+
+  // Guards against an answer that counts from its arrival, seconds after the heartbeat was sent.
+  it('counts a late answer from the time of its heartbeat', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.ping();
+    const sent = 6;
+    world.run(UNCONFIRMED_AFTER_MS + TICK_MS);
+    world.pong(CONFIRMED, 'control-1', sent);
+    expect(world.state()).toBe(Unconfirmed);
+  });
+});
+
+describe('a gateway that was paused', () => {
+  // Guards against a process that acts, after a pause, on what it knew before.
+  it('is unconfirmed until a heartbeat sent after the pause is answered', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.pause(1_500);
+    expect(world.state()).toBe(Unconfirmed);
+    world.pong(CONFIRMED);
+    expect(world.state()).toBe(Unconfirmed);
+    world.ping();
+    world.pong(CONFIRMED);
+    expect(world.state()).toBe(Current);
+  });
+
+  it('is unconfirmed whichever comes first: a heartbeat, an answer or a call', () => {
+    const first: ((world: ReturnType<typeof createWorld>) => void)[] = [
+      ({ ping }) => ping(),
+      ({ pong }) => pong(CONFIRMED),
+      ({ state }) => state(),
+    ];
+    first.forEach((act) => {
+      const world = createWorld();
+      world.run(1_000, CONFIRMED);
+      world.pause(10_000);
+      act(world);
+      expect(world.state()).toBe(Unconfirmed);
+    });
+  });
+
+  it('awaits news again if it was cut off before the pause', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(10_000);
+    expect(world.state()).toBe(CutOff);
+    world.pause(5_000);
+    expect(world.state()).toBe(Unconfirmed);
+    world.run(HOLD_MAX_MS);
+    expect(world.state()).toBe(CutOff);
+  });
+
+  it('is behind at once if it knew of a newer routing before', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(TICK_MS, NEWER);
+    world.pause(3_000);
+    expect(world.state()).toBe(Behind);
+  });
+});
+
+describe('a gateway linked to control hosts of earlier versions', () => {
+  // Guards against refusals while the control hosts are updated or set back.
+  it('is always current', () => {
+    const world = createWorld();
+    world.run(1_000, {});
+    world.pause(10_000);
+    expect(world.state()).toBe(Current);
+    world.run(10_000);
+    expect(world.state()).toBe(Current);
+  });
+
+  it('is current again once the last control host that reports is gone', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.pong({}, 'control-2');
+    world.freshness.noteLost('control-1');
+    world.pause(10_000);
+    world.ping();
+    world.pong({}, 'control-2');
+    expect(world.state()).toBe(Current);
+  });
+
+  it('is bound by one control host that reports', () => {
+    const world = createWorld();
+    world.pong({}, 'control-2');
+    world.run(2_000, NEWER);
+    world.pong({}, 'control-2');
+    expect(world.state()).toBe(Behind);
+  });
+});
--- /dev/null
+++ b/src/gateway/RoutingFreshness.ts
@@ -0,0 +1,139 @@
+import type { PongMessage } from '../common/Messages.js';
+import { HOLD_MAX_MS } from './HeldCalls.js';
+import { RoutingLag } from './RoutingLag.js';
+
+/** What a gateway knows about the age of its routing. */
+export enum RoutingState {
+  /** A current control host confirmed it lately, or knows of a newer one only since a short time. */
+  Current = 'current',
+  /** A newer routing has been known for too long: the applied one must not be used. */
+  Behind = 'behind',
+  /** Nothing was heard of a current control host for too long; news may arrive at any moment. */
+  Unconfirmed = 'unconfirmed',
+  /** News was awaited in vain: the applied routing is the best that this host can have. */
+  CutOff = 'cut-off',
+}
+
+/** Options of a {@link RoutingFreshness}. */
+export interface RoutingFreshnessOptions {
+  readonly startedAtMs: number;
+}
+
+/**
+ * Longest use of a routing after a newer one was reported. A confirmation waits 2.5 s for a gateway
+ * in contact; heartbeat (200 ms), answer (400 ms) and their transit come before the report.
+ */
+export const BEHIND_MAX_MS = 1_000;
+
+/**
+ * Age of the last news from which the routing is unconfirmed. A confirmation does not wait for a
+ * gateway without a heartbeat for 1 s, and must be in force 2 s later: 1 s is left for calls.
+ */
+export const UNCONFIRMED_AFTER_MS = 2_000;
+
+/**
+ * Gap between heartbeats that shows that the process did not run. After it no confirmation waits for
+ * this gateway any more, so that what it knew before may have ended.
+ */
+export const PAUSED_AFTER_MS = 1_000;
+
+/** Unanswered heartbeats that are kept: those of the time in which their answer still counts. */
+const PENDING_PINGS_MAX = 64;
+
+/**
+ * Tracks whether the applied routing may be used: whether current control hosts know a newer one, and
+ * how long ago that was last known. An answer to a heartbeat counts from the time at which the
+ * heartbeat was sent. Control hosts of earlier versions report nothing; a gateway that is linked only
+ * to such ones counts as current.
+ *
+ * @example
+ * freshness.notePing(1, 1_000);
+ * freshness.notePong('control-1', pong, 1_010);
+ * freshness.stateAt(1_020); // RoutingState.Current
+ */
+export class RoutingFreshness {
+  readonly lag = new RoutingLag();
+
+  private readonly pings = new Map<number, number>();
+
+  /** Linked control hosts, with whether they report their routing. */
+  private readonly reporters = new Map<string, boolean>();
+
+  private isReported = false;
+
+  /** Time for which the last news of a current control host holds. */
+  private newsAtMs: number;
+
+  /** Heartbeats sent earlier say nothing about the time after a pause. */
+  private countsFromMs: number;
+
+  private runningAtMs: number;
+
+  private unconfirmedSinceMs: number | undefined;
+
+  constructor({ startedAtMs }: RoutingFreshnessOptions) {
+    this.newsAtMs = startedAtMs;
+    this.countsFromMs = startedAtMs;
+    this.runningAtMs = startedAtMs;
+  }
+
+  /** Records a heartbeat to all control hosts. */
+  notePing(pingId: number, nowMs: number): void {
+    this.detectPause(nowMs);
+    this.runningAtMs = nowMs;
+    this.pings.set(pingId, nowMs);
+    const [oldest] = this.pings.keys();
+    if (this.pings.size > PENDING_PINGS_MAX && oldest !== undefined) this.pings.delete(oldest);
+  }
+
+  /** Records the answer of a control host to a heartbeat. */
+  notePong(control: string, pong: PongMessage, nowMs: number): void {
+    this.detectPause(nowMs);
+    const { pingId, routingIndex, isCurrent } = pong;
+    this.reporters.set(control, routingIndex !== undefined);
+    this.isReported = [...this.reporters.values()].includes(true);
+    if (routingIndex === undefined || isCurrent !== true) return;
+    this.lag.noteReported(routingIndex, nowMs);
+    const sentAtMs = this.pings.get(pingId);
+    if (sentAtMs === undefined || sentAtMs < this.countsFromMs) return;
+    this.newsAtMs = Math.max(this.newsAtMs, sentAtMs);
+  }
+
+  /** Records that a routing was applied. */
+  noteApplied(index: number): void {
+    this.lag.noteApplied(index);
+  }
+
+  /** Records that the link to a control host was lost. */
+  noteLost(control: string): void {
+    this.reporters.delete(control);
+  }
+
+  /** State at a time, which must not decrease from call to call. */
+  stateAt(nowMs: number): RoutingState {
+    this.detectPause(nowMs);
+    if (!this.isReported) return RoutingState.Current;
+    const isBehind = this.lag.behindMs(nowMs) >= BEHIND_MAX_MS;
+    if (nowMs - this.newsAtMs <= UNCONFIRMED_AFTER_MS) {
+      this.unconfirmedSinceMs = undefined;
+      return isBehind ? RoutingState.Behind : RoutingState.Current;
+    }
+    this.unconfirmedSinceMs ??= nowMs;
+    if (nowMs - this.unconfirmedSinceMs >= HOLD_MAX_MS) return RoutingState.CutOff;
+    return isBehind ? RoutingState.Behind : RoutingState.Unconfirmed;
+  }
+
+  /** Time until an unconfirmed gateway counts as cut off. */
+  unconfirmedLeftMs(nowMs: number): number {
+    return Math.max(0, (this.unconfirmedSinceMs ?? nowMs) + HOLD_MAX_MS - nowMs);
+  }
+
+  /** After a time in which the process did not run, only what is learned from then on counts. */
+  private detectPause(nowMs: number): void {
+    if (nowMs - this.runningAtMs <= PAUSED_AFTER_MS) return;
+    this.runningAtMs = nowMs;
+    this.countsFromMs = nowMs;
+    this.newsAtMs = Number.NEGATIVE_INFINITY;
+    this.unconfirmedSinceMs = nowMs;
+  }
+}
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -36,6 +36,8 @@
   readonly crashes: CrashWatch;
   /** Waits briefly for routing if the gateway has just started; otherwise resolves at once. */
   readonly waitUntilReady: (budgetMs: number) => Promise<void>;
+  /** Error for calls while they must not be served by the applied routing; none if omitted. */
+  readonly routingRefusal?: () => EgretError | undefined;
   /** True if keys must be refused because the routing may be out of date. */
   readonly areKeysStale?: () => boolean;
   readonly createId: () => string;
@@ -152,6 +154,11 @@
       this.answers.refuse(response, callId, error);
       return;
     }
+    const outdated = options.routingRefusal?.();
+    if (outdated) {
+      this.answers.refuse(response, callId, outdated);
+      return;
+    }
     const route = index.match(request.headers.host ?? '', request.url ?? '/');
     if (!route) {
       const detail = `No route matches ${request.headers.host ?? ''}${request.url ?? ''}.`;
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -44,6 +44,8 @@
   /** Departing and departed backend servers, sent on every new link. */
   readonly departures: () => readonly BackendRecord[];
   readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
+  /** Called before each heartbeat. */
+  readonly onPing?: (pingId: number) => void;
   /** Called for each answer to a heartbeat. */
   readonly onPong?: (pong: PongMessage, control: string) => void;
   /** Called when a control host is no longer watched, or its link was lost. */
@@ -117,6 +119,7 @@
   /** Sends a heartbeat at once, for example when the host begins to stop. */
   ping(): void {
     this.pingId += 1;
+    this.options.onPing?.(this.pingId);
     this.links.forEach(({ client }) => this.sendPing(client));
   }
 
@@ -278,6 +281,8 @@
         logger.info('control_regained', { control: key });
         const entryHostUpdates = EntryHostUpdates.None;
         client.send({ type: ControlMessageType.Hello, entryHost: self(), entryHostUpdates });
+        this.pingId += 1;
+        this.options.onPing?.(this.pingId);
         // The answer to an unknown index describes the control host.
         this.sendPing(client, UNKNOWN_INDEX);
         this.syncWatches();
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -236,7 +236,12 @@
     this.routingState = new GatewayRouting({
       random,
       nowMs,
+      setTimer,
       ping: () => this.watch?.ping(),
+      onUsableChange: () => {
+        this.noteReadiness();
+        this.watch?.ping();
+      },
       gauge: (name, help, read) => this.metrics.gauge(name, help, read),
       log,
     });
@@ -399,7 +404,8 @@
       log,
       isStopping: () => this.stopping,
       crashes: this.crashes,
-      waitUntilReady: (budgetMs: number) => this.gate.wait(budgetMs),
+      waitUntilReady: (budgetMs: number) => this.waitUntilReady(budgetMs),
+      routingRefusal: () => this.routingState.refusal(),
       createId: createNonce,
     };
     const { caps } = this;
@@ -464,7 +470,13 @@
 
   /** True while this host can serve callers. */
   get isReady(): boolean {
-    return !this.stopping && this.routing.table !== null && this.pool.size > 0;
+    const isRouted = this.routing.table !== null && this.routingState.isUsable;
+    return !this.stopping && isRouted && this.pool.size > 0;
+  }
+
+  private async waitUntilReady(budgetMs: number): Promise<void> {
+    await this.gate.wait(budgetMs);
+    await this.routingState.waitUntilConfirmed(budgetMs);
   }
 
   async start(): Promise<void> {
@@ -490,8 +502,10 @@
       routingIndex: () => this.routing.logIndex,
       departures: () => this.pool.departures(),
       onMessage: (message, control) => this.receive(message, control),
-      onPong: (pong) => this.routingState.notePong(pong),
+      onPing: (pingId) => this.routingState.notePing(pingId),
+      onPong: (pong, control) => this.routingState.notePong(pong, control),
       onLost: (control) => {
+        this.routingState.noteLost(control);
         this.entryHosts.remove(control);
         this.sources.remove(control);
       },
@@ -567,7 +581,7 @@
       adminPort: readiness.port,
       availabilityZone,
       stopping: this.stopping,
-      cutOff: this.reach.isCut,
+      cutOff: this.reach.isCut || !this.routingState.isUsable,
       ...(settingsDigest !== undefined && { settingsDigest }),
     };
   }
--- a/src/gateway/server/RoutingTrace.test.ts
+++ b/src/gateway/server/RoutingTrace.test.ts
@@ -1,13 +1,11 @@
 import { request } from 'node:http';
 import type { Socket } from 'node:net';
-import { afterEach, describe, expect, it, vi } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../../standin/Cluster.js';
-import { ControlStandin } from '../../../standin/ControlStandin.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
 import { createTable } from '../../common/routing/fixtures.js';
-import { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
-import { GatewayServer } from './GatewayServer.js';
-import { createCompleteAnswer, createReply, startTestGateway, TEST_PROFILE } from './fixtures.js';
+import { createCompleteAnswer, createReply, startTestGateway } from './fixtures.js';
+import { startLinkedGateway } from './linkFixtures.js';
 
 const HOST = '127.0.0.1';
 
@@ -21,55 +19,10 @@
   return { index, version: index, table: createTable(), closedZones: [] };
 }
 
-/** Starts a gateway that is linked to one control host. */
-async function startGateway() {
-  const control = new ControlStandin('secret');
-  await control.start();
-  const lines: string[] = [];
-  const gateway = new GatewayServer({
-    id: 'entry-1',
-    availabilityZone: 'perth',
-    callers: { address: HOST, port: 0 },
-    readiness: { address: HOST, port: 0, path: '/ready' },
-    secret: 'secret',
-    seeds: () => [{ address: HOST, port: control.port }],
-    followMembership: false,
-    profile: TEST_PROFILE,
-    budget: { ratio: 0.2, windowMs: 10_000, slack: 68 },
-    stopMs: 1_000,
-    log: new RateLimitedLog({
-      base: {},
-      write: (text, done) => {
-        lines.push(...text.split('\n'));
-        done();
-      },
-    }),
-  });
-  await gateway.start();
-  stops.push(
-    () => gateway.dispose(),
-    () => control.stop(),
-  );
-  await waitUntil(() => control.watches.length > 0, 'a watch');
-  const gauge = async (name: string) => {
-    const text = await gateway.metrics.registry.metrics();
-    return Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1]);
-  };
-  const untilGauge = (name: string, value: number) =>
-    vi.waitFor(async () => expect(await gauge(name)).toBe(value), { timeout: 15_000 });
-  return {
-    control,
-    gateway,
-    gauge,
-    untilGauge,
-    linesOf: (event: string) => lines.filter((line) => line.includes(` event=${event} `)),
-  };
-}
-
 describe('the routing of a gateway', () => {
   // Guards against a late gateway that looks like one that was sent nothing.
   it('is logged with the control host that sent it and the newest index known', async () => {
-    const { control, gauge, untilGauge, linesOf } = await startGateway();
+    const { control, gauge, untilGauge, linesOf } = await startLinkedGateway(stops);
     control.report = { routingIndex: 9, isCurrent: true };
     await untilGauge('egret_routing_newest_index', 9);
     expect(await gauge('egret_routing_index')).toBe(0);
@@ -85,7 +38,7 @@
 
   // Guards against a confirmation that waits for the next heartbeat of each gateway.
   it('is reported to the control host at once', async () => {
-    const { control } = await startGateway();
+    const { control } = await startLinkedGateway(stops);
     // Few of a hundred applied routings coincide with a heartbeat of the timer.
     for (let index = 1; index <= 100; index += 1) control.sendRouting(createView(index));
     await waitUntil(() => control.pings.at(-1)?.appliedIndex === 100, 'the last index');
