A gateway that starts awaits the routing that a current control host reports

What callers see: after a start, calls were served by a superseded routing, and the gateway was ready with it at once. It took the first routing that any control host sent, also from one that had just restarted and was still behind.

Until it has applied the index that the first current control host reported, it is not ready, and calls wait in StartupGate and are refused as not run. A routing from control hosts that are not current is not enough for 1.5 s after the start, as long as one of them is linked; later it serves with what it has. One that served beside control hosts of an earlier version doesn't start again when they are updated. closeExcept reports the closed links as lost, so that their control hosts no longer count as linked.

On the code before, RoutingAge.test.ts failed: call answered 200 by version 1 while a current control host reported index 2 (expected 503), and ready after 25 ms with the routing of one that was not current (expected after 1,500 ms).

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -53,7 +53,7 @@
   routing_applied:
     'A newer routing is in force on this host; with the control host that sent it and the newest index known.',
   routing_state:
-    'Whether calls may be served by the applied routing changed: current, behind, unconfirmed or cut-off.',
+    'Whether calls may be served by the applied routing changed: starting, current, behind, unconfirmed or cut-off.',
   rollout_applied: 'This gateway applies a new share or the verdict of a rollout.',
   gateway_started: 'The process is listening.',
   gateway_ready: 'The gateway has a routing and backend servers, and can serve callers.',
--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -28,10 +28,14 @@
 
 /** Why a gateway refuses calls because of its routing. */
 const REFUSALS: Partial<Record<RoutingState, string>> = {
+  [RoutingState.Starting]: 'No control host has confirmed a routing since the start.',
   [RoutingState.Behind]: 'A newer routing than the applied one is known.',
   [RoutingState.Unconfirmed]: 'No control host has confirmed the applied routing lately.',
 };
 
+/** States in which a gateway is not ready. */
+const UNUSABLE: ReadonlySet<RoutingState> = new Set([RoutingState.Starting, RoutingState.Behind]);
+
 /** Routing of a gateway, and whether calls may be served by it. */
 export class GatewayRouting {
   readonly active: ActiveRouting;
@@ -40,7 +44,7 @@
 
   private readonly held: HeldCalls;
 
-  private state = RoutingState.Current;
+  private state = RoutingState.CutOff;
 
   constructor(private readonly options: GatewayRoutingOptions) {
     this.active = new ActiveRouting(options.random);
@@ -49,9 +53,14 @@
     this.registerGauges();
   }
 
-  /** False while calls must not be served by the applied routing, as a newer one is known. */
+  /** False while calls must not be served by the applied routing, as a newer one may be in force. */
   get isUsable(): boolean {
-    return this.refresh() !== RoutingState.Behind;
+    return !UNUSABLE.has(this.refresh());
+  }
+
+  /** True while a newer routing has been known for too long. */
+  get isBehind(): boolean {
+    return this.refresh() === RoutingState.Behind;
   }
 
   /** Applies a routing that a control host sent; returns false if it is not newer. */
@@ -89,9 +98,16 @@
     this.refresh();
   }
 
+  /** Records that a link to a control host is open. */
+  noteLinked(control: string): void {
+    this.freshness.noteLinked(control);
+    this.refresh();
+  }
+
   /** Records that the link to a control host was lost. */
   noteLost(control: string): void {
     this.freshness.noteLost(control);
+    this.refresh();
   }
 
   /** Waits briefly for news of a control host if the routing is unconfirmed. */
@@ -124,7 +140,7 @@
     });
     if (state !== RoutingState.Unconfirmed) this.held.release();
     else options.ping();
-    if ([state, before].includes(RoutingState.Behind)) options.onUsableChange();
+    if (UNUSABLE.has(state) || UNUSABLE.has(before)) options.onUsableChange();
     return state;
   }
 
--- a/src/gateway/RoutingFreshness.ts
+++ b/src/gateway/RoutingFreshness.ts
@@ -1,9 +1,12 @@
 import type { PongMessage } from '../common/Messages.js';
 import { HOLD_MAX_MS } from './HeldCalls.js';
 import { RoutingLag } from './RoutingLag.js';
+import { STARTUP_MS } from './StartupGate.js';
 
 /** What a gateway knows about the age of its routing. */
 export enum RoutingState {
+  /** The host has just started and has no routing yet that a current control host confirmed. */
+  Starting = 'starting',
   /** A current control host confirmed it lately, or knows of a newer one only since a short time. */
   Current = 'current',
   /** A newer routing has been known for too long: the applied one must not be used. */
@@ -56,14 +59,23 @@
 
   private readonly pings = new Map<number, number>();
 
-  /** Linked control hosts, with whether they report their routing. */
-  private readonly reporters = new Map<string, boolean>();
+  /** Linked control hosts, with whether they report their routing; undefined before an answer. */
+  private readonly reporters = new Map<string, boolean | undefined>();
 
-  private isReported = false;
+  /** False beside control hosts of earlier versions only; undefined before the first answer. */
+  private isReported: boolean | undefined;
+
+  /** Index that the first current control host reported; a host that starts must apply it. */
+  private firstIndex: number | undefined;
+
+  /** True once a routing could be used. */
+  private hasStarted = false;
 
   /** Time for which the last news of a current control host holds. */
   private newsAtMs: number;
 
+  private readonly startedAtMs: number;
+
   /** Heartbeats sent earlier say nothing about the time after a pause. */
   private countsFromMs: number;
 
@@ -72,6 +84,7 @@
   private unconfirmedSinceMs: number | undefined;
 
   constructor({ startedAtMs }: RoutingFreshnessOptions) {
+    this.startedAtMs = startedAtMs;
     this.newsAtMs = startedAtMs;
     this.countsFromMs = startedAtMs;
     this.runningAtMs = startedAtMs;
@@ -86,6 +99,11 @@
     if (this.pings.size > PENDING_PINGS_MAX && oldest !== undefined) this.pings.delete(oldest);
   }
 
+  /** Records that a link to a control host is open. */
+  noteLinked(control: string): void {
+    this.reporters.set(control, undefined);
+  }
+
   /** Records the answer of a control host to a heartbeat. */
   notePong(control: string, pong: PongMessage, nowMs: number): void {
     this.detectPause(nowMs);
@@ -93,6 +111,7 @@
     this.reporters.set(control, routingIndex !== undefined);
     this.isReported = [...this.reporters.values()].includes(true);
     if (routingIndex === undefined || isCurrent !== true) return;
+    this.firstIndex ??= routingIndex;
     this.lag.noteReported(routingIndex, nowMs);
     const sentAtMs = this.pings.get(pingId);
     if (sentAtMs === undefined || sentAtMs < this.countsFromMs) return;
@@ -112,15 +131,33 @@
   /** State at a time, which must not decrease from call to call. */
   stateAt(nowMs: number): RoutingState {
     this.detectPause(nowMs);
-    if (!this.isReported) return RoutingState.Current;
-    const isBehind = this.lag.behindMs(nowMs) >= BEHIND_MAX_MS;
+    const state = this.nextState(nowMs);
+    const isUsable = state === RoutingState.Current || state === RoutingState.CutOff;
+    if (isUsable && this.lag.appliedIndex > 0) this.hasStarted = true;
+    return state;
+  }
+
+  private nextState(nowMs: number): RoutingState {
+    if (this.isReported === false) return RoutingState.Current;
+    if (this.firstIndex === undefined) {
+      const isStarting = this.reporters.size > 0 && nowMs - this.startedAtMs < STARTUP_MS;
+      return isStarting ? RoutingState.Starting : RoutingState.CutOff;
+    }
+    const superseded = this.supersededState(nowMs);
     if (nowMs - this.newsAtMs <= UNCONFIRMED_AFTER_MS) {
       this.unconfirmedSinceMs = undefined;
-      return isBehind ? RoutingState.Behind : RoutingState.Current;
+      return superseded ?? RoutingState.Current;
     }
     this.unconfirmedSinceMs ??= nowMs;
     if (nowMs - this.unconfirmedSinceMs >= HOLD_MAX_MS) return RoutingState.CutOff;
-    return isBehind ? RoutingState.Behind : RoutingState.Unconfirmed;
+    return superseded ?? RoutingState.Unconfirmed;
+  }
+
+  /** State of a host that must not use its routing while it is in contact; undefined if it may. */
+  private supersededState(nowMs: number): RoutingState | undefined {
+    const { lag, firstIndex = 0, hasStarted } = this;
+    if (lag.behindMs(nowMs) >= BEHIND_MAX_MS) return RoutingState.Behind;
+    return !hasStarted && lag.appliedIndex < firstIndex ? RoutingState.Starting : undefined;
   }
 
   /** Time until an unconfirmed gateway counts as cut off. */
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -44,6 +44,8 @@
   /** Departing and departed backend servers, sent on every new link. */
   readonly departures: () => readonly BackendRecord[];
   readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
+  /** Called when a link to a control host is open. */
+  readonly onLinked?: (control: string) => void;
   /** Called before each heartbeat. */
   readonly onPing?: (pingId: number) => void;
   /** Called for each answer to a heartbeat. */
@@ -203,6 +205,7 @@
       if (targets.has(key)) return;
       client.dispose();
       this.links.delete(key);
+      this.options.onLost(key);
     });
   }
 
@@ -279,6 +282,7 @@
       onBytes: this.options.onBytes,
       onOpen: () => {
         logger.info('control_regained', { control: key });
+        this.options.onLinked?.(key);
         const entryHostUpdates = EntryHostUpdates.None;
         client.send({ type: ControlMessageType.Hello, entryHost: self(), entryHostUpdates });
         this.pingId += 1;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -502,6 +502,7 @@
       routingIndex: () => this.routing.logIndex,
       departures: () => this.pool.departures(),
       onMessage: (message, control) => this.receive(message, control),
+      onLinked: (control) => this.routingState.noteLinked(control),
       onPing: (pingId) => this.routingState.notePing(pingId),
       onPong: (pong, control) => this.routingState.notePong(pong, control),
       onLost: (control) => {
@@ -581,7 +582,7 @@
       adminPort: readiness.port,
       availabilityZone,
       stopping: this.stopping,
-      cutOff: this.reach.isCut || !this.routingState.isUsable,
+      cutOff: this.reach.isCut || this.routingState.isBehind,
       ...(settingsDigest !== undefined && { settingsDigest }),
     };
   }
--- a/src/gateway/server/linkFixtures.ts
+++ b/src/gateway/server/linkFixtures.ts
@@ -1,6 +1,6 @@
 import { request, type IncomingMessage } from 'node:http';
 import { waitUntil } from '../../../standin/Cluster.js';
-import { ControlStandin } from '../../../standin/ControlStandin.js';
+import { ControlStandin, type RoutingReport } from '../../../standin/ControlStandin.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
 import { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
 import { createBackend } from '../fixtures.js';
@@ -13,10 +13,20 @@
 
 const GAUGE_INTERVAL_MS = 10;
 
-/** Starts a gateway, one backend server of `alpha` and the control hosts that it is linked to. */
-export async function startLinkedGateway(stops: (() => Promise<void> | void)[], controlCount = 1) {
-  const controls = Array.from({ length: controlCount }, () => new ControlStandin(SECRET));
-  await Promise.all(controls.map((control) => control.start()));
+/** Options of {@link startLinkedGateway}. */
+export interface LinkedGatewayOptions {
+  /** What the control host states about its routing from the first answer on. */
+  readonly report?: RoutingReport;
+}
+
+/** Starts a gateway, one backend server of `alpha` and the control host that it is linked to. */
+export async function startLinkedGateway(
+  stops: (() => Promise<void> | void)[],
+  { report = {} }: LinkedGatewayOptions = {},
+) {
+  const control = new ControlStandin(SECRET);
+  control.report = report;
+  await control.start();
   const backend = new RawBackend(soundReply);
   await backend.start();
   const lines: string[] = [];
@@ -26,7 +36,7 @@
     callers: { address: HOST, port: 0 },
     readiness: { address: HOST, port: 0, path: '/ready' },
     secret: SECRET,
-    seeds: () => controls.map(({ port }) => ({ address: HOST, port })),
+    seeds: () => [{ address: HOST, port: control.port }],
     followMembership: false,
     profile: TEST_PROFILE,
     budget: { ratio: 0.2, windowMs: 10_000, slack: 68 },
@@ -44,9 +54,9 @@
   stops.push(
     () => gateway.dispose(),
     () => backend.stop(),
-    ...controls.map((control) => () => control.stop()),
+    () => control.stop(),
   );
-  await waitUntil(() => controls.every(({ watches }) => watches.length > 0), 'the watches');
+  await waitUntil(() => control.watches.length > 0, 'a watch');
   const gauge = async (name: string) => {
     const text = await gateway.metrics.registry.metrics();
     return Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1]);
@@ -63,8 +73,7 @@
   return {
     gateway,
     backend,
-    controls,
-    control: controls[0]!,
+    control,
     /** Record of the backend server, as control hosts send it. */
     record: createBackend('b-1', { address: HOST, port: backend.port }),
     gauge,
