Calls are dispatched, and sent again, by the routing in force at that moment

What callers see: a call that waited in the gateway, for its body or for a non-idempotent call ahead on its connection, was sent to the service that the routing of its arrival named, however long ago; one whose key had been withdrawn or whose route had been removed meanwhile was run. Retries, hedges and calls that waited for a backend server kept that service too.

Cause: CallServer took route, customer and service before the waits, and nothing looked at the routing again. CallPlanner now decides twice: at arrival, so that a call that can't be served is refused at once, and when the call is dispatched, with the service chosen only then (the shares of a split advance once). Usage is counted at arrival only. CallRun asks before and after each pick whether the routing in force, and its freshness, still lead to the service with the same customer, kind and time limit; if not, no attempt is sent and the call ends as what it is: refused if nothing ran, else failed.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -3,7 +3,7 @@
   // Calls at a gateway.
   call_unrouted: 'No route matches, or the gateway has no routing yet; the call has not run.',
   call_unauthenticated:
-    'The call was refused before its body was read: no known key, or the routing may be old.',
+    'The call was refused and has not run: no known key, or the routing may be old.',
   attempt_sent: 'An attempt was sent to a backend server; with the deciding load and its age.',
   attempt_failed: 'An attempt ended with no usable answer; outcome shows whether it may have run.',
   attempt_overdue: 'The timeout of the call expired while this attempt was in flight.',
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -8,6 +8,7 @@
   type DispatcherOptions,
   type DispatchOutcome,
   type PickInputs,
+  type PickResult,
 } from './DispatchTypes.js';
 import { EventQueue } from './EventQueue.js';
 import {
@@ -70,6 +71,8 @@
   [NoPickReason.Cold]: 300,
   [NoPickReason.Limited]: 300,
   [NoPickReason.Unreachable]: 100,
+  // The routing in force leads the call elsewhere at once.
+  [NoPickReason.Rerouted]: 15,
 };
 
 /** One call from its first attempt to its outcome. */
@@ -163,6 +166,10 @@
   private async hedge(): Promise<void> {
     const { options, call } = this;
     if (this.running.size !== 1 || this.mayHaveRunCount >= call.route.attemptsMax) return;
+    if (!this.isRouted) {
+      this.log('second_copy_refused', { reason: NoPickReason.Rerouted });
+      return;
+    }
     const nowMs = options.nowMs();
     if (!options.budget.maySpend(call.service, nowMs, HEDGE_BUDGET_SHARE)) {
       this.log('second_copy_refused', { reason: 'retry budget' });
@@ -285,6 +292,7 @@
     const nowMs = options.nowMs();
     const maySend =
       call.isCallerConnected() &&
+      this.isRouted &&
       !call.isBodyStreamed &&
       nowMs < call.dueAtMs &&
       this.notRunCount < NOT_RUN_ATTEMPTS_MAX &&
@@ -310,10 +318,22 @@
     return { type: DispatchOutcomeType.Refused, reason, retryAfterMs, attempts };
   }
 
+  private get isRouted(): boolean {
+    return this.call.isRouted?.() !== false;
+  }
+
+  /** Picks a backend server while the routing leads to its service, before the pick and after it. */
+  private async pick(): Promise<PickResult> {
+    const rerouted = { view: null, reason: NoPickReason.Rerouted, probes: 0, loads: '' } as const;
+    if (!this.isRouted) return rerouted;
+    const result = await this.options.picker.pick(this.call, this.service, this.tried);
+    return this.isRouted ? result : { ...rerouted, probes: result.probes };
+  }
+
   /** Picks a backend server and sends an attempt; returns false if none was sent. */
   private async startAttempt(cause = 'first', maxExpectedMs = Infinity): Promise<boolean> {
     const { options, call } = this;
-    const pick = await options.picker.pick(call, this.service, this.tried);
+    const pick = await this.pick();
     if (!pick.view) {
       this.lastNoPickReason = pick.reason;
       this.pickRetryAfterMs = pick.retryAfterMs;
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -27,6 +27,8 @@
   Limited = 'limited',
   /** No backend server answered a probe. */
   Unreachable = 'unreachable',
+  /** The routing in force does not lead the call to the service any more. */
+  Rerouted = 'rerouted',
 }
 
 /** Result of picking a backend server. */
--- a/src/gateway/ForwardingDispatcher.ts
+++ b/src/gateway/ForwardingDispatcher.ts
@@ -42,6 +42,7 @@
   NoPickReason.Overloaded,
   NoPickReason.Cold,
   NoPickReason.Limited,
+  NoPickReason.Rerouted,
 ]);
 
 /**
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -150,6 +150,11 @@
   readonly bodyBytes?: number;
   /** True if the body is too long to buffer, so that only one attempt can send all of it. */
   readonly isBodyStreamed?: boolean;
+  /**
+   * False once the routing in force no longer leads the call to its service, so that no further
+   * attempt may be sent; omitted if that can't change.
+   */
+  isRouted?(): boolean;
   /** True while the caller is connected. */
   isCallerConnected(): boolean;
   /**
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -118,6 +118,8 @@
   readonly service?: Partial<RoutedService>;
   readonly budgetMs?: number;
   readonly retryRatio?: number;
+  /** Whether the routing leads the call to its service at a time; always by default. */
+  readonly isRouted?: (nowMs: number) => boolean;
   readonly selfId?: string;
   readonly entryHosts?: readonly EntryHost[];
   readonly zoneCrossing?: CrossingPrices;
@@ -221,6 +223,7 @@
     dueAtMs: nowMs + (options.budgetMs ?? 1_200),
     objectiveAtMs: nowMs + route.objectiveMs,
     fingerprint: () => 'GET /read/x',
+    isRouted: () => options.isRouted?.(nowMs) ?? true,
     isCallerConnected: () => connected,
     acceptsUnframedAnswer: () => true,
   });
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -19,6 +19,7 @@
 import type { Call } from '../Types.js';
 import { AnswerWriter, type AnswerWriterOptions } from './AnswerWriter.js';
 import type { BackendClient } from './BackendClient.js';
+import { CallPlanner, type CallPlan, type CallSource } from './CallPlanner.js';
 import { FORWARD_HEADER, PeerAnswer, type ForwardMark, type ForwardMarks } from './ForwardMark.js';
 import { readRequestBody } from './RequestBody.js';
 
@@ -51,9 +52,6 @@
 /** Time reserved within the caller's deadline for sending the answer to it. */
 const ANSWER_MARGIN_MS = 15;
 
-/** Retry delay while this gateway has no routing; short, since another gateway may have it. */
-const RETRY_AFTER_NO_ROUTING_MS = 150;
-
 /** Retry delay of a quarantined call: the time after which a suspicion expires. */
 const RETRY_AFTER_QUARANTINE_MS = 60_000;
 
@@ -79,7 +77,7 @@
   /** Request headers that are set anew where the routing has customers. */
   private readonly checkedRequestHeaders: ReadonlySet<string>;
 
-  private readonly customers: CustomerCheck;
+  private readonly planner: CallPlanner;
 
   private readonly answers: AnswerWriter;
 
@@ -92,7 +90,11 @@
     const { profile, routing, areKeysStale } = options;
     const customerHeaders = profile.customers?.headerNames ?? [];
     this.checkedRequestHeaders = new Set([...this.ownRequestHeaders, ...customerHeaders]);
-    this.customers = new CustomerCheck({ routing, wire: profile.customers, isStale: areKeysStale });
+    this.planner = new CallPlanner({
+      routing,
+      customers: new CustomerCheck({ routing, wire: profile.customers, isStale: areKeysStale }),
+      refusal: () => options.routingRefusal?.(),
+    });
   }
 
   get openCalls(): number {
@@ -147,55 +149,46 @@
     const arrivedAtMs = options.nowMs();
     const callerBudgetMs = head.budgetMs ?? DEFAULT_BUDGET_MS;
     await options.waitUntilReady(callerBudgetMs);
-    const { index, table } = options.routing;
-    if (!index || !table) {
-      const retry = { retryAfterMs: RETRY_AFTER_NO_ROUTING_MS };
-      const error = new EgretError(ErrorKind.NotCurrent, 'No routing received yet.', retry);
-      this.answers.refuse(response, callId, error);
-      return;
-    }
-    const outdated = options.routingRefusal?.();
-    if (outdated) {
-      this.answers.refuse(response, callId, outdated);
-      return;
-    }
-    const route = index.match(request.headers.host ?? '', request.url ?? '/');
-    if (!route) {
-      const detail = `No route matches ${request.headers.host ?? ''}${request.url ?? ''}.`;
-      this.answers.refuse(response, callId, new EgretError(ErrorKind.NotFound, detail));
-      return;
-    }
-    const { headers } = request;
-    const checked = this.customers.check({ route, headers, forwarded: mark?.customer });
-    if (checked.type === 'refused') {
-      const { kind, detail } = checked.error;
-      options.log('call_unauthenticated', { call: callId, route: route.name, kind, detail });
-      this.answers.refuse(response, callId, checked.error);
-      return;
-    }
-    const isChecked = checked.type === 'checked';
-    const customer = isChecked ? checked.customer : undefined;
-    const priority = (isChecked ? checked.priority : undefined) ?? route.priority;
-    if (!this.admitUsage(response, callId, customer, route.objectiveMs)) return;
-    const service = options.routing.nextService(route);
-    const routingVersion = options.routing.version;
-    const read = await readRequestBody(request, table.limits.bodyBytesMax);
+    const source: CallSource = {
+      host: request.headers.host ?? '',
+      target: request.url ?? '/',
+      headers: request.headers,
+      forwarded: mark?.customer,
+    };
+    const arrival = this.plan(source, callId, response);
+    if (!arrival) return;
+    if (!this.admitUsage(response, callId, arrival.customer, arrival.route.objectiveMs)) return;
+    const read = await readRequestBody(request, arrival.bodyBytesMax);
     if (read.type === 'broken') return;
-    if (read.type === 'too-large' || !service) {
-      const kind = service ? ErrorKind.BodyTooLarge : ErrorKind.NoBackend;
-      this.answers.refuse(response, callId, new EgretError(kind, 'The call can not be served.'));
+    if (read.type === 'too-large') {
+      this.refuseUnserved(response, callId, ErrorKind.BodyTooLarge);
       return;
     }
-    const budgetMs = Math.min(callerBudgetMs, route.timeoutMs);
     const fingerprint = () => fingerprintOf(request.method ?? 'GET', request.url ?? '/', read.body);
     const standing = options.crashes.standingOf(fingerprint);
     if (standing === CallStanding.Quarantined) {
       const retry = { retryAfterMs: RETRY_AFTER_QUARANTINE_MS };
-      options.log('call_quarantined', { call: callId, route: route.name });
+      options.log('call_quarantined', { call: callId, route: arrival.route.name });
       const error = new EgretError(ErrorKind.Overloaded, 'The call crashes servers.', retry);
       this.answers.refuse(response, callId, error);
       return;
     }
+    if (!(await this.waitForUnrepeatableCalls(arrival.route, response))) return;
+    if (options.routingRefusal?.()) {
+      await options.waitUntilReady(arrivedAtMs + callerBudgetMs - options.nowMs());
+    }
+    // The routing may have changed while the body arrived, or calls ahead ended.
+    const plan = this.plan(source, callId, response);
+    if (!plan) return;
+    const { route, customer, isKeyChecked, priority, routingVersion } = plan;
+    if (route.kind === RouteKind.NonIdempotent) this.unrepeatable.add(response);
+    const service = this.planner.chooseService(plan);
+    const isTooLarge = read.body.length > plan.bodyBytesMax;
+    if (isTooLarge || !service) {
+      this.refuseUnserved(response, callId, service ? ErrorKind.BodyTooLarge : ErrorKind.NoBackend);
+      return;
+    }
+    const budgetMs = Math.min(callerBudgetMs, route.timeoutMs);
     const singleAttempt = read.type === 'long' || standing === CallStanding.Suspect;
     const attemptsMax = Math.min(route.attemptsMax, mark?.attemptsMax ?? route.attemptsMax);
     const call: Call = {
@@ -204,7 +197,7 @@
       service: service.name,
       routingVersion,
       customer,
-      isKeyChecked: isChecked,
+      isKeyChecked,
       arrivedAtMs,
       dueAtMs: arrivedAtMs + budgetMs - ANSWER_MARGIN_MS,
       objectiveAtMs: arrivedAtMs + route.objectiveMs - (mark?.elapsedMs ?? 0),
@@ -212,16 +205,34 @@
       isCounted: mark?.isCounted ?? false,
       bodyBytes: Number(request.headers['content-length'] ?? read.body.length),
       isBodyStreamed: read.type === 'long',
+      isRouted: () => this.planner.isInForce(source, plan, service.name),
       isCallerConnected: () => options.connections.isDue(response),
       acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
-    if (!(await this.waitForUnrepeatableCalls(route, response))) return;
     const rest = read.type === 'long' ? request : null;
     const outcome = await this.dispatch(call, service, request, response, read.body, rest);
     // At the end of a planned stop the call has been answered.
     if (!response.headersSent) this.finish(call, route, response, outcome);
   }
 
+  /** Terms for a call by the routing in force; refuses it if there are none. */
+  private plan(source: CallSource, callId: string, response: ServerResponse): CallPlan | undefined {
+    const result = this.planner.plan(source);
+    if (result.type === 'planned') return result.plan;
+    const { error, checkedRoute } = result;
+    const { kind, detail } = error;
+    if (checkedRoute) {
+      const route = checkedRoute.name;
+      this.options.log('call_unauthenticated', { call: callId, route, kind, detail });
+    }
+    this.answers.refuse(response, callId, error);
+    return undefined;
+  }
+
+  private refuseUnserved(response: ServerResponse, callId: string, kind: ErrorKind): void {
+    this.answers.refuse(response, callId, new EgretError(kind, 'The call can not be served.'));
+  }
+
   /** Counts a call for its customer; refuses it beyond the customer's usage cap. */
   private admitUsage(
     response: ServerResponse,
