--- a/src/gateway/server/linkFixtures.ts
+++ b/src/gateway/server/linkFixtures.ts
@@ -1,6 +1,6 @@
 import { request, type IncomingMessage } from 'node:http';
 import { waitUntil } from '../../../standin/Cluster.js';
-import { ControlStandin, type RoutingReport } from '../../../standin/ControlStandin.js';
+import { ControlStandin, type ControlReport } from '../../../standin/ControlStandin.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
 import { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
 import { createBackend } from '../fixtures.js';
@@ -16,7 +16,7 @@
 /** Options of {@link startLinkedGateway}. */
 export interface LinkedGatewayOptions {
   /** What the control host states about its routing from the first answer on. */
-  readonly report?: RoutingReport;
+  readonly report?: ControlReport;
 }
 
 /** Starts a gateway, one backend server of `alpha` and the control host that it is linked to. */
--- a/standin/ControlStandin.ts
+++ b/standin/ControlStandin.ts
@@ -4,6 +4,7 @@
   type ControlToEntryMessage,
   type EntryToControlMessage,
   type PingMessage,
+  type PongMessage,
   type WatchMessage,
 } from '../src/common/Messages.js';
 import type { BackendRecord } from '../src/common/backends/Types.js';
@@ -15,18 +16,15 @@
 
 const ADDRESS = '127.0.0.1';
 
-/** What a control host states about its routing; empty as in earlier versions. */
-export interface RoutingReport {
-  readonly routingIndex?: number;
-  readonly isCurrent?: boolean;
-}
+/** What a control host states about itself; without its routing as in earlier versions. */
+export type ControlReport = Partial<Omit<PongMessage, 'type' | 'pingId'>>;
 
 /** Control host whose messages a test writes; it answers each heartbeat with its report. */
 export class ControlStandin {
   port = 0;
 
   /** Part of each answer to a heartbeat; null to answer none. */
-  report: RoutingReport | null = {};
+  report: ControlReport | null = {};
 
   /** Messages sent on each new watch. */
   onWatch: ((session: ServerSession) => void) | undefined;
