A gateway applies a routing as a whole or not at all

What callers would see: a routing whose table can't be read (only a fault of a control host sends one) ended the process with an error in the handler of its link; the index had been set before the routes were built, so that a gateway that went on would have reported a routing that it didn't have, and no control host would have sent it again. Now both indexes are built first, and an unreadable routing is logged (message_refused) and leaves the old one and its index.

On the code before, the three tests threw: no routes, customers that are no list, no view.

--- a/src/gateway/ActiveRouting.ts
+++ b/src/gateway/ActiveRouting.ts
@@ -29,18 +29,22 @@
     this.split = new SplitChooser(random);
   }
 
-  /** Applies a newer routing; returns false if it is not newer. */
+  /** Applies a newer routing; returns false if it is not newer, throws if it can't be read. */
   apply(view: RoutingView): boolean {
     if (view.index <= this.logIndex) return false;
+    const { table } = view;
+    if (table && view.version !== this.version) {
+      // Both are built before anything changes, so that a routing applies as a whole or not at all.
+      const index = new RouteIndex(table);
+      const customers = table.customers ? new CustomerIndex(table.customers) : null;
+      this.table = table;
+      this.index = index;
+      this.customers = customers;
+      this.split.reset();
+    }
     this.logIndex = view.index;
     this.closedZones = view.closedZones;
     this.rollouts = view.rollouts ?? [];
-    if (view.table && view.version !== this.version) {
-      this.table = view.table;
-      this.index = new RouteIndex(view.table);
-      this.customers = view.table.customers ? new CustomerIndex(view.table.customers) : null;
-      this.split.reset();
-    }
     this.version = view.version;
     return true;
   }
--- a/src/gateway/GatewayRouting.test.ts
+++ b/src/gateway/GatewayRouting.test.ts
@@ -3,12 +3,14 @@
 import { ControlMessageType } from '../common/Messages.js';
 import { createRandom } from '../common/Random.js';
 import { createTable } from '../common/routing/fixtures.js';
+import type { RoutingView } from '../common/routing/Types.js';
 import { GatewayRouting } from './GatewayRouting.js';
 
 /** Routing of a gateway in virtual time; index 1 is applied and confirmed at 0 ms. */
 function createWorld() {
   let nowMs = 0;
   let pingId = 0;
+  const logged: string[] = [];
   const timers: { atMs: number; fire: () => void }[] = [];
   const routing: GatewayRouting = new GatewayRouting({
     random: createRandom(1),
@@ -24,7 +26,7 @@
     },
     onUsableChange: () => {},
     gauge: () => {},
-    log: () => {},
+    log: (event) => logged.push(event),
   });
   const confirm = () =>
     routing.notePong(
@@ -46,6 +48,8 @@
   confirm();
   const ended: { atMs: number; served: boolean }[] = [];
   return {
+    routing,
+    logged,
     ended,
     confirm,
     call: (budgetMs: number) =>
@@ -60,6 +64,28 @@
   };
 }
 
+describe('a routing that can not be read', () => {
+  // Guards against a gateway that reports an index whose routes it does not have.
+  it.each([
+    ['no routes', { ...createTable(), routes: undefined }],
+    ['customers that are no list', { ...createTable(), customers: 7 }],
+  ])('is logged and changes nothing: %s', (name, table) => {
+    const { routing, logged } = createWorld();
+    const view = { index: 2, version: 2, table, closedZones: ['perth'] };
+    expect(routing.apply(view as unknown as RoutingView, 'control-1')).toBe(false);
+    expect(routing.active).toMatchObject({ logIndex: 1, version: 1, closedZones: [] });
+    expect(logged.at(-1)).toBe('message_refused');
+    const sound = { index: 2, version: 2, table: createTable(), closedZones: [] };
+    expect(routing.apply(sound, 'control-1')).toBe(true);
+  });
+
+  it('is logged if there is no view at all', () => {
+    const { routing, logged } = createWorld();
+    expect(routing.apply(null as unknown as RoutingView, 'control-1')).toBe(false);
+    expect(logged.at(-1)).toBe('message_refused');
+  });
+});
+
 describe('calls at a gateway that was paused', () => {
   // Guards against calls that are served by what was known before the pause.
   it('wait for the first answer of a control host', async () => {
--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -63,21 +63,20 @@
     return this.refresh() === RoutingState.Behind;
   }
 
-  /** Applies a routing that a control host sent; returns false if it is not newer. */
+  /** Applies a routing that a control host sent; returns false if it is not newer, or unreadable. */
   apply(view: RoutingView, control: string): boolean {
     const { active, options } = this;
     const { lag } = this.freshness;
     const before = active.version;
-    const newest = Math.max(lag.newestIndex, view.index);
     const behindMs = lag.behindMs(options.nowMs());
-    if (!active.apply(view)) return false;
+    if (!this.tryApply(view, control)) return false;
     this.freshness.noteApplied(view.index);
     options.log('routing_applied', {
       index: view.index,
       version: view.version,
       before,
       control,
-      newest,
+      newest: lag.newestIndex,
       behindMs,
       closedZones: view.closedZones.join(','),
     });
@@ -86,6 +85,16 @@
     return true;
   }
 
+  private tryApply(view: RoutingView, control: string): boolean {
+    try {
+      return this.active.apply(view);
+    } catch (error) {
+      // The heartbeats keep the old index, so that the routing is sent again.
+      this.options.log('message_refused', { from: control, detail: String(error) });
+      return false;
+    }
+  }
+
   /** Records a heartbeat to all control hosts. */
   notePing(pingId: number): void {
     this.freshness.notePing(pingId, this.options.nowMs());
