--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -7,41 +7,11 @@
   type SendAttempt,
   type DispatcherOptions,
   type DispatchOutcome,
-  type PickInputs,
   type PickResult,
 } from './DispatchTypes.js';
+import { CallEventType, type CallEvent, type RunningAttempt } from './CallEvents.js';
 import { EventQueue } from './EventQueue.js';
-import {
-  AttemptResultType,
-  type AttemptHandle,
-  type AttemptResult,
-  type BackendAnswer,
-  type Call,
-} from './Types.js';
-
-enum CallEventType {
-  Result = 'result',
-  Hedge = 'hedge',
-  Deadline = 'due',
-  Abandoned = 'abandoned',
-}
-
-type CallEvent =
-  | {
-      readonly type: CallEventType.Result;
-      readonly view: BackendView;
-      readonly result: AttemptResult;
-    }
-  | { readonly type: Exclude<CallEventType, CallEventType.Result> };
-
-/** Attempt in progress, with the inputs of its pick. */
-interface RunningAttempt {
-  readonly handle: AttemptHandle;
-  readonly sentAtMs: number;
-  readonly inputs: PickInputs;
-  /** True if it took the last free slot, as far as the load showed it. */
-  readonly filledSlots: boolean;
-}
+import { AttemptResultType, type AttemptResult, type BackendAnswer, type Call } from './Types.js';
 
 /** A call is not sent again after this many attempts that ended without having run. */
 const NOT_RUN_ATTEMPTS_MAX = 4;
