Merge gateway: bound on the age of the routing, service chosen at dispatch

Planned stops and the choice by the routing in force meet in CallServer.serve: the time limit is set by the route at arrival and again by the one at dispatch.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -3,7 +3,7 @@
   // Calls at a gateway.
   call_unrouted: 'No route matches, or the gateway has no routing yet; the call has not run.',
   call_unauthenticated:
-    'The call was refused before its body was read: no known key, or the routing may be old.',
+    'The call was refused and has not run: no known key, or the routing may be old.',
   attempt_sent: 'An attempt was sent to a backend server; with the deciding load and its age.',
   attempt_failed: 'An attempt ended with no usable answer; outcome shows whether it may have run.',
   attempt_overdue: 'The timeout of the call expired while this attempt was in flight.',
@@ -50,7 +50,10 @@
   backend_learned: 'A newer announcement of a backend server is in use.',
   backends_provisional: 'Backend servers known before a restart are used until they announce.',
   provisional_dropped: 'Backend servers known before a restart did not announce and were dropped.',
-  routing_applied: 'A newer routing is in force on this host.',
+  routing_applied:
+    'A newer routing is in force on this host; with the control host that sent it and the newest index known.',
+  routing_state:
+    'Whether calls may be served by the applied routing changed: starting, current, behind, unconfirmed or cut-off.',
   routing_in_force:
     'All gateways in contact apply a change, or the wait for them ended; with those missing.',
   confirmed_not_in_force:
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -7,41 +7,12 @@
   type SendAttempt,
   type DispatcherOptions,
   type DispatchOutcome,
-  type PickInputs,
+  type PickResult,
 } from './DispatchTypes.js';
+import { CallEventType, type CallEvent, type RunningAttempt } from './CallEvents.js';
 import { EventQueue } from './EventQueue.js';
 import { RETRY_AFTER_STOPPING_MS } from './StopSchedule.js';
-import {
-  AttemptResultType,
-  type AttemptHandle,
-  type AttemptResult,
-  type BackendAnswer,
-  type Call,
-} from './Types.js';
-
-enum CallEventType {
-  Result = 'result',
-  Hedge = 'hedge',
-  Deadline = 'due',
-  Abandoned = 'abandoned',
-}
-
-type CallEvent =
-  | {
-      readonly type: CallEventType.Result;
-      readonly view: BackendView;
-      readonly result: AttemptResult;
-    }
-  | { readonly type: Exclude<CallEventType, CallEventType.Result> };
-
-/** Attempt in progress, with the inputs of its pick. */
-interface RunningAttempt {
-  readonly handle: AttemptHandle;
-  readonly sentAtMs: number;
-  readonly inputs: PickInputs;
-  /** True if it took the last free slot, as far as the load showed it. */
-  readonly filledSlots: boolean;
-}
+import { AttemptResultType, type AttemptResult, type BackendAnswer, type Call } from './Types.js';
 
 /** A call is not sent again after this many attempts that ended without having run. */
 const NOT_RUN_ATTEMPTS_MAX = 4;
@@ -72,6 +43,8 @@
   [NoPickReason.Limited]: 300,
   [NoPickReason.Unreachable]: 100,
   [NoPickReason.Stopping]: RETRY_AFTER_STOPPING_MS,
+  // The routing in force leads the call elsewhere at once.
+  [NoPickReason.Rerouted]: 15,
 };
 
 /** One call from its first attempt to its outcome. */
@@ -176,6 +149,10 @@
   private async hedge(): Promise<void> {
     const { options, call } = this;
     if (this.running.size !== 1 || this.mayHaveRunCount >= call.route.attemptsMax) return;
+    if (!this.isRouted) {
+      this.log('second_copy_refused', { reason: NoPickReason.Rerouted });
+      return;
+    }
     const nowMs = options.nowMs();
     if (!options.budget.maySpend(call.service, nowMs, HEDGE_BUDGET_SHARE)) {
       this.log('second_copy_refused', { reason: 'retry budget' });
@@ -299,6 +276,7 @@
     const maySend =
       call.isCallerConnected() &&
       !this.isStopped &&
+      this.isRouted &&
       !call.isBodyStreamed &&
       nowMs < call.dueAtMs &&
       this.notRunCount < NOT_RUN_ATTEMPTS_MAX &&
@@ -324,11 +302,23 @@
     return { type: DispatchOutcomeType.Refused, reason, retryAfterMs, attempts };
   }
 
+  private get isRouted(): boolean {
+    return this.call.isRouted?.() !== false;
+  }
+
+  /** Picks a backend server while the routing leads to its service, before the pick and after it. */
+  private async pick(): Promise<PickResult> {
+    const rerouted = { view: null, reason: NoPickReason.Rerouted, probes: 0, loads: '' } as const;
+    if (!this.isRouted) return rerouted;
+    const result = await this.options.picker.pick(this.call, this.service, this.tried);
+    return this.isRouted ? result : { ...rerouted, probes: result.probes };
+  }
+
   /** Picks a backend server and sends an attempt; returns false if none was sent. */
   private async startAttempt(cause = 'first', maxExpectedMs = Infinity): Promise<boolean> {
     const { options, call } = this;
     if (this.isStopped) return this.noteStopped();
-    const pick = await options.picker.pick(call, this.service, this.tried);
+    const pick = await this.pick();
     if (this.isStopped) return this.noteStopped();
     if (!pick.view) {
       this.lastNoPickReason = pick.reason;
@@ -367,6 +357,7 @@
     this.log('attempt_sent', {
       backend: view.record.id,
       service: call.service,
+      routing: call.routingVersion,
       zone: view.record.availabilityZone,
       remainingMs,
       ...inputs,
--- a/src/gateway/DispatchTypes.ts
+++ b/src/gateway/DispatchTypes.ts
@@ -29,6 +29,8 @@
   Unreachable = 'unreachable',
   /** A planned stop of this host leaves too little time for the call. */
   Stopping = 'stopping',
+  /** The routing in force does not lead the call to the service any more. */
+  Rerouted = 'rerouted',
 }
 
 /** Result of picking a backend server. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -131,6 +131,8 @@
   readonly route: Route;
   /** Service chosen by the route's weights. */
   readonly service: string;
+  /** Version of the routing by which the service was chosen. */
+  readonly routingVersion?: number;
   /** Name of the customer; undefined in deployments without customers. */
   readonly customer?: string;
   /** True if the routing has customers, so that the caller's headers for them are not passed on. */
@@ -148,6 +150,11 @@
   readonly bodyBytes?: number;
   /** True if the body is too long to buffer, so that only one attempt can send all of it. */
   readonly isBodyStreamed?: boolean;
+  /**
+   * False once the routing in force no longer leads the call to its service, so that no further
+   * attempt may be sent; omitted if that can't change.
+   */
+  isRouted?(): boolean;
   /** True while the caller is connected. */
   isCallerConnected(): boolean;
   /**
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -44,6 +44,12 @@
   /** Departing and departed backend servers, sent on every new link. */
   readonly departures: () => readonly BackendRecord[];
   readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
+  /** Called when a link to a control host is open. */
+  readonly onLinked?: (control: string) => void;
+  /** Called before each heartbeat. */
+  readonly onPing?: (pingId: number) => void;
+  /** Called for each answer to a heartbeat. */
+  readonly onPong?: (pong: PongMessage, control: string) => void;
   /** Called when a control host is no longer watched, or its link was lost. */
   readonly onLost: (control: string) => void;
 }
@@ -115,6 +121,7 @@
   /** Sends a heartbeat at once, for example when the host begins to stop. */
   ping(): void {
     this.pingId += 1;
+    this.options.onPing?.(this.pingId);
     this.links.forEach(({ client }) => this.sendPing(client));
   }
 
@@ -198,6 +205,7 @@
       if (targets.has(key)) return;
       client.dispose();
       this.links.delete(key);
+      this.options.onLost(key);
     });
   }
 
@@ -274,8 +282,11 @@
       onBytes: this.options.onBytes,
       onOpen: () => {
         logger.info('control_regained', { control: key });
+        this.options.onLinked?.(key);
         const entryHostUpdates = EntryHostUpdates.None;
         client.send({ type: ControlMessageType.Hello, entryHost: self(), entryHostUpdates });
+        this.pingId += 1;
+        this.options.onPing?.(this.pingId);
         // The answer to an unknown index describes the control host.
         this.sendPing(client, UNKNOWN_INDEX);
         this.syncWatches();
@@ -295,6 +306,7 @@
     const link = this.links.get(key)!;
     if (message.type === ControlMessageType.Pong) {
       link.availabilityZone = message.availabilityZone ?? link.availabilityZone;
+      this.options.onPong?.(message, key);
       this.onPong(message);
       return;
     }
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -36,7 +36,8 @@
 import { GatewayRollouts } from '../rollouts/GatewayRollouts.js';
 import { RequestLimiter } from '../RequestLimiter.js';
 import { RetryBudget, type RetryBudgetOptions } from '../RetryBudget.js';
-import { ActiveRouting } from '../ActiveRouting.js';
+import type { ActiveRouting } from '../ActiveRouting.js';
+import { GatewayRouting } from '../GatewayRouting.js';
 import { StartupGate } from '../StartupGate.js';
 import { StopSchedule } from '../StopSchedule.js';
 import { isMiss, type Call, type WireProfile } from '../Types.js';
@@ -133,6 +134,8 @@
 
   readonly routing: ActiveRouting;
 
+  private readonly routingState: GatewayRouting;
+
   private readonly clock: Clock;
 
   private readonly random: RandomSource;
@@ -224,7 +227,19 @@
       log('backend_record_refused', { ...refused }),
     );
     this.pool = new BackendPool({ availabilityZone, random, selfId });
-    this.routing = new ActiveRouting(random);
+    this.routingState = new GatewayRouting({
+      random,
+      nowMs,
+      setTimer,
+      ping: () => this.watch?.ping(),
+      onUsableChange: () => {
+        this.noteReadiness();
+        this.watch?.ping();
+      },
+      gauge: (name, help, read) => this.metrics.gauge(name, help, read),
+      log,
+    });
+    this.routing = this.routingState.active;
     this.cold = new ColdLimiter({ selfId: options.id });
     this.budget = new RetryBudget({ ...options.budget, startedAtMs: nowMs() });
     this.limits = new RequestLimiter({
@@ -384,7 +399,8 @@
       isStopping: () => this.stopping,
       stopSchedule: () => this.stopSchedule,
       crashes: this.crashes,
-      waitUntilReady: (budgetMs: number) => this.gate.wait(budgetMs),
+      waitUntilReady: (budgetMs: number) => this.waitUntilReady(budgetMs),
+      routingRefusal: () => this.routingState.refusal(),
       createId: createNonce,
     };
     const { caps } = this;
@@ -453,7 +469,13 @@
 
   /** True while this host can serve callers. */
   get isReady(): boolean {
-    return !this.stopping && this.routing.table !== null && this.pool.size > 0;
+    const isRouted = this.routing.table !== null && this.routingState.isUsable;
+    return !this.stopping && isRouted && this.pool.size > 0;
+  }
+
+  private async waitUntilReady(budgetMs: number): Promise<void> {
+    await this.gate.wait(budgetMs);
+    await this.routingState.waitUntilConfirmed(budgetMs);
   }
 
   async start(): Promise<void> {
@@ -479,7 +501,11 @@
       routingIndex: () => this.routing.logIndex,
       departures: () => this.pool.departures(),
       onMessage: (message, control) => this.receive(message, control),
+      onLinked: (control) => this.routingState.noteLinked(control),
+      onPing: (pingId) => this.routingState.notePing(pingId),
+      onPong: (pong, control) => this.routingState.notePong(pong, control),
       onLost: (control) => {
+        this.routingState.noteLost(control);
         this.entryHosts.remove(control);
         this.sources.remove(control);
       },
@@ -572,7 +598,7 @@
       adminPort: readiness.port,
       availabilityZone,
       stopping: this.stopping,
-      cutOff: this.reach.isCut,
+      cutOff: this.reach.isCut || this.routingState.isBehind,
       ...(settingsDigest !== undefined && { settingsDigest }),
     };
   }
@@ -586,7 +612,8 @@
   private readonly handlers = {
     [ControlMessageType.Routing]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.Routing }>,
-    ) => this.applyRouting(message.view),
+      control: string,
+    ) => this.applyRouting(message.view, control),
     [ControlMessageType.Backends]: (
       message: Extract<ControlToEntryMessage, { type: ControlMessageType.Backends }>,
       control: string,
@@ -649,9 +676,8 @@
     this.probeMeter.setGateways(entryHosts.length);
   }
 
-  private applyRouting(view: RoutingView): void {
-    const before = this.routing.version;
-    if (!this.routing.apply(view)) return;
+  private applyRouting(view: RoutingView, control: string): void {
+    if (!this.routingState.apply(view, control)) return;
     this.pool.setClosedZones(view.closedZones);
     this.caps?.setCustomers(view.table?.customers ?? []);
     this.rollouts.apply(this.routing.rollouts);
@@ -660,12 +686,6 @@
       this.callerServer.keepAliveTimeout = limits.idleTimeoutMs;
       this.callerServer.headersTimeout = limits.headerTimeoutMs;
     }
-    this.options.log.line('routing_applied', {
-      index: view.index,
-      version: view.version,
-      before,
-      closedZones: view.closedZones.join(','),
-    });
     this.noteReadiness();
   }
 
@@ -728,7 +748,7 @@
   }
 
   private registerGauges(): void {
-    const { metrics, pool, client, routing } = this;
+    const { metrics, pool, client } = this;
     metrics.gauge('egret_backends', 'Backend servers known.', () => pool.size);
     metrics.gauge('egret_probes', 'Probes sent.', () => client.probes);
     metrics.gauge(
@@ -746,7 +766,6 @@
     metrics.gauge('egret_backends_cut', '1 while cut off from all backend servers.', () =>
       Number(this.reach.isCut),
     );
-    metrics.gauge('egret_routing_version', 'Routing in force.', () => routing.version);
     metrics.gauge('egret_open_calls', 'Calls in progress.', () => this.openCalls);
     metrics.gauge('egret_rss_bytes', 'Resident memory.', () => process.memoryUsage.rss());
     metrics.gauge('egret_control_watches', 'Control hosts that are watched for lists.', () =>
