Entry hosts refuse calls that could outlast a planned stop; none is cut silently

A forwarded call whose body was being received was reset within the stop, without a supervisor.

Cause: a stop took up to 610 s whatever the supervisor allowed, and calls were admitted without regard to the time left. Connections of peers were not waited for, and their calls were passed on up to the moment of closing.

Now the stop has a set time (stopMs, 600 s as before), divided by StopTimes. A call whose time limit ends after the last answer is refused as not run when it arrives, at the signal if it waits unsent, and instead of a retry. Since the limit bounds the begin of the answer, what is admitted is answered. What outlasts the stop all the same, admitted before the signal, is told "unknown" if it was sent and "not run" if not, before the process ends. A second stop waits for the first.

Ruled out, with tests that passed before too: a call that a peer forwarded to the host before the signal, one that the host forwarded, a claimed call in progress (its answer is recorded), a second signal, a download (it ends visibly cut).

--- a/bench/workers/EntriesRole.ts
+++ b/bench/workers/EntriesRole.ts
@@ -31,6 +31,7 @@
             logLevel: LogLevel.Error,
             maxHeaderBytes: 16_384,
             headTimeoutMs: 10_000,
+            stopMs: 600_000,
           },
           secret: BENCH_SECRET,
           logger: silentLogger,
--- a/src/common/ProcessSettings.ts
+++ b/src/common/ProcessSettings.ts
@@ -31,6 +31,8 @@
   logLevel,
   maxHeaderBytes: z.number().int().min(1024).max(65_536).default(16_384),
   headTimeoutMs: z.number().int().min(100).max(120_000).default(10_000),
+  /** Time after SIGTERM at which the supervisor may end the process; ten minutes for downloads. */
+  stopMs: z.number().int().min(1_000).max(3_600_000).default(600_000),
 });
 
 /** Settings file of a control host. */
--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -17,6 +17,7 @@
 import type { PeerCapacity } from './PeerCapacity.js';
 import type { Pools } from './Pools.js';
 import type { SettingsView } from './SettingsView.js';
+import { endsTooLate } from './StopTimes.js';
 import {
   CounterName,
   EntryEffectType,
@@ -52,12 +53,21 @@
 /** Claimed calls may run for this many timeouts of their service, to record their answers. */
 const CLAIMED_GRACE_TIMEOUTS = 2;
 
+/** Detail of a refusal because the call might outlast a planned stop. */
+const STOPPING = 'The entry host is stopping; the call could end too late.';
+
 /** Returns the error kind of a missing or malformed idempotency key; null for a valid one. */
 function checkKey(key: string | null): ErrorKind | null {
   if (key === null) return ErrorKind.KeyRequired;
   return parseKeyTimeMs(key).isErr ? ErrorKind.KeyInvalid : null;
 }
 
+/** True if no backend server has the call now, and none may have run it. */
+function isUnsent(record: CallRecord): boolean {
+  const waits = record.phase === CallPhase.Queued || record.phase === CallPhase.Claiming;
+  return waits && record.attempts.size === 0 && !record.mayHaveRun && record.answeringId === null;
+}
+
 /** Handles every call at this entry host, from its arrival to the end of its last attempt. */
 export class CallFlow {
   private readonly calls = new Map<number, CallRecord>();
@@ -107,9 +117,13 @@
       this.answers.refuseOnArrival(call, keyError, `Method ${call.method} is not idempotent.`);
       return;
     }
+    const record = this.createRecord(call, pool, idempotent);
+    if (endsTooLate(record.deadlineMs, context.answerByMs)) {
+      this.answers.refuseOnArrival(call, ErrorKind.Stopping, STOPPING);
+      return;
+    }
     pool.retryBudget.deposit(pool.settings.retryBudgetRatio);
     pool.hedgeBudget.deposit(pool.settings.hedgeBudgetRatio);
-    const record = this.createRecord(call, pool, idempotent);
     this.calls.set(call.callId, record);
     this.route(record);
   }
@@ -165,8 +179,7 @@
   onCallerDisconnected(callId: number): void {
     const record = this.calls.get(callId);
     if (!record) return;
-    record.pool.queue.remove(record);
-    this.paused.delete(record);
+    this.removeWaiting(record);
     if (record.claimId !== null && record.attempts.size === 0) {
       this.answers.settle(record, ClaimOutcome.NotRun, null);
     }
@@ -211,6 +224,29 @@
     });
   }
 
+  /** Refuses the calls that were not sent yet and could outlast the planned stop that begins. */
+  refuseTooLate(): void {
+    this.calls.forEach((record) => {
+      if (isUnsent(record) && this.mayOutlastStop(record)) this.refuseStopping(record);
+    });
+  }
+
+  /** Answers every call whose answer has not begun, at the end of a planned stop. */
+  answerOpen(): void {
+    this.calls.forEach((record) => {
+      if (record.phase === CallPhase.Answered || record.answeringId !== null) return;
+      if (isUnsent(record)) {
+        this.refuseStopping(record);
+        return;
+      }
+      this.removeWaiting(record);
+      // A claimed call runs on to record its answer while the host still runs.
+      if (record.claimId === null) this.answers.cancelAll(record);
+      const detail = 'The entry host stopped before an answer began; the request may have run.';
+      this.answers.refuse(record, new EgretError(ErrorKind.OutcomeUnknown, detail));
+    });
+  }
+
   /** Dispatches queued calls while slots are free; runs for every call. */
   dispatchQueued(pool: ServicePool): void {
     for (let record = pool.queue.peek(); record; record = pool.queue.peek()) {
@@ -221,6 +257,20 @@
     }
   }
 
+  private mayOutlastStop(record: CallRecord): boolean {
+    return endsTooLate(record.deadlineMs, this.options.context.answerByMs);
+  }
+
+  private removeWaiting(record: CallRecord): void {
+    record.pool.queue.remove(record);
+    this.paused.delete(record);
+  }
+
+  private refuseStopping(record: CallRecord): void {
+    this.removeWaiting(record);
+    this.answers.refuseNotRun(record, new EgretError(ErrorKind.Stopping, STOPPING));
+  }
+
   private readonly claimVerdicts: Record<
     ClaimReplyVerdict,
     (record: CallRecord, reply: ClaimReplyMessage) => void
@@ -474,6 +524,10 @@
     const { context } = this.options;
     record.resume = event.resume ?? record.resume;
     if (record.phase === CallPhase.Answered) return;
+    if (!record.mayHaveRun && record.answeringId === null && this.mayOutlastStop(record)) {
+      this.refuseStopping(record);
+      return;
+    }
     context.count(CounterName.Retries, record.call.service);
     const standing = record.pool.quarantine.standingOf(record.call.fingerprint, context.nowMs);
     if (standing === Standing.Quarantined || standing === Standing.Doubtful) {
--- a/src/entry/EntryContext.ts
+++ b/src/entry/EntryContext.ts
@@ -7,6 +7,9 @@
   /** Monotonic time of the current event. */
   nowMs = 0;
 
+  /** Time by which every call is to be answered in a planned stop. */
+  answerByMs = Number.POSITIVE_INFINITY;
+
   /** Effects of the current event, in order. */
   private effects: EntryEffect[] = [];
 
--- a/src/entry/EntryReducer.ts
+++ b/src/entry/EntryReducer.ts
@@ -179,10 +179,16 @@
       this.calls.onAttemptEnded(event),
     [EntryEventType.TargetClosed]: (event: EventOf<EntryEventType.TargetClosed>) =>
       this.pools.findBackend(event.targetId)?.onDisconnected(),
-    [EntryEventType.Stop]: () => {
+    [EntryEventType.Stop]: (event: EventOf<EntryEventType.Stop>) => {
       this.context.self = { ...this.context.self, stopping: true };
+      this.context.answerByMs = event.answerByMs ?? Number.POSITIVE_INFINITY;
       this.roster.setSelf(this.context.self, this.context.nowMs);
       this.sessions.ping();
+      this.calls.refuseTooLate();
+    },
+    [EntryEventType.StopExpired]: () => {
+      this.context.answerByMs = Number.NEGATIVE_INFINITY;
+      this.calls.answerOpen();
     },
   };
 
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -148,6 +148,7 @@
   AttemptEnded = 'attempt-ended',
   TargetClosed = 'target-closed',
   Stop = 'stop',
+  StopExpired = 'stop-expired',
 }
 
 /** Fields of every event. */
@@ -215,7 +216,13 @@
   | AttemptEndedEvent
   /** The last open connection to a backend server was closed. */
   | (EntryEventBase & { readonly type: EntryEventType.TargetClosed; readonly targetId: string })
-  | (EntryEventBase & { readonly type: EntryEventType.Stop });
+  | (EntryEventBase & {
+      readonly type: EntryEventType.Stop;
+      /** Time by which every call is to be answered; absent without a bound. */
+      readonly answerByMs?: number;
+    })
+  /** Every call is to be answered now, in a planned stop, and none is admitted any more. */
+  | (EntryEventBase & { readonly type: EntryEventType.StopExpired });
 
 export enum EntryEffectType {
   SendControl = 'send-control',
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { setTimeout as delay } from 'node:timers/promises';
 import type { Registry } from 'prom-client';
 import { API_PREFIX, HeaderName } from '../../common/Constants.js';
 import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
@@ -25,6 +24,7 @@
 import { MessageServer } from '../../runtime/MessageServer.js';
 import { EntryReducer } from '../EntryReducer.js';
 import type { PeerMessage } from '../PeerMessages.js';
+import { planStop } from '../StopTimes.js';
 import {
   AttemptResult,
   EntryEffectType,
@@ -46,6 +46,7 @@
 import { formatPoolStatus, POOL_HEADER } from './Headers.js';
 import { PEER_FIELDS } from './PeerFields.js';
 import { PeerLinks } from './PeerLinks.js';
+import { runPlannedStop } from './PlannedStop.js';
 
 /** Options of an {@link EntryServer}. */
 export interface EntryServerOptions {
@@ -67,13 +68,6 @@
 type Untimed<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 
 const TICK_MS = 5;
-const STOP_POLL_MS = 20;
-
-/** Longest time that a planned stop waits for results to become durable. */
-const SETTLE_WAIT_MS = 5_000;
-
-/** Longest time that a planned stop waits for calls in progress; the rest are then aborted. */
-const DRAIN_WAIT_MS = 600_000;
 
 /** Idle time after which a listener closes a connection. */
 const KEEP_ALIVE_MS = 60_000;
@@ -131,6 +125,9 @@
   /** Calls in progress, by id. */
   private readonly calls = new Map<number, CallContext>();
 
+  /** Calls whose bodies are being received, with what refuses them. */
+  private readonly receiving = new Map<number, (error: unknown) => void>();
+
   /** Responses to announcements and directory requests not yet answered, by request id. */
   private readonly pendingResponses = new Map<number, ServerResponse>();
 
@@ -138,6 +135,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private stopped: Promise<void> | undefined;
+
   private self: EntryHost;
 
   private constructor(
@@ -278,22 +277,37 @@
 
   /**
    * Planned stop: leaves the directory, serves until callers' directory answers have expired, the
-   * last call has ended and all results are durable, then closes.
+   * last call has ended and all results are durable, then closes, at the latest after `stopMs`. Calls
+   * that could end later are refused. A second stop waits for the first.
    */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private async runStop(): Promise<void> {
     const { logger, file } = this.options;
-    this.self = { ...this.self, stopping: true };
-    this.dispatch(this.timed({ type: EntryEventType.Stop }));
     const { directoryValidMs } = this.reducer.settings.catalog.system;
-    logger.info('entry_stopping', { host: file.id, validMs: directoryValidMs });
-    await delay(directoryValidMs);
-    this.callerHttp.close();
-    const untilMs = this.clock.nowMs() + DRAIN_WAIT_MS;
-    await this.poll(() => this.hasDrained(), untilMs);
-    const settledByMs = this.clock.nowMs() + SETTLE_WAIT_MS;
-    await this.poll(() => this.reducer.status().unsettledClaims === 0, settledByMs);
+    const startedAtMs = this.clock.nowMs();
+    const times = planStop({ startedAtMs, directoryValidMs, stopMs: file.stopMs });
+    this.self = { ...this.self, stopping: true };
+    const { answerByMs } = times;
+    this.dispatch(this.timed({ type: EntryEventType.Stop, answerByMs }));
+    const { stopMs } = file;
+    logger.info('entry_stopping', { host: file.id, validMs: directoryValidMs, stopMs });
+    await runPlannedStop({
+      times,
+      clock: this.clock,
+      host: {
+        stopListening: () => this.callerHttp.close(),
+        drain: () => this.hasDrained(),
+        answerOpenCalls: () => this.answerOpenCalls(),
+        unsettledClaims: () => this.reducer.status().unsettledClaims,
+      },
+    });
+    const openCalls = this.callerConnections.dueAnswers + this.peerConnections.dueAnswers;
     await this.close();
-    logger.info('entry_stopped', { host: file.id });
+    logger.info('entry_stopped', { host: file.id, openCalls });
   }
 
   /** Closes all connections at once without draining, like a crash. */
@@ -314,15 +328,18 @@
   /** True once every call has ended and its caller's connection is closed. */
   private hasDrained(): boolean {
     this.callerConnections.closeIdle();
-    return this.calls.size === 0 && this.callerConnections.size === 0;
+    // The peers' connections carry the links too, and stay open.
+    const answered = this.calls.size === 0 && this.peerConnections.dueAnswers === 0;
+    return answered && this.callerConnections.size === 0;
   }
 
-  private async poll(done: () => boolean, untilMs: number): Promise<void> {
-    while (!done() && this.clock.nowMs() < untilMs) {
-      // Polling is the loop's purpose.
-      // eslint-disable-next-line no-await-in-loop
-      await delay(STOP_POLL_MS);
-    }
+  /** Admits no further call, and answers those whose answer has not begun. */
+  private answerOpenCalls(): void {
+    this.dispatch(this.timed({ type: EntryEventType.StopExpired }));
+    const detail = 'The entry host stopped before the whole request had arrived.';
+    [...this.receiving.values()].forEach((refuse) =>
+      refuse(new EgretError(ErrorKind.Stopping, detail)),
+    );
   }
 
   private timed(event: Untimed<EntryEvent>): EntryEvent {
@@ -416,19 +433,32 @@
     const nowMs = this.clock.nowMs();
     const { services } = this.reducer.settings.catalog;
     const maxBodyBytesOf = (service: string) => services.get(service)?.settings.maxBodyBytes;
-    const refuse = (error: unknown) =>
+    const refuse = (error: unknown) => {
+      this.receiving.delete(callId);
       refuseRequest(
         this.connectionsOf(peerId !== null),
         request,
         response,
         toEgretError(error, ErrorKind.BadRequest),
       );
+    };
     try {
       const bodyIdleMs = this.options.file.headTimeoutMs;
       const options = { callId, nowMs, peerId, expectsContinue, bodyIdleMs, maxBodyBytesOf };
       const received = receiveCall(request, response, options);
-      if (received instanceof Promise) received.then((call) => this.startCall(call), refuse);
-      else this.startCall(received);
+      if (received instanceof Promise) {
+        this.receiving.set(callId, refuse);
+        // Once refused, a call is not started, even if its body arrives after all.
+        const ifOpen =
+          <T>(handle: (result: T) => void) =>
+          (result: T) => {
+            if (this.receiving.delete(callId)) handle(result);
+          };
+        received.then(
+          ifOpen((call: ReceivedCall) => this.startCall(call)),
+          ifOpen(refuse),
+        );
+      } else this.startCall(received);
     } catch (error) {
       refuse(error);
     }
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -59,6 +59,11 @@
     return this.connections.size;
   }
 
+  /** Number of admitted requests whose answers are not yet sent completely. */
+  get dueAnswers(): number {
+    return [...this.connections.values()].reduce((sum, { due }) => sum + due.size, 0);
+  }
+
   /**
    * Admits a request. Returns false if its connection ends before an answer to it: the request must
    * not be handled, and its client sends it again on another connection.
--- a/standin/Cluster.ts
+++ b/standin/Cluster.ts
@@ -31,12 +31,17 @@
   readonly timing?: RaftTiming;
   readonly snapshotEvery?: number;
   readonly headTimeoutMs?: number;
+  /** Time that a planned stop of an entry host may take. */
+  readonly stopMs?: number;
   /** Replaces the number of backend servers of every service. */
   readonly backendsPerService?: number;
 }
 
 const LOCALHOST = '127.0.0.1';
-const SECRET = 'standin-secret';
+
+/** Secret of the links between the processes of a {@link Cluster}. */
+export const SECRET = 'standin-secret';
+
 const POLL_MS = 10;
 const READY_TIMEOUT_MS = 20_000;
 const FIRST_PORT = 20_000;
@@ -204,6 +209,7 @@
         logLevel: LogLevel.Info,
         maxHeaderBytes: 16_384,
         headTimeoutMs: this.options.headTimeoutMs ?? 10_000,
+        stopMs: this.options.stopMs ?? 600_000,
       },
       secret: SECRET,
       logger: this.options.logger ?? silentLogger,
