A call that a stopping peer refused is sent to another one, not refused

What callers would see: 503 "this one is stopping" from an entry host that isn't, for calls that it had forwarded to a peer just before it learned of the peer's stop.

Now such a refusal counts like that of a peer without a lease: it put no load on a backend server, so it takes nothing of the retry budget, and the call waits for the leases that move.

A second test guards what a stop does to calls that wait, in the reducer alone.

--- a/src/entry/CallFlow.ts
+++ b/src/entry/CallFlow.ts
@@ -5,7 +5,7 @@
 import type { EntryHost } from '../common/Placement.js';
 import { CallAnswers } from './CallAnswers.js';
 import type { ClaimFlow } from './ClaimFlow.js';
-import { AttemptOutcomes, finalError, hasNoLease } from './dispatch/AttemptOutcomes.js';
+import { AttemptOutcomes, finalError, isUnservedAtPeer } from './dispatch/AttemptOutcomes.js';
 import { CallPhase, type Attempt, type CallRecord } from './dispatch/CallRecord.js';
 import { chooseHedge } from './dispatch/Hedging.js';
 import { Standing } from './dispatch/Quarantine.js';
@@ -557,7 +557,7 @@
   /** Sends the call to a leaseholder that it was not sent to yet. */
   private retryAtPeer(record: CallRecord, event: AttemptEndedEvent): void {
     const peer = record.call.forwarded ? undefined : this.choosePeer(record, false);
-    const mayBeServedLater = hasNoLease(event) && this.mayLeasesMove();
+    const mayBeServedLater = isUnservedAtPeer(event) && this.mayLeasesMove();
     if (peer) this.forward(record, peer);
     else if (event.peerRefusal && !mayBeServedLater) this.answers.refuse(record, event.peerRefusal);
     else this.pauseOrRefuse(record);
--- a/src/entry/EntryReducer.test.ts
+++ b/src/entry/EntryReducer.test.ts
@@ -125,6 +125,47 @@
     expect(withoutHolderMs).toBeLessThanOrEqual(2 * delayMs);
   });
 
+  /** Refusals of calls that arrive at the other hosts while one stops that admits nothing more. */
+  function refusalsBesideStop(seed: number): string[] {
+    const network = { maxDelayMs: 30, dropRatio: 0, duplicateRatio: 0 };
+    const world = createWorld({ seed, network, entryHosts: 4, backends: 6 });
+    const index = seed % world.entries.length;
+    const answeredBefore = world.results.length;
+    world.entries[index]!.handle({ type: EntryEventType.Stop, answerByMs: 0 });
+    for (let sent = 0; sent < 200; sent += 1) {
+      world.call(index + 1 + (sent % (world.entries.length - 1)));
+      world.run(2);
+    }
+    world.run(3_000);
+    const results = world.results.slice(answeredBefore);
+    return results.flatMap((result) => (result.error ? [result.error.kind] : []));
+  }
+
+  // Guards against a call that another host refuses because the peer it chose is stopping.
+  it('has no call refused at another host because it is stopping', () => {
+    const refusals = SEEDS.flatMap((seed) => refusalsBesideStop(seed));
+    expect(refusals.filter((kind) => kind === ErrorKind.Stopping)).toEqual([]);
+  });
+
+  // Guards against a call that was sent nowhere and waits until it can no longer end in time.
+  it('refuses waiting calls at its begin, and all that are open at its end', () => {
+    const world = createWorld({ entryHosts: 2, backends: 1 });
+    const [entry] = world.entries;
+    for (let sent = 0; sent < 40; sent += 1) world.call(0);
+    world.run(10);
+    const open = entry!.reducer.status().calls;
+    expect(open).toBeGreaterThan(0);
+    entry!.handle({ type: EntryEventType.Stop, answerByMs: 0 });
+    expect(entry!.reducer.pools.get('orders')?.queue.length ?? 0).toBe(0);
+    entry!.handle({ type: EntryEventType.StopExpired });
+    world.call(0);
+    world.run(3_000);
+    const kinds = world.results.map((result) => result.error?.kind ?? null);
+    expect(kinds).toHaveLength(41);
+    expect(kinds).toContain(ErrorKind.Stopping);
+    expect(entry!.reducer.status().calls).toBe(0);
+  });
+
   // Guards against a call that ends because its first peers have no lease yet.
   it('refuses no call for want of a backend server while the leases move', () => {
     const refusals = SEEDS.flatMap((seed) => refusalsDuringStop(seed, 4, 200));
--- a/src/entry/dispatch/AttemptOutcomes.ts
+++ b/src/entry/dispatch/AttemptOutcomes.ts
@@ -45,8 +45,9 @@
   return new EgretError(ErrorKind.NoBackend, detail);
 }
 
-/** True if a peer refused the call because it has no usable backend server. */
-export function hasNoLease({ peerRefusal, peerStatus }: AttemptEndedEvent): boolean {
+/** True if a peer refused the call because it has no usable backend server, or is stopping. */
+export function isUnservedAtPeer({ peerRefusal, peerStatus }: AttemptEndedEvent): boolean {
+  if (peerRefusal?.kind === ErrorKind.Stopping) return true;
   return peerRefusal?.kind === ErrorKind.NoBackend && peerStatus?.slots === 0;
 }
 
@@ -125,7 +126,7 @@
     if (record.attempts.size > 0 || record.phase === CallPhase.Answered) {
       return record.phase === CallPhase.Answered ? { settle: ClaimOutcome.NotRun } : {};
     }
-    if (hasNoLease(event)) {
+    if (isUnservedAtPeer(event)) {
       // The attempt put no load on a backend server, so neither limit on attempts applies.
       record.attemptsMade -= 1;
       if (this.isRetryable(record)) return { retry: true };
