A busy process reads what has arrived before it closes connections in a stop

What callers saw: a connection that closed without an answer, in a planned stop beside load.

Cause: Node's loop runs due timers before it polls sockets.

This concerns gateways too (HttpConnections is shared).

--- a/src/entry/server/PlannedStop.test.ts
+++ b/src/entry/server/PlannedStop.test.ts
@@ -1,4 +1,4 @@
-import { setTimeout as delay } from 'node:timers/promises';
+import { setImmediate as immediate, setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Cluster, waitUntil } from '../../../standin/Cluster.js';
 import { buildTree, OTARU } from '../../../standin/Deployments.js';
@@ -55,6 +55,23 @@
     await stopped;
   });
 
+  // Guards against a connection that the kernel has accepted, and that is reset because the process
+  // was busy until it closed its listener.
+  it('answers a call whose connection waits to be accepted when the listener closes', async () => {
+    const { port } = cluster.entries[1]!;
+    const stopped = stopHost();
+    await delay(SYSTEM.directoryValidMs / 2);
+    // The loop goes on with its timers after an immediate, before it accepts connections.
+    await immediate();
+    const late = new RawClient(port);
+    late.get(['/ledger/a'], () => ({ Host: 'entry' }));
+    const untilMs = performance.now() + SYSTEM.directoryValidMs;
+    while (performance.now() < untilMs);
+    await waitUntil(() => late.ended || late.broken, 'end of the connection');
+    expect(late.statusCodes).toEqual([200]);
+    await stopped;
+  });
+
   // Guards against answers that are cut because their connection counts as idle while it sends.
   it('sends all answers completely to a slow reader before a planned stop ends', async () => {
     const names = Array.from({ length: 9 }, (unused, index) => `/chartroom/bundles/${index}`);
--- a/src/entry/server/PlannedStop.ts
+++ b/src/entry/server/PlannedStop.ts
@@ -1,4 +1,4 @@
-import { setTimeout as delay } from 'node:timers/promises';
+import { setImmediate as immediate, setTimeout as delay } from 'node:timers/promises';
 import type { Clock } from '../../runtime/Clock.js';
 import type { StopTimes } from '../StopTimes.js';
 
@@ -44,6 +44,8 @@
  */
 export async function runPlannedStop({ times, host, clock }: PlannedStopOptions): Promise<void> {
   await delay(times.listenUntilMs - clock.nowMs());
+  // In a busy process timers run first; connections that wait are accepted before an immediate.
+  await immediate();
   host.stopListening();
   await poll(clock, () => host.drain(), times.answerByMs);
   host.answerOpenCalls();
--- a/src/runtime/HttpConnections.test.ts
+++ b/src/runtime/HttpConnections.test.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { setTimeout as delay } from 'node:timers/promises';
+import { setImmediate as immediate, setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RawClient } from '../../standin/RawClient.js';
 import { ClosedBy, HttpConnections } from './HttpConnections.js';
@@ -78,6 +78,12 @@
   }
 }
 
+/** Keeps the event loop busy, so that timers run before what arrives meanwhile is read. */
+function blockFor(spanMs: number): void {
+  const untilMs = performance.now() + spanMs;
+  while (performance.now() < untilMs);
+}
+
 describe('HttpConnections', () => {
   const servers: TestServer[] = [];
   const clients: RawClient[] = [];
@@ -249,6 +255,27 @@
     expect(bodiesOf(client)).toEqual(['/a', '/b']);
   });
 
+  // Guards against a request that waits in the kernel because the process was busy for longer than
+  // the delay after which its connection is closed as idle.
+  it('admits a request that arrived while the process was busy', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a');
+    await waitUntil(() => server.held.length === 1);
+    server.answer('/a');
+    await waitUntil(() => server.ended.length === 1 && bodiesOf(client).length === 1);
+    server.stopping = true;
+    // The loop goes on with its timers after an immediate, before it reads from sockets.
+    await immediate();
+    server.connections.closeIdle();
+    get(client, '/b');
+    blockFor(200);
+    await waitUntil(() => server.held.length + server.dropped.length === 2);
+    expect(server.dropped).toEqual([]);
+    server.answer('/b');
+    await waitUntil(() => client.ended);
+    expect(bodiesOf(client)).toEqual(['/a', '/b']);
+  });
+
   // Guards against a new connection that is closed as idle before its first request is read.
   it('admits the first request of a connection that was accepted right before', async () => {
     const { server, client } = await createPair();
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -161,11 +161,19 @@
     this.connections.forEach((connection) => {
       if (connection.due.size > 0 || connection.ending || connection.idleTimer) return;
       Object.assign(connection, {
-        idleTimer: setTimeout(() => this.endIdle(connection), IDLE_GRACE_MS),
+        idleTimer: setTimeout(() => this.endIfStillIdle(connection), IDLE_GRACE_MS),
       });
     });
   }
 
+  /** Ends an idle connection after a read: in a busy process, timers run before what has arrived. */
+  private endIfStillIdle(connection: Connection): void {
+    const { idleTimer } = connection;
+    setImmediate(() => {
+      if (idleTimer && connection.idleTimer === idleTimer) this.endIdle(connection);
+    });
+  }
+
   private endIdle(connection: Connection): void {
     Object.assign(connection, { ending: true });
     this.end(connection.socket);
