--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -59,6 +59,11 @@
     return this.connections.size;
   }
 
+  /** Number of admitted requests whose answers are not yet sent completely. */
+  get dueAnswers(): number {
+    return [...this.connections.values()].reduce((sum, { due }) => sum + due.size, 0);
+  }
+
   /**
    * Admits a request. Returns false if its connection ends before an answer to it: the request must
    * not be handled, and its client sends it again on another connection.
@@ -156,11 +161,19 @@
     this.connections.forEach((connection) => {
       if (connection.due.size > 0 || connection.ending || connection.idleTimer) return;
       Object.assign(connection, {
-        idleTimer: setTimeout(() => this.endIdle(connection), IDLE_GRACE_MS),
+        idleTimer: setTimeout(() => this.endIfStillIdle(connection), IDLE_GRACE_MS),
       });
     });
   }
 
+  /** Ends an idle connection after a read: in a busy process, timers run before what has arrived. */
+  private endIfStillIdle(connection: Connection): void {
+    const { idleTimer } = connection;
+    setImmediate(() => {
+      if (idleTimer && connection.idleTimer === idleTimer) this.endIdle(connection);
+    });
+  }
+
   private endIdle(connection: Connection): void {
     Object.assign(connection, { ending: true });
     this.end(connection.socket);
