Fuzz: modelled backend servers start at whole milliseconds

Trace: the model gave a backend server that starts during the run a start time with a fraction. The control host that received its departure took it, but every other one refused the relayed record as unsound (RecordCheck, bornMs) and acknowledged the batch without it. Announcements hold whole milliseconds, which the adapters check, so only the model could send this.

The world checks more now: before, no record of a backend server that was added during a run reached a second control host by relay.

--- a/fuzz/RoutedFuzzWorld.ts
+++ b/fuzz/RoutedFuzzWorld.ts
@@ -372,7 +372,7 @@
     const { nowMs } = this.cluster.timeline;
     const index = this.backends.length;
     const backend: RoutedBackend = {
-      record: createBackend(`b-${index}`, { bornMs: 1 + nowMs, sequence: 0 }),
+      record: createBackend(`b-${index}`, { bornMs: 1 + Math.round(nowMs), sequence: 0 }),
       confirmedAtMs: undefined,
       alive: true,
       endedAtMs: undefined,
