Fuzz: whole birth times, and messages in order on each link of a gateway

A link is one connection, whose messages arrive in order; across links the order stays random.

Ruled out: a fault of the product. No check is narrowed: the invariants are the same, the odd birth time is covered by the tests of the filter.

--- a/fuzz/Network.ts
+++ b/fuzz/Network.ts
@@ -14,6 +14,9 @@
   /** Group of each host that is cut off; hosts of the same group reach each other. */
   private readonly groups = new Map<string, number>();
 
+  /** Time at which the last message in order from one host to another arrives. */
+  private readonly arrivalsMs = new Map<string, number>();
+
   constructor(
     private readonly timeline: Timeline,
     private readonly random: RandomSource,
@@ -49,6 +52,17 @@
     }
   }
 
+  /** Delivers a message after all earlier ones between the two hosts, as on one connection. */
+  sendInOrder(from: string, to: string, deliver: () => void): void {
+    const link = `${from} ${to}`;
+    const { nowMs } = this.timeline;
+    const arrivalMs = Math.max(nowMs + this.delayMs(), this.arrivalsMs.get(link) ?? 0);
+    this.arrivalsMs.set(link, arrivalMs);
+    this.timeline.after(arrivalMs - nowMs, () => {
+      if (this.isConnected(from, to)) deliver();
+    });
+  }
+
   /** Delivers a part of an HTTP exchange exactly once, after a delay. */
   exchange(deliver: () => void): void {
     this.timeline.after(this.delayMs(), deliver);
--- a/fuzz/RoutedFuzzWorld.ts
+++ b/fuzz/RoutedFuzzWorld.ts
@@ -111,7 +111,7 @@
       sendSession: (sessionId, message, from) => {
         const gateway = this.gateways[sessionId - 1]!;
         const { epoch } = gateway;
-        this.cluster.network.send(from, `gateway-${sessionId}`, () => {
+        this.cluster.network.sendInOrder(from, `gateway-${sessionId}`, () => {
           const open = gateway.alive && gateway.epoch === epoch && gateway.links.has(from);
           if (open) gateway.receive(message, from);
         });
@@ -124,7 +124,7 @@
         id: name,
         timeline,
         send: (control, ...messages) =>
-          network.send(name, control, () =>
+          network.sendInOrder(name, control, () =>
             messages.forEach((message) =>
               this.cluster.host(control).handle({
                 type: ControlEventType.SessionMessage,
@@ -372,7 +372,7 @@
     const { nowMs } = this.cluster.timeline;
     const index = this.backends.length;
     const backend: RoutedBackend = {
-      record: createBackend(`b-${index}`, { bornMs: 1 + nowMs, sequence: 0 }),
+      record: createBackend(`b-${index}`, { bornMs: 1 + Math.floor(nowMs), sequence: 0 }),
       confirmedAtMs: undefined,
       alive: true,
       endedAtMs: undefined,
