A departure is confirmed once the gateways have applied it, not after 0.7 s

What callers would see: calls at a backend server later than 2 s after its departure was confirmed. Shown in virtual time (src/control/DepartureDelivery.test.ts); none of it was seen at the users'.

Failing on the code before, with the last use after the confirmation: - a gateway that sends heartbeats gets the list 3 s late, at the asked host or at another: confirmed at 0.70 s, used until 2.3 s later (a majority alone decided; a relayed departure that was due was not reported); - announced again at a third host: 0.70 s, 2.3 s later (a relay that changed nothing was reported as delivered although the first one was not); - the only link lost, the new session 2.9 s later: 0.01 s, 2.9 s later (a closed session counted as done); the list of a new session 3 s late: 3.0 s later (it was not acknowledged); - a gateway that was silent for over 1 s at the announcement and is back: 0.01 s, 3.0 s later; - a gateway refuses the message: 0.70 s, used for ever (nothing was sent again); - two of five control hosts get the relay late, and a gateway watches just these: 0.01 s, 3.0 s later (hosts beyond the majority that had not answered were not waited for).

Cause: the promise was kept by the usual speed of delivery. Now every control host knows, for each departure, which gateways (by id, whatever their session) have not acknowledged it; it sends it to them again, reports to the asking host, and takes the report back if such a gateway links. The asking host waits for all control hosts in contact, and answers "not confirmed" after 0.7 s. Silence of 2 s ends the wait for a gateway or a control host. Acknowledgements count for the next announcement.

Ruled out: a bound at the gateway on the age of its list (gateways that are cut off serve on), and waiting for the disks of all control hosts (one that takes no writes would hold up every departure: its gateways' acknowledgements are reported without it).

Two assertions of RegistryFlow.test.ts change. "Does not wait for a silent entry host" now begins after 2 s of silence instead of 1.5 s, the new bound. "Or has disconnected" held the fault itself: it expected a confirmation at once after the loss of a session. It holds for an ended subscription now, whose gateway watches others; a lost link has its own, stricter test.

Versions: new fields are optional; `stored: false` is sent only to hosts that accept it, and only hosts that say so are waited for. Messages in calm are the same, but for one acknowledgement for each watch that begins with departures.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -72,6 +72,8 @@
   announcement_refused: 'An announcement was not confirmed: this host is in no connected majority.',
   backend_changed: 'A newer announcement changed values that dispatch depends on.',
   backend_departure: 'A departure was confirmed, or not; with the number of acknowledgements.',
+  departure_waits:
+    'A departure was not confirmed in time; with the hosts that have not acknowledged it.',
   backends_restored: 'Backend servers saved before the start are sent as provisional records.',
   backends_unsaved: 'The known backend servers could not be saved for the next start.',
   departures_restored:
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -306,6 +306,8 @@
   readonly from: string;
   readonly batchId: number;
   readonly records: readonly BackendRecord[];
+  /** True if the sender accepts acknowledgements with `stored`; earlier versions omit it. */
+  readonly acceptsUnstored?: boolean;
 }
 
 /** Confirms that a control host has merged a relayed batch, and holds its departures on disk. */
@@ -318,6 +320,11 @@
    * follows once they have. Earlier versions omit it.
    */
   readonly delivered?: boolean;
+  /**
+   * False if the departures are not on disk yet; another message follows once they are. Sent only
+   * to a control host that accepts it; all earlier ones take the message for a stored batch.
+   */
+  readonly stored?: boolean;
 }
 
 /** Announcements of one interval that changed nothing; sent from protocol version 2 on. */
@@ -344,6 +351,11 @@
   readonly baseVersion: number;
   /** True to ask for the receiver's whole list; the other fields then mean nothing. */
   readonly requestsWhole: boolean;
+  /**
+   * True in whole lists if the sender reports the delivery of departures whatever the state of its
+   * disk, so that others wait for the report; earlier versions omit it.
+   */
+  readonly reportsDelivery?: boolean;
 }
 
 /** Report of an entry host, for those that watch another control host; from version 2 on. */
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -213,6 +213,7 @@
     [ControlEventType.SessionMessage]: (event: EventOf<ControlEventType.SessionMessage>) =>
       this.onSessionMessage(event.sessionId, event.message),
     [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) => {
+      this.backends.loseSession(event.sessionId);
       this.sessions.close(event.sessionId);
       this.endWatch(event.sessionId);
       this.usage?.closeSession(event.sessionId);
@@ -358,8 +359,11 @@
   }
 
   private onControlPeerMessage(message: ControlPeerMessage): void {
+    // Any message is a sign of life, for which confirmations of departures wait.
+    this.backends.noteContact(message.from);
     switch (message.type) {
       case ControlMessageType.EntryHostsShare:
+        if (message.isWhole) this.backends.noteReports(message.from, message.reportsDelivery);
         this.sharedHosts.receive(message, this.nowMs);
         return;
       case ControlMessageType.ReportRelay:
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -156,11 +156,9 @@
     return true;
   }
 
-  /** Ids of the sessions with a heartbeat since the given time. */
-  activeSince(sinceMs: number): number[] {
-    return [...this.sessions.values()]
-      .filter((session) => session.lastSeenMs >= sinceMs)
-      .map((session) => session.sessionId);
+  /** Time of the last heartbeat on a session; undefined without a session. */
+  lastSeenMs(sessionId: number): number | undefined {
+    return this.sessions.get(sessionId)?.lastSeenMs;
   }
 
   close(sessionId: number): void {
--- a/src/control/RegistryBatches.ts
+++ b/src/control/RegistryBatches.ts
@@ -27,6 +27,9 @@
 export class RegistryBatches {
   private nextBatchId = 1;
 
+  /** Id of the batch that collects changes now, once it was asked for. */
+  private openBatchId: number | undefined;
+
   private flushedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Newest records for entry hosts, by id. */
@@ -46,7 +49,15 @@
 
   /** Id of the batch that contains what is added now. */
   get batchId(): number {
-    return this.nextBatchId;
+    this.openBatchId ??= this.createId();
+    return this.openBatchId;
+  }
+
+  /** Creates the id of a message that is acknowledged but not collected here. */
+  createId(): number {
+    const id = this.nextBatchId;
+    this.nextBatchId += 1;
+    return id;
   }
 
   /** Adds records for entry hosts; departures are acknowledged by them. */
@@ -84,8 +95,8 @@
     if (!hasPush && this.relayed.size === 0) return undefined;
     if (nowMs - this.flushedAtMs < BATCH_INTERVAL_MS) return undefined;
     this.flushedAtMs = nowMs;
-    const batchId = this.nextBatchId;
-    this.nextBatchId += 1;
+    const { batchId } = this;
+    this.openBatchId = undefined;
     const push: BackendsMessage | undefined = hasPush
       ? {
           type: ControlMessageType.Backends,
--- a/src/control/RegistryFlow.test.ts
+++ b/src/control/RegistryFlow.test.ts
@@ -263,18 +263,35 @@
     expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: false }]);
   });
 
-  it('does not wait for an entry host that is silent or has disconnected', () => {
+  it('does not wait for an entry host that is silent or has ended its subscription', () => {
+    const host = createHost();
+    host.flow.beginEvent(2_000);
+    host.flow.announce('r-1', DRAINING);
+    host.acknowledgeFrom('c');
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
+    const ended = createHost();
+    ended.flow.announce('r-2', DRAINING);
+    ended.acknowledgeFrom('c');
+    ended.acknowledge(1);
+    ended.flow.closeSession(2);
+    expect(ended.answers()).toEqual([{ requestId: 'r-2', confirmed: true }]);
+  });
+
+  // Guards against a confirmation while an entry host without a link still sends calls.
+  it('waits for an entry host whose link was lost, until it is silent', () => {
     const host = createHost();
     host.flow.beginEvent(1_500);
     host.flow.announce('r-1', DRAINING);
     host.acknowledgeFrom('c');
+    host.acknowledge(1);
+    host.flow.loseSession(2);
+    host.flow.closeSession(2);
+    host.flow.beginEvent(1_999);
+    host.flow.tick();
+    expect(host.answers()).toEqual([]);
+    host.flow.beginEvent(2_000);
+    host.flow.tick();
     expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
-    const disconnected = createHost();
-    disconnected.flow.announce('r-2', DRAINING);
-    disconnected.acknowledgeFrom('c');
-    disconnected.acknowledge(1);
-    disconnected.flow.closeSession(2);
-    expect(disconnected.answers()).toEqual([{ requestId: 'r-2', confirmed: true }]);
   });
 
   it('confirms no announcement without contact with the leader', () => {
@@ -395,6 +412,104 @@
   });
 });
 
+describe('a relayed departure while the disk is slow', () => {
+  const relayTo = (host: ReturnType<typeof createHost>, acceptsUnstored?: boolean) =>
+    host.flow.onControlPeerMessage({
+      type: ControlMessageType.BackendRelay,
+      from: 'b',
+      batchId: 7,
+      records: [DRAINING],
+      ...(acceptsUnstored && { acceptsUnstored }),
+    });
+  const acksOf = (host: ReturnType<typeof createHost>) =>
+    host.effects.flatMap((effect) =>
+      effect.type === ControlEffectType.SendControl ? [effect.message] : [],
+    );
+  const ACK = {
+    type: ControlMessageType.BackendRelayAck,
+    from: 'a',
+    batchId: 7,
+    delivered: true,
+  } as const;
+
+  // Guards against departures that nobody confirms while the disk of one control host is slow.
+  it('is reported once its entry hosts have acknowledged it, and again once it is on disk', () => {
+    const host = createHost([1], false);
+    relayTo(host, true);
+    host.acknowledge(1);
+    host.flow.beginEvent(200);
+    host.flow.tick();
+    host.flow.beginEvent(220);
+    host.flow.tick();
+    expect(acksOf(host)).toEqual([{ ...ACK, stored: false }]);
+    host.flow.onDeparturesSaved(1);
+    expect(acksOf(host)).toEqual([
+      { ...ACK, stored: false },
+      { ...ACK, stored: true },
+    ]);
+  });
+
+  // Guards against a control host of the version before, which takes each report for a stored one.
+  it('is not reported before it is on disk to a control host that does not accept that', () => {
+    const host = createHost([1], false);
+    relayTo(host);
+    host.acknowledge(1);
+    host.flow.beginEvent(300);
+    host.flow.tick();
+    expect(acksOf(host)).toEqual([]);
+    host.flow.onDeparturesSaved(1);
+    expect(acksOf(host)).toEqual([ACK]);
+  });
+
+  // Guards against a report that counts as a copy on a disk.
+  it('is not confirmed by a report of a control host that has not stored it', () => {
+    const host = createHost([]);
+    const report = (stored: boolean) =>
+      host.flow.onControlPeerMessage({ ...ACK, from: 'b', batchId: 1, stored });
+    host.flow.announce('r-1', DRAINING);
+    report(false);
+    expect(host.answers()).toEqual([]);
+    report(true);
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
+  });
+});
+
+describe('control hosts that a departure waits for', () => {
+  const announceWith = (reports: boolean) => {
+    const host = createHost([]);
+    host.flow.noteContact('c');
+    host.flow.noteReports('c', reports);
+    host.flow.announce('r-1', DRAINING);
+    host.flow.onControlPeerMessage({
+      type: ControlMessageType.BackendRelayAck,
+      from: 'b',
+      batchId: 1,
+    });
+    return host;
+  };
+
+  // Guards against a confirmation by a majority, while the entry hosts of others have not heard of it.
+  it('are all that report deliveries, as long as they are in contact', () => {
+    const host = announceWith(true);
+    expect(host.answers()).toEqual([]);
+    host.flow.beginEvent(700);
+    host.flow.tick();
+    expect(host.answers()).toEqual([{ requestId: 'r-1', confirmed: false }]);
+    expect(host.logFields('departure_waits')).toEqual({
+      backend: 'b-1',
+      entryHosts: '',
+      controlHosts: 'c',
+    });
+    host.flow.beginEvent(2_000);
+    host.flow.announce('r-2', DRAINING);
+    expect(host.answers()).toContainEqual({ requestId: 'r-2', confirmed: true });
+  });
+
+  it('are not those of the version before, which report nothing while their disk is slow', () => {
+    expect(announceWith(false).answers()).toEqual([{ requestId: 'r-1', confirmed: true }]);
+  });
+});
+
 describe('announcements of hundreds of backend servers', () => {
   const BACKENDS = 500;
 
--- a/src/control/RegistryFlow.ts
+++ b/src/control/RegistryFlow.ts
@@ -10,17 +10,14 @@
   type BackendRelayAckMessage,
   type BackendRelayMessage,
   type BackendRenewalsMessage,
+  type BackendsMessage,
   type ControlPeerMessage,
   type ControlToEntryMessage,
   type RegistryPeerMessage,
 } from '../common/Messages.js';
-import { DepartureStore } from './DepartureStore.js';
+import { isDeparture } from './DepartureDelivery.js';
+import { DepartureFlow } from './DepartureFlow.js';
 import type { EntrySessions } from './EntrySessions.js';
-import {
-  DEPARTURE_TIMEOUT_MS,
-  PendingDepartures,
-  type PendingDelivery,
-} from './PendingDepartures.js';
 import { RegistryBatches } from './RegistryBatches.js';
 import type { RaftState } from './raft/RaftState.js';
 import { hasRecentMajority } from './raft/Replication.js';
@@ -36,9 +33,6 @@
   readonly registry?: BackendRegistryOptions;
 }
 
-/** Departures don't wait for an entry host that has sent no heartbeat for this long. */
-const SESSION_SILENCE_MS = 1_000;
-
 /** Interval of the checks for expired backend servers. */
 const EXPIRY_INTERVAL_MS = 1_000;
 
@@ -49,19 +43,14 @@
 const SAVE_CHANGED_MS = 500;
 const SAVE_INTERVAL_MS = 2_000;
 
-/** True for a record of a backend server that is leaving or has left. */
-function isDeparture(record: BackendRecord): boolean {
-  return record.state !== BackendState.Ready;
-}
-
 /** Source of records from the data folder, in the log. */
 const SAVED = 'data folder';
 
 /**
  * Announcements at one control host. Every control host holds all of them: changes are sent at once,
  * what only renews a record in one message an interval. A departure is confirmed once a majority of
- * the control hosts have it on disk and every live entry host linked to them or to this host has
- * acknowledged it; after {@link DEPARTURE_TIMEOUT_MS} the majority alone decides.
+ * the control hosts have it on disk, and every entry host in contact has acknowledged it
+ * ({@link DepartureFlow}).
  */
 export class RegistryFlow {
   readonly registry: BackendRegistry;
@@ -75,21 +64,16 @@
   /** Watchers that have not been sent the ids of all backend servers. */
   private readonly incompleteWatchers = new Set<number>();
 
-  private readonly pending = new PendingDepartures((ids) => this.isMajority(ids));
-
   private readonly batches = new RegistryBatches();
 
-  /** Start times of backend servers whose departure this host has confirmed, by id. */
-  private readonly confirmedDepartures = new Map<string, number>();
-
   /** Whole registry as it was last sent to a new watcher; undefined once it has changed. */
-  private wholeMessage: ControlToEntryMessage | undefined;
+  private wholeMessage: BackendsMessage | undefined;
 
   private expireAtMs = 0;
 
   private readonly restored = new RestoredBackends();
 
-  private readonly departures: DepartureStore;
+  private readonly departures: DepartureFlow;
 
   private readonly filter = new RecordFilter((refused) =>
     this.log('backend_record_refused', { ...refused }),
@@ -107,12 +91,29 @@
 
   constructor(private readonly options: RegistryFlowOptions) {
     this.registry = new BackendRegistry(options.registry);
-    const { emit } = options;
-    this.departures = new DepartureStore({ records: () => this.registry.records(), emit });
+    const { raft, sessions, emit } = options;
+    this.departures = new DepartureFlow({
+      raft,
+      sessions,
+      batches: this.batches,
+      emit,
+      records: () => this.registry.records(),
+      isMajority: (ids) => this.isMajority(ids),
+      resend: (sessionId, batchId, records) => {
+        const type = ControlMessageType.Backends;
+        this.sendLarge(sessionId, { type, batchId, records, expiredIds: [] });
+      },
+    });
+  }
+
+  /** Number of departures that some entry host has not acknowledged. */
+  get undeliveredDepartures(): number {
+    return this.departures.undelivered;
   }
 
   beginEvent(nowMs: number): void {
     this.nowMs = nowMs;
+    this.departures.beginEvent(nowMs);
     if (Number.isNaN(this.startedAtMs)) this.startedAtMs = nowMs;
   }
 
@@ -141,12 +142,12 @@
       this.confirm(requestId, current);
       return;
     }
-    if (change !== RegistryChange.Changed && this.isConfirmed(current)) {
+    if (change !== RegistryChange.Changed && this.departures.isConfirmed(current)) {
       this.confirm(requestId, current);
       return;
     }
     this.distribute([current]);
-    this.awaitDeparture(requestId, current);
+    this.departures.awaitConfirmation(requestId, current);
     this.flush();
   }
 
@@ -188,17 +189,31 @@
     this.sendRestored(sessionId);
   }
 
+  /** Ends the subscription of a session, whose entry host watches others. */
   closeSession(sessionId: number): void {
     this.watchers.delete(sessionId);
     this.incompleteWatchers.delete(sessionId);
     this.compressedWatchers.delete(sessionId);
-    this.pending.noteSessionClosed(sessionId);
-    this.completeDepartures();
+    this.departures.endSession(sessionId);
+  }
+
+  /** Notes that the link of a session was lost; called before it is closed. */
+  loseSession(sessionId: number): void {
+    this.departures.loseSession(sessionId);
   }
 
   acknowledge(sessionId: number, batchId: number): void {
-    this.pending.noteSessionAck(sessionId, batchId);
-    this.completeDepartures();
+    this.departures.acknowledge(sessionId, batchId);
+  }
+
+  /** Notes a sign of life of another control host. */
+  noteContact(memberId: string): void {
+    this.departures.noteContact(memberId);
+  }
+
+  /** Notes whether another control host reports the delivery of departures. */
+  noteReports(memberId: string, reports = false): void {
+    this.departures.noteReports(memberId, reports);
   }
 
   /** Sends the whole registry to a control host whose link has just opened. */
@@ -208,16 +223,15 @@
   }
 
   readonly onControlPeerMessage = (message: RegistryPeerMessage): void => {
+    this.noteContact(message.from);
     const handler = this.peerHandlers[message.type] as (received: RegistryPeerMessage) => void;
     handler(message);
   };
 
   private readonly peerHandlers = {
     [ControlMessageType.BackendRelay]: (message: BackendRelayMessage) => this.onRelay(message),
-    [ControlMessageType.BackendRelayAck]: (message: BackendRelayAckMessage) => {
-      this.pending.noteMemberAck(message.from, message.batchId, message.delivered ?? true);
-      this.completeDepartures();
-    },
+    [ControlMessageType.BackendRelayAck]: (message: BackendRelayAckMessage) =>
+      this.departures.noteMemberAck(message),
     [ControlMessageType.BackendRenewals]: ({ ids, bornMs, sequences }: BackendRenewalsMessage) =>
       ids.forEach((id, index) => {
         this.registry.renew(id, bornMs[index] ?? 0, sequences[index] ?? 0, this.nowMs);
@@ -225,7 +239,8 @@
   };
 
   /** Merges the changes that another control host received. */
-  private onRelay({ from, batchId, records: relayed }: BackendRelayMessage): void {
+  private onRelay(message: BackendRelayMessage): void {
+    const { from, batchId, records: relayed } = message;
     const records = this.filter.sound(relayed, from);
     records.forEach(({ id }) => this.restored.remove(id));
     const changed = records.filter(
@@ -235,37 +250,15 @@
       this.noteChanged(changed);
       this.batches.addPush(changed, changed.some(isDeparture));
     }
-    if (!records.some(isDeparture)) {
-      this.sendAck(from, batchId, true);
-      this.flush();
+    const departures = records.filter(isDeparture);
+    if (departures.length > 0) {
+      this.departures.reportDelivery(message, departures, () => this.flush());
       return;
     }
-    const unackedSessions = changed.some(isDeparture) ? this.activeWatchers() : new Set<number>();
-    const delivery: PendingDelivery = {
-      from,
-      relayBatchId: batchId,
-      batchId: this.batches.batchId,
-      unackedSessions,
-      dueAtMs: this.nowMs + DEPARTURE_TIMEOUT_MS,
-      isStored: false,
-    };
-    // Entry hosts may acknowledge the batch before it is on disk.
-    this.pending.addDelivery(delivery);
+    const { id } = this.options.raft;
+    const type = ControlMessageType.BackendRelayAck;
+    this.sendControl(from, { type, from: id, batchId, delivered: true });
     this.flush();
-    this.departures.whenSaved(() => {
-      delivery.isStored = true;
-      if (unackedSessions.size > 0) this.sendAck(from, batchId, false);
-      this.completeDepartures();
-    });
-  }
-
-  private sendAck(to: string, batchId: number, delivered: boolean): void {
-    this.sendControl(to, {
-      type: ControlMessageType.BackendRelayAck,
-      from: this.options.raft.id,
-      batchId,
-      delivered,
-    });
   }
 
   /** Completes a save of the departures. */
@@ -274,7 +267,7 @@
   }
 
   tick(): void {
-    this.completeDepartures();
+    this.departures.tick();
     this.flush();
     this.saveWhenDue();
     this.sendKnownIds();
@@ -283,7 +276,7 @@
     this.expireAtMs = this.nowMs + EXPIRY_INTERVAL_MS;
     const expiredIds = this.registry.expire(this.nowMs);
     if (expiredIds.length === 0) return;
-    expiredIds.forEach((id) => this.confirmedDepartures.delete(id));
+    this.departures.forget(expiredIds);
     this.wholeMessage = undefined;
     this.batches.addExpired(expiredIds);
     this.flush();
@@ -320,7 +313,7 @@
   private noteChanged(records: readonly BackendRecord[]): void {
     this.unsaved = true;
     this.wholeMessage = undefined;
-    if (records.some(isDeparture)) this.departures.noteChanged();
+    this.departures.noteChanged(records);
     records.forEach((record) =>
       this.log('backend_changed', {
         backend: record.id,
@@ -346,6 +339,7 @@
   private flush(): void {
     const batch = this.batches.take(this.nowMs);
     if (!batch) return;
+    if (batch.push) this.departures.noteSent(batch.batchId, batch.push.records);
     const { emit, raft } = this.options;
     const sessionIds = [...this.watchers];
     if (batch.push && sessionIds.length > 0) {
@@ -370,24 +364,19 @@
    * of all backend servers once this host knows them.
    */
   private sendWhole(sessionId: number): void {
-    this.wholeMessage ??= {
-      type: ControlMessageType.Backends,
-      batchId: 0,
-      records: this.registry.records(),
-      expiredIds: [],
-    };
+    this.wholeMessage ??= this.createWholeMessage();
+    const { batchId, records } = this.wholeMessage;
     this.sendLarge(sessionId, this.wholeMessage);
+    this.departures.openSession(sessionId, batchId, records);
     this.incompleteWatchers.add(sessionId);
     this.sendKnownIds();
   }
 
-  private activeWatchers(): Set<number> {
-    const activeSessions = this.options.sessions.activeSince(this.nowMs - SESSION_SILENCE_MS);
-    return new Set(activeSessions.filter((sessionId) => this.watchers.has(sessionId)));
-  }
-
-  private isConfirmed(record: BackendRecord): boolean {
-    return this.confirmedDepartures.get(record.id) === record.bornMs;
+  /** Whole registry, to be acknowledged if it holds departures. */
+  private createWholeMessage(): BackendsMessage {
+    const records = this.registry.records();
+    const batchId = records.some(isDeparture) ? this.batches.createId() : 0;
+    return { type: ControlMessageType.Backends, batchId, records, expiredIds: [] };
   }
 
   /** Saves ready backend servers, so that a start of all hosts at once begins with records. */
@@ -413,41 +402,6 @@
     });
   }
 
-  private awaitDeparture(requestId: string, record: BackendRecord): void {
-    const memberAcks = new Set<string>();
-    this.pending.add({
-      requestId,
-      batchId: this.batches.batchId,
-      id: record.id,
-      bornMs: record.bornMs,
-      dueAtMs: this.nowMs + DEPARTURE_TIMEOUT_MS,
-      unackedSessions: this.activeWatchers(),
-      memberAcks,
-      undelivered: new Set(),
-    });
-    this.departures.whenSaved(() => {
-      memberAcks.add(this.options.raft.id);
-      this.completeDepartures();
-    });
-  }
-
-  private completeDepartures(): void {
-    this.pending
-      .takeDelivered(this.nowMs)
-      .forEach(({ from, relayBatchId }) => this.sendAck(from, relayBatchId, true));
-    this.pending.takeCompleted(this.nowMs).forEach(({ departure, confirmed }) => {
-      const { requestId, id, bornMs, memberAcks, unackedSessions } = departure;
-      if (confirmed) this.confirmedDepartures.set(id, bornMs);
-      this.options.emit({ type: ControlEffectType.AnswerAnnouncement, requestId, confirmed });
-      this.log('backend_departure', {
-        backend: id,
-        confirmed,
-        controlHosts: memberAcks.size,
-        entryHostsMissing: unackedSessions.size,
-      });
-    });
-  }
-
   private isMajority(ids: ReadonlySet<string>): boolean {
     const { log } = this.options.raft;
     const acked = log.membership.voters.filter((voter) => ids.has(voter.id)).length;
@@ -466,7 +420,8 @@
 
   private relay(to: string, batchId: number, records: readonly BackendRecord[]): void {
     const from = this.options.raft.id;
-    this.sendControl(to, { type: ControlMessageType.BackendRelay, from, batchId, records });
+    const type = ControlMessageType.BackendRelay;
+    this.sendControl(to, { type, from, batchId, records, acceptsUnstored: true });
   }
 
   private sendControl(to: string, message: ControlPeerMessage): void {
--- a/src/control/SharedEntryHosts.ts
+++ b/src/control/SharedEntryHosts.ts
@@ -75,7 +75,8 @@
   /** Sends the whole own list to a control host, for example once a link to it has opened. */
   sendWhole(to: string): void {
     const entryHosts = [...this.shared.values()];
-    this.options.send(to, this.createMessage({ entryHosts, isWhole: true }));
+    const fields = { entryHosts, isWhole: true, reportsDelivery: true };
+    this.options.send(to, this.createMessage(fields));
   }
 
   /** Applies the message of another control host. */
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -698,6 +698,11 @@
     );
     gauge('egret_control_waiting', 'Links that wait for a session.', () => this.admission.size);
     gauge('egret_control_sessions', 'Entry-host sessions.', () => reducer.sessions.size);
+    gauge(
+      'egret_control_undelivered_departures',
+      'Departures that a gateway of this host has not acknowledged.',
+      () => reducer.backends.undeliveredDepartures,
+    );
     gauge('egret_control_rollouts', 'Running rollouts.', () => {
       const { rollouts = [] } = reducer.replicatedState.routing.view;
       return rollouts.filter(({ state }) => state === RolloutState.Running).length;
