--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -239,6 +239,7 @@
       this.onSessionMessage(event.sessionId, event.message),
     [ControlEventType.SessionClosed]: (event: EventOf<ControlEventType.SessionClosed>) => {
       this.gateways.close(event.sessionId, event.nowMs);
+      this.backends.loseSession(event.sessionId);
       this.sessions.close(event.sessionId);
       this.endWatch(event.sessionId);
       this.usage?.closeSession(event.sessionId);
@@ -390,8 +391,11 @@
   }
 
   private onControlPeerMessage(message: ControlPeerMessage): void {
+    // Any message is a sign of life, for which confirmations of departures wait.
+    this.backends.noteContact(message.from);
     switch (message.type) {
       case ControlMessageType.EntryHostsShare:
+        if (message.isWhole) this.backends.noteReports(message.from, message.reportsDelivery);
         this.sharedHosts.receive(message, this.nowMs);
         return;
       case ControlMessageType.ReportRelay:
