Departures: look at what waits only when an acknowledgement may end a wait

Cause: each acknowledgement went through all pending departures and reports. Only the last one that is missing for a departure can change anything, and silence is found by the tick.

--- a/src/control/DepartureDelivery.ts
+++ b/src/control/DepartureDelivery.ts
@@ -169,13 +169,19 @@
     this.noteSentTo(contact, batchId, records.map(departureKey));
   }
 
-  acknowledge(sessionId: number, batchId: number): void {
+  /** Notes an acknowledgement; returns true if nobody is missing any more for some departure. */
+  acknowledge(sessionId: number, batchId: number): boolean {
     const contact = this.bySession.get(sessionId);
     const keys = contact?.unacked.get(batchId);
-    if (!contact || !keys) return;
+    if (!contact || !keys) return false;
     contact.unacked.delete(batchId);
     contact.lastSeenMs = this.nowMs;
-    keys.forEach((key) => this.undelivered.get(key)?.missing.delete(contact));
+    let isComplete = false;
+    keys.forEach((key) => {
+      const missing = this.undelivered.get(key)?.missing;
+      if (missing?.delete(contact) && missing.size === 0) isComplete = true;
+    });
+    return isComplete;
   }
 
   /** True while an entry host in contact has not acknowledged a departure. */
--- a/src/control/DepartureFlow.ts
+++ b/src/control/DepartureFlow.ts
@@ -159,8 +159,8 @@
   }
 
   acknowledge(sessionId: number, batchId: number): void {
-    this.delivery.acknowledge(sessionId, batchId);
-    this.complete();
+    // Most acknowledgements of hundreds change nothing yet; silent entry hosts are left to the tick.
+    if (this.delivery.acknowledge(sessionId, batchId)) this.complete();
   }
 
   /** Notes records that were sent to all sessions in a batch. */
