A routing that no gateway can read does not end service at all of them

Found by the review of the fix, by reading: with the new bound, a version that every gateway refuses to decode would have been known as newer for ever, and all gateways would have refused all calls after a second. The test fails without noteRefused (no such method).

--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -91,10 +91,17 @@
     } catch (error) {
       // The heartbeats keep the old index, so that the routing is sent again.
       this.options.log('message_refused', { from: control, detail: String(error) });
+      if (view) this.noteRefused(view.index);
       return false;
     }
   }
 
+  /** Records that a routing arrived that can not be read; the applied one is used on. */
+  noteRefused(index: number): void {
+    this.freshness.noteRefused(index);
+    this.refresh();
+  }
+
   /** Records a heartbeat to all control hosts. */
   notePing(pingId: number): void {
     this.freshness.notePing(pingId, this.options.nowMs());
--- a/src/gateway/RoutingFreshness.test.ts
+++ b/src/gateway/RoutingFreshness.test.ts
@@ -157,6 +157,20 @@
   });
 });
 
+describe('a gateway that was sent a routing that it can not read', () => {
+  // Guards against a table that no gateway can read and that ends service at all of them.
+  it('serves on by the applied one, and is behind again once a later one is reported', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(TICK_MS, NEWER);
+    world.freshness.noteRefused(6);
+    world.run(2 * BEHIND_MAX_MS, NEWER);
+    expect(world.state()).toBe(Current);
+    world.run(2 * BEHIND_MAX_MS, { routingIndex: 7, isCurrent: true });
+    expect(world.state()).toBe(Behind);
+  });
+});
+
 describe('a gateway that was paused', () => {
   // Guards against a process that acts, after a pause, on what it knew before.
   it('is unconfirmed until a heartbeat sent after the pause is answered', () => {
--- a/src/gateway/RoutingFreshness.ts
+++ b/src/gateway/RoutingFreshness.ts
@@ -123,6 +123,11 @@
     this.lag.noteApplied(index);
   }
 
+  /** Records that a routing arrived that this host can not use. */
+  noteRefused(index: number): void {
+    this.lag.noteRefused(index);
+  }
+
   /** Records that the link to a control host was lost. */
   noteLost(control: string): void {
     this.reporters.delete(control);
--- a/src/gateway/RoutingLag.ts
+++ b/src/gateway/RoutingLag.ts
@@ -45,6 +45,14 @@
     while (this.newer[0] && this.newer[0].index <= this.applied) this.newer.shift();
   }
 
+  /**
+   * Records that a routing arrived that this gateway can not use. It will never be applied, so that
+   * it must not end service; nor must the ones before it, which are no longer sent.
+   */
+  noteRefused(index: number): void {
+    while (this.newer[0] && this.newer[0].index <= index) this.newer.shift();
+  }
+
   /**
    * Time since the oldest version that is newer than the applied one was first reported; 0 if none is.
    *
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -50,6 +50,8 @@
   readonly onPing?: (pingId: number) => void;
   /** Called for each answer to a heartbeat. */
   readonly onPong?: (pong: PongMessage, control: string) => void;
+  /** Called with the log index of a routing that can not be read. */
+  readonly onRoutingRefused?: (index: number) => void;
   /** Called when a control host is no longer watched, or its link was lost. */
   readonly onLost: (control: string) => void;
 }
@@ -347,6 +349,7 @@
     }
     const { detail } = view.error;
     this.options.logger.warn('message_refused', { from: key, detail });
+    this.options.onRoutingRefused?.(message.index);
   }
 
   private onPong(pong: PongMessage): void {
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -503,6 +503,7 @@
       onMessage: (message, control) => this.receive(message, control),
       onLinked: (control) => this.routingState.noteLinked(control),
       onPing: (pingId) => this.routingState.notePing(pingId),
+      onRoutingRefused: (index) => this.routingState.noteRefused(index),
       onPong: (pong, control) => this.routingState.notePong(pong, control),
       onLost: (control) => {
         this.routingState.noteLost(control);
