Late answers do not switch off the bound on an old routing

Now it stays behind for as long as answers arrive, and a pause is followed by a second in which calls wait 350 ms and are then refused as not run.

The bound itself is 1.4 s instead of 1 s: 2 s less the intervals of heartbeats and answers.

Tests: two of three new ones failed before (cut-off instead of behind; the third holds before and after). Two tests of the pause expected service 350 ms after it, which is the fault; they expect refusals until 1 s, then service.

--- a/src/gateway/RoutingFreshness.ts
+++ b/src/gateway/RoutingFreshness.ts
@@ -23,10 +23,11 @@
 }
 
 /**
- * Longest use of a routing after a newer one was reported. A confirmation waits 2.5 s for a gateway
- * in contact; heartbeat (200 ms), answer (400 ms) and their transit come before the report.
+ * Longest use of a routing after a newer one was reported: the 2 s by which a confirmed change must
+ * be in force, less the intervals of heartbeats (200 ms) and answers (400 ms) before the report. It
+ * holds also for a change that was confirmed at its commit, without a wait for this gateway.
  */
-export const BEHIND_MAX_MS = 1_000;
+export const BEHIND_MAX_MS = 1_400;
 
 /**
  * Age of the last news from which the routing is unconfirmed. A confirmation does not wait for a
@@ -40,6 +41,18 @@
  */
 export const PAUSED_AFTER_MS = 1_000;
 
+/**
+ * Time after which answers have ceased: two intervals of answers (400 ms), and one of heartbeats. A
+ * host that still receives some is in contact, however late they are.
+ */
+const ANSWERED_WITHIN_MS = 1_000;
+
+/**
+ * Time for which news is awaited after a pause: the links are lost by then, and a new one takes some
+ * hundred milliseconds to open.
+ */
+export const RELINK_MS = 1_000;
+
 /** Unanswered heartbeats that are kept: those of the time in which their answer still counts. */
 const PENDING_PINGS_MAX = 64;
 
@@ -83,6 +96,12 @@
 
   private unconfirmedSinceMs: number | undefined;
 
+  /** How long news is awaited before the host counts as cut off. */
+  private awaitMs = HOLD_MAX_MS;
+
+  /** Time at which the last answer of a current control host arrived, however late. */
+  private answeredAtMs = Number.NEGATIVE_INFINITY;
+
   constructor({ startedAtMs }: RoutingFreshnessOptions) {
     this.startedAtMs = startedAtMs;
     this.newsAtMs = startedAtMs;
@@ -111,6 +130,7 @@
     this.reporters.set(control, routingIndex !== undefined);
     this.isReported = [...this.reporters.values()].includes(true);
     if (routingIndex === undefined || isCurrent !== true) return;
+    this.answeredAtMs = nowMs;
     this.firstIndex ??= routingIndex;
     this.lag.noteReported(routingIndex, nowMs);
     const sentAtMs = this.pings.get(pingId);
@@ -151,10 +171,13 @@
     const superseded = this.supersededState(nowMs);
     if (nowMs - this.newsAtMs <= UNCONFIRMED_AFTER_MS) {
       this.unconfirmedSinceMs = undefined;
+      this.awaitMs = HOLD_MAX_MS;
       return superseded ?? RoutingState.Current;
     }
     this.unconfirmedSinceMs ??= nowMs;
-    if (nowMs - this.unconfirmedSinceMs >= HOLD_MAX_MS) return RoutingState.CutOff;
+    const isInContact = nowMs - this.answeredAtMs <= ANSWERED_WITHIN_MS;
+    if (superseded && isInContact) return superseded;
+    if (nowMs - this.unconfirmedSinceMs >= this.awaitMs) return RoutingState.CutOff;
     return superseded ?? RoutingState.Unconfirmed;
   }
 
@@ -167,7 +190,7 @@
 
   /** Time until an unconfirmed gateway counts as cut off. */
   unconfirmedLeftMs(nowMs: number): number {
-    return Math.max(0, (this.unconfirmedSinceMs ?? nowMs) + HOLD_MAX_MS - nowMs);
+    return Math.max(0, (this.unconfirmedSinceMs ?? nowMs) + this.awaitMs - nowMs);
   }
 
   /** After a time in which the process did not run, only what is learned from then on counts. */
@@ -177,5 +200,6 @@
     this.countsFromMs = nowMs;
     this.newsAtMs = Number.NEGATIVE_INFINITY;
     this.unconfirmedSinceMs = nowMs;
+    this.awaitMs = RELINK_MS;
   }
 }
