--- a/src/control/RoutingConfirmations.ts
+++ b/src/control/RoutingConfirmations.ts
@@ -65,7 +65,7 @@
       checked.set(index, progress);
       const missing = [...progress.gatewayIds, ...progress.controlHostIds];
       if (missing.length > 0) {
-        const waitedMs = nowMs - this.committedAtMs(index);
+        const waitedMs = nowMs - this.appliedAtMs(index);
         if (waitedMs < IN_FORCE_WAIT_MS) return;
         const fields = { index, waitedMs: Math.round(waitedMs), missing: joinIds(missing) };
         this.options.log('confirmed_not_in_force', fields);
@@ -83,7 +83,7 @@
   }
 
   /** Time at which this host applied a routing, or the first one after it that it recorded. */
-  private committedAtMs(index: number): number {
+  private appliedAtMs(index: number): number {
     const applied = this.applied.find((routing) => routing.index >= index);
     return applied?.atMs ?? Number.NEGATIVE_INFINITY;
   }
--- a/src/control/RoutingInForce.ts
+++ b/src/control/RoutingInForce.ts
@@ -10,7 +10,8 @@
 interface PendingRouting {
   readonly index: number;
   readonly version: number;
-  readonly committedAtMs: number;
+  /** Time at which the leader applied it, right after its commit. */
+  readonly appliedAtMs: number;
   /** Gateways that had not applied it at the last check. */
   gatewayIds: readonly string[];
 }
@@ -45,7 +46,7 @@
   constructor(private readonly options: RoutingInForceOptions) {}
 
   noteCommitted(index: number, version: number, nowMs: number): void {
-    this.pending.push({ index, version, committedAtMs: nowMs, gatewayIds: [] });
+    this.pending.push({ index, version, appliedAtMs: nowMs, gatewayIds: [] });
   }
 
   /** Drops what an earlier leadership waited for. */
@@ -57,7 +58,7 @@
   check(nowMs: number): void {
     this.pending = this.pending.filter((routing) => {
       const { gatewayIds, controlHostIds } = this.options.missing(routing.index, nowMs);
-      const waitedMs = nowMs - routing.committedAtMs;
+      const waitedMs = nowMs - routing.appliedAtMs;
       const isMissing = gatewayIds.length > 0 || controlHostIds.length > 0;
       if (isMissing && waitedMs < IN_FORCE_WAIT_MS) {
         routing.gatewayIds = gatewayIds;
--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -5,7 +5,7 @@
 import { ActiveRouting } from './ActiveRouting.js';
 import type { DecisionLog } from './DispatchTypes.js';
 import { HeldCalls, type HeldCallsOptions } from './HeldCalls.js';
-import { RoutingFreshness, RoutingState } from './RoutingFreshness.js';
+import { RoutingFreshness, FreshnessState } from './RoutingFreshness.js';
 
 /** Options of a {@link GatewayRouting}. */
 export interface GatewayRoutingOptions extends HeldCallsOptions {
@@ -27,14 +27,17 @@
 const RETRY_AFTER_MS = 150;
 
 /** Why a gateway refuses calls because of its routing. */
-const REFUSALS: Partial<Record<RoutingState, string>> = {
-  [RoutingState.Starting]: 'No control host has confirmed a routing since the start.',
-  [RoutingState.Behind]: 'A newer routing than the applied one is known.',
-  [RoutingState.Unconfirmed]: 'No control host has confirmed the applied routing lately.',
+const REFUSALS: Partial<Record<FreshnessState, string>> = {
+  [FreshnessState.Starting]: 'No control host has confirmed a routing since the start.',
+  [FreshnessState.Behind]: 'A newer routing than the applied one is known.',
+  [FreshnessState.Unconfirmed]: 'No control host has confirmed the applied routing lately.',
 };
 
 /** States in which a gateway is not ready. */
-const UNUSABLE: ReadonlySet<RoutingState> = new Set([RoutingState.Starting, RoutingState.Behind]);
+const UNUSABLE: ReadonlySet<FreshnessState> = new Set([
+  FreshnessState.Starting,
+  FreshnessState.Behind,
+]);
 
 /** Routing of a gateway, and whether calls may be served by it. */
 export class GatewayRouting {
@@ -44,7 +47,7 @@
 
   private readonly held: HeldCalls;
 
-  private state = RoutingState.CutOff;
+  private state = FreshnessState.CutOff;
 
   constructor(private readonly options: GatewayRoutingOptions) {
     this.active = new ActiveRouting(options.random);
@@ -60,7 +63,7 @@
 
   /** True while a newer routing has been known for too long. */
   get isBehind(): boolean {
-    return this.refresh() === RoutingState.Behind;
+    return this.refresh() === FreshnessState.Behind;
   }
 
   /** Applies a routing that a control host sent; returns false if it is not newer, or unreadable. */
@@ -128,7 +131,7 @@
 
   /** Waits briefly for news of a control host if the routing is unconfirmed. */
   async waitUntilConfirmed(budgetMs: number): Promise<void> {
-    if (this.refresh() !== RoutingState.Unconfirmed) return;
+    if (this.refresh() !== FreshnessState.Unconfirmed) return;
     await this.held.hold(budgetMs, this.freshness.unconfirmedLeftMs(this.options.nowMs()));
   }
 
@@ -140,7 +143,7 @@
   }
 
   /** Brings the state up to date, and acts on its change. */
-  private refresh(): RoutingState {
+  private refresh(): FreshnessState {
     const { options, freshness, active, state: before } = this;
     const nowMs = options.nowMs();
     const state = freshness.stateAt(nowMs);
@@ -154,7 +157,7 @@
       newest: lag.newestIndex,
       behindMs: lag.behindMs(nowMs),
     });
-    if (state !== RoutingState.Unconfirmed) this.held.release();
+    if (state !== FreshnessState.Unconfirmed) this.held.release();
     else options.ping();
     if (UNUSABLE.has(state) || UNUSABLE.has(before)) options.onUsableChange();
     return state;
--- a/src/gateway/RoutingFreshness.ts
+++ b/src/gateway/RoutingFreshness.ts
@@ -4,7 +4,7 @@
 import { STARTUP_MS } from './StartupGate.js';
 
 /** What a gateway knows about the age of its routing. */
-export enum RoutingState {
+export enum FreshnessState {
   /** The host has just started and has no routing yet that a current control host confirmed. */
   Starting = 'starting',
   /** A current control host confirmed it lately, or knows of a newer one only since a short time. */
@@ -13,7 +13,10 @@
   Behind = 'behind',
   /** Nothing was heard of a current control host for too long; news may arrive at any moment. */
   Unconfirmed = 'unconfirmed',
-  /** News was awaited in vain: the applied routing is the best that this host can have. */
+  /**
+   * News was awaited in vain: the applied routing is the best that this host can have, and it serves
+   * on. Not the flag of entry hosts that reach no backend server, which `Behind` sets too.
+   */
   CutOff = 'cut-off',
 }
 
@@ -65,7 +68,7 @@
  * @example
  * freshness.notePing(1, 1_000);
  * freshness.notePong('control-1', pong, 1_010);
- * freshness.stateAt(1_020); // RoutingState.Current
+ * freshness.stateAt(1_020); // FreshnessState.Current
  */
 export class RoutingFreshness {
   readonly lag = new RoutingLag();
@@ -154,38 +157,38 @@
   }
 
   /** State at a time, which must not decrease from call to call. */
-  stateAt(nowMs: number): RoutingState {
+  stateAt(nowMs: number): FreshnessState {
     this.detectPause(nowMs);
     const state = this.nextState(nowMs);
-    const isUsable = state === RoutingState.Current || state === RoutingState.CutOff;
+    const isUsable = state === FreshnessState.Current || state === FreshnessState.CutOff;
     if (isUsable && this.lag.appliedIndex > 0) this.hasStarted = true;
     return state;
   }
 
-  private nextState(nowMs: number): RoutingState {
-    if (this.isReported === false) return RoutingState.Current;
+  private nextState(nowMs: number): FreshnessState {
+    if (this.isReported === false) return FreshnessState.Current;
     if (this.firstIndex === undefined) {
       const isStarting = this.reporters.size > 0 && nowMs - this.startedAtMs < STARTUP_MS;
-      return isStarting ? RoutingState.Starting : RoutingState.CutOff;
+      return isStarting ? FreshnessState.Starting : FreshnessState.CutOff;
     }
     const superseded = this.supersededState(nowMs);
     if (nowMs - this.newsAtMs <= UNCONFIRMED_AFTER_MS) {
       this.unconfirmedSinceMs = undefined;
       this.awaitMs = HOLD_MAX_MS;
-      return superseded ?? RoutingState.Current;
+      return superseded ?? FreshnessState.Current;
     }
     this.unconfirmedSinceMs ??= nowMs;
     const isInContact = nowMs - this.answeredAtMs <= ANSWERED_WITHIN_MS;
     if (superseded && isInContact) return superseded;
-    if (nowMs - this.unconfirmedSinceMs >= this.awaitMs) return RoutingState.CutOff;
-    return superseded ?? RoutingState.Unconfirmed;
+    if (nowMs - this.unconfirmedSinceMs >= this.awaitMs) return FreshnessState.CutOff;
+    return superseded ?? FreshnessState.Unconfirmed;
   }
 
   /** State of a host that must not use its routing while it is in contact; undefined if it may. */
-  private supersededState(nowMs: number): RoutingState | undefined {
+  private supersededState(nowMs: number): FreshnessState | undefined {
     const { lag, firstIndex = 0, hasStarted } = this;
-    if (lag.behindMs(nowMs) >= BEHIND_MAX_MS) return RoutingState.Behind;
-    return !hasStarted && lag.appliedIndex < firstIndex ? RoutingState.Starting : undefined;
+    if (lag.behindMs(nowMs) >= BEHIND_MAX_MS) return FreshnessState.Behind;
+    return !hasStarted && lag.appliedIndex < firstIndex ? FreshnessState.Starting : undefined;
   }
 
   /** Time until an unconfirmed gateway counts as cut off. */
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -1,5 +1,6 @@
 import { BackendState, type BackendRecord } from '../common/backends/Types.js';
 import type { LogEvent } from '../common/LogEvents.js';
+import { ControlMessageType, type PongMessage } from '../common/Messages.js';
 import type { EntryHost } from '../common/Placement.js';
 import { createRandom } from '../common/Random.js';
 import { createRoute, createService } from '../common/routing/fixtures.js';
@@ -295,3 +296,17 @@
     },
   };
 }
+
+/** Answer of a control host to a heartbeat; without changes, of a version that reports no routing. */
+export function createPong(pingId: number, changes: Partial<PongMessage> = {}): PongMessage {
+  return {
+    type: ControlMessageType.Pong,
+    pingId,
+    newestSettingsIndex: 0,
+    leaderId: null,
+    membershipIndex: 1,
+    voters: [],
+    isVoter: true,
+    ...changes,
+  };
+}
