--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -2,6 +2,9 @@
 import http from 'node:http';
 import { request, sleep } from './deployment.mjs';
 
+/** Requests that wait for a slot at most. */
+const QUEUE_MAX = 12;
+
 export class Target {
   constructor({ record, id, service, zone, ip, nodes, slots = 3, workMs = 20, reply, bornMs, heartbeatMs = 1_500 }) {
     Object.assign(this, { record, id, service, zone, ip, nodes, slots, workMs, reply, heartbeatMs });
@@ -10,6 +13,7 @@
     this.state = 'ready';
     this.runs = [];
     this.running = 0;
+    this.waiting = [];
     this.next = 0;
     this.beats = true;
     this.server = http.createServer((incoming, response) => this.handle(incoming, response));
@@ -64,7 +68,7 @@
   }
 
   handle(incoming, response) {
-    response.setHeader('X-Server-Load', `${this.running},0,${this.slots},100`);
+    response.setHeader('X-Server-Load', `${this.running},${this.waiting.length},${this.slots},100`);
     if (incoming.url === '/health') {
       response.writeHead(this.state === 'ready' ? 200 : 503, { 'X-Instance-Id': this.id, 'Content-Length': 0 });
       response.end();
@@ -83,12 +87,32 @@
       response.end();
       return;
     }
+    if (this.running >= this.slots) {
+      if (this.waiting.length >= QUEUE_MAX) {
+        response.writeHead(503, { 'X-Not-Executed': '1', 'Content-Length': 0 });
+        response.end();
+        return;
+      }
+      const waiting = { incoming, response, body };
+      this.waiting.push(waiting);
+      response.once('close', () => {
+        this.waiting = this.waiting.filter((item) => item !== waiting);
+      });
+      return;
+    }
+    this.begin(incoming, response, body);
+  }
+
+  begin(incoming, response, body) {
+    const attempt = incoming.headers['x-attempt-id'];
     const run = { attempt, atMs: performance.now(), method: incoming.method, url: incoming.url, body, headers: incoming.headers };
     this.runs.push(run);
     this.record.line('run', this.id, this.service, attempt, incoming.method, incoming.url, `bytes=${body.length}`);
     this.running += 1;
     response.once('close', () => {
       this.running -= 1;
+      const next = this.waiting.shift();
+      if (next) this.begin(next.incoming, next.response, next.body);
     });
     if (this.reply) {
       this.reply(incoming, response, run);
