--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -44,7 +44,7 @@
 
 /** Machines with a `control` and a `gateway` process each, or a gateway only. */
 export class Deployment {
-  constructor({ record, machines = 3, coreMachines = 3 }) {
+  constructor({ record, machines = 3, coreMachines = 3, seeds = 3, lostAtOnce = 1 }) {
     this.record = record;
     this.folder = mkdtempSync(path.join(tmpdir(), 'review-'));
     // A network of its own within 127.0.0.0/8, so that the fixed ports are free.
@@ -59,8 +59,10 @@
       processes: {},
       generation: 0,
     }));
-    this.seeds = this.machines.filter(({ isCore }) => isCore).map(({ ip }) => `${ip}:${PORTS.control}`);
+    this.controls = this.machines.filter(({ isCore }) => isCore).map(({ ip }) => `${ip}:${PORTS.control}`);
+    this.seeds = this.controls.slice(0, seeds);
     this.all = new Set();
+    this.lostAtOnce = lostAtOnce;
   }
 
   get core() {
@@ -86,7 +88,7 @@
         directory: at(PORTS.directory),
       }),
       ...(role === 'control' && { operators: at(PORTS.control) }),
-      hostsLostAtOnce: 1,
+      hostsLostAtOnce: this.lostAtOnce,
       stopSeconds: 6,
       directoryValidSecondsMax: 5,
       retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 68 },
