--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -43,7 +43,7 @@
     record.line('the three machines are back');
     power.on(late);
   }
-  await sleep(CATCH_UP_MS + 4_000);
+  await sleep(CATCH_UP_MS + 500);
   await put(2);
   await put(3);
 
@@ -76,9 +76,15 @@
     power.on(late);
   }
   await readAll(RECOVERY_MS);
+  // A change on top of r1 must be refused (412): r3 is acknowledged.
+  const old = new Operator({ record, nodes: () => [`${c.ip}:8544`] });
+  const change = createConfig('r4', config(1).listeners, ['ledger']);
+  const answer = await old.putConfig(change, 'r1', 3_000);
+  record.line(`change on top of r1: ${answer.status}`);
   const last = await operator.readConfig(10_000);
   const version = last.status === 200 ? JSON.parse(last.body).version : `nothing (${last.status})`;
   record.line(`stale reads: ${stale.length}; read at the end: ${version}`);
-  if (stale.length > 0) return `CONFIG: ${stale.length} reads were answered with an older version than r3 (${stale[0]}); at the end: ${version}`;
+  const both = answer.status === 200 ? '; a change on top of r1 is acknowledged' : '';
+  if (stale.length > 0) return `CONFIG: ${stale.length} reads were answered with an older version than r3 (${stale[0]})${both}; read at the end: ${version}`;
   return version === 'r3' ? '' : `LOST: the acknowledged config r3 is gone; read at the end: ${version}`;
 });
