--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -12,6 +12,9 @@
 
 const startedAt = performance.now();
 
+/** Processes that run. */
+const started = new Set();
+
 /** Writes one line to the record of a case, with the seconds since its start. */
 export class Record {
   constructor(file) {
@@ -118,10 +121,12 @@
     child.stderr.pipe(log);
     machine.processes[role] = child;
     this.all.add(child);
+    started.add(child);
     const pid = child.pid;
     this.record.line('process', machine.name, role, 'started', `pid=${pid}`);
     child.on('exit', (code, signal) => {
       this.all.delete(child);
+      started.delete(child);
       this.record.line('process', machine.name, role, 'ended', `pid=${pid} code=${code} signal=${signal}`);
       child.emit('gone');
     });
@@ -285,6 +290,10 @@
   record.line('case', path.basename(folder), trouble ? 'with the disruption' : 'without the disruption');
   const open = [];
   let code = 2;
+  process.stdout.on('error', () => {});
+  // No process of a deployment outlives the case, however it ends.
+  process.on('exit', () => started.forEach((child) => child.kill('SIGKILL')));
+  ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => process.on(signal, () => process.exit(2)));
   const endAll = async () => {
     for (const item of open.reverse()) await item.stop();
   };
