--- a/review/6/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec node "$(dirname "$0")/case.mjs"
