Appends to a follower are limited by their size, not only by their number of entries

Cause: the leader put up to 128 entries into a message, whatever their size. 128 changes of 112 KB are 14.7 MB; a link accepts 8 MiB and closes. The leader then sent the same message again, so that the emptied host never caught up, was never promoted, and the second loss took the majority. Evidence: a trial of the old code with a log line at the receiving end of links printed 'RangeError: Max payload size exceeded' 19 times at the emptied host and at no other one; the leader lost its link to it 21 times; the emptied host's log.wal had 56 bytes, the leader's 17 MB.

Change: entries of a message add up to 1 MiB at most (a larger entry has a message of its own). A follower with 4 MiB unacknowledged is sent heartbeats only, so that a slow one neither delays them nor fills the buffer of its link until that closes; a rejection starts anew.

--- a/src/control/AutoMembership.test.ts
+++ b/src/control/AutoMembership.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { shouldRequestJoin, AutoMembership } from './AutoMembership.js';
 import { CommandType } from './Commands.js';
-import { RaftState } from './raft/RaftState.js';
+import { createFollower, RaftState } from './raft/RaftState.js';
 import { RaftRole, type Member, type Membership } from './raft/Types.js';
 
 const REPLACE_AFTER_MS = 1_800;
@@ -25,11 +25,8 @@
   state.commitIndex = 1;
   state.log.membersExcept('a').forEach((member) =>
     state.followers.set(member.id, {
-      nextIndex: 2,
+      ...createFollower(2, ackTimes[member.id] ?? 0),
       matchIndex: 1,
-      ackedAtMs: ackTimes[member.id] ?? 0,
-      ackedRound: 0,
-      snapshotOffsetBytes: -1,
     }),
   );
   return state;
--- a/src/control/RegistryFlow.test.ts
+++ b/src/control/RegistryFlow.test.ts
@@ -3,7 +3,7 @@
 import { ControlMessageType, type ControlToEntryMessage } from '../common/Messages.js';
 import { createBackend, createEntryHost } from '../gateway/fixtures.js';
 import { EntrySessions } from './EntrySessions.js';
-import { RaftState } from './raft/RaftState.js';
+import { createFollower, RaftState } from './raft/RaftState.js';
 import { RaftRole } from './raft/Types.js';
 import { RegistryFlow } from './RegistryFlow.js';
 import { ControlEffectType, type ControlEffect } from './Types.js';
@@ -304,15 +304,7 @@
   it('confirms no announcement as a leader that was paused, before it has heard of another', () => {
     const host = createHost();
     host.raft.role = RaftRole.Leader;
-    ['b', 'c'].forEach((id) =>
-      host.raft.followers.set(id, {
-        nextIndex: 1,
-        matchIndex: 0,
-        ackedAtMs: 0,
-        ackedRound: 0,
-        snapshotOffsetBytes: -1,
-      }),
-    );
+    ['b', 'c'].forEach((id) => host.raft.followers.set(id, createFollower(1, 0)));
     host.flow.beginEvent(100);
     host.flow.announce('r-1', READY);
     host.flow.beginEvent(5_000);
--- a/src/control/raft/Copies.test.ts
+++ b/src/control/raft/Copies.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { CommandType } from '../Commands.js';
 import { committableIndex, notePause } from './Copies.js';
-import { RaftState } from './RaftState.js';
+import { createFollower, RaftState } from './RaftState.js';
 import { RaftRole } from './Types.js';
 
 /** Leader `a` whose own log is durable up to 9, with match index and acknowledgement of others. */
@@ -26,13 +26,7 @@
   state.role = RaftRole.Leader;
   state.persistedIndex = 9;
   Object.entries(others).forEach(([id, [matchIndex, ackedAtMs]]) =>
-    state.followers.set(id, {
-      nextIndex: 10,
-      matchIndex,
-      ackedAtMs,
-      ackedRound: 0,
-      snapshotOffsetBytes: -1,
-    }),
+    state.followers.set(id, { ...createFollower(10, ackedAtMs), matchIndex }),
   );
   state.nowMs = 5_000;
   return state;
--- a/src/control/raft/Election.ts
+++ b/src/control/raft/Election.ts
@@ -5,7 +5,7 @@
   type VoteReply,
   type VoteRequest,
 } from './Types.js';
-import type { RaftState } from './RaftState.js';
+import { createFollower, type RaftState } from './RaftState.js';
 import { confirmsEmptied, hasRecoveryVotes, nextRecoveryTerm, recoverableIds } from './Recovery.js';
 
 /** Election timeout before the first contact with a leader, as a share of the regular one. */
@@ -101,13 +101,7 @@
   state.silenceFromMs = state.nowMs;
   state.followers.clear();
   state.log.membersExcept(state.id).forEach((member) => {
-    state.followers.set(member.id, {
-      nextIndex: state.log.lastIndex + 1,
-      matchIndex: 0,
-      ackedAtMs: state.nowMs,
-      ackedRound: 0,
-      snapshotOffsetBytes: -1,
-    });
+    state.followers.set(member.id, createFollower(state.log.lastIndex + 1, state.nowMs));
   });
   state.heartbeatAtMs = 0;
   emitRoleChanged(state);
--- a/src/control/raft/RaftLog.ts
+++ b/src/control/raft/RaftLog.ts
@@ -1,4 +1,5 @@
 import { CommandType } from '../Commands.js';
+import { encodedBytes } from '../EncodedSize.js';
 import type { LogEntry, Member, Membership, Snapshot } from './Types.js';
 
 /** In-memory view of the log after the latest snapshot. */
@@ -9,6 +10,12 @@
   /** Entries after the snapshot, in order. */
   private entries: LogEntry[];
 
+  /** Encoded size of all entries up to and including each one, counted from `baseBytes`. */
+  private endBytes: number[];
+
+  /** Encoded size of the entries that were compacted since the log was created. */
+  private baseBytes = 0;
+
   /** Membership in force: that of the last membership entry, committed or not. */
   membership: Membership;
 
@@ -17,7 +24,9 @@
 
   constructor(snapshot: Snapshot, entries: readonly LogEntry[]) {
     this.snapshot = snapshot;
-    this.entries = [...entries];
+    this.entries = [];
+    this.endBytes = [];
+    entries.forEach((entry) => this.push(entry));
     this.membership = snapshot.membership;
     this.membershipIndex = snapshot.index;
     this.refreshMembership();
@@ -46,14 +55,26 @@
     return this.entries[index - this.snapshot.index - 1];
   }
 
-  /** Returns at most `maxEntries` entries, starting at an index. */
-  slice(fromIndex: number, maxEntries: number): LogEntry[] {
+  /**
+   * Returns at most `maxEntries` entries of at most `maxBytes` encoded bytes, starting at an index;
+   * always the first one, whatever its size.
+   */
+  slice(fromIndex: number, maxEntries: number, maxBytes = Number.POSITIVE_INFINITY): LogEntry[] {
     const start = fromIndex - this.snapshot.index - 1;
-    return this.entries.slice(start, start + maxEntries);
+    const limitBytes = this.bytesUpTo(fromIndex - 1) + maxBytes;
+    const last = Math.min(start + maxEntries, this.entries.length);
+    let end = Math.min(start + 1, last);
+    while (end < last && this.endBytes[end]! <= limitBytes) end += 1;
+    return this.entries.slice(start, end);
+  }
+
+  /** Encoded size in bytes of the entries after one index, up to and including another one. */
+  bytesBetween(afterIndex: number, lastIndex: number): number {
+    return Math.max(0, this.bytesUpTo(lastIndex) - this.bytesUpTo(afterIndex));
   }
 
   append(entry: LogEntry): void {
-    this.entries.push(entry);
+    this.push(entry);
     if (entry.command.type === CommandType.Membership) {
       this.membership = entry.command.membership;
       this.membershipIndex = entry.index;
@@ -63,6 +84,7 @@
   /** Removes the entry at an index and all later ones. */
   truncateFrom(index: number): void {
     this.entries.length = Math.max(0, index - this.snapshot.index - 1);
+    this.endBytes.length = this.entries.length;
     this.refreshMembership();
   }
 
@@ -70,7 +92,9 @@
   compactTo(snapshot: Snapshot): void {
     const matches = this.termAt(snapshot.index) === snapshot.term;
     const covered = snapshot.index - this.snapshot.index;
+    this.baseBytes = this.bytesUpTo(matches ? snapshot.index : this.lastIndex);
     this.entries = matches ? this.entries.slice(covered) : [];
+    this.endBytes = matches ? this.endBytes.slice(covered) : [];
     this.snapshot = snapshot;
     this.refreshMembership();
   }
@@ -106,6 +130,17 @@
     return member?.instanceId === undefined || member.instanceId === instanceId;
   }
 
+  private push(entry: LogEntry): void {
+    this.endBytes.push(this.bytesUpTo(this.lastIndex) + encodedBytes(entry));
+    this.entries.push(entry);
+  }
+
+  /** Encoded size of all entries up to and including an index, compacted ones included. */
+  private bytesUpTo(index: number): number {
+    const position = Math.min(index - this.snapshot.index, this.endBytes.length) - 1;
+    return position < 0 ? this.baseBytes : this.endBytes[position]!;
+  }
+
   private refreshMembership(): void {
     const last = this.entries.findLast((entry) => entry.command.type === CommandType.Membership);
     if (last && last.command.type === CommandType.Membership) {
--- a/src/control/raft/RaftState.ts
+++ b/src/control/raft/RaftState.ts
@@ -34,12 +34,31 @@
 export interface Follower {
   nextIndex: number;
   matchIndex: number;
+  /** Index after which entries have been sent since the last rejection. */
+  sentAfterIndex: number;
   /** Time of the last reply in this term. */
   ackedAtMs: number;
   /** Last confirmation round that it replied to. */
   ackedRound: number;
   /** Byte offset of the snapshot transfer; -1 while none is in progress. */
   snapshotOffsetBytes: number;
+  /** Byte offset of the last chunk that was sent, and the time of it; -1 before the first one. */
+  sentOffsetBytes: number;
+  chunkSentAtMs: number;
+}
+
+/** Progress of a member that the leader has sent nothing to; `nextIndex` is the first one sent. */
+export function createFollower(nextIndex: number, nowMs: number): Follower {
+  return {
+    nextIndex,
+    matchIndex: 0,
+    sentAfterIndex: nextIndex - 1,
+    ackedAtMs: nowMs,
+    ackedRound: 0,
+    snapshotOffsetBytes: -1,
+    sentOffsetBytes: -1,
+    chunkSentAtMs: Number.NEGATIVE_INFINITY,
+  };
 }
 
 /** Linearizable read that waits for a confirmation round. */
--- a/src/control/raft/Replication.ts
+++ b/src/control/raft/Replication.ts
@@ -2,7 +2,7 @@
 import { committableIndex, quorumValue } from './Copies.js';
 import { becomeFollower } from './Election.js';
 import { noteLeaderCommit, noteLeaderContact } from './LeaderContact.js';
-import type { Follower, RaftState } from './RaftState.js';
+import { createFollower, type Follower, type RaftState } from './RaftState.js';
 import { isRecovering } from './Recovery.js';
 import {
   RaftEffectType,
@@ -18,6 +18,15 @@
 const MAX_ENTRIES_PER_MESSAGE = 128;
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024;
 
+/**
+ * Encoded size of the entries in one message. An eighth of `MAX_MESSAGE_BYTES`, so that a heartbeat
+ * behind it is not late; a single larger entry has a message of its own.
+ */
+const APPEND_ENTRIES_BYTES = 1024 * 1024;
+
+/** Encoded size of the unacknowledged entries from which a follower is sent heartbeats only. */
+const UNACKNOWLEDGED_BYTES = 4 * APPEND_ENTRIES_BYTES;
+
 /** Appends entries to the local log and makes them durable. */
 function persistEntries(
   state: RaftState,
@@ -34,10 +43,17 @@
   });
 }
 
-/** Sends the next snapshot chunk to a follower whose next entries were compacted. */
+/**
+ * Sends the next snapshot chunk to a follower whose next entries were compacted. A chunk that is not
+ * acknowledged yet is sent again as often as a heartbeat, not with every change.
+ */
 function sendSnapshotChunk(state: RaftState, to: string, follower: Follower): void {
   const { snapshot } = state.log;
   const offsetBytes = Math.max(0, follower.snapshotOffsetBytes);
+  const isRepeated = offsetBytes === follower.sentOffsetBytes;
+  if (isRepeated && state.nowMs - follower.chunkSentAtMs < state.timing.heartbeatMs) return;
+  follower.sentOffsetBytes = offsetBytes;
+  follower.chunkSentAtMs = state.nowMs;
   const bytes = snapshot.bytes.subarray(offsetBytes, offsetBytes + SNAPSHOT_CHUNK_BYTES);
   follower.snapshotOffsetBytes = offsetBytes;
   state.send(to, {
@@ -62,7 +78,11 @@
     sendSnapshotChunk(state, to, follower);
     return;
   }
-  const entries = state.log.slice(follower.nextIndex, MAX_ENTRIES_PER_MESSAGE);
+  const acknowledgedIndex = Math.max(follower.matchIndex, follower.sentAfterIndex);
+  const isBehind = state.log.bytesBetween(acknowledgedIndex, prevIndex) >= UNACKNOWLEDGED_BYTES;
+  const entries = isBehind
+    ? []
+    : state.log.slice(follower.nextIndex, MAX_ENTRIES_PER_MESSAGE, APPEND_ENTRIES_BYTES);
   follower.nextIndex += entries.length;
   state.send(
     to,
@@ -93,13 +113,7 @@
     .forEach((id) => state.followers.delete(id));
   others.forEach((id) => {
     if (state.followers.has(id)) return;
-    state.followers.set(id, {
-      nextIndex: state.log.lastIndex + 1,
-      matchIndex: 0,
-      ackedAtMs: state.nowMs,
-      ackedRound: 0,
-      snapshotOffsetBytes: -1,
-    });
+    state.followers.set(id, createFollower(state.log.lastIndex + 1, state.nowMs));
   });
 }
 
@@ -246,6 +260,7 @@
     advanceCommit(state);
   } else {
     follower.nextIndex = Math.max(1, Math.min(follower.nextIndex, reply.matchIndex + 1));
+    follower.sentAfterIndex = follower.nextIndex - 1;
   }
   if (state.role === RaftRole.Leader && follower.nextIndex <= state.log.lastIndex) {
     sendAppend(state, reply.from);
@@ -304,6 +319,7 @@
     follower.matchIndex = Math.max(follower.matchIndex, reply.snapshotIndex);
     follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
     follower.snapshotOffsetBytes = -1;
+    follower.sentOffsetBytes = -1;
     sendAppend(state, reply.from);
     return;
   }
