--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -27,6 +27,7 @@
 import { RoutingDelivery } from './RoutingDelivery.js';
 import { RoutingInForce } from './RoutingInForce.js';
 import { RoutingProgress } from './RoutingProgress.js';
+import { DEFAULT_SNAPSHOT_POLICY, isSnapshotDue, type SnapshotPolicy } from './SnapshotPolicy.js';
 import { SharedEntryHosts } from './SharedEntryHosts.js';
 import { isCaughtUp } from './raft/CaughtUp.js';
 import { RaftNode } from './raft/RaftNode.js';
@@ -57,7 +58,7 @@
   readonly raft: RaftOptions;
   /** Tree that the first leader of a new cluster proposes. */
   readonly initialSettings: SettingsTree | null;
-  /** Number of applied log entries after which a snapshot is taken. */
+  /** Number of applied log entries after which a snapshot is taken, if not earlier by their size. */
   readonly snapshotEvery?: number;
   /** Present if lost control hosts are replaced without an operator. */
   readonly autoMembership?: AutoMembershipOptions;
@@ -76,8 +77,6 @@
   readonly term: number;
 }
 
-const DEFAULT_SNAPSHOT_EVERY = 20_000;
-
 /** Customers of a routing that has none. */
 const NO_CUSTOMERS: readonly Customer[] = [];
 
@@ -117,7 +116,7 @@
 
   private readonly availabilityZone: string | undefined;
 
-  private readonly snapshotEvery: number;
+  private readonly snapshotPolicy: SnapshotPolicy;
 
   private readonly initialSettings: SettingsTree | null;
 
@@ -168,7 +167,8 @@
     this.replicatedState.restore(options.raft.snapshot.bytes);
     this.initialSettings = options.initialSettings;
     this.availabilityZone = options.availabilityZone;
-    this.snapshotEvery = options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
+    const { snapshotEvery = DEFAULT_SNAPSHOT_POLICY.entries } = options;
+    this.snapshotPolicy = { ...DEFAULT_SNAPSHOT_POLICY, entries: snapshotEvery };
     this.autoMembership = options.autoMembership
       ? new AutoMembership(options.autoMembership)
       : null;
@@ -580,8 +580,7 @@
 
   private maybeSnapshot(): void {
     const { state } = this.raft;
-    const applied = state.appliedIndex - state.log.snapshot.index;
-    if (this.snapshotRunning || applied < this.snapshotEvery) return;
+    if (this.snapshotRunning || !isSnapshotDue(state, this.snapshotPolicy)) return;
     const term = state.log.termAt(state.appliedIndex);
     if (term === undefined) return;
     this.snapshotRunning = true;
