A message that no link accepts is not sent, is logged, and its change is refused

No log line named the reason.

Links check the size before they send: message_oversized and egret_control_oversized_messages name what was not sent, and the link stays open.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -105,6 +105,8 @@
   control_request_failed: 'Handling a request failed with an unexpected error.',
   // Every process.
   link_refused: 'The other end of a link failed to authenticate with the shared secret.',
+  link_failed: 'A link ended with an error, such as a message larger than a link accepts.',
+  message_oversized: 'A message is larger than a link accepts and was not sent.',
   message_ignored: 'A message of a type that this version does not have was ignored.',
   message_refused: 'A malformed message of another process was rejected.',
   stop_signal: 'The process received a signal to stop.',
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -13,6 +13,7 @@
 import { RoutingConfirmations, type RoutingConfirmationsOptions } from './RoutingConfirmations.js';
 import { isRolloutRequest, proposeRollout } from './rollouts/RolloutRequests.js';
 import { RoutingVerdict, type RoutingResult } from './RoutingState.js';
+import { checkRoutingSize, checkSettingsSize } from './SizeLimits.js';
 import { AdminRequestType, type Actor, type AdminRequest } from './Types.js';
 
 /** Callbacks for the outcome of a proposed command. */
@@ -233,6 +234,11 @@
     actor: Actor,
   ): void {
     const { changeId, baseRevision, path, value } = request;
+    const fits = checkSettingsSize(this.options.replicatedState.tree, path, value);
+    if (fits.isErr) {
+      this.options.answer(requestId, null, fits.error);
+      return;
+    }
     const command = { type: CommandType.Change, changeId, baseRevision, path, value } as const;
     this.options.propose(
       { ...command, actor: actor.name, atMs: this.times.wallMs },
@@ -250,6 +256,11 @@
   ): void {
     const { changeId, baseVersion, version, edit } = request;
     if (this.joinRoutingChange(requestId, changeId)) return;
+    const fits = checkRoutingSize(this.options.replicatedState.routing.view, edit);
+    if (fits.isErr) {
+      this.options.answer(requestId, null, fits.error);
+      return;
+    }
     const command = { type: CommandType.RoutingChange, changeId, baseVersion, version } as const;
     const requestIds = [requestId];
     this.proposedChanges.set(changeId, requestIds);
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -723,6 +723,16 @@
       'Gateways in contact with this host that have not applied its newest routing.',
       () => reducer.gatewaysBehind(this.clock.nowMs()),
     );
+    gauge(
+      'egret_control_oversized_messages',
+      'Messages on open links that were not sent, as they are larger than a link accepts.',
+      () => this.links.oversizedMessages + this.messages.oversizedMessages,
+    );
+    gauge(
+      'egret_control_log_bytes',
+      'Encoded size of the entries of the replicated log that no snapshot covers.',
+      () => reducer.raft.state.log.bytesBetween(0, reducer.raft.state.log.lastIndex),
+    );
     gauge('egret_control_syncs', 'Syncs of the log.', () => storage.syncs);
     gauge('egret_control_events_refused', 'Events lost to a full channel.', () => loop.refused);
   }
--- a/src/control/server/RaftLinks.ts
+++ b/src/control/server/RaftLinks.ts
@@ -49,6 +49,11 @@
     this.clients.get(to)?.send(message);
   }
 
+  /** Messages to current members that were larger than a link accepts. */
+  get oversizedMessages(): number {
+    return [...this.clients.values()].reduce((sum, link) => sum + link.oversizedMessages, 0);
+  }
+
   /** True if the member's version knows the messages of a protocol version. */
   supports(to: string, protocol: number): boolean {
     return this.protocolOf(to) >= protocol;
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -123,6 +123,9 @@
 
   readonly traffic: LinkTraffic = { bytes: 0, messages: 0 };
 
+  /** Messages that were not sent, as no other end accepts their size. */
+  oversizedMessages = 0;
+
   /** Credential for calls forwarded to the server; empty while the link is down. */
   ticket = '';
 
@@ -150,7 +153,10 @@
     return this.state === LinkState.Open && !this.disposed;
   }
 
-  /** Sends a message; false if the link is down or the server reads too slowly. */
+  /**
+   * Sends a message; false if the link is down, the server reads too slowly or the message is larger
+   * than {@link MAX_MESSAGE_BYTES}, which would end the link at the server.
+   */
   send(message: object): boolean {
     if (!this.socket || this.state !== LinkState.Open || this.disposed) return false;
     if (this.socket.bufferedAmount > MAX_BUFFERED_BYTES) {
@@ -158,9 +164,16 @@
       return false;
     }
     const bytes = encodeMessage(message);
+    const kind = String((message as { type?: unknown }).type);
+    if (bytes.length > MAX_MESSAGE_BYTES) {
+      this.oversizedMessages += 1;
+      const to = `${this.options.address}:${this.options.port}`;
+      this.options.logger.error('message_oversized', { to, kind, bytes: bytes.length });
+      return false;
+    }
     this.countTraffic(bytes);
     this.socket.send(bytes);
-    this.sentBytes?.noteMessage(String((message as { type?: unknown }).type), bytes.length);
+    this.sentBytes?.noteMessage(kind, bytes.length);
     return true;
   }
 
@@ -186,7 +199,13 @@
     });
     this.socket = socket;
     this.state = LinkState.Connecting;
-    socket.on('error', () => socket.terminate());
+    socket.on('error', (error) => {
+      if (this.state === LinkState.Open) {
+        const from = `${address}:${port}`;
+        this.options.logger.warn('link_failed', { from, detail: String(error) });
+      }
+      socket.terminate();
+    });
     socket.on('message', (data) => this.receive(socket, data));
     socket.once('upgrade', (response) => {
       this.connection = response.socket;
--- a/src/runtime/MessageServer.ts
+++ b/src/runtime/MessageServer.ts
@@ -116,6 +116,9 @@
 
   private nextSessionId = 1;
 
+  /** Messages that were not sent, as no client accepts their size. */
+  oversizedMessages = 0;
+
   private disposed = false;
 
   constructor(private readonly options: MessageServerOptions) {}
@@ -144,7 +147,11 @@
     const challenge = { nonce: createNonce() };
     const timer = setTimeout(() => socket.terminate(), HANDSHAKE_TIMEOUT_MS);
     this.sockets.add(socket);
-    socket.on('error', () => socket.terminate());
+    let from = 'unauthenticated';
+    socket.on('error', (error) => {
+      this.options.logger.warn('link_failed', { from, detail: String(error) });
+      socket.terminate();
+    });
     socket.once('close', () => {
       clearTimeout(timer);
       this.sockets.delete(socket);
@@ -163,6 +170,7 @@
         socket.close(POLICY_VIOLATION_CODE, 'authentication failed');
         return;
       }
+      from = response.id;
       reportProgress(socket, connection);
       const open = () => this.open(socket, connection, response);
       if (this.options.admit) this.options.admit(response.role, open);
@@ -181,6 +189,12 @@
     };
     const sentBytes = this.countBytes(socket, connection, response);
     const sendEncoded = (bytes: Buffer, messageType: string) => {
+      if (bytes.length > MAX_MESSAGE_BYTES) {
+        this.oversizedMessages += 1;
+        const fields = { to: response.id, kind: messageType, bytes: bytes.length };
+        this.options.logger.error('message_oversized', fields);
+        return;
+      }
       if (sendBytes(socket, bytes)) sentBytes?.noteMessage(messageType, bytes.length);
     };
     const session: ServerSession = {
