Answers to a join request and to the command line are bounded in size and time

Seen: a control host that joins kept all of it: 1,870 MB after 3 s on loopback, where a control process has 350 MB; heads that are no answer (102), and bytes that trickle, kept the request open for ever, and each half second began another one. The command line had the same reader.

Cause: both collected the body without a limit, and their timeout only counted idle time, which an endless answer never has.

--- a/src/control/server/JoinEndpoint.ts
+++ b/src/control/server/JoinEndpoint.ts
@@ -1,8 +1,9 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
-import { request as httpRequest, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { API_PREFIX } from '../../common/Constants.js';
 import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
 import { readJson, sendError, sendJson } from '../../runtime/HttpJson.js';
+import { requestJson } from '../../runtime/JsonRequest.js';
 import type { Member, Membership } from '../raft/Types.js';
 
 /** Path for join requests of control hosts, on the port for the system's own processes. */
@@ -88,43 +89,32 @@
  * @example
  * const membership = await requestJoin({ address: '10.0.0.4', port: 7540 }, member, secret);
  */
-export function requestJoin(
+export async function requestJoin(
   target: { readonly address: string; readonly port: number },
   member: Member,
   secret: string,
   emptiedIds: readonly string[] = [],
 ): Promise<Membership | undefined> {
-  return new Promise((resolve) => {
-    const report = { emptiedIds, mac: signReport(secret, member, emptiedIds) };
-    const body = JSON.stringify({
-      member,
-      mac: sign(secret, member),
-      ...(emptiedIds.length > 0 && { report }),
-    });
-    const request = httpRequest({
-      host: target.address,
-      port: target.port,
+  const report = { emptiedIds, mac: signReport(secret, member, emptiedIds) };
+  const body = {
+    member,
+    mac: sign(secret, member),
+    ...(emptiedIds.length > 0 && { report }),
+  };
+  const { address: host, port } = target;
+  try {
+    // Another program may have taken over the address of a seed and send anything.
+    const answer = await requestJson({
+      host,
+      port,
       path: JOIN_PATH,
       method: 'POST',
-      headers: { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) },
-      agent: false,
-      timeout: JOIN_TIMEOUT_MS,
-    });
-    request.on('timeout', () => request.destroy());
-    request.on('error', () => resolve(undefined));
-    request.on('response', (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', () => resolve(undefined));
-      response.on('end', () => {
-        try {
-          const membership = JSON.parse(Buffer.concat(chunks).toString('utf8')) as Membership;
-          resolve(Array.isArray(membership.voters) ? membership : undefined);
-        } catch {
-          resolve(undefined);
-        }
-      });
+      body,
+      timeoutMs: JOIN_TIMEOUT_MS,
     });
-    request.end(body);
-  });
+    const membership = answer.body as Membership;
+    return Array.isArray(membership.voters) ? membership : undefined;
+  } catch {
+    return undefined;
+  }
 }
--- a/src/ctl/AdminClient.ts
+++ b/src/ctl/AdminClient.ts
@@ -1,7 +1,7 @@
-import http from 'node:http';
 import { API_PREFIX } from '../common/Constants.js';
 import { EgretError, ErrorKind, type ErrorBody } from '../common/Errors.js';
 import type { AdminRequest } from '../control/Types.js';
+import { requestJson } from '../runtime/JsonRequest.js';
 
 /** Options of an {@link AdminClient}. */
 export interface AdminClientOptions {
@@ -11,43 +11,18 @@
   readonly timeoutMs?: number;
 }
 
-/** Status and parsed JSON body of an HTTP answer. */
-interface HttpAnswer {
-  readonly statusCode: number;
-  readonly body: unknown;
-}
+/** Largest answer that is read: a routing of a message's size, and the audit trail, as text. */
+const ANSWER_BYTES_MAX = 64 * 1024 * 1024;
 
-const DEFAULT_TIMEOUT_MS = 12_000;
 /** Maximum number of rounds over all addresses before a request fails. */
 const MAX_ROUNDS = 10;
 const ROUND_PAUSE_MS = 300;
 const SUCCESS_STATUS = 200;
 
-/** Sends a JSON request to `address` (`host:port`) and parses the JSON answer. */
-export function requestJson(
-  address: string,
-  options: http.RequestOptions,
-  body?: unknown,
-): Promise<HttpAnswer> {
-  const [host, port] = address.split(':');
-  return new Promise((resolve, reject) => {
-    const request = http.request({ host, port, ...options }, (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', reject);
-      response.on('end', () => {
-        try {
-          const parsed: unknown = JSON.parse(Buffer.concat(chunks).toString('utf8'));
-          resolve({ statusCode: response.statusCode ?? 0, body: parsed });
-        } catch (error) {
-          reject(error instanceof Error ? error : new Error(String(error)));
-        }
-      });
-    });
-    request.on('timeout', () => request.destroy(new Error('timeout')));
-    request.on('error', reject);
-    request.end(body === undefined ? undefined : JSON.stringify(body));
-  });
+/** Splits an address of the form `host:port`. */
+function hostAndPort(address: string): { host: string; port: number } {
+  const [host = '', port = ''] = address.split(':');
+  return { host, port: Number(port) };
 }
 
 function pause(durationMs: number): Promise<void> {
@@ -87,17 +62,16 @@
 
   private async sendTo(address: string, request: AdminRequest): Promise<unknown> {
     const { type, ...body } = request;
-    const options = {
-      method: 'POST',
-      path: `${API_PREFIX}/admin/${type}`,
-      timeout: this.options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
-      headers: {
-        Authorization: `Bearer ${this.options.token}`,
-        'Content-Type': 'application/json',
-      },
-    };
     try {
-      const answer = await requestJson(address, options, body);
+      const answer = await requestJson({
+        ...hostAndPort(address),
+        method: 'POST',
+        path: `${API_PREFIX}/admin/${type}`,
+        headers: { Authorization: `Bearer ${this.options.token}` },
+        body,
+        timeoutMs: this.options.timeoutMs,
+        bodyBytesMax: ANSWER_BYTES_MAX,
+      });
       if (answer.statusCode === SUCCESS_STATUS) return answer.body;
       const errorBody = answer.body as ErrorBody;
       return new EgretError(errorBody.kind, errorBody.message);
--- a/src/ctl/ZoneCommands.ts
+++ b/src/ctl/ZoneCommands.ts
@@ -1,11 +1,12 @@
 import { Option } from 'clipanion';
-import { API_PREFIX } from '../common/Constants.js';
+import { API_PREFIX, MAX_MESSAGE_BYTES } from '../common/Constants.js';
 import { ZoneState } from '../common/Enums.js';
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import type { TeamSettings } from '../common/SettingsSchema.js';
 import { AdminRequestType } from '../control/Types.js';
 import type { BackendListItem } from '../entry/server/BackendList.js';
-import { requestJson, type AdminClient } from './AdminClient.js';
+import { requestJson } from '../runtime/JsonRequest.js';
+import type { AdminClient } from './AdminClient.js';
 import { sendChange, waitInForce, type SettingsValue } from './ChangeSender.js';
 import { CtlCommand, renderTable } from './CtlCommand.js';
 
@@ -44,10 +45,14 @@
   });
   const lists = await Promise.all(
     listed.entryHosts.map(async (entry) => {
-      const address = `${entry.adminAddress}:${entry.adminPort}`;
       try {
-        const path = `${API_PREFIX}/backends`;
-        const answer = await requestJson(address, { path, timeout: LIST_TIMEOUT_MS });
+        const answer = await requestJson({
+          host: entry.adminAddress,
+          port: entry.adminPort,
+          path: `${API_PREFIX}/backends`,
+          timeoutMs: LIST_TIMEOUT_MS,
+          bodyBytesMax: MAX_MESSAGE_BYTES,
+        });
         return (answer.body as { backends: BackendListItem[] }).backends;
       } catch {
         return [];
--- a/src/runtime/HttpJson.ts
+++ b/src/runtime/HttpJson.ts
@@ -39,17 +39,22 @@
 }
 
 /**
- * Reads a JSON body of at most {@link MAX_JSON_BODY_BYTES}.
+ * Reads the JSON body of a request or an answer, of at most {@link MAX_JSON_BODY_BYTES} by default.
  *
+ * @example
+ * const { service } = (await readJson(request)) as { service: string };
  * @throws EgretError of kind body-too-large or bad-request
  */
-export async function readJson(request: IncomingMessage): Promise<unknown> {
+export async function readJson(
+  message: IncomingMessage,
+  bodyBytesMax = MAX_JSON_BODY_BYTES,
+): Promise<unknown> {
   const chunks: Buffer[] = [];
   let bodyBytes = 0;
-  for await (const chunk of request) {
+  for await (const chunk of message) {
     bodyBytes += (chunk as Buffer).length;
-    if (bodyBytes > MAX_JSON_BODY_BYTES) {
-      const detail = `The body is longer than ${MAX_JSON_BODY_BYTES} bytes.`;
+    if (bodyBytes > bodyBytesMax) {
+      const detail = `The body is longer than ${bodyBytesMax} bytes.`;
       throw new EgretError(ErrorKind.BodyTooLarge, detail);
     }
     chunks.push(chunk as Buffer);
