An end that has not authenticated sends no more than a handshake to a host

From the operators' report (bytes without end), on the links between the system's own hosts: a host accepted a message of up to 8 MiB from any end that connects, before it knew who that is; 3 s were the only limit. A few dozen such connections fill the memory of a process. Ruled out, with tests that passed before: pings without end, whose replies are not read; the library keeps 60 of them.

Change: the link ends after 64 KiB before the authentication; the one message that is due then has a few hundred bytes.

--- a/src/runtime/MessageServer.ts
+++ b/src/runtime/MessageServer.ts
@@ -49,6 +49,9 @@
 
 const HANDSHAKE_TIMEOUT_MS = 3_000;
 
+/** Bytes that an end may send before it has authenticated; its one message has a few hundred. */
+const HANDSHAKE_BYTES_MAX = 64 * 1024;
+
 /**
  * A client with more unsent data than this is disconnected: with hundreds of sessions, the memory of
  * a host must not depend on how slowly they read. The largest message still fits.
@@ -101,6 +104,16 @@
   socket.once('close', () => clearInterval(timer));
 }
 
+/** Ends a link whose other end sends more than a handshake; returns a function that stops this. */
+function limitHandshake(socket: WebSocket, connection: Socket): () => void {
+  const bytesBefore = connection.bytesRead;
+  const onData = () => {
+    if (connection.bytesRead - bytesBefore > HANDSHAKE_BYTES_MAX) socket.terminate();
+  };
+  connection.on('data', onData);
+  return () => connection.off('data', onData);
+}
+
 /** Accepts authenticated WebSocket links on an HTTP server; calls back no more once disposed. */
 export class MessageServer implements Disposable {
   private readonly server = new WebSocketServer({
@@ -146,6 +159,7 @@
   private accept(socket: WebSocket, connection: Socket): void {
     const challenge = { nonce: createNonce() };
     const timer = setTimeout(() => socket.terminate(), HANDSHAKE_TIMEOUT_MS);
+    const endLimit = limitHandshake(socket, connection);
     this.sockets.add(socket);
     let from = 'unauthenticated';
     socket.on('error', (error) => {
@@ -171,6 +185,7 @@
         return;
       }
       from = response.id;
+      endLimit();
       reportProgress(socket, connection);
       const open = () => this.open(socket, connection, response);
       if (this.options.admit) this.options.admit(response.role, open);
