The rest of a long body is read after a refusal, so that its connection stays usable

Cause: a gateway buffers 512 KiB of a body and pauses the request. The rest was read by an attempt, or at a planned stop; a refusal before any attempt (no slot, no backend server, quarantine, an old routing) left it paused, and with it the connection.

Change: once the answer has been sent, a body that no attempt reads is read to its end, whoever refused the call.

Test (red before: 'timed out waiting for the answers', chunked and with a length): LongBody.test.ts.

--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -67,6 +67,14 @@
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length', FORWARD_HEADER];
 
+/**
+ * Reads what is left of a body that no attempt took, so that the next request on the connection can
+ * be read. A body that an attempt still sends to its backend server is left to it.
+ */
+function readUnusedBody(request: IncomingMessage): void {
+  if (request.listenerCount('data') === 0) request.resume();
+}
+
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
   /** Calls whose answers are not yet sent completely. */
@@ -113,6 +121,7 @@
     this.inProgress.add(open);
     connections.whenEnded(response, (closedBy) => {
       this.inProgress.delete(open);
+      readUnusedBody(request);
       if (closedBy) this.logUndelivered(request, closedBy);
     });
     this.serve(request, response, open).catch((error: unknown) => {
--- a/src/gateway/server/LongBody.test.ts
+++ b/src/gateway/server/LongBody.test.ts
@@ -1,11 +1,19 @@
 import http from 'node:http';
+import { connect } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
+import { waitUntil } from '../../../standin/Cluster.js';
 import { closeServer, listen } from '../../runtime/HttpJson.js';
 import { startTestGateway, type TestGateway } from './fixtures.js';
 
 /** Longer than the part of a body that a gateway buffers. */
 const BODY = Buffer.alloc(4 * 1024 * 1024, 'abcdefghijklmnopqrstuvwxyz');
 
+const CHUNKED_BODY = Buffer.concat([
+  Buffer.from(`${BODY.length.toString(16)}\r\n`),
+  BODY,
+  Buffer.from('\r\n0\r\n\r\n'),
+]);
+
 /** Backend server that may refuse a call after the first bytes of its body. */
 class EarlyBackend {
   readonly bodies: Buffer[] = [];
@@ -102,4 +110,31 @@
     // The rest of the body must not block the caller's connection.
     expect(await send(gateway.port, agent)).toBe(200);
   });
+
+  // Guards against a connection that is never read again: later requests on it get no answer.
+  it.each<[string, string, Buffer]>([
+    ['chunked', 'Transfer-Encoding: chunked', CHUNKED_BODY],
+    ['with a length', `Content-Length: ${BODY.length}`, BODY],
+  ])('leaves its connection usable if it is refused before an attempt: %s', async (...parts) => {
+    const [, framing, body] = parts;
+    gateway = await startTestGateway({ alpha: {}, route: { timeoutMs: 1_000 } });
+    const socket = connect(gateway.port, '127.0.0.1');
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+    });
+    const statuses = () => [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status);
+    for (const count of [1, 3]) {
+      socket.write(
+        `POST /order/x HTTP/1.1\r\nHost: calls.example\r\nCall-Id: c-1\r\n${framing}\r\n\r\n`,
+      );
+      socket.write(body);
+      socket.write('GET /other/x HTTP/1.1\r\nHost: calls.example\r\nCall-Id: c-2\r\n\r\n');
+      // The next call is sent once the answers to the ones before have arrived.
+      // eslint-disable-next-line no-await-in-loop
+      await waitUntil(() => statuses().length > count, 'the answers');
+    }
+    expect(statuses()).toEqual(['503', '200', '503', '200']);
+    socket.destroy();
+  });
 });
