An answer without a length that is reset right behind its bytes is not whole

Cause: bytes and reset that arrive together are one event; Node.js takes the hang-up after a short read for the end of the stream and reports no error, at a plain socket as well. The end of the connection is all that marks the end of such an answer, so that it looked whole.

Change: where only the end of the connection ends an answer, an empty line is written at that end, which a server ignores in front of a request (RFC 9112, 2.2). Both data planes: gateways, and the product's own entry program.

--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -4,6 +4,7 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { ReplayAnswer } from '../../common/Messages.js';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { watchReset } from '../../runtime/ConnectionReset.js';
 import {
   AttemptResult,
   TargetKind,
@@ -74,6 +75,11 @@
   return { freeSlots, slots, queued };
 }
 
+/** True unless only the end of the connection marks the end of the body. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** Sends one attempt of a call to a backend server or a peer and relays its answer. */
 export class AttemptRunner implements RunningAttempt {
   private readonly request: ClientRequest;
@@ -90,6 +96,9 @@
   /** True once the target has reported that the request did not run. */
   private refused = false;
 
+  /** True once the connection was reset behind an answer without a length, which looks complete. */
+  private reset = false;
+
   /** True once the answer is relayed to the caller. */
   private used = false;
 
@@ -116,6 +125,12 @@
       agent,
     });
     this.guard = new AnswerGuard(this.request);
+    watchReset(this.request, {
+      isUnframed: () => this.answer !== undefined && !isFramed(this.answer),
+      onReset: () => {
+        this.reset = true;
+      },
+    });
     this.watchSocket();
     this.request.on('response', (answer) => this.onResponse(answer));
     this.request.on('error', () => this.onConnectionLost());
@@ -286,6 +301,10 @@
 
   private onAnswerEnd(answer: IncomingMessage): void {
     if (!answer.complete) return;
+    if (this.reset) {
+      this.end(AttemptResult.Truncated);
+      return;
+    }
     this.end(this.cancelled ? AttemptResult.Cancelled : AttemptResult.Completed);
   }
 
--- a/src/entry/server/EndlessAnswer.test.ts
+++ b/src/entry/server/EndlessAnswer.test.ts
@@ -321,4 +321,13 @@
     backend.reply = soundReply;
     expectServed([await call({ method: 'POST' }), await call({ method: 'POST' })]);
   });
+
+  // Guards against a truncated answer that its caller takes for the whole one.
+  it('passes no answer without a length on as complete that was reset right behind it', async () => {
+    backend.reply = (socket) => {
+      socket.write(`${createHead()}part`, () => socket.resetAndDestroy());
+    };
+    const answer = await call({ method: 'POST' });
+    expect(answer.status === 200 && answer.complete).toBe(false);
+  });
 });
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,5 +1,6 @@
 import http, { type IncomingMessage } from 'node:http';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { watchReset } from '../../runtime/ConnectionReset.js';
 import type { BackendView } from '../BackendView.js';
 import {
   AttemptResultType,
@@ -106,6 +107,12 @@
     });
     observer.onRequest?.(this.request);
     this.guard = new AnswerGuard(this.request);
+    watchReset(this.request, {
+      isUnframed: () => this.response !== undefined && !this.isFramed(this.response),
+      onReset: () => {
+        this.broken = true;
+      },
+    });
     const endTimer = setTimeout(() => this.request.destroy(), remainingMs + ANSWER_GRACE_MS);
     this.request.once('close', () => clearTimeout(endTimer));
     this.request.on('socket', (socket) => {
@@ -223,7 +230,7 @@
       },
     });
     const onEnd = () => {
-      if (!response.complete) {
+      if (!response.complete || this.broken) {
         this.fail('answer cut short');
         return;
       }
--- /dev/null
+++ b/src/runtime/ConnectionReset.ts
@@ -0,0 +1,33 @@
+import type { ClientRequest } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** Empty line, which a server ignores in front of a request (RFC 9112, section 2.2). */
+const EMPTY_LINE = '\r\n';
+
+/**
+ * Detects that the server reset the connection of a request right behind its last bytes. Node.js
+ * reports such an end like an orderly one, without an error, if both arrive together: an answer
+ * without a length then looks whole. A write shows the difference, before the answer's end event: it
+ * fails on a connection that was reset, and has no effect on one that the server has closed.
+ *
+ * @param isUnframed - true if only the end of the connection marks the end of the answer
+ * @example
+ * watchReset(request, { isUnframed: () => true, onReset: () => { broken = true; } });
+ */
+export function watchReset(
+  request: ClientRequest,
+  options: { readonly isUnframed: () => boolean; readonly onReset: () => void },
+): void {
+  request.once('socket', (socket: Socket) => {
+    const onEnd = () => {
+      // Bytes that are still unsent would fail for other reasons.
+      if (!options.isUnframed() || socket.writableLength > 0 || !socket.writable) return;
+      socket.write(EMPTY_LINE, (error) => {
+        if (error) options.onReset();
+      });
+    };
+    // The parser ends the answer in its own listener, which was added earlier.
+    socket.prependListener('end', onEnd);
+    request.once('close', () => socket.off('end', onEnd));
+  });
+}
