A link whose server falls silent during the handshake is opened again

Found while the links were read for the operators' report: between the upgrade and the welcome of the server a client had no limit of time. A host that lost power or was cut off in between closes nothing, and the client sends nothing that would be answered by a reset: that link stayed down for ever, at a gateway or a control host, until one of them was restarted.

Change: a handshake that receives nothing for 3 s ends; a ping each 1.5 s asks for a sign of life, as a server may admit its clients late at a large start.

--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -84,6 +84,8 @@
 const FIRST_RETRY_MS = 40;
 /** Share of the heartbeat interval after which a link counts as idle and is pinged. */
 const IDLE_SHARE = 0.75;
+/** Shortest time without a received byte after which a handshake counts as broken. */
+const HANDSHAKE_SILENCE_MS = 3_000;
 /** A link with more unsent data than this is closed. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 /** Header size of a masked WebSocket frame with a payload of 126 to 65,535 bytes. */
@@ -209,7 +211,8 @@
     socket.on('message', (data) => this.receive(socket, data));
     socket.once('upgrade', (response) => {
       this.connection = response.socket;
-      this.receivedBytes = 0;
+      this.receivedBytes = response.socket.bytesRead;
+      this.watchHandshake(socket);
       this.sentBytes = new LinkBytes({
         connection: response.socket,
         isClient: true,
@@ -280,6 +283,21 @@
     [LinkState.Closed]: () => {},
   };
 
+  /**
+   * Closes a link whose other end falls silent before it is open. A server may admit its clients
+   * late, so that one ping asks whether it still runs; its answer counts as a sign of life.
+   */
+  private watchHandshake(socket: WebSocket): void {
+    clearInterval(this.heartbeat);
+    this.receivedAtMs = performance.now();
+    const limitMs = Math.max(this.timing.receiveTimeoutMs, HANDSHAKE_SILENCE_MS);
+    this.heartbeat = setInterval(() => {
+      this.noteReceivedBytes();
+      if (performance.now() - this.receivedAtMs > limitMs) socket.terminate();
+      else pingIfOpen(socket);
+    }, limitMs / 2);
+  }
+
   /** Closes a link whose other end stops responding, for example after a network failure. */
   private startHeartbeat(socket: WebSocket): void {
     clearInterval(this.heartbeat);
