--- a/src/control/raft/RaftState.ts
+++ b/src/control/raft/RaftState.ts
@@ -42,8 +42,9 @@
   ackedRound: number;
   /** Byte offset of the snapshot transfer; -1 while none is in progress. */
   snapshotOffsetBytes: number;
-  /** Byte offset of the last chunk that was sent, and the time of it; -1 before the first one. */
-  sentOffsetBytes: number;
+  /** Byte offset of the chunk that was sent last; -1 before the first one. */
+  sentChunkOffsetBytes: number;
+  /** Time at which that chunk was sent. */
   chunkSentAtMs: number;
 }
 
@@ -56,7 +57,7 @@
     ackedAtMs: nowMs,
     ackedRound: 0,
     snapshotOffsetBytes: -1,
-    sentOffsetBytes: -1,
+    sentChunkOffsetBytes: -1,
     chunkSentAtMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/src/control/raft/Replication.ts
+++ b/src/control/raft/Replication.ts
@@ -50,9 +50,9 @@
 function sendSnapshotChunk(state: RaftState, to: string, follower: Follower): void {
   const { snapshot } = state.log;
   const offsetBytes = Math.max(0, follower.snapshotOffsetBytes);
-  const isRepeated = offsetBytes === follower.sentOffsetBytes;
+  const isRepeated = offsetBytes === follower.sentChunkOffsetBytes;
   if (isRepeated && state.nowMs - follower.chunkSentAtMs < state.timing.heartbeatMs) return;
-  follower.sentOffsetBytes = offsetBytes;
+  follower.sentChunkOffsetBytes = offsetBytes;
   follower.chunkSentAtMs = state.nowMs;
   const bytes = snapshot.bytes.subarray(offsetBytes, offsetBytes + SNAPSHOT_CHUNK_BYTES);
   follower.snapshotOffsetBytes = offsetBytes;
@@ -319,7 +319,7 @@
     follower.matchIndex = Math.max(follower.matchIndex, reply.snapshotIndex);
     follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
     follower.snapshotOffsetBytes = -1;
-    follower.sentOffsetBytes = -1;
+    follower.sentChunkOffsetBytes = -1;
     sendAppend(state, reply.from);
     return;
   }
