Hosts that start together begin with different random values

Seen: 20 gateways whose clocks are a millisecond apart drew the same first value (.04 twenty times; the second one had two values).

Cause: a process seeded its generator with the time of day, and the generator begins alike for similar seeds. UsageCaps has skipped its first 16 values for this reason; others did not.

Change: the seed of a process is a hash of its id and the time (gateways, control hosts and entry hosts). Tests with seeds of their own are as before.

Also: the metrics of a control host and the reader of unused bodies are where one looks for them; the answer to a change that is too large is one method.

--- a/src/common/Random.ts
+++ b/src/common/Random.ts
@@ -1,3 +1,4 @@
+import murmur from 'imurmurhash';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
@@ -17,6 +18,17 @@
   return { next: () => uniformFloat64(generator) };
 }
 
+/**
+ * Creates the random source of a process. Sources with similar seeds begin alike, and hosts that start
+ * together have similar times: the id and the time are hashed into the seed.
+ *
+ * @example
+ * createProcessRandom('entry-1', clock.wallMs()).next(); // unlike that of entry-2
+ */
+export function createProcessRandom(id: string, startedAtMs: number): RandomSource {
+  return createRandom(murmur(`${id}@${startedAtMs}`).result());
+}
+
 /**
  * Picks an integer in [0, bound).
  *
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -212,6 +212,12 @@
     this.delayedConfirmations.clear();
   }
 
+  /** Answers a request that failed a check; returns false if it passed. */
+  private answerFault(requestId: string, checked: Result<void, EgretError>): boolean {
+    if (checked.isErr) this.options.answer(requestId, null, checked.error);
+    return checked.isErr;
+  }
+
   private answerNotLeader(requestId: string): void {
     const leader = this.options.raft.state.leaderId ?? 'none';
     const detail = `This control host is not the leader (leader: ${leader}).`;
@@ -234,11 +240,8 @@
     actor: Actor,
   ): void {
     const { changeId, baseRevision, path, value } = request;
-    const fits = checkSettingsSize(this.options.replicatedState.tree, path, value);
-    if (fits.isErr) {
-      this.options.answer(requestId, null, fits.error);
-      return;
-    }
+    const { tree } = this.options.replicatedState;
+    if (this.answerFault(requestId, checkSettingsSize(tree, path, value))) return;
     const command = { type: CommandType.Change, changeId, baseRevision, path, value } as const;
     this.options.propose(
       { ...command, actor: actor.name, atMs: this.times.wallMs },
@@ -256,11 +259,8 @@
   ): void {
     const { changeId, baseVersion, version, edit } = request;
     if (this.joinRoutingChange(requestId, changeId)) return;
-    const fits = checkRoutingSize(this.options.replicatedState.routing.view, edit);
-    if (fits.isErr) {
-      this.options.answer(requestId, null, fits.error);
-      return;
-    }
+    const { view } = this.options.replicatedState.routing;
+    if (this.answerFault(requestId, checkRoutingSize(view, edit))) return;
     const command = { type: CommandType.RoutingChange, changeId, baseVersion, version } as const;
     const requestIds = [requestId];
     this.proposedChanges.set(changeId, requestIds);
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http';
-import { Registry, collectDefaultMetrics } from 'prom-client';
+import { Registry } from 'prom-client';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
 import type { CapBounds } from '../../common/caps/Types.js';
@@ -9,12 +9,11 @@
   type EntryToControlMessage,
 } from '../../common/Messages.js';
 import type { ControlFile } from '../../common/ProcessSettings.js';
-import { RolloutState, type RolloutSettings } from '../../common/rollouts/Types.js';
-import { createRandom, type RandomSource } from '../../common/Random.js';
+import type { RolloutSettings } from '../../common/rollouts/Types.js';
+import { createProcessRandom, createRandom, type RandomSource } from '../../common/Random.js';
 import { AdminListener } from '../../runtime/AdminListener.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { EventLoop } from '../../runtime/EventLoop.js';
-import { addGauge } from '../../runtime/Gauges.js';
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import { TrafficPurpose, ZoneTraffic } from '../../runtime/ZoneTraffic.js';
@@ -24,7 +23,7 @@
 import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
 import { ControlReducer } from '../ControlReducer.js';
 import type { RaftTiming } from '../raft/RaftState.js';
-import { recoveriesBefore, shouldReportEmptied } from '../raft/Recovery.js';
+import { shouldReportEmptied } from '../raft/Recovery.js';
 import { RaftMessageType, type Member, type RaftMessage } from '../raft/Types.js';
 import { shouldRequestJoin, type AutoMembershipOptions } from '../AutoMembership.js';
 import { BackendsFile } from '../storage/BackendsFile.js';
@@ -41,6 +40,7 @@
   type ControlEvent,
 } from '../Types.js';
 import { AdminApi, type AdminResult } from './AdminApi.js';
+import { registerControlMetrics } from './ControlMetrics.js';
 import { DurableSender } from './DurableSender.js';
 import { EmptiedIds } from './EmptiedReports.js';
 import { answerJoin, JOIN_PATH, requestJoin } from './JoinEndpoint.js';
@@ -191,7 +191,10 @@
   ) {
     const { file, secret, logger } = options;
     this.clock = options.clock ?? systemClock;
-    this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
+    this.random =
+      options.seed === undefined
+        ? createProcessRandom(file.id, Math.floor(this.clock.wallMs()))
+        : createRandom(options.seed);
     this.loop = new EventLoop<ControlEvent>({ handle: (event) => this.handle(event) });
     this.admission = new SessionAdmission({
       isReady: () => this.reducer.raft.state.leaderId !== null,
@@ -281,7 +284,14 @@
       isReady: () => this.reducer.raft.state.leaderId !== null,
       handle: (request, response) => api.handle(request, response),
     });
-    this.registerMetrics();
+    registerControlMetrics(this.registry, {
+      reducer,
+      storage,
+      loop: this.loop,
+      nowMs: () => this.clock.nowMs(),
+      waitingLinks: () => this.admission.size,
+      oversizedMessages: () => this.links.oversizedMessages + this.messages.oversizedMessages,
+    });
   }
 
   /**
@@ -672,68 +682,4 @@
       (error: unknown) => this.options.onFatal(error),
     );
   }
-
-  private registerMetrics(): void {
-    collectDefaultMetrics({ register: this.registry });
-    const gauge = (name: string, help: string, read: () => number) =>
-      addGauge(this.registry, name, help, read);
-    const { reducer, storage, loop } = this;
-    gauge('egret_control_term', 'Current term.', () => reducer.raft.state.term);
-    gauge('egret_control_commit_index', 'Commit index.', () => reducer.raft.state.commitIndex);
-    gauge('egret_control_is_leader', '1 on the leader.', () => Number(reducer.raft.isLeader));
-    gauge(
-      'egret_control_recoveries',
-      'Elections without emptied voters that led to the term.',
-      () => recoveriesBefore(reducer.raft.state.term),
-    );
-    gauge(
-      'egret_control_emptied_voters',
-      'Ids of voters that this host counts as emptied.',
-      () => reducer.raft.state.emptiedIds.size,
-    );
-    gauge('egret_control_revision', 'Settings revision.', () => reducer.replicatedState.revision);
-    gauge(
-      'egret_control_claims',
-      'Idempotency keys kept.',
-      () => reducer.replicatedState.claims.size,
-    );
-    gauge('egret_control_waiting', 'Links that wait for a session.', () => this.admission.size);
-    gauge('egret_control_sessions', 'Entry-host sessions.', () => reducer.sessions.size);
-    gauge(
-      'egret_control_undelivered_departures',
-      'Departures that a gateway of this host has not acknowledged.',
-      () => reducer.backends.undeliveredDepartures,
-    );
-    gauge('egret_control_rollouts', 'Running rollouts.', () => {
-      const { rollouts = [] } = reducer.replicatedState.routing.view;
-      return rollouts.filter(({ state }) => state === RolloutState.Running).length;
-    });
-    gauge(
-      'egret_control_rollout_calls',
-      'Attempts at new versions in running rollouts, on the leader.',
-      () => reducer.steering.exposedCalls,
-    );
-    gauge(
-      'egret_control_routing_in_force_seconds',
-      'Time from the commit of the latest change to its application by the last gateway (leader).',
-      () => reducer.routingInForce.latestWaitMs / 1_000,
-    );
-    gauge(
-      'egret_control_gateways_behind',
-      'Gateways in contact with this host that have not applied its newest routing.',
-      () => reducer.gatewaysBehind(this.clock.nowMs()),
-    );
-    gauge(
-      'egret_control_oversized_messages',
-      'Messages on open links that were not sent, as they are larger than a link accepts.',
-      () => this.links.oversizedMessages + this.messages.oversizedMessages,
-    );
-    gauge(
-      'egret_control_log_bytes',
-      'Encoded size of the entries of the replicated log that no snapshot covers.',
-      () => reducer.raft.state.log.bytesBetween(0, reducer.raft.state.log.lastIndex),
-    );
-    gauge('egret_control_syncs', 'Syncs of the log.', () => storage.syncs);
-    gauge('egret_control_events_refused', 'Events lost to a full channel.', () => loop.refused);
-  }
 }
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -5,7 +5,7 @@
 import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
 import type { EntryHost } from '../../common/Placement.js';
 import type { EntryFile } from '../../common/ProcessSettings.js';
-import { createRandom } from '../../common/Random.js';
+import { createProcessRandom, createRandom } from '../../common/Random.js';
 import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
 import { AdminListener } from '../../runtime/AdminListener.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
@@ -154,7 +154,10 @@
     this.clock = options.clock ?? systemClock;
     this.reducer = new EntryReducer({
       self,
-      random: createRandom(options.seed ?? Math.floor(this.clock.wallMs())),
+      random:
+        options.seed === undefined
+          ? createProcessRandom(self.id, Math.floor(this.clock.wallMs()))
+          : createRandom(options.seed),
       bootId: randomUUID().slice(0, 8),
     });
     this.metrics = new EntryMetrics(this.reducer, () => this.clock.nowMs());
--- a/src/gateway/SplitChooser.test.ts
+++ b/src/gateway/SplitChooser.test.ts
@@ -1,11 +1,12 @@
 import { describe, expect, it } from 'vitest';
-import { createRandom } from '../common/Random.js';
+import { createProcessRandom, createRandom } from '../common/Random.js';
 import { createRoute, createService, createTable } from '../common/routing/fixtures.js';
 import type { Route } from '../common/routing/Types.js';
 import { ActiveRouting } from './ActiveRouting.js';
 import { SplitChooser } from './SplitChooser.js';
 
 const GATEWAYS = 20;
+const STARTED_AT_MS = 1_796_501_744_550;
 
 function createSplit(weights: readonly number[], changes: Partial<Route> = {}): Route {
   const destinations = weights.map((weight, index) => ({ service: `s${index}`, weight }));
@@ -89,6 +90,18 @@
     });
   });
 
+  // Guards against gateways that start together and send all of their first calls to one part.
+  it('keeps the shares of the first call at gateways that start in the same second', () => {
+    const chosen = Array.from({ length: 1_000 }, (unused, index) =>
+      new SplitChooser(createProcessRandom(`entry-${index}`, STARTED_AT_MS + index)).next(
+        createSplit([80, 20]),
+      ),
+    );
+    const share = (countServices(chosen).get('s1') ?? 0) / chosen.length;
+    expect(share).toBeGreaterThan(0.15);
+    expect(share).toBeLessThan(0.25);
+  });
+
   // Guards against starts at random that favour large parts in the first calls of each gateway.
   it('keeps the shares over gateways that restart after a few calls each', () => {
     const random = createRandom(7);
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -23,7 +23,7 @@
 import { FORWARD_HEADER, PeerAnswer, type ForwardMark, type ForwardMarks } from './ForwardMark.js';
 import { OpenCall } from './OpenCall.js';
 import { OpenCalls, type OpenCallsOptions } from './OpenCalls.js';
-import { readRequestBody } from './RequestBody.js';
+import { readRequestBody, readUnusedBody } from './RequestBody.js';
 
 /** Options of a {@link CallServer}. */
 export interface CallServerOptions
@@ -67,14 +67,6 @@
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length', FORWARD_HEADER];
 
-/**
- * Reads what is left of a body that no attempt took, so that the next request on the connection can
- * be read. A body that an attempt still sends to its backend server is left to it.
- */
-function readUnusedBody(request: IncomingMessage): void {
-  if (request.listenerCount('data') === 0) request.resume();
-}
-
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
   /** Calls whose answers are not yet sent completely. */
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -5,7 +5,7 @@
 import { RecordFilter } from '../../common/backends/RecordFilter.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
 import type { EntryHost } from '../../common/Placement.js';
-import { createRandom, type RandomSource } from '../../common/Random.js';
+import { createProcessRandom, createRandom, type RandomSource } from '../../common/Random.js';
 import type { RoutingView } from '../../common/routing/Types.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { HttpConnections } from '../../runtime/HttpConnections.js';
@@ -211,7 +211,10 @@
 
   constructor(private readonly options: GatewayServerOptions) {
     this.clock = options.clock ?? systemClock;
-    this.random = createRandom(options.seed ?? Math.floor(this.clock.wallMs()));
+    this.random =
+      options.seed === undefined
+        ? createProcessRandom(options.id, Math.floor(this.clock.wallMs()))
+        : createRandom(options.seed);
     const { random } = this;
     const nowMs = () => this.clock.nowMs();
     const setTimer = (delayMs: number, fire: () => void) => {
--- a/src/gateway/server/RequestBody.ts
+++ b/src/gateway/server/RequestBody.ts
@@ -51,3 +51,14 @@
     request.once('close', () => finish({ type: 'broken' }));
   });
 }
+
+/**
+ * Reads what is left of a body that no attempt took, so that the next request on the connection can
+ * be read. A body that an attempt still sends to its backend server is left to it.
+ *
+ * @example
+ * connections.whenEnded(response, () => readUnusedBody(request));
+ */
+export function readUnusedBody(request: IncomingMessage): void {
+  if (request.listenerCount('data') === 0) request.resume();
+}
