A signal during the start of a program does not end it

Cause: listeners for signals were added after all modules had been loaded, in the control process also after its data folder had been opened; until then Node.js takes the default action. egret-entry and egret-control had none for SIGHUP at all. Ruled out: an error of the reload itself (the process ends without a log line, and the exit has the signal; a reload after the start is harmless).

Change: each program first loads a module that adds the listeners and keeps the signals, then the rest with a dynamic import (a static one is loaded whole before anything runs); the bundles are split for this. A stop during the start waits for its end. egret-entry and egret-control log SIGHUP and run on.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,11 +1,18 @@
-// Bundles the gateway and control programs of platform/ into target/, one file each.
+// Bundles the gateway and control programs of platform/ into target/. Each has a small first file, so
+// that it handles signals before it loads the rest.
+import { rmSync } from 'node:fs';
 import { build } from 'esbuild';
 
+// Names of the parts change with their content.
+rmSync('target/parts', { recursive: true, force: true });
+
 await build({
   entryPoints: { gateway: 'platform/bin/gateway.ts', control: 'platform/bin/control.ts' },
   outdir: 'target',
   outExtension: { '.js': '.mjs' },
   bundle: true,
+  splitting: true,
+  chunkNames: 'parts/[name]-[hash]',
   minify: true,
   keepNames: false,
   platform: 'node',
--- a/src/bin/Program.ts
+++ b/src/bin/Program.ts
@@ -1,6 +1,8 @@
 import { readFileSync } from 'node:fs';
 import { Builtins, Cli, type CommandClass } from 'clipanion';
 import { toEgretError, ErrorKind } from '../common/Errors.js';
+import { earlySignals } from '../runtime/EarlySignals.js';
+import type { Logger } from '../runtime/Logger.js';
 
 /** Exit codes of every program. */
 export enum ExitCode {
@@ -38,20 +40,24 @@
   process.stderr.write(`${failure.kind}: ${failure.message}\n`);
 }
 
-/** Runs `stop` once, on the first SIGTERM or SIGINT, and then exits the process. */
-export function onStopSignal(stop: () => Promise<void>): void {
-  let stopping = false;
-  const handle = () => {
-    if (stopping) return;
-    stopping = true;
-    stop().then(
-      () => process.exit(ExitCode.Ok),
-      (error: unknown) => {
-        printFailure(error);
-        process.exit(ExitCode.Failed);
-      },
-    );
-  };
-  process.on('SIGTERM', handle);
-  process.on('SIGINT', handle);
+/**
+ * Runs `stop` once, on the first SIGTERM or SIGINT, and then exits the process. SIGHUP is logged and
+ * changes nothing: these programs read their files at the start only.
+ *
+ * @example
+ * handleSignals(logger, () => server.stop());
+ */
+export function handleSignals(logger: Pick<Logger, 'info'>, stop: () => Promise<void>): void {
+  earlySignals.attach({
+    stop: () => {
+      stop().then(
+        () => process.exit(ExitCode.Ok),
+        (error: unknown) => {
+          printFailure(error);
+          process.exit(ExitCode.Failed);
+        },
+      );
+    },
+    reload: () => logger.info('reload_unsupported'),
+  });
 }
