A process waits for the addresses of the one before it, and for its data folder

The control process had by then opened the data folder that the old one was still writing to: it created or replaced its lock and could append to log.wal from a stale end.

Cause: listen fails on an address in use, and that ended the process; the folder was opened before the first address was taken, and an old process closed its address before its folder. The lock of the folder is not checked under a supervisor (its process id may have been reused).

Change: addresses that are in use are tried again for the time of a planned stop and a second, logged once (address_in_use). A control process takes the address of its links before it reads its folder, and gives it up after it has closed it, so that the address is the lock. A gateway first takes the address for readiness, which the old one has until its end. egret-entry keeps failing: its stop takes up to ten minutes, in which a second process can't wait.

--- a/src/bin/ProgramStart.test.ts
+++ b/src/bin/ProgramStart.test.ts
@@ -1,6 +1,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { mkdir, mkdtemp, readdir, rm, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -182,4 +183,24 @@
       expect({ code, signal }).toEqual({ code: 0, signal: null });
     });
   });
+
+  // Guards against processes that end because the one before them on the host still stops.
+  it.each([
+    ['gateway', 8542],
+    ['control', 7540],
+  ])('%s waits for the address of the process before it', async (name, port) => {
+    const program = PROGRAMS[name]!;
+    await writeFiles(program);
+    const holder = createServer().listen(port, ADDRESS);
+    await once(holder, 'listening');
+    start(program);
+    await waitForEvent('address_in_use');
+    expect(output).not.toContain(program.startedEvent);
+    // The process before it may still write to the folder.
+    expect(await readdir(path.join(folder, 'data'))).toEqual([]);
+    holder.close();
+    await waitForEvent(program.startedEvent);
+    expect(output).toContain(program.startedEvent);
+    expect(await stopChild()).toBe(0);
+  });
 });
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { Registry } from 'prom-client';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { BackendRecord } from '../../common/backends/Types.js';
@@ -53,6 +54,8 @@
 /** Options of a {@link ControlServer}. */
 export interface ControlServerOptions {
   readonly file: ControlFile;
+  /** Server that listens on `file.listen` already; created at the start by default. */
+  readonly listener?: Server;
   readonly secret: string;
   readonly logger: Logger;
   /** Creates the identity of an empty data folder. */
@@ -223,7 +226,8 @@
         this.post({ type: ControlEventType.SessionClosed, sessionId });
       },
     });
-    this.http = createServer((request, response) => {
+    this.http = options.listener ?? createServer();
+    this.http.removeAllListeners('request').on('request', (request, response) => {
       if (request.url === JOIN_PATH) {
         answerJoin(request, response, {
           secret,
@@ -368,7 +372,9 @@
   async start(): Promise<void> {
     const { file, logger } = this.options;
     this.startedAtMs = this.clock.nowMs();
-    this.boundPort = await listen(this.http, file.listen.address, file.listen.port);
+    this.boundPort = this.http.listening
+      ? (this.http.address() as AddressInfo).port
+      : await listen(this.http, file.listen.address, file.listen.port);
     const { adminListen } = file;
     this.boundAdminPort = await listen(this.adminHttp, adminListen.address, adminListen.port);
     const records = (await this.backendsFile?.load(this.clock.wallMs())) ?? [];
@@ -409,10 +415,11 @@
     this.failPendingRequests();
     this.links.dispose();
     this.messages.dispose();
-    await closeServer(this.http);
     await this.backendsFile?.close();
     await this.departuresFile?.close();
     await this.storage.close();
+    // Last: whoever has this address may use the data folder.
+    await closeServer(this.http);
     this.options.logger.info('control_stopped', { host: this.options.file.id });
   }
 
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -9,8 +9,9 @@
 import type { RoutingView } from '../../common/routing/Types.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { HttpConnections } from '../../runtime/HttpConnections.js';
-import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
+import { answerParserErrors, closeServer } from '../../runtime/HttpJson.js';
 import type { Connect } from '../../runtime/GuardedAgent.js';
+import { listenWhenFree, RELEASE_MS } from '../../runtime/Listen.js';
 import type { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
 import { createNonce } from '../../runtime/LinkAuth.js';
 import { MetricsListener } from '../../runtime/MetricsListener.js';
@@ -482,12 +483,19 @@
   }
 
   async start(): Promise<void> {
-    const { callers, readiness, metrics, log, id } = this.options;
-    this.boundPort = await listen(this.callerServer, callers.address, callers.port);
-    const { address, port } = readiness;
-    this.boundReadinessPort = await listen(this.readinessServer, address, port);
+    const { callers, readiness, metrics, log, id, stopMs } = this.options;
+    const bind = (server: Server, { address, port }: { address: string; port: number }) =>
+      listenWhenFree(server, {
+        address,
+        port,
+        patienceMs: stopMs + RELEASE_MS,
+        onInUse: () => log.line('address_in_use', { host: id, address, port }),
+      });
+    // A process that stops has this address until its end.
+    this.boundReadinessPort = await bind(this.readinessServer, readiness);
+    this.boundPort = await bind(this.callerServer, callers);
     const { peers } = this.options;
-    if (peers) this.boundPeerPort = await listen(this.peerServer, peers.address, peers.port);
+    if (peers) this.boundPeerPort = await bind(this.peerServer, peers);
     if (metrics) {
       const onFailed = (error: unknown) => log.line('metrics_failed', { detail: String(error) });
       const { registry } = this.metrics;
--- a/src/runtime/MetricsListener.ts
+++ b/src/runtime/MetricsListener.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { Registry } from 'prom-client';
-import { closeServer, listen } from './HttpJson.js';
+import { closeServer } from './HttpJson.js';
+import { listenWhenFree, RELEASE_MS } from './Listen.js';
 import { sendMetrics } from './SendMetrics.js';
 
 /** Options of a {@link MetricsListener}. */
@@ -39,7 +40,7 @@
   async start(): Promise<void> {
     const { address, port, onFailed } = this.options;
     try {
-      this.boundPort = await listen(this.server, address, port);
+      this.boundPort = await listenWhenFree(this.server, { address, port, patienceMs: RELEASE_MS });
     } catch (error) {
       onFailed(error);
     }
