A client that closes its sending side behind a request gets its answer

Seen: a client that sends a whole request and then closes only its sending side got no answer: the request was passed on to a backend server, ran, and the connection was closed (rule LOST, "at any time"). The same at entry hosts, and for operators and backend servers at a control host: a change that came into force had no answer.

Cause: Node's HTTP server closes its own side as soon as a client has closed its side, unless httpAllowHalfOpen is set. Ruled out: the time of the close (the same in calm and during changes), the size, pipelining (all answers were missing).

Which sentence binds where: GONE asks that work for idempotent requests and streams ends half a second after a client has closed; TCP shows a half-closed and a closed client alike. So: (1) a non-idempotent call that may run is answered, however late its client closes: GONE does not name it, and its run can't be taken back. (2) A client that closed within 100 ms behind its request, as one that sends and closes does, is served for 400 ms, and longer if it receives (a client that has left would reset the connection). (3) One that closes later has waited and counts as gone at once, as before. Calls between gateways are as before.

--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -149,7 +149,11 @@
     this.peerHttp = listeners.peerHttp;
     this.self = self;
     const isStopping = () => this.self.stopping;
-    this.callerConnections = new HttpConnections({ server: this.callerHttp, isStopping });
+    this.callerConnections = new HttpConnections({
+      server: this.callerHttp,
+      isStopping,
+      mustAnswer: (response) => this.mustAnswer(response),
+    });
     this.peerConnections = new HttpConnections({ server: this.peerHttp, isStopping });
     this.clock = options.clock ?? systemClock;
     this.reducer = new EntryReducer({
@@ -481,6 +485,16 @@
     this.dispatch(this.timed({ type: EntryEventType.CallArrived, call }));
   }
 
+  /** True for the answer of a call that is not safe to repeat and that a backend server may run. */
+  private mustAnswer(response: ServerResponse): boolean {
+    const calls = [...this.calls.values()];
+    const call = calls.find((context) => context.response === response);
+    if (!call || call.attempts.size === 0) return false;
+    const { services } = this.reducer.settings.catalog;
+    const methods: readonly string[] = services.get(call.service)?.settings.idempotentMethods ?? [];
+    return !methods.includes(call.method);
+  }
+
   private connectionsOf(forwarded: boolean): HttpConnections {
     return forwarded ? this.peerConnections : this.callerConnections;
   }
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -72,6 +72,8 @@
   /** Calls whose answers are not yet sent completely. */
   private readonly inProgress: OpenCalls;
 
+  private readonly openCallOf = new WeakMap<ServerResponse, OpenCall>();
+
   /** Answers of non-idempotent calls. */
   private readonly unrepeatable = new WeakSet<ServerResponse>();
 
@@ -105,12 +107,21 @@
     return this.inProgress.size;
   }
 
+  /**
+   * True for the answer of a non-idempotent call that may run: stopping it is of no use to anyone, and
+   * its client may still read.
+   */
+  mustAnswer(response: ServerResponse): boolean {
+    return this.unrepeatable.has(response) && this.openCallOf.get(response)?.mayHaveRun === true;
+  }
+
   /** Handles one request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const { connections } = this.options;
     if (!connections.admit(request, response)) return;
     const open = new OpenCall(response);
     this.inProgress.add(open);
+    this.openCallOf.set(response, open);
     connections.whenEnded(response, (closedBy) => {
       this.inProgress.delete(open);
       readUnusedBody(request);
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -9,7 +9,7 @@
 import type { RoutingView } from '../../common/routing/Types.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { HttpConnections } from '../../runtime/HttpConnections.js';
-import { answerParserErrors, closeServer } from '../../runtime/HttpJson.js';
+import { answerHalfClosed, answerParserErrors, closeServer } from '../../runtime/HttpJson.js';
 import type { Connect } from '../../runtime/GuardedAgent.js';
 import { listenWhenFree, RELEASE_MS } from '../../runtime/Listen.js';
 import type { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
@@ -382,6 +382,7 @@
     this.connections = new HttpConnections({
       server: this.callerServer,
       isStopping: () => this.stopping,
+      mustAnswer: (response) => this.calls.mustAnswer(response),
     });
     this.peerServer = createServer(
       { maxHeaderSize: HEADER_BYTES_MAX, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
@@ -429,6 +430,7 @@
     this.readinessServer = createServer((request, response) =>
       this.answerReadiness(request, response),
     );
+    answerHalfClosed(this.readinessServer);
     this.registerGauges();
   }
 
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -182,7 +182,13 @@
   });
   const dispatcher = new Dispatcher({ picker, cold, budget, work, crashes, nowMs, setTimer, log });
   const server = createServer();
-  const connections = new HttpConnections({ server, isStopping: () => false });
+  // The connections need the server of calls, which needs them.
+  const owner: { calls?: CallServer } = {};
+  const connections = new HttpConnections({
+    server,
+    isStopping: () => false,
+    mustAnswer: (response) => owner.calls?.mustAnswer(response) === true,
+  });
   const calls = new CallServer({
     profile: TEST_PROFILE,
     routing,
@@ -203,6 +209,7 @@
     connections,
     ...options,
   });
+  owner.calls = calls;
   server.on('request', (request, response) => calls.handle(request, response));
   const port = await listen(server, HOST, 0);
   return {
--- a/src/runtime/AdminListener.ts
+++ b/src/runtime/AdminListener.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Registry } from 'prom-client';
 import { EgretError, ErrorKind } from '../common/Errors.js';
-import { answerParserErrors, sendError, sendJson } from './HttpJson.js';
+import { answerHalfClosed, answerParserErrors, sendError, sendJson } from './HttpJson.js';
 import { ResponseTracker } from './ResponseTracker.js';
 import { sendMetrics } from './SendMetrics.js';
 
@@ -30,6 +30,7 @@
     this.responses = new ResponseTracker(server);
     server.on('request', (request, response) => this.onRequest(request, response));
     answerParserErrors(server);
+    answerHalfClosed(server);
   }
 
   /** Completes the requests in progress, within `finishMs`, and closes all connections. */
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { answerHalfClosed } from './HttpJson.js';
 
 /** Side that closed a connection before an answer on it was complete. */
 export enum ClosedBy {
@@ -17,6 +18,11 @@
   readonly isStopping: () => boolean;
   /** Time for which a client may take to close its side after this host has closed its own. */
   readonly lingerMs?: number;
+  /**
+   * True for an answer that is sent even if its client seems to have left, such as that of a
+   * non-idempotent call which a backend server runs; for none by default.
+   */
+  readonly mustAnswer?: (response: ServerResponse) => boolean;
 }
 
 /** State of one connection. */
@@ -26,6 +32,10 @@
   readonly due: Map<ServerResponse, AnswerEnded[]>;
   /** True once the connection ends after the answers that are due. */
   ending: boolean;
+  /** Time at which the latest request, or the latest end of a body, arrived. */
+  lastArrivalMs: number;
+  /** Closes the connection if its client has left; set once it has closed its sending side. */
+  closeIfLeft?: () => void;
   /** Ends an idle connection after a delay. */
   idleTimer?: NodeJS.Timeout;
 }
@@ -35,6 +45,18 @@
 /** Delay before an idle connection ends: a request that has arrived is read and admitted first. */
 const IDLE_GRACE_MS = 50;
 
+/**
+ * A client that closes only its sending side does so right behind its last request, since it has
+ * nothing to wait for; one that gives up has waited for an answer. TCP shows the same for both.
+ */
+const HALF_CLOSE_MS = 100;
+
+/**
+ * Time for which a client that closed right behind its request may be served without a sign that it
+ * still reads: work for a client that has left ends within half a second.
+ */
+const HALF_CLOSED_SERVICE_MS = 400;
+
 /**
  * Connections of an HTTP server whose clients may send requests before earlier ones are answered.
  * A connection ends only after the answers to all admitted requests, since Node's server drops the
@@ -52,6 +74,7 @@
     server.on('connection', (socket: Socket) => this.add(socket));
     // `close` of the server calls this too.
     Object.assign(server, { closeIdleConnections: () => this.closeIdle() });
+    answerHalfClosed(server);
   }
 
   /** Number of open connections. */
@@ -82,6 +105,10 @@
     clearTimeout(connection.idleTimer);
     connection.idleTimer = undefined;
     connection.due.set(response, []);
+    connection.lastArrivalMs = performance.now();
+    request.once('end', () => {
+      connection.lastArrivalMs = performance.now();
+    });
     response.once('close', () => {
       if (response.writableFinished) this.finish(connection, response, null);
     });
@@ -180,8 +207,9 @@
   }
 
   private add(socket: Socket): void {
-    const connection: Connection = { socket, due: new Map(), ending: false };
+    const connection: Connection = { socket, due: new Map(), ending: false, lastArrivalMs: 0 };
     this.connections.set(socket, connection);
+    socket.once('end', () => this.noteHalfClosed(connection));
     socket.once('close', () => {
       this.connections.delete(socket);
       clearTimeout(connection.idleTimer);
@@ -194,6 +222,30 @@
     Object.assign(socket, { destroySoon: () => this.end(socket) });
   }
 
+  /** Decides about the answers that are due on a connection whose client sends no more. */
+  private noteHalfClosed(connection: Connection): void {
+    const { socket, lastArrivalMs } = connection;
+    connection.ending = true;
+    if (connection.due.size === 0) return;
+    const sentBytes = socket.bytesWritten;
+    const closeIfLeft = () => {
+      // A client that has left resets the connection when it receives bytes.
+      const hasReceived = socket.bytesWritten > sentBytes;
+      if (!hasReceived && !this.mustAnswerOn(connection)) socket.destroy();
+    };
+    const delayMs = performance.now() - lastArrivalMs <= HALF_CLOSE_MS ? HALF_CLOSED_SERVICE_MS : 0;
+    const timer = setTimeout(() => {
+      connection.closeIfLeft = closeIfLeft;
+      closeIfLeft();
+    }, delayMs);
+    socket.once('close', () => clearTimeout(timer));
+  }
+
+  private mustAnswerOn({ due }: Connection): boolean {
+    const { mustAnswer } = this.options;
+    return mustAnswer !== undefined && [...due.keys()].some(mustAnswer);
+  }
+
   /**
    * Closes the sending side. The receiving side is read until the client closes it: closing it with
    * unread bytes resets the connection, and the part of an answer not yet received would be lost.
@@ -215,5 +267,6 @@
     connection.due.delete(response);
     listeners.forEach((listener) => listener(closedBy));
     if (connection.ending && connection.due.size === 0) this.end(connection.socket);
+    else connection.closeIfLeft?.();
   }
 }
--- a/src/runtime/HttpJson.ts
+++ b/src/runtime/HttpJson.ts
@@ -100,6 +100,17 @@
   });
 }
 
+/**
+ * Lets a server answer clients that close their sending side behind a request; Node's server closes
+ * such a connection without the answer. For servers whose answers take little work and time.
+ *
+ * @example
+ * answerHalfClosed(server);
+ */
+export function answerHalfClosed(server: Server): void {
+  Object.assign(server, { httpAllowHalfOpen: true });
+}
+
 /** Starts listening and returns the bound port. */
 export function listen(server: Server, address: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
