Calls behind a long answer keep their answers when it breaks off

Cause: answers of more than 256 KiB are streamed, and one that breaks off can only be shown by closing the connection, behind which calls had been passed on. Ruled out: the retry of truncated answers, which covers what is buffered.

A call that arrives behind an answer that is being streamed is passed on once that has ended.

The entry program has the same structure; read, not shown, and not changed.

--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -197,14 +197,18 @@
   readonly rest: AnswerRest | null;
 }
 
+/** Receives the rest of an answer; `onEnd` or `onBroken` is called last. */
+export interface AnswerRestHandlers {
+  /** Returns false to pause until {@link AnswerRest.resume}. */
+  readonly onData: (chunk: Buffer) => boolean;
+  readonly onEnd: () => void;
+  readonly onBroken: () => void;
+}
+
 /** Unread rest of a long answer body. */
 export interface AnswerRest {
-  /** Streams the rest to the handlers; `onEnd` or `onBroken` is called last. */
-  read(handlers: {
-    readonly onData: (chunk: Buffer) => boolean;
-    readonly onEnd: () => void;
-    readonly onBroken: () => void;
-  }): void;
+  /** Streams the rest to the handlers. */
+  read(handlers: AnswerRestHandlers): void;
   resume(): void;
   /** Closes the connection to the backend server unless the answer is complete. */
   cancel(): void;
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -67,6 +67,10 @@
 /** Request headers that are set anew instead of copied, in addition to those of the profile. */
 const OWN_REQUEST_HEADERS = ['expect', 'content-length', FORWARD_HEADER];
 
+function isBeingStreamed({ headersSent, writableEnded }: ServerResponse): boolean {
+  return headersSent && !writableEnded;
+}
+
 /** Serves callers: finds the route, dispatches the call and forwards the answer. */
 export class CallServer {
   /** Calls whose answers are not yet sent completely. */
@@ -199,7 +203,7 @@
       this.answers.refuse(response, callId, error);
       return;
     }
-    if (!(await this.waitForUnrepeatableCalls(arrival.route, response))) return;
+    if (!(await this.waitForCallsAhead(arrival.route, response))) return;
     if (options.routingRefusal?.()) {
       await options.waitUntilReady(arrivedAtMs + callerBudgetMs - options.nowMs());
     }
@@ -319,14 +323,15 @@
   }
 
   /**
-   * Waits for the non-idempotent calls ahead on the connection: their answers can't be requested
-   * again, and one without a length ends the connection. Returns false if it did.
+   * Waits for the calls ahead on the connection that may end it: non-idempotent ones, whose answers
+   * can't be requested again and may have no length, and those whose answer is being streamed and may
+   * break off. Returns false if the connection has ended.
    */
-  private async waitForUnrepeatableCalls(route: Route, response: ServerResponse): Promise<boolean> {
+  private async waitForCallsAhead(route: Route, response: ServerResponse): Promise<boolean> {
     const { connections } = this.options;
     const ahead = connections
       .answersAhead(response)
-      .filter((other) => this.unrepeatable.has(other));
+      .filter((other) => this.unrepeatable.has(other) || isBeingStreamed(other));
     if (route.kind === RouteKind.NonIdempotent) this.unrepeatable.add(response);
     if (ahead.length === 0) return true;
     await Promise.all(
@@ -410,7 +415,7 @@
           routing: call.routingVersion,
           ...(late ? outcome.inputs : {}),
         });
-        this.answers.answer(response, outcome.answer);
+        this.answers.answer(response, callId, outcome.answer);
         break;
       }
       case DispatchOutcomeType.Abandoned:
