Soak: faulty backend servers, long answers and clients that send ahead

Two of twelve backend servers of a service break off, reset, double or do not frame some answers; three of a hundred answers are longer than a gateway buffers; each gateway has a client that sends four safe requests at once. A request whose backend server spoiled or withheld its answer does not count as lost (planted in the tests).

--- a/soak/Backend.ts
+++ b/soak/Backend.ts
@@ -1,10 +1,37 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { RandomSource } from '../src/common/Random.js';
 import { closeServer, listen } from '../src/runtime/HttpJson.js';
 import { send } from './Http.js';
 import type { SoakRecord } from './Types.js';
 
+/** How a backend server ends the answer to a request. */
+enum Ending {
+  Whole = 'whole',
+  /** A whole answer that is longer than a gateway buffers. */
+  Long = 'long',
+  /** Closes the connection in the middle of a long answer. */
+  CutLong = 'cut-long',
+  CutShort = 'cut-short',
+  /** Resets the connection without an answer. */
+  Reset = 'reset',
+  /** Sends the answer twice; the second copy comes late. */
+  Double = 'double',
+  Unframed = 'unframed',
+}
+
+const UNSOUND: ReadonlySet<Ending> = new Set([Ending.CutLong, Ending.CutShort, Ending.Reset]);
+
+/** Endings of which a faulty backend server draws one; the others end whole, some long. */
+const FAULTY_ENDINGS = [...Object.values(Ending), Ending.Whole, Ending.Whole, Ending.Whole];
+
+const LONG_SHARE = 0.03;
+
+const LONG_FILL = 'l'.repeat(400_000);
+
+const SECOND_COPY_DELAY_MS = 30;
+
 /** Options of a {@link SoakBackend}. */
 export interface SoakBackendOptions {
   readonly id: string;
@@ -14,8 +41,8 @@
   readonly controlAddresses: () => readonly string[];
   readonly record: SoakRecord;
   readonly nowMs: () => number;
-  /** Draws the time that a request takes. */
-  readonly workMs: () => number;
+  readonly random: RandomSource;
+  readonly isFaulty: boolean;
 }
 
 const SLOTS = 3;
@@ -25,8 +52,17 @@
 /** Requests beyond the slots that wait; further ones are rejected as not run. */
 const QUEUE_MAX = 12;
 
+const WORK_MIN_MS = 20;
+
+const WORK_SPREAD_MS = 150;
+
 /** Body of the answer to a request. */
-export const answerBody = (id: string) => `answer to ${id}`;
+const answerBody = (id: string) => `answer to ${id}`;
+
+/** True for the whole body of an answer to a request. */
+export function isWholeBody(id: string, body: string): boolean {
+  return body === answerBody(id) || body === answerBody(id) + LONG_FILL;
+}
 
 /** Backend server that announces itself, runs requests and records them. */
 export class SoakBackend {
@@ -103,20 +139,68 @@
   }
 
   private run(callId: string, response: http.ServerResponse): void {
-    const { id, record, nowMs, workMs } = this.options;
+    const { id, record, nowMs, random } = this.options;
     if (response.destroyed) {
       this.waiting.shift()?.();
       return;
     }
-    record.runs.push({ id: callId, backend: id, atMs: nowMs() });
+    const ending = this.drawEnding();
+    record.runs.push({ id: callId, backend: id, atMs: nowMs(), sound: !UNSOUND.has(ending) });
     this.running += 1;
     response.once('close', () => {
       this.running -= 1;
       this.waiting.shift()?.();
     });
+    const workMs = WORK_MIN_MS + random.next() * WORK_SPREAD_MS;
     setTimeout(() => {
+      if (response.destroyed) return;
       response.setHeader('X-Response-Signature', `of-${callId}`);
-      response.end(answerBody(callId));
-    }, workMs());
+      this.endings[ending](response, callId);
+    }, workMs);
   }
+
+  private drawEnding(): Ending {
+    const { random, isFaulty } = this.options;
+    if (isFaulty) return FAULTY_ENDINGS[Math.floor(random.next() * FAULTY_ENDINGS.length)]!;
+    return random.next() < LONG_SHARE ? Ending.Long : Ending.Whole;
+  }
+
+  private readonly endings: Record<
+    Ending,
+    (response: http.ServerResponse, callId: string) => void
+  > = {
+    [Ending.Whole]: (response, callId) => response.end(answerBody(callId)),
+    [Ending.Long]: (response, callId) => response.end(answerBody(callId) + LONG_FILL),
+    [Ending.CutLong]: (response) => {
+      response.setHeader('Content-Length', LONG_FILL.length * 2);
+      response.write(LONG_FILL);
+      setTimeout(() => response.destroy(), SECOND_COPY_DELAY_MS);
+    },
+    [Ending.CutShort]: (response) => {
+      response.setHeader('Content-Length', answerBody('').length * 2);
+      response.write(answerBody(''));
+      setTimeout(() => response.destroy(), SECOND_COPY_DELAY_MS);
+    },
+    [Ending.Reset]: (response) => response.socket?.resetAndDestroy(),
+    [Ending.Double]: (response, callId) => {
+      const { socket } = response;
+      const body = answerBody(callId);
+      response.end(body);
+      const copy = [
+        'HTTP/1.1 200 OK',
+        `X-Attempt-Id: ${callId}`,
+        `X-Response-Signature: of-${callId}`,
+        `Content-Length: ${body.length}`,
+        '',
+        body,
+      ];
+      setTimeout(() => {
+        if (socket && !socket.destroyed) socket.write(copy.join('\r\n'));
+      }, SECOND_COPY_DELAY_MS);
+    },
+    [Ending.Unframed]: (response, callId) => {
+      Object.assign(response, { useChunkedEncodingByDefault: false });
+      response.end(answerBody(callId));
+    },
+  };
 }
--- a/soak/Checks.ts
+++ b/soak/Checks.ts
@@ -66,7 +66,8 @@
     (request) =>
       request.status === 0 && request.error !== GIVEN_UP && isUndisturbed(record, request),
   );
-  const passedOn = unanswered.filter(hasRun);
+  const spoiled = new Set(record.runs.filter(({ sound }) => !sound).map(({ id }) => id));
+  const passedOn = unanswered.filter((request) => hasRun(request) && !spoiled.has(request.id));
   const cut = unanswered.filter(
     (request) =>
       !hasRun(request) &&
--- a/soak/Clients.ts
+++ b/soak/Clients.ts
@@ -2,10 +2,11 @@
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RandomSource } from '../src/common/Random.js';
-import { answerBody } from './Backend.js';
+import { isWholeBody } from './Backend.js';
 import { SOAK_PORTS, type SoakMachine } from './Deployment.js';
 import { send, type HttpAnswer } from './Http.js';
 import { ROUTE_TIMEOUT_MS } from './Operator.js';
+import { PipelinedConnection } from './Pipeline.js';
 import type { SoakRecord } from './Types.js';
 
 /** Options of {@link SoakClients}. */
@@ -37,6 +38,22 @@
 
 const HALF_CLOSED_ERROR = 'no answer after closing the sending side';
 
+/** Requests that a client sends before the first one is answered. */
+const PIPELINED_REQUESTS = 4;
+
+/** Headers of a request with an id. */
+const headersOf = (id: string) => ({
+  Host: 'depot.example',
+  'X-Attempt-Id': id,
+  'X-Deadline-Ms': String(ROUTE_TIMEOUT_MS),
+});
+
+function createText(method: Method, headers: Readonly<Record<string, string>>): string {
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+  const length = method === 'POST' ? ['Content-Length: 0'] : [];
+  return [`${method} ${REQUESTS[method]} HTTP/1.1`, ...lines, ...length, '', ''].join('\r\n');
+}
+
 /** Clients that each keep one connection to one gateway open, and use it until it is gone. */
 export class SoakClients {
   private isStopped = false;
@@ -53,6 +70,7 @@
       for (let index = 0; index < clientsPerMachine; index += 1) {
         this.loops.push(this.run(machine));
       }
+      this.loops.push(this.runPipelined(machine));
     });
   }
 
@@ -78,15 +96,10 @@
 
   /** Sends one request and records what comes of it; without an agent it closes its side behind it. */
   private async send(machine: SoakMachine, method: Method, agent?: http.Agent): Promise<void> {
-    const { record, nowMs, random } = this.options;
-    this.sent += 1;
-    const id = `soak-${this.sent}`;
+    const { nowMs, random } = this.options;
+    const id = this.nextId();
     const address = `${machine.address}:${SOAK_PORTS.callers}`;
-    const headers = {
-      Host: 'depot.example',
-      'X-Attempt-Id': id,
-      'X-Deadline-Ms': String(ROUTE_TIMEOUT_MS),
-    };
+    const headers = headersOf(id);
     const isUpload = random.next() < UPLOAD_SHARE;
     const body = method === 'POST' ? 'order'.concat(isUpload ? UPLOAD : '') : undefined;
     const path = REQUESTS[method];
@@ -95,10 +108,43 @@
     const answer = agent
       ? await send({ address, path, method, headers, body, agent, timeoutMs })
       : await SoakClients.sendAndClose(address, method, { headers, timeoutMs });
-    const { status, error, kept } = answer;
+    this.note({ id, machine, method, sentMs }, answer);
+  }
+
+  /** Sends several safe requests at once, again and again, on one connection while that is open. */
+  private async runPipelined(machine: SoakMachine): Promise<void> {
+    const { nowMs, random } = this.options;
+    const address = `${machine.address}:${SOAK_PORTS.callers}`;
+    let connection: PipelinedConnection | undefined;
+    while (!this.isStopped) {
+      if (!connection?.isOpen) connection = new PipelinedConnection(address);
+      const ids = Array.from({ length: PIPELINED_REQUESTS }, () => this.nextId());
+      const requests = ids.map((id) => createText('GET', headersOf(id)));
+      const sentMs = nowMs();
+      // eslint-disable-next-line no-await-in-loop
+      const answers = await connection.sendAll(requests, ROUTE_TIMEOUT_MS * 2);
+      ids.forEach((id, index) =>
+        this.note({ id, machine, method: 'GET', sentMs }, answers[index]!),
+      );
+      // eslint-disable-next-line no-await-in-loop
+      await sleep(random.next() * PAUSE_MAX_MS);
+    }
+    connection?.close();
+  }
+
+  private nextId(): string {
+    this.sent += 1;
+    return `soak-${this.sent}`;
+  }
+
+  private note(
+    sent: { id: string; machine: SoakMachine; method: Method; sentMs: number },
+    { status, headers, body, error, kept }: HttpAnswer,
+  ): void {
+    const { record, nowMs } = this.options;
+    const { id, machine, method, sentMs } = sent;
     const isSuccess = status >= 200 && status < 300;
-    const isOwn =
-      answer.headers['x-response-signature'] === `of-${id}` && answer.body === answerBody(id);
+    const isOwn = headers['x-response-signature'] === `of-${id}` && isWholeBody(id, body);
     record.requests.push({
       id,
       machine: machine.name,
@@ -119,9 +165,6 @@
     { headers, timeoutMs }: { headers: Record<string, string>; timeoutMs: number },
   ): Promise<HttpAnswer> {
     const [host, port] = address.split(':');
-    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-    const length = method === 'POST' ? ['Content-Length: 0'] : [];
-    const head = [`${method} ${REQUESTS[method]} HTTP/1.1`, ...lines, ...length, '', ''];
     return new Promise((resolve) => {
       let text = '';
       let error: string | undefined;
@@ -146,7 +189,7 @@
           kept: false,
         });
       });
-      socket.end(head.join('\r\n'));
+      socket.end(createText(method, headers));
     });
   }
 }
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -31,6 +31,9 @@
 
 const BACKENDS_PER_SERVICE = 12;
 
+/** Backend servers of a service that spoil or withhold some of their answers. */
+const FAULTY_PER_SERVICE = 2;
+
 /** Longest pause between two causes; they overlap. */
 const CAUSE_GAP_MAX_MS = 1_500;
 
@@ -81,7 +84,8 @@
           controlAddresses,
           record,
           nowMs,
-          workMs: () => 20 + random.next() * 150,
+          random,
+          isFaulty: index < FAULTY_PER_SERVICE,
         }),
     ),
   );
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -26,6 +26,8 @@
   readonly id: string;
   readonly backend: string;
   readonly atMs: number;
+  /** False if the backend server spoiled or withheld its answer. */
+  readonly sound: boolean;
 }
 
 /** Program of a machine. */
