--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -235,8 +235,8 @@
     const sentBytes = socket.bytesWritten;
     const closeIfLeft = () => {
       // A client that has left resets the connection when it receives bytes.
-      const hasReceived = socket.bytesWritten > sentBytes;
-      if (!hasReceived && !this.mustAnswerOn(connection)) this.endLeft(connection);
+      const hasSent = socket.bytesWritten > sentBytes;
+      if (!hasSent && !this.mustAnswerOn(connection)) this.endLeft(connection);
     };
     const delayMs = performance.now() - lastArrivalMs <= HALF_CLOSE_MS ? HALF_CLOSED_SERVICE_MS : 0;
     const timer = setTimeout(() => {
