Soak: an answer without a length that ends its connection counts as whole

Cause, in the harness: its reader of pipelined answers waited for a length that an answer of the ending 'unframed' does not have, and took the end of the connection for a loss; each was the last of its four requests. Such an answer is whole once the connection has ended without an error; a reset or a cut is still none (Pipeline.test.ts).

--- a/soak/Pipeline.ts
+++ b/soak/Pipeline.ts
@@ -3,8 +3,14 @@
 
 const HEAD_END = '\r\n\r\n';
 
-/** Complete answer at the start of a text, and the text behind it; undefined without one. */
-function takeAnswer(text: string): { answer: HttpAnswer; rest: string } | undefined {
+/**
+ * Complete answer at the start of a text, and the text behind it; undefined without one. An answer
+ * without a length is complete once the connection has ended without an error.
+ */
+function takeAnswer(
+  text: string,
+  hasEnded = false,
+): { answer: HttpAnswer; rest: string } | undefined {
   const headLength = text.indexOf(HEAD_END);
   if (headLength < 0) return undefined;
   const [statusLine = '', ...lines] = text.slice(0, headLength).split('\r\n');
@@ -15,7 +21,8 @@
     }),
   );
   const start = headLength + HEAD_END.length;
-  const end = start + Number(headers['content-length'] ?? Number.POSITIVE_INFINITY);
+  const unframedLength = hasEnded ? text.length - start : Number.POSITIVE_INFINITY;
+  const end = start + Number(headers['content-length'] ?? unframedLength);
   if (text.length < end) return undefined;
   const status = Number(statusLine.split(' ')[1]);
   const answer = { status, headers, body: text.slice(start, end), kept: true };
@@ -56,6 +63,8 @@
       }, timeoutMs);
       const onClose = () => {
         clearTimeout(timer);
+        const last = this.error === undefined ? takeAnswer(this.received, true) : undefined;
+        if (last) answers.push(last.answer);
         finish(this.error ?? 'connection closed');
       };
       const onData = (chunk: Buffer) => {
