--- a/soak/Checks.test.ts
+++ b/soak/Checks.test.ts
@@ -16,6 +16,7 @@
     machine: 'edge-1',
     method: 'GET',
     kept: true,
+    behind: false,
     sentMs: 10_000,
     endedMs: 10_100,
     status: 200,
@@ -79,6 +80,11 @@
     };
     expect(rulesAfter(150)).toEqual([]);
     expect(rulesAfter(250)).toEqual(['LOST cut at a stop']);
+    const behind = createRequest('a', { ...LOST, endedMs: 10_250, behind: true });
+    expect(rulesOf(createRecord({ requests: [behind], disturbances }))).toEqual([]);
+    expect(rulesOf(createRecord({ requests: [behind], disturbances, runs: [run('a')] }))).toEqual([
+      'LOST passed on',
+    ]);
   });
 
   it('leaves out machines that were killed or paused, and requests that the client gave up', () => {
--- a/soak/Checks.ts
+++ b/soak/Checks.ts
@@ -72,6 +72,9 @@
     (request) =>
       !hasRun(request) &&
       request.kept &&
+      // "Not counted either: a request that was sent behind another on its connection and wasn't
+      // passed on to a target."
+      !request.behind &&
       request.endedMs - request.sentMs > LOSS_SLACK_MS &&
       isDuringStop(record, request),
   );
--- a/soak/Clients.ts
+++ b/soak/Clients.ts
@@ -6,7 +6,7 @@
 import { SOAK_PORTS, type SoakMachine } from './Deployment.js';
 import { send, type HttpAnswer } from './Http.js';
 import { ROUTE_TIMEOUT_MS } from './Operator.js';
-import { PipelinedConnection } from './Pipeline.js';
+import { PipelinedConnection, takeAnswer } from './Pipeline.js';
 import type { SoakRecord } from './Types.js';
 
 /** Options of {@link SoakClients}. */
@@ -108,7 +108,7 @@
     const answer = agent
       ? await send({ address, path, method, headers, body, agent, timeoutMs })
       : await SoakClients.sendAndClose(address, method, { headers, timeoutMs });
-    this.note({ id, machine, method, sentMs }, answer);
+    this.note({ id, machine, method, sentMs, behind: false }, answer);
   }
 
   /** Sends several safe requests at once, again and again, on one connection while that is open. */
@@ -124,7 +124,7 @@
       // eslint-disable-next-line no-await-in-loop
       const answers = await connection.sendAll(requests, ROUTE_TIMEOUT_MS * 2);
       ids.forEach((id, index) =>
-        this.note({ id, machine, method: 'GET', sentMs }, answers[index]!),
+        this.note({ id, machine, method: 'GET', sentMs, behind: index > 0 }, answers[index]!),
       );
       // eslint-disable-next-line no-await-in-loop
       await sleep(random.next() * PAUSE_MAX_MS);
@@ -138,11 +138,11 @@
   }
 
   private note(
-    sent: { id: string; machine: SoakMachine; method: Method; sentMs: number },
+    sent: { id: string; machine: SoakMachine; method: Method; sentMs: number; behind: boolean },
     { status, headers, body, error, kept }: HttpAnswer,
   ): void {
     const { record, nowMs } = this.options;
-    const { id, machine, method, sentMs } = sent;
+    const { id, machine, method, sentMs, behind } = sent;
     const isSuccess = status >= 200 && status < 300;
     const isOwn = headers['x-response-signature'] === `of-${id}` && isWholeBody(id, body);
     record.requests.push({
@@ -150,6 +150,7 @@
       machine: machine.name,
       method,
       kept,
+      behind,
       sentMs,
       endedMs: nowMs(),
       status,
@@ -179,15 +180,9 @@
       socket.on('end', () => socket.destroy());
       socket.on('close', () => {
         clearTimeout(timer);
-        const status = Number(/^HTTP\/1\.1 (\d{3})/.exec(text)?.[1] ?? 0);
-        const signature = /x-response-signature: (\S+)/i.exec(text)?.[1];
-        resolve({
-          status,
-          headers: { 'x-response-signature': signature },
-          body: text.slice(text.indexOf('\r\n\r\n') + 4),
-          error: status > 0 ? undefined : (error ?? HALF_CLOSED_ERROR),
-          kept: false,
-        });
+        const whole = error === undefined ? takeAnswer(text, true)?.answer : undefined;
+        const none = { status: 0, headers: {}, body: '', error: error ?? HALF_CLOSED_ERROR };
+        resolve({ ...(whole ?? none), kept: false });
       });
       socket.end(createText(method, headers));
     });
--- a/soak/Pipeline.ts
+++ b/soak/Pipeline.ts
@@ -7,7 +7,7 @@
  * Complete answer at the start of a text, and the text behind it; undefined without one. An answer
  * without a length is complete once the connection has ended without an error.
  */
-function takeAnswer(
+export function takeAnswer(
   text: string,
   hasEnded = false,
 ): { answer: HttpAnswer; rest: string } | undefined {
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -11,6 +11,8 @@
   readonly method: string;
   /** True if its connection had carried a request before. */
   readonly kept: boolean;
+  /** True if it was sent behind another on its connection, before that was answered. */
+  readonly behind: boolean;
   /** Times in milliseconds since the start of the run; the request was sent as a whole. */
   readonly sentMs: number;
   readonly endedMs: number;
