--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -519,6 +519,10 @@
       if (end < 0) return;
       const head = this.buffer.subarray(0, end).toString('latin1');
       const status = Number(/^HTTP\/1\.1 (\d{3})/.exec(head)?.[1] ?? -1);
+      if (status >= 100 && status < 200) {
+        this.buffer = this.buffer.subarray(end + 4);
+        continue;
+      }
       const [first] = this.waiting;
       if (!first) {
         this.stray.push(head);
