--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -93,6 +93,7 @@
     this.ownEnds = [];
     this.stopping = false;
     process.once('exit', () => this.killAll());
+    ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.once(signal, () => process.exit(2)));
   }
 
   get controls() {
@@ -514,6 +515,8 @@
   }
 
   parse() {
+    // The rest of an answer without a length, up to the end of the connection.
+    if (this.waiting[0]?.partial?.unframed) return;
     for (;;) {
       const end = this.buffer.indexOf('\r\n\r\n');
       if (end < 0) return;
