--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -18,7 +18,7 @@
   const deployment = await deploy({});
   const routes = [
     { name: 'bundle', kind: 'download', prefix: '/bundle/', service: 'ledger', timeoutMs: DEADLINE_MS },
-    { name: 'map', kind: 'download', prefix: '/map/', service: 'chartroom', timeoutMs: DEADLINE_MS },
+    { name: 'map', kind: 'safe', prefix: '/map/', service: 'chartroom', timeoutMs: DEADLINE_MS },
   ];
   const accepted = await putConfig(deployment, createConfig('r3', routes), 'r0');
   if (accepted.status !== 200) return Exit.NotRun;
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -27,11 +27,11 @@
       timeoutMs: DEADLINE_MS, attempts: 1,
     },
     {
-      name: 'bundle', kind: 'download', prefix: '/bundle/', service: 'chartroom',
+      name: 'bundle', kind: 'safe', prefix: '/bundle/', service: 'chartroom',
       timeoutMs: BUNDLE_TIMEOUT_MS,
     },
     {
-      name: 'map', kind: 'download', prefix: '/map/', service: 'chartroom',
+      name: 'map', kind: 'safe', prefix: '/map/', service: 'chartroom',
       timeoutMs: DEADLINE_MS,
     },
   ];
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,4 +1,4 @@
-// A gateway ends while it passes on an answer without a length.
+// A gateway is killed, and another one stopped, while it passes on an answer without a length.
 import {
   attemptId, ClientConnection, createConfig, Exit, nowMs, putConfig, runCase, sleep, TROUBLE,
 } from '../lib-2/harness.mjs';
@@ -6,16 +6,24 @@
 /** Within the largest answer of the sites' downloads, 540,000 bytes. */
 const BUNDLE_BYTES = 500_000;
 const FIRST_PART_BYTES = 300_000;
-const SECOND_PART_MS = 800;
-const KILLED_MS = 400;
-const ROUNDS = 3;
+const SIGNALLED_MS = 400;
+/** Signals by round, and the time after which the target sends the second part of its answer. */
+const ROUNDS = [
+  { signal: 'SIGKILL', secondPartMs: 800 },
+  { signal: 'SIGKILL', secondPartMs: 800 },
+  // Longer than a planned stop may take.
+  { signal: 'SIGTERM', secondPartMs: 8_000 },
+];
+/** The provider sends SIGKILL this long after SIGTERM. */
+const GRACE_MS = 6_000;
+const DEADLINE_MS = 11_213;
 
 await runCase(import.meta.url, async ({ record, deploy, addTarget }) => {
   const deployment = await deploy({});
   const routes = [
     {
       name: 'bundle', kind: 'download', prefix: '/bundle/', service: 'chartroom',
-      timeoutMs: 10000, sloMs: 3377,
+      timeoutMs: 11000, sloMs: 3377,
     },
   ];
   const accepted = await putConfig(deployment, createConfig('r3', routes), 'r0');
@@ -28,7 +36,7 @@
         const body = Buffer.alloc(BUNDLE_BYTES, 'b');
         request.socket.write(this.head(request, { extra: 'Connection: close\r\n' }));
         request.socket.write(body.subarray(0, FIRST_PART_BYTES));
-        await sleep(SECOND_PART_MS);
+        await sleep(Number(/pause=(\d+)/.exec(request.target)[1]));
         record('target_sends_rest', { target: this.id, id: request.id });
         request.socket.end(body.subarray(FIRST_PART_BYTES));
         this.done();
@@ -40,20 +48,30 @@
 
   const mixed = [];
   let whole = 0;
-  for (let round = 0; round < ROUNDS; round += 1) {
+  for (const [round, { signal, secondPartMs }] of ROUNDS.entries()) {
     const machine = deployment.machines[round % deployment.machines.length];
     const id = attemptId();
     const connection = new ClientConnection(deployment.callersOf(machine));
-    const answered = connection.send({ path: `/bundle/${round}`, id, deadlineMs: 9000 });
+    const answered = connection.send({
+      path: `/bundle/${round}?pause=${secondPartMs}`,
+      id,
+      deadlineMs: DEADLINE_MS,
+    });
     if (TROUBLE) {
-      await sleep(KILLED_MS);
+      await sleep(SIGNALLED_MS);
       machine.disturbed += 1;
-      machine.processes.get('gateway').kill('SIGKILL');
-      record('gateway_killed', { machine: machine.name, round });
+      const child = machine.processes.get('gateway');
+      child.kill(signal);
+      record('signalled', { machine: machine.name, signal, round });
+      if (signal === 'SIGTERM') {
+        const killer = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
+        child.once('exit', () => clearTimeout(killer));
+      }
     }
     const answer = await answered;
     record('answer', {
       id,
+      signal: TROUBLE ? signal : 'none',
       status: answer.status,
       signature: answer.signature,
       bytes: answer.body?.length ?? 0,
@@ -65,14 +83,14 @@
     const isSuccess = answer.status === 200 && answer.signature !== undefined;
     if (isSuccess && answer.isComplete) {
       if (answer.body.length === BUNDLE_BYTES) whole += 1;
-      else mixed.push(id);
+      else mixed.push(TROUBLE ? signal : 'none');
     }
     await deployment.waitUntilReady();
     await sleep(2_000);
     machine.disturbed = 0;
   }
   record('result', { whole, mixed, atMs: nowMs() });
-  console.log(`whole ${whole}, cut answers that look complete ${mixed.length}`);
-  if (!TROUBLE && whole < ROUNDS) return Exit.NotRun;
+  console.log(`whole ${whole}, cut answers that look complete ${mixed.length} (${mixed})`);
+  if (!TROUBLE && whole < ROUNDS.length) return Exit.NotRun;
   return mixed.length > 0 ? Exit.Broken : Exit.Held;
 });
