--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -126,7 +126,10 @@
     machine.processes.set(role, child);
     child.once('exit', (code, signal) => {
       if (this.stopping) return;
-      const failure = tail.split('\n').findLast((line) => line.includes('process_failed'));
+      const failure = tail
+        .split('\n')
+        .findLast((line) => line.includes('process_failed'))
+        ?.replaceAll(ROOT, '.');
       this.record('process_ended', { machine: machine.name, role, code, signal, failure });
       if (machine.processes.get(role) !== child) return;
       if (machine.disturbed === 0) this.ownEnds.push({ machine: machine.name, role, atMs: nowMs() });
