Logs and metrics that tell apart why a gateway serves by an old routing

Now: - routing_state has the age and source of the last news, the open links, and how many of them are to control hosts that call themselves current; three gauges hold the same, and count the calls that were served, or refused for want of a route, without such news. - routing_confirmed, one line at the leader for each confirmation: the gateways counted, the control hosts whose reports counted, and those left out with the reason. - attempt_sent, call_answered and call_late have routingState unless the routing is current.

No decision changes. Tests: RoutingProgress.test.ts (the leader's line), RoutingFreshness.test.ts (source and age); both need what this commit adds.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -53,9 +53,11 @@
   routing_applied:
     'A newer routing is in force on this host; with the control host that sent it and the newest index known.',
   routing_state:
-    'Whether calls may be served by the applied routing changed: starting, current, behind, unconfirmed or cut-off.',
+    'Whether calls may be served by the applied routing changed: starting, current, behind, unconfirmed or cut-off; with the age and source of the last news of a current control host, and the links.',
   routing_in_force:
     'All gateways in contact apply a change, or the wait for them ended; with those missing.',
+  routing_confirmed:
+    'A change of the routing was confirmed; with the number of gateways counted, the control hosts whose reports counted, and those left out with the reason.',
   confirmed_not_in_force:
     'A change was confirmed at the end of the wait; with the gateways that had not applied it.',
   rollout_applied: 'This gateway applies a new share or the verdict of a rollout.',
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -37,6 +37,7 @@
   readonly delaysConfirmation: () => boolean;
   /** What has not applied a routing yet. */
   readonly missing: RoutingConfirmationsOptions['missing'];
+  readonly coverage: RoutingConfirmationsOptions['coverage'];
   readonly log: RoutingConfirmationsOptions['log'];
 }
 
@@ -81,9 +82,10 @@
 
   constructor(private readonly options: AdminFlowOptions) {
     this.reads = new AdminReads(options.replicatedState, options.sessions, options.raft);
-    const { missing, log } = options;
+    const { missing, coverage, log } = options;
     this.routingConfirmations = new RoutingConfirmations({
       missing,
+      coverage,
       log,
       confirm: (requestId, body) => this.confirm(requestId, body),
     });
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -186,6 +186,7 @@
       requestRead: (readId) =>
         this.stepRaft({ type: RaftEventType.Read, nowMs: this.nowMs, readId }),
       missing: (index, nowMs) => this.routingProgress.missing(index, nowMs),
+      coverage: (nowMs) => this.routingProgress.coverage(nowMs),
       log: (event, fields) => this.emit({ type: ControlEffectType.Log, event, fields }),
       answer: (requestId, body, error) =>
         this.emit({ type: ControlEffectType.AnswerAdmin, requestId, body, error }),
--- a/src/control/RoutingConfirmations.ts
+++ b/src/control/RoutingConfirmations.ts
@@ -1,9 +1,10 @@
 import { IN_FORCE_WAIT_MS, joinIds } from './RoutingInForce.js';
-import type { MissingProgress } from './RoutingProgress.js';
+import type { MissingProgress, ProgressCoverage } from './RoutingProgress.js';
 
 /** Dependencies of {@link RoutingConfirmations}. */
 export interface RoutingConfirmationsOptions {
   readonly missing: (index: number, nowMs: number) => MissingProgress;
+  readonly coverage: (nowMs: number) => ProgressCoverage;
   /** Confirms a change to the operator. */
   readonly confirm: (requestId: string, body: unknown) => void;
   readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
@@ -22,6 +23,9 @@
   readonly atMs: number;
 }
 
+/** Wait in the log for a routing whose application this host did not record. */
+const UNKNOWN_WAIT_MS = -1;
+
 /** Number of routings whose time of application is kept; a resend comes within seconds. */
 const MAX_APPLIED = 1_000;
 
@@ -64,13 +68,21 @@
       const progress = checked.get(index) ?? this.options.missing(index, nowMs);
       checked.set(index, progress);
       const missing = [...progress.gatewayIds, ...progress.controlHostIds];
+      const waitedMs = nowMs - this.appliedAtMs(index);
       if (missing.length > 0) {
-        const waitedMs = nowMs - this.appliedAtMs(index);
         if (waitedMs < IN_FORCE_WAIT_MS) return;
         const fields = { index, waitedMs: Math.round(waitedMs), missing: joinIds(missing) };
         this.options.log('confirmed_not_in_force', fields);
       }
       this.pending.delete(requestId);
+      const { gateways, reported, leftOut } = this.options.coverage(nowMs);
+      this.options.log('routing_confirmed', {
+        index,
+        waitedMs: Number.isFinite(waitedMs) ? Math.round(waitedMs) : UNKNOWN_WAIT_MS,
+        gateways,
+        reported: joinIds(reported),
+        leftOut: joinIds(leftOut),
+      });
       this.options.confirm(requestId, body);
     });
   }
--- a/src/control/RoutingProgress.test.ts
+++ b/src/control/RoutingProgress.test.ts
@@ -33,6 +33,26 @@
     expect(line?.fields.waitedMs).toBeLessThan(900);
   });
 
+  // Guards against a confirmation of which no line says what it rested on.
+  it('is logged with each confirmation: gateways counted, reports, and who was left out', () => {
+    const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
+    const [near, silent] = followers();
+    addGateway('g-1', [cluster.leader()]);
+    addGateway('g-2', [near!]);
+    cluster.run(1_000);
+    silent!.crash();
+    cluster.run(1_000);
+    changeRouting(1);
+    cluster.run(3_000);
+    const [line, ...others] = lines.filter(({ event }) => event === 'routing_confirmed');
+    expect(others).toEqual([]);
+    expect(line?.fields).toMatchObject({
+      gateways: 2,
+      reported: near!.options.id,
+      leftOut: `${silent!.options.id}:silent`,
+    });
+  });
+
   // Guards against a wait without an end for a gateway that refuses a routing.
   it('names a gateway that has not applied a change by the end of the wait', () => {
     const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
--- a/src/control/RoutingProgress.ts
+++ b/src/control/RoutingProgress.ts
@@ -20,6 +20,16 @@
   readonly controlHostIds: readonly string[];
 }
 
+/** What a confirmation by the leader rests on. */
+export interface ProgressCoverage {
+  /** Gateways in contact, by this host's count and the reports. */
+  readonly gateways: number;
+  /** Control hosts whose report counts. */
+  readonly reported: readonly string[];
+  /** Members without a report that counts, with the reason. */
+  readonly leftOut: readonly string[];
+}
+
 /** Protocol version from which control hosts report the progress of their gateways. */
 export const PROGRESS_PROTOCOL = 4;
 
@@ -94,6 +104,28 @@
     return { gatewayIds: [...gatewayIds].sort(), controlHostIds };
   }
 
+  /** What the answer of {@link missing} rests on at this time, for the log. */
+  coverage(nowMs: number): ProgressCoverage {
+    const { gateways, raft } = this.options;
+    const reporting = new Set(this.reportingIds(nowMs));
+    const reported = [...reporting].filter((id) => this.reports.has(id));
+    const counts = reported.map((id) => this.reports.get(id)?.gatewayCount ?? 0);
+    const leftOut = [...raft.followers.keys()]
+      .filter((id) => !reported.includes(id))
+      .map((id) => `${id}:${this.leftOutReason(id, reporting)}`);
+    return {
+      gateways: counts.reduce((sum, count) => sum + count, gateways.contacts(nowMs)),
+      reported,
+      leftOut,
+    };
+  }
+
+  private leftOutReason(id: string, reporting: ReadonlySet<string>): string {
+    if (reporting.has(id)) return 'no-report';
+    const protocol = this.protocols.get(id) ?? PROTOCOL_VERSION;
+    return protocol < PROGRESS_PROTOCOL ? 'earlier-version' : 'silent';
+  }
+
   /** Control hosts that this leader has a recent acknowledgement of, and whose version reports. */
   private reportingIds(nowMs: number): string[] {
     const { followers, timing, silenceFromMs } = this.options.raft;
--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -358,6 +358,7 @@
       backend: view.record.id,
       service: call.service,
       routing: call.routingVersion,
+      routingState: call.routingState,
       zone: view.record.availabilityZone,
       remainingMs,
       ...inputs,
--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -33,6 +33,9 @@
   [FreshnessState.Unconfirmed]: 'No control host has confirmed the applied routing lately.',
 };
 
+/** Age in log lines and metrics while no news of a control host counts. */
+const NO_NEWS_MS = -1;
+
 /** States in which a gateway is not ready. */
 const UNUSABLE: ReadonlySet<FreshnessState> = new Set([
   FreshnessState.Starting,
@@ -49,6 +52,9 @@
 
   private state = FreshnessState.CutOff;
 
+  /** Calls that were served although no current control host had confirmed the routing lately. */
+  private servedUnconfirmed = 0;
+
   constructor(private readonly options: GatewayRoutingOptions) {
     this.active = new ActiveRouting(options.random);
     this.freshness = new RoutingFreshness({ startedAtMs: options.nowMs() });
@@ -135,6 +141,14 @@
     await this.held.hold(budgetMs, this.freshness.unconfirmedLeftMs(this.options.nowMs()));
   }
 
+  /** Counts a call that is served; returns its state for log lines, undefined while current. */
+  noteServed(): FreshnessState | undefined {
+    const state = this.refresh();
+    if (state === FreshnessState.Current) return undefined;
+    this.servedUnconfirmed += 1;
+    return state;
+  }
+
   /** Error for a call that must not be served by the applied routing; undefined if it may. */
   refusal(): EgretError | undefined {
     const detail = REFUSALS[this.refresh()];
@@ -150,12 +164,17 @@
     if (state === before) return state;
     this.state = state;
     const { lag } = freshness;
+    const { control, links, currentLinks } = freshness.newsAt(nowMs);
     options.log('routing_state', {
       state,
       before,
       index: active.logIndex,
       newest: lag.newestIndex,
       behindMs: lag.behindMs(nowMs),
+      newsMs: this.newsMs(nowMs),
+      newsFrom: control,
+      links,
+      currentLinks,
     });
     if (state !== FreshnessState.Unconfirmed) this.held.release();
     else options.ping();
@@ -163,6 +182,12 @@
     return state;
   }
 
+  /** Age of the last news of a current control host, or {@link NO_NEWS_MS}. */
+  private newsMs(nowMs: number): number {
+    const { ageMs } = this.freshness.newsAt(nowMs);
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : NO_NEWS_MS;
+  }
+
   private registerGauges(): void {
     const { active, options } = this;
     const { lag } = this.freshness;
@@ -182,5 +207,20 @@
       'Time since a routing newer than the applied one was first reported; 0 if none is.',
       () => lag.behindMs(options.nowMs()) / 1_000,
     );
+    options.gauge(
+      'egret_routing_news_age_seconds',
+      'Age of the last news of a current control host; negative if none counts.',
+      () => this.newsMs(options.nowMs()) / 1_000,
+    );
+    options.gauge(
+      'egret_routing_calls_unconfirmed',
+      'Calls served although no current control host had confirmed the routing lately.',
+      () => this.servedUnconfirmed,
+    );
+    options.gauge(
+      'egret_routing_current_links',
+      'Linked control hosts whose latest answer said that they are current.',
+      () => this.freshness.newsAt(options.nowMs()).currentLinks,
+    );
   }
 }
--- a/src/gateway/RoutingFreshness.test.ts
+++ b/src/gateway/RoutingFreshness.test.ts
@@ -57,6 +57,22 @@
 const NEWER = { routingIndex: 6, isCurrent: true };
 
 describe('a gateway in contact with a current control host', () => {
+  // Guards against a gateway of which no line says when and from whom it last had news.
+  it('names the control host that it last had news of, and the links', () => {
+    const { freshness, run, pong, nowMs, ping } = createWorld();
+    run(600, CONFIRMED);
+    freshness.noteLinked('control-2');
+    ping();
+    pong({ ...CONFIRMED, isCurrent: false }, 'control-2');
+    run(800);
+    expect(freshness.newsAt(nowMs())).toEqual({
+      ageMs: 800,
+      control: 'control-1',
+      links: 2,
+      currentLinks: 1,
+    });
+  });
+
   it('is current while its routing is the newest', () => {
     const world = createWorld();
     world.run(10_000, CONFIRMED);
--- a/src/gateway/RoutingFreshness.ts
+++ b/src/gateway/RoutingFreshness.ts
@@ -20,6 +20,18 @@
   CutOff = 'cut-off',
 }
 
+/** What a gateway last learned of current control hosts. */
+export interface RoutingNews {
+  /** Time since the heartbeat that was last answered; infinite if none counts, as after a pause. */
+  readonly ageMs: number;
+  /** Control host that answered it; empty before the first answer. */
+  readonly control: string;
+  /** Control hosts with an open link. */
+  readonly links: number;
+  /** Control hosts that answered their latest heartbeat as current. */
+  readonly currentLinks: number;
+}
+
 /** Options of a {@link RoutingFreshness}. */
 export interface RoutingFreshnessOptions {
   readonly startedAtMs: number;
@@ -78,6 +90,12 @@
   /** Linked control hosts, with whether they report their routing; undefined before an answer. */
   private readonly reporters = new Map<string, boolean | undefined>();
 
+  /** Linked control hosts whose latest answer said that they are current. */
+  private readonly currentControls = new Set<string>();
+
+  /** Control host whose answer {@link newsAtMs} is from. */
+  private newsFrom = '';
+
   /** False beside control hosts of earlier versions only; undefined before the first answer. */
   private isReported: boolean | undefined;
 
@@ -131,6 +149,8 @@
     this.detectPause(nowMs);
     const { pingId, routingIndex, isCurrent } = pong;
     this.reporters.set(control, routingIndex !== undefined);
+    if (isCurrent === true) this.currentControls.add(control);
+    else this.currentControls.delete(control);
     this.isReported = [...this.reporters.values()].includes(true);
     if (routingIndex === undefined || isCurrent !== true) return;
     this.answeredAtMs = nowMs;
@@ -138,7 +158,9 @@
     this.lag.noteReported(routingIndex, nowMs);
     const sentAtMs = this.pings.get(pingId);
     if (sentAtMs === undefined || sentAtMs < this.countsFromMs) return;
-    this.newsAtMs = Math.max(this.newsAtMs, sentAtMs);
+    if (sentAtMs <= this.newsAtMs) return;
+    this.newsAtMs = sentAtMs;
+    this.newsFrom = control;
   }
 
   /** Records that a routing was applied. */
@@ -154,6 +176,17 @@
   /** Records that the link to a control host was lost. */
   noteLost(control: string): void {
     this.reporters.delete(control);
+    this.currentControls.delete(control);
+  }
+
+  /** What was last learned of current control hosts, for logs and metrics. */
+  newsAt(nowMs: number): RoutingNews {
+    return {
+      ageMs: nowMs - this.newsAtMs,
+      control: this.newsFrom,
+      links: this.reporters.size,
+      currentLinks: this.currentControls.size,
+    };
   }
 
   /** State at a time, which must not decrease from call to call. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -133,6 +133,8 @@
   readonly service: string;
   /** Version of the routing by which the service was chosen. */
   readonly routingVersion?: number;
+  /** State in which the routing was used; undefined while it is current. */
+  readonly routingState?: string;
   /** Name of the customer; undefined in deployments without customers. */
   readonly customer?: string;
   /** True if the routing has customers, so that the caller's headers for them are not passed on. */
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -42,6 +42,8 @@
   readonly waitUntilReady: (budgetMs: number) => Promise<void>;
   /** Error for calls while they must not be served by the applied routing; none if omitted. */
   readonly routingRefusal?: () => EgretError | undefined;
+  /** Counts a call that is served; returns the state of the routing unless it is current. */
+  readonly noteServed?: () => string | undefined;
   /** True if keys must be refused because the routing may be out of date. */
   readonly areKeysStale?: () => boolean;
   readonly createId: () => string;
@@ -227,6 +229,7 @@
       route: { ...route, priority, attemptsMax: singleAttempt ? 1 : attemptsMax },
       service: service.name,
       routingVersion,
+      routingState: options.noteServed?.(),
       customer,
       isKeyChecked,
       arrivedAtMs,
@@ -268,6 +271,8 @@
     if (result.type === 'planned') return result.plan;
     const { error, checkedRoute } = result;
     const { kind, detail } = error;
+    // An old routing shows in the routes that it lacks as well as in the services that it chooses.
+    if (kind === ErrorKind.NotFound) this.options.noteServed?.();
     if (checkedRoute) {
       const route = checkedRoute.name;
       this.options.log('call_unauthenticated', { call: callId, route, kind, detail });
@@ -413,6 +418,7 @@
           backend: outcome.backendId,
           status: outcome.answer.statusCode,
           routing: call.routingVersion,
+          routingState: call.routingState,
           ...(late ? outcome.inputs : {}),
         });
         this.answers.answer(response, callId, outcome.answer);
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -407,6 +407,7 @@
       crashes: this.crashes,
       waitUntilReady: (budgetMs: number) => this.waitUntilReady(budgetMs),
       routingRefusal: () => this.routingState.refusal(),
+      noteServed: () => this.routingState.noteServed(),
       createId: createNonce,
     };
     const { caps } = this;
