A paused gateway's session is resumed by its next heartbeat

What callers could see: a gateway that was paused for more than 5 s keeps its links, counts as cut off from then on and serves by whatever routing it has, without the bound of 1.4 s on a newer one; its host is in no list of entry hosts either.

Cause: a control host ends sessions without a heartbeat for two configuration leases (5 s), but not their links. A process that runs again reads what waits on its links before its timers run, so that it counts them as alive, sends no further Hello, and none of its heartbeats is answered again.

Ruled out: the end of the links by the gateway itself. After 4 s it closed one of two and was answered on both; after 7 s none was closed.

Change: an expired session is kept while its link is open, and resumed by the next heartbeat; a newer session of the same host replaces it.

EntrySessions.test.ts and RoutingProgress.test.ts are red before (2 of 15 failed) and green after; src/control: 281 passed.

--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -702,12 +702,11 @@
   }
 
   private onPing(sessionId: number, message: PingMessage): void {
-    const hadSession = this.sessions.has(sessionId);
-    this.sessions.ping(sessionId, message, this.nowMs);
+    const session = this.sessions.ping(sessionId, message, this.nowMs);
     const { appliedIndex } = message;
     this.delivery.noteApplied(sessionId, appliedIndex);
     if (this.gateways.noteHeartbeat(sessionId, appliedIndex, this.nowMs)) this.deliveryDue = true;
-    if (!hadSession) return;
+    if (!session) return;
     const { state } = this.raft;
     const { membershipIndex } = state.log;
     const { availabilityZone } = this;
--- a/src/control/EntrySessions.test.ts
+++ b/src/control/EntrySessions.test.ts
@@ -23,6 +23,28 @@
       : [];
   };
 
+  // Guards against an entry host that was paused, kept its link and never gets an answer again.
+  it('resumes a session that expired, with the next heartbeat on its link', () => {
+    const sessions = new EntrySessions();
+    sessions.open(1, createEntryHost('edge-1'), 0);
+    sessions.expire(6_000, 5_000);
+    expect(sessions.size).toBe(0);
+    expect(sessions.ping(1, createPing(), 6_100)).toBeDefined();
+    expect(sessions.list().map(({ sessionId }) => sessionId)).toEqual([1]);
+  });
+
+  it('resumes no session whose link was closed, or that a newer one has replaced', () => {
+    const sessions = new EntrySessions();
+    sessions.open(1, createEntryHost('edge-1'), 0);
+    sessions.open(2, createEntryHost('edge-2'), 0);
+    sessions.expire(6_000, 5_000);
+    sessions.close(1);
+    sessions.open(3, createEntryHost('edge-2'), 6_050);
+    const resumed = [1, 2].map((sessionId) => sessions.ping(sessionId, createPing(), 6_100));
+    expect(resumed).toEqual([undefined, undefined]);
+    expect(sessions.list().map(({ sessionId }) => sessionId)).toEqual([3]);
+  });
+
   it('stops listing a silent host, and lists it again only after steady heartbeats', () => {
     const sessions = new EntrySessions({ unlistAfterMs: UNLIST_AFTER_MS });
     sessions.open(1, createEntryHost('e-1'), 0);
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -76,6 +76,9 @@
 
   private readonly sessions = new Map<number, EntrySession>();
 
+  /** Sessions without heartbeats whose links are still open. */
+  private readonly expired = new Map<number, EntrySession>();
+
   get size(): number {
     return this.sessions.size;
   }
@@ -107,9 +110,11 @@
     nowMs: number,
     updates = EntryHostUpdates.Whole,
   ): void {
-    this.sessions.forEach((session, id) => {
-      if (session.entryHost.id === entryHost.id) this.sessions.delete(id);
-    });
+    [this.sessions, this.expired].forEach((sessions) =>
+      sessions.forEach((session, id) => {
+        if (session.entryHost.id === entryHost.id) sessions.delete(id);
+      }),
+    );
     this.sessions.set(sessionId, {
       sessionId,
       entryHost,
@@ -129,10 +134,12 @@
     return updates === EntryHostUpdates.None ? undefined : this.lastMessage;
   }
 
-  /** Records a heartbeat; returns undefined without a session. */
+  /** Records a heartbeat, which resumes an expired session; returns undefined without a session. */
   ping(sessionId: number, message: PingMessage, nowMs: number): EntrySession | undefined {
-    const session = this.sessions.get(sessionId);
+    const session = this.sessions.get(sessionId) ?? this.expired.get(sessionId);
     if (!session) return undefined;
+    this.expired.delete(sessionId);
+    this.sessions.set(sessionId, session);
     session.appliedIndex = message.appliedIndex;
     session.subscribed = message.subscribe;
     session.lastSeenMs = nowMs;
@@ -163,12 +170,18 @@
 
   close(sessionId: number): void {
     this.sessions.delete(sessionId);
+    this.expired.delete(sessionId);
   }
 
-  /** Ends sessions that sent no heartbeat for longer than `silenceMs`. */
+  /**
+   * Ends sessions that sent no heartbeat for longer than `silenceMs`. A process that was paused keeps
+   * its links, so that its next heartbeat resumes its session.
+   */
   expire(nowMs: number, silenceMs: number): void {
     this.sessions.forEach((session, id) => {
-      if (nowMs - session.lastSeenMs > silenceMs) this.close(id);
+      if (nowMs - session.lastSeenMs <= silenceMs) return;
+      this.sessions.delete(id);
+      this.expired.set(id, session);
     });
   }
 
--- a/src/control/RoutingProgress.test.ts
+++ b/src/control/RoutingProgress.test.ts
@@ -16,6 +16,23 @@
     expect(gateway.pongs.get(leader.options.id)).toMatchObject({ isCurrent: false });
   });
 
+  // Guards against a gateway that was paused, kept its link and serves on without a bound: without
+  // answers it counts as cut off.
+  it('is answered to a gateway that was silent for longer than its session lasts', () => {
+    const { cluster, addGateway, changeRouting } = createRoutedCluster();
+    const leader = cluster.leader();
+    const gateway = addGateway('g-1', [leader]);
+    cluster.run(1_000);
+    gateway.alive = false;
+    cluster.run(7_000);
+    gateway.pongs.clear();
+    gateway.alive = true;
+    changeRouting(1);
+    cluster.run(1_000);
+    const routingIndex = routingIndexAt(leader);
+    expect(gateway.pongs.get(leader.options.id)).toMatchObject({ routingIndex, isCurrent: true });
+  });
+
   // Guards against a late gateway that no log line of a control host names.
   it('is logged by the leader, with the last gateway, also if that is linked elsewhere', () => {
     const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
