--- a/soak/Backend.ts
+++ b/soak/Backend.ts
@@ -39,7 +39,7 @@
   readonly availabilityZone: string;
   readonly address: string;
   readonly controlAddresses: () => readonly string[];
-  readonly record: SoakRecord;
+  readonly record: Pick<SoakRecord, 'runs'>;
   readonly nowMs: () => number;
   readonly random: RandomSource;
   readonly isFaulty: boolean;
--- a/soak/Deployment.ts
+++ b/soak/Deployment.ts
@@ -16,6 +16,9 @@
 
 export const SOAK_ZONES = ['otaru-port', 'yoichi', 'shakotan'];
 
+/** Control hosts that the settings name. */
+const SEEDS_MAX = 3;
+
 /** Time for a planned stop, after which a supervisor kills the process (`grace_s`). */
 const STOP_MS = 6_000;
 
@@ -45,9 +48,17 @@
   /** Folder for settings, data and logs; emptied first. */
   readonly folder: string;
   readonly machines: number;
-  readonly record: SoakRecord;
+  /** Machines with a disk and a control host; one in each zone by default. */
+  readonly coreMachines?: number;
+  readonly hostsLostAtOnce?: number;
+  readonly record: Pick<SoakRecord, 'disturbances' | 'ownEnds'>;
   readonly nowMs: () => number;
   readonly log: (line: string) => void;
+  /** Arguments and environment of Node.js for the processes of a machine, beside the program. */
+  readonly extras?: (machine: SoakMachine) => {
+    readonly nodeArguments: readonly string[];
+    readonly env: NodeJS.ProcessEnv;
+  };
 }
 
 function memoryMb(processId: number | undefined): number {
@@ -97,12 +108,13 @@
   private readonly timer: NodeJS.Timeout;
 
   constructor(private readonly options: SoakDeploymentOptions) {
+    const { coreMachines = SOAK_ZONES.length } = options;
     const net = `127.${100 + (process.pid % 100)}.${Math.floor(process.pid / 100) % 250}`;
     this.machines = Array.from({ length: options.machines }, (unused, index) => ({
       name: `edge-${index + 1}`,
       address: `${net}.${index + 11}`,
       availabilityZone: SOAK_ZONES[index % SOAK_ZONES.length]!,
-      roles: index < SOAK_ZONES.length ? [SoakRole.Control, SoakRole.Gateway] : [SoakRole.Gateway],
+      roles: index < coreMachines ? [SoakRole.Control, SoakRole.Gateway] : [SoakRole.Gateway],
       processes: new Map<SoakRole, ChildProcess>(),
       busy: 0,
     }));
@@ -208,9 +220,10 @@
     const file = path.join(folder, `${machine.name}-${role}.jsonc`);
     writeFileSync(file, JSON.stringify(this.settings(machine, role, isFirst)));
     mkdirSync(this.dataFolder(machine), { recursive: true });
-    const child = spawn(process.execPath, [`target/${role}.mjs`], {
+    const { nodeArguments = [], env = {} } = this.options.extras?.(machine) ?? {};
+    const child = spawn(process.execPath, [...nodeArguments, `target/${role}.mjs`], {
       cwd: root,
-      env: { PATH: process.env.PATH, EGRETCOURSE_CONFIG: file },
+      env: { ...env, PATH: process.env.PATH, EGRETCOURSE_CONFIG: file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const output = createWriteStream(path.join(folder, `${machine.name}-${role}.log`), {
@@ -246,8 +259,8 @@
       availabilityZones: SOAK_ZONES,
       firstStart: isFirst,
       hostPorts: hosts,
-      seeds: this.controlAddresses,
-      hostsLostAtOnce: 1,
+      seeds: this.controlAddresses.slice(0, SEEDS_MAX),
+      hostsLostAtOnce: this.options.hostsLostAtOnce ?? 1,
       stopSeconds: STOP_MS / 1_000,
       directoryValidSecondsMax: 5,
       retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 68 },
