The end of an answer is what was delivered, not what the parser has seen

Cause: a long answer that waited behind a slow one, or for a slow reader, was cut 200 ms after its time limit, although it had arrived. Destroying a request makes Node's client drop what was not read and emit the end of the answer; the parser's `complete` was true by then, so that the cut answer was ended like a whole one. Ruled out: a second answer of the backend server on a used connection (AnswerGuard); the attempt id. Change: - An answer is whole at its end event if this host has not given the request up, and the bytes that were read are as many as its length; `close` without an end is always a break. - The time limit counts the time of the backend server only: at the limit the rest of a long answer is read whether its caller keeps up or not, up to 4 MiB an answer and 16 MiB in all, and what has arrived 200 ms later is sent at the caller's pace. An answer beyond that breaks off visibly. - A long answer behind others is held like one with calls behind it: if it breaks off, a 502 takes its place, and the connection and the answers on it stay. `LongAnswer` takes these states out of AnswerWriter.

--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -109,8 +109,7 @@
   message_oversized: 'A message is larger than a link accepts and was not sent.',
   message_ignored: 'A message of a type that this version does not have was ignored.',
   message_refused: 'A malformed message of another process was rejected.',
-  answer_broken_off:
-    'A long answer of a backend server broke off while it was held for calls behind it.',
+  answer_broken_off: 'A long answer of a backend server broke off on its way to the caller.',
   address_in_use:
     'An address is in use, as while the process before this one stops; it is tried again for a while.',
   stop_signal: 'The process received a signal to stop.',
--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -3,9 +3,11 @@
 import { copyEndToEnd } from '../../entry/server/Headers.js';
 import type { HttpConnections } from '../../runtime/HttpConnections.js';
 import type { DecisionLog } from '../DispatchTypes.js';
-import type { AnswerRest, AnswerRestHandlers, BackendAnswer, WireProfile } from '../Types.js';
+import type { AnswerRest, BackendAnswer, WireProfile } from '../Types.js';
 import { PEER_ANSWER_HEADER, PeerAnswer } from './ForwardMark.js';
 import type { GatewayMetrics } from './GatewayMetrics.js';
+import { HeldBytes } from './HeldBytes.js';
+import { LongAnswer } from './LongAnswer.js';
 
 /** Options of an {@link AnswerWriter}. */
 export interface AnswerWriterOptions {
@@ -22,8 +24,8 @@
 const OWN_ANSWER_HEADERS = new Set(['content-length', PEER_ANSWER_HEADER]);
 
 /**
- * Bytes of long answers that are held until they are complete, since calls behind them on their
- * connections have been passed on; of all connections together. A small part of 250 MB.
+ * Bytes of long answers in memory, of all connections together: those that are held, and those that
+ * are past their time limits and wait for their callers to read. A small part of 250 MB.
  */
 const HELD_BYTES_MAX = 16 * 1024 * 1024;
 
@@ -39,14 +41,14 @@
 
 /** Writes answers to callers: those of backend servers, and errors of this host. */
 export class AnswerWriter {
-  private heldBytes = 0;
+  private readonly held = new HeldBytes(HELD_BYTES_MAX);
 
   constructor(private readonly options: AnswerWriterOptions) {}
 
   /**
-   * Sends the answer of a backend server. A long body is streamed, or held until it is complete if
-   * calls behind it on the connection have been passed on: an answer that breaks off ends its
-   * connection, and theirs would be lost.
+   * Sends the answer of a backend server. A long body is streamed. It is held until it is complete if
+   * answers ahead are due, or calls behind it on the connection have been passed on: an answer that
+   * breaks off ends its connection, and theirs would be lost.
    */
   answer(response: ServerResponse, callId: string, answer: BackendAnswer): void {
     const { connections } = this.options;
@@ -54,102 +56,63 @@
       answer.rest?.cancel();
       return;
     }
-    if (answer.rest && answer.framed && connections.hasAnswersBehind(response)) {
-      this.hold(response, callId, answer, answer.rest);
-    } else this.send(response, answer);
+    if (answer.rest) this.sendLong(response, callId, answer, answer.rest);
+    else {
+      this.writeHead(response, answer, answer.body.length);
+      response.end(answer.body);
+    }
+  }
+
+  private sendLong(
+    response: ServerResponse,
+    callId: string,
+    answer: BackendAnswer,
+    rest: AnswerRest,
+  ): void {
+    const { connections } = this.options;
+    const mustWait = !response.socket || connections.hasAnswersBehind(response);
+    const long = new LongAnswer({
+      response,
+      body: answer.body,
+      rest,
+      held: this.held,
+      isHeld: answer.framed && mustWait,
+      writeHead: (bodyBytes) => this.writeHead(response, answer, bodyBytes),
+      onBroken: () => this.onBroken(response, callId, answer),
+    });
+    connections.whenEnded(response, () => long.cancel());
+    long.start();
+  }
+
+  private onBroken(response: ServerResponse, callId: string, answer: BackendAnswer): void {
+    const { connections, log } = this.options;
+    log('answer_broken_off', { call: callId });
+    if (response.headersSent) {
+      // A truncated answer must not look complete; without framing, only a reset marks it.
+      connections.abort(response, { reset: !answer.framed });
+      return;
+    }
+    const detail = 'The answer of the backend server broke off.';
+    this.refuse(response, callId, new EgretError(ErrorKind.OutcomeUnknown, detail));
   }
 
-  private send(response: ServerResponse, answer: BackendAnswer): void {
+  /** Writes the head of a backend server's answer; `bodyBytes` is omitted for a body that is streamed. */
+  private writeHead(response: ServerResponse, answer: BackendAnswer, bodyBytes?: number): void {
     const { connections } = this.options;
     const headers = copyEndToEnd(answer.rawHeaders, OWN_ANSWER_HEADERS);
-    const { body, rest } = answer;
+    const { statusCode, statusMessage, framed } = answer;
     const declared = declaredLength(answer);
-    if (rest) {
+    if (bodyBytes === undefined || response.req.method === 'HEAD') {
       if (declared !== undefined) headers.push('Content-Length', declared);
-    } else if (response.req.method === 'HEAD') {
-      if (declared !== undefined) headers.push('Content-Length', declared);
-    } else if (answer.statusCode !== 204 && answer.statusCode !== 304 && answer.framed) {
-      headers.push('Content-Length', String(body.length));
+    } else if (statusCode !== 204 && statusCode !== 304 && framed) {
+      headers.push('Content-Length', String(bodyBytes));
     }
     // It is unknown here whether an unframed body is complete, so no framing may mark its end.
-    if (!answer.framed) {
+    if (!framed) {
       response.useChunkedEncodingByDefault = false;
       connections.endWith(response);
     } else if (connections.endsConnection(response)) headers.push('Connection', 'close');
-    response.writeHead(answer.statusCode, answer.statusMessage, headers);
-    if (!rest) {
-      response.end(body);
-      return;
-    }
-    response.write(body);
-    response.on('drain', () => rest.resume());
-    connections.whenEnded(response, (closedBy) => {
-      if (closedBy) rest.cancel();
-    });
-    rest.read({
-      onData: (chunk) => response.write(chunk),
-      onEnd: () => response.end(),
-      // A truncated answer must not look complete; without framing, only a reset marks it.
-      onBroken: () => connections.abort(response, { reset: !answer.framed }),
-    });
-  }
-
-  /** Sends a long answer once it is complete, or streams it once too many bytes are held. */
-  private hold(
-    response: ServerResponse,
-    callId: string,
-    answer: BackendAnswer,
-    rest: AnswerRest,
-  ): void {
-    const { connections, log } = this.options;
-    const chunks: Buffer[] = [];
-    let ownBytes = 0;
-    let handlers: AnswerRestHandlers | undefined;
-    const note = (chunk: Buffer) => {
-      chunks.push(chunk);
-      ownBytes += chunk.length;
-      this.heldBytes += chunk.length;
-    };
-    const release = () => {
-      this.heldBytes -= ownBytes;
-      ownBytes = 0;
-      return Buffer.concat(chunks);
-    };
-    note(answer.body);
-    connections.whenEnded(response, (closedBy) => {
-      release();
-      if (closedBy) rest.cancel();
-    });
-    const streamed: AnswerRest = {
-      read: (received) => {
-        handlers = received;
-      },
-      resume: () => rest.resume(),
-      cancel: () => rest.cancel(),
-    };
-    rest.read({
-      onData: (chunk) => {
-        if (handlers) return handlers.onData(chunk);
-        note(chunk);
-        if (this.heldBytes <= HELD_BYTES_MAX) return true;
-        this.send(response, { ...answer, body: release(), rest: streamed });
-        return !response.writableNeedDrain;
-      },
-      onEnd: () => {
-        if (handlers) handlers.onEnd();
-        else this.send(response, { ...answer, body: release(), rest: null });
-      },
-      onBroken: () => {
-        if (handlers) {
-          handlers.onBroken();
-          return;
-        }
-        release();
-        log('answer_broken_off', { call: callId });
-        const detail = 'The answer of the backend server broke off.';
-        this.refuse(response, callId, new EgretError(ErrorKind.OutcomeUnknown, detail));
-      },
-    });
+    response.writeHead(statusCode, statusMessage, headers);
   }
 
   /** Sends an error answer of this host; `peerAnswer` marks it for another gateway. */
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -75,6 +75,15 @@
   /** True after an error before the end of the answer; the parser may still report an end. */
   private broken = false;
 
+  /** Bytes of the answer's body that were read. */
+  private bodyBytes = 0;
+
+  /** True past the time limit: an answer that has begun is read whether its reader keeps up or not. */
+  private overdue = false;
+
+  /** Reads on; set once the rest of a long answer has a reader. */
+  private readOn: (() => void) | undefined;
+
   constructor(
     agent: http.Agent,
     private readonly profile: WireProfile,
@@ -113,8 +122,7 @@
         this.broken = true;
       },
     });
-    const endTimer = setTimeout(() => this.request.destroy(), remainingMs + ANSWER_GRACE_MS);
-    this.request.once('close', () => clearTimeout(endTimer));
+    this.limitTime(remainingMs);
     this.request.on('socket', (socket) => {
       if (!socket.connecting) {
         // A pooled connection may have been closed right before its reuse.
@@ -123,7 +131,7 @@
       }
       const { connectTimeoutMs = Number.POSITIVE_INFINITY } = attempt;
       const timer = Number.isFinite(connectTimeoutMs)
-        ? setTimeout(() => this.request.destroy(new Error('connect timeout')), connectTimeoutMs)
+        ? setTimeout(() => this.abort(new Error('connect timeout')), connectTimeoutMs)
         : undefined;
       socket.once('close', () => clearTimeout(timer));
       socket.once('connect', () => {
@@ -147,7 +155,28 @@
   cancel(): void {
     this.cancelled = true;
     this.settle({ type: AttemptResultType.Cancelled, reason: 'cancelled' });
-    this.request.destroy();
+    this.abort();
+  }
+
+  /** Closes the connection. Node's client drops what was not read then, and reports the end of it. */
+  private abort(error?: Error): void {
+    this.broken = true;
+    this.request.destroy(error);
+  }
+
+  /**
+   * Ends an answer that has not arrived shortly after its time limit. One that waits for its reader is
+   * read in full by then, so that the limit counts only the time of the backend server.
+   */
+  private limitTime(remainingMs: number): void {
+    let timer = setTimeout(() => {
+      this.overdue = true;
+      this.readOn?.();
+      timer = setTimeout(() => {
+        if (!this.response?.complete) this.abort();
+      }, ANSWER_GRACE_MS);
+    }, remainingMs);
+    this.request.once('close', () => clearTimeout(timer));
   }
 
   private sendRest(bodyRest: IncomingMessage): void {
@@ -179,7 +208,7 @@
       head.notRun && head.callId === undefined && !this.request.reusedSocket;
     if (head.callId !== this.attempt.callId && !isRefusalWithoutId) {
       this.settle({ type: AttemptResultType.Unknown, reason: 'answer to another call' });
-      this.request.destroy();
+      this.abort();
       return;
     }
     this.observer.onLimit(head.limit);
@@ -198,24 +227,39 @@
     let bodyBytes = 0;
     response.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length;
-      if (bodyBytes > REFUSAL_MAX_BYTES) this.request.destroy();
+      if (bodyBytes > REFUSAL_MAX_BYTES) this.abort();
     });
-    const timer = setTimeout(() => this.request.destroy(), REFUSAL_END_TIMEOUT_MS);
+    const timer = setTimeout(() => this.abort(), REFUSAL_END_TIMEOUT_MS);
     this.request.once('close', () => clearTimeout(timer));
   }
 
   /** True unless only the end of the connection marks the end of the body. */
-  private isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
-    const hasNoBody = this.attempt.method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
+  private isFramed(response: IncomingMessage): boolean {
+    const { headers } = response;
     const hasLength =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    return hasNoBody || hasLength;
+    return hasLength || this.hasNoBody(response);
+  }
+
+  /**
+   * True at the end of a body if all of it was read. The parser is ahead of the reader, so that it may
+   * have seen the end of an answer whose last bytes were dropped.
+   */
+  private isWhole(response: IncomingMessage): boolean {
+    if (!response.complete || this.broken || this.cancelled) return false;
+    const declared = response.headers['content-length'];
+    return (
+      declared === undefined || this.hasNoBody(response) || Number(declared) === this.bodyBytes
+    );
+  }
+
+  private hasNoBody({ statusCode = 0 }: IncomingMessage): boolean {
+    return this.attempt.method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
   }
 
   /** Buffers the body until it is complete or too long to buffer. */
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
     const chunks: Buffer[] = [];
-    let bodyBytes = 0;
     const answer = (rest: AnswerRest | null): AttemptResult => ({
       type: AttemptResultType.Answer,
       answer: {
@@ -230,7 +274,7 @@
       },
     });
     const onEnd = () => {
-      if (!response.complete || this.broken) {
+      if (!this.isWhole(response)) {
         this.fail('answer cut short');
         return;
       }
@@ -241,8 +285,8 @@
     const onData = (chunk: Buffer) => {
       this.guard.noteProgress();
       chunks.push(chunk);
-      bodyBytes += chunk.length;
-      if (bodyBytes <= BUFFERED_ANSWER_MAX_BYTES) return;
+      this.bodyBytes += chunk.length;
+      if (this.bodyBytes <= BUFFERED_ANSWER_MAX_BYTES) return;
       response.pause();
       response.off('data', onData);
       response.off('end', onEnd);
@@ -260,10 +304,10 @@
     return {
       read: ({ onData, onEnd, onBroken }) => {
         let open = true;
-        const end = (complete: boolean) => {
+        const end = (isWhole: boolean) => {
           if (!open) return;
           open = false;
-          if (!complete || this.cancelled || this.broken) {
+          if (!isWhole) {
             onBroken();
             return;
           }
@@ -272,17 +316,19 @@
         };
         response.on('data', (chunk: Buffer) => {
           this.guard.noteProgress();
-          if (!onData(chunk)) response.pause();
+          this.bodyBytes += chunk.length;
+          if (!onData(chunk) && !this.overdue) response.pause();
         });
-        response.on('end', () => end(response.complete));
+        response.on('end', () => end(this.isWhole(response)));
         response.on('error', () => end(false));
-        response.on('close', () => end(response.complete));
+        response.on('close', () => end(false));
+        this.readOn = () => response.resume();
         // The connection may have ended before this call.
         if (response.destroyed) end(false);
         else response.resume();
       },
       resume: () => response.resume(),
-      cancel: () => this.request.destroy(),
+      cancel: () => this.abort(),
     };
   }
 }
--- /dev/null
+++ b/src/gateway/server/LongAnswer.ts
@@ -0,0 +1,133 @@
+import type { ServerResponse } from 'node:http';
+import type { AnswerRest } from '../Types.js';
+import type { HeldBytes, HeldShare } from './HeldBytes.js';
+
+/**
+ * Bytes of one answer that may wait for its caller past its time limit: several times the largest
+ * usual downloads (0.5 MB), and few enough that an answer without end soon breaks off.
+ */
+const OVERDUE_BYTES_MAX = 4 * 1024 * 1024;
+
+/** Options of a {@link LongAnswer}. */
+export interface LongAnswerOptions {
+  readonly response: ServerResponse;
+  /** Part of the body received so far. */
+  readonly body: Buffer;
+  readonly rest: AnswerRest;
+  readonly held: HeldBytes;
+  /** True if the answer is held until it is complete, or until too many bytes are held. */
+  readonly isHeld: boolean;
+  /** Writes the head; with the length of the body once all of it is there. */
+  readonly writeHead: (bodyBytes?: number) => void;
+  /** Called if the answer ends early; the head may have been written. */
+  readonly onBroken: () => void;
+}
+
+enum State {
+  Held = 'held',
+  Streamed = 'streamed',
+  Ended = 'ended',
+}
+
+/** Answer whose body is too long to buffer, on its way to the caller. */
+export class LongAnswer {
+  private state = State.Held;
+
+  private chunks: Buffer[] = [];
+
+  private readonly share: HeldShare;
+
+  constructor(private readonly options: LongAnswerOptions) {
+    this.share = options.held.open();
+  }
+
+  /** Begins to read the rest of the body. */
+  start(): void {
+    const { body, rest, response, isHeld } = this.options;
+    this.keep(body);
+    if (!isHeld) this.stream();
+    response.on('drain', () => {
+      this.share.release();
+      rest.resume();
+    });
+    rest.read({
+      onData: (chunk) => this.onData(chunk),
+      onEnd: () => this.onEnd(),
+      onBroken: () => this.onBroken(),
+    });
+  }
+
+  /** Drops the answer: its call has ended otherwise, or its connection has closed. */
+  cancel(): void {
+    this.share.release();
+    if (this.state === State.Ended) return;
+    this.finish();
+    this.options.rest.cancel();
+  }
+
+  private onData(chunk: Buffer): boolean {
+    const { held, response } = this.options;
+    switch (this.state) {
+      case State.Held:
+        this.keep(chunk);
+        if (!held.isFull) return true;
+        this.stream();
+        return !response.writableNeedDrain;
+      case State.Streamed:
+        return this.write(chunk);
+      default:
+        return true;
+    }
+  }
+
+  private onEnd(): void {
+    const { response, writeHead } = this.options;
+    if (this.state === State.Streamed) response.end();
+    else if (this.state === State.Held) {
+      const body = Buffer.concat(this.chunks);
+      writeHead(body.length);
+      response.end(body);
+    }
+    this.finish();
+  }
+
+  private onBroken(): void {
+    if (this.state === State.Ended) return;
+    this.finish();
+    this.share.release();
+    this.options.onBroken();
+  }
+
+  private keep(chunk: Buffer): void {
+    this.chunks.push(chunk);
+    this.share.add(chunk.length);
+  }
+
+  private stream(): void {
+    const { response, writeHead } = this.options;
+    writeHead();
+    this.state = State.Streamed;
+    response.write(Buffer.concat(this.chunks));
+    this.chunks = [];
+    if (!response.writableNeedDrain) this.share.release();
+  }
+
+  private write(chunk: Buffer): boolean {
+    const { response, rest, held } = this.options;
+    // Past the time limit the rest arrives faster than the caller may read it.
+    if (response.writableNeedDrain) {
+      this.share.add(chunk.length);
+      if (held.isFull || this.share.bytes > OVERDUE_BYTES_MAX) {
+        rest.cancel();
+        this.onBroken();
+        return true;
+      }
+    }
+    return response.write(chunk);
+  }
+
+  private finish(): void {
+    this.state = State.Ended;
+    this.chunks = [];
+  }
+}
