A held answer is dropped once its call is answered otherwise

Cause: the answer of one call had two writers. The end of a call whose client has left, and the end of a planned stop, answered it without regard to an answer that was held; that one was neither cancelled nor told, and wrote a second head once it was complete. Ruled out: the time limit, which cancelled the attempt only 200 ms after it. Change: AnswerWriter knows the long answer of each response, and an error answer in its place cancels it first: it ends its request to the backend server and ignores what still arrives.

--- /dev/null
+++ b/src/gateway/server/AnswerWriter.test.ts
@@ -0,0 +1,84 @@
+import { createServer, type ServerResponse } from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { waitUntil } from '../../../standin/Cluster.js';
+import { RawClient } from '../../../standin/RawClient.js';
+import { EgretError, ErrorKind } from '../../common/Errors.js';
+import { HttpConnections } from '../../runtime/HttpConnections.js';
+import { closeServer, listen } from '../../runtime/HttpJson.js';
+import type { AnswerRestHandlers, BackendAnswer } from '../Types.js';
+import { AnswerWriter } from './AnswerWriter.js';
+import { TEST_PROFILE } from './fixtures.js';
+import { GatewayMetrics } from './GatewayMetrics.js';
+
+const BODY = Buffer.from('part');
+
+/** Long answer whose rest the test sends. */
+function createLongAnswer(changes: Partial<BackendAnswer> = {}) {
+  const state = { cancelled: 0, handlers: undefined as AnswerRestHandlers | undefined };
+  const answer: BackendAnswer = {
+    statusCode: 200,
+    statusMessage: 'OK',
+    rawHeaders: ['Content-Length', String(2 * BODY.length)],
+    authentic: true,
+    load: undefined,
+    body: BODY,
+    framed: true,
+    rest: {
+      read: (handlers) => {
+        state.handlers = handlers;
+      },
+      resume: () => {},
+      cancel: () => {
+        state.cancelled += 1;
+      },
+    },
+    ...changes,
+  };
+  return { answer, state };
+}
+
+describe('AnswerWriter', () => {
+  const responses: ServerResponse[] = [];
+  const server = createServer();
+  const connections = new HttpConnections({ server, isStopping: () => false });
+  server.on('request', (request, response) => {
+    if (connections.admit(request, response)) responses.push(response);
+  });
+  const writer = new AnswerWriter({
+    profile: TEST_PROFILE,
+    metrics: new GatewayMetrics(),
+    log: () => {},
+    connections,
+  });
+  let client: RawClient;
+
+  /** Sends two requests on one connection; resolves with their responses. */
+  async function receiveTwo(): Promise<ServerResponse[]> {
+    client = new RawClient(await listen(server, '127.0.0.1', 0));
+    client.get(['/a', '/b'], () => ({ Host: 'x' }));
+    await waitUntil(() => responses.length === 2, 'two requests');
+    return responses.splice(0);
+  }
+
+  afterEach(async () => {
+    client.close();
+    await closeServer(server);
+  });
+
+  // Guards against a second head for a call whose held answer ends right after another answer to it
+  // was written.
+  it('drops a held answer once its call is answered otherwise', async () => {
+    const [first, second] = await receiveTwo();
+    const { answer, state } = createLongAnswer();
+    writer.answer(first!, 'c-1', answer);
+    const refusal = () =>
+      new EgretError(ErrorKind.OutcomeUnknown, 'The client has closed its side.');
+    writer.refuse(first!, 'c-1', refusal());
+    expect(state.cancelled).toBe(1);
+    state.handlers!.onData(BODY);
+    state.handlers!.onEnd();
+    writer.refuse(second!, 'c-2', refusal());
+    await waitUntil(() => client.statusCodes.length === 2, 'two answers');
+    expect(client.statusCodes).toEqual([502, 502]);
+  });
+});
--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -43,6 +43,9 @@
 export class AnswerWriter {
   private readonly held = new HeldBytes(HELD_BYTES_MAX);
 
+  /** Long answers on their way; each is dropped once its call is answered otherwise. */
+  private readonly long = new WeakMap<ServerResponse, LongAnswer>();
+
   constructor(private readonly options: AnswerWriterOptions) {}
 
   /**
@@ -80,6 +83,7 @@
       writeHead: (bodyBytes) => this.writeHead(response, answer, bodyBytes),
       onBroken: () => this.onBroken(response, callId, answer),
     });
+    this.long.set(response, long);
     connections.whenEnded(response, () => long.cancel());
     long.start();
   }
@@ -128,6 +132,7 @@
       log('call_unrouted', { call: callId, kind: error.kind, detail: error.detail });
     }
     if (response.destroyed || response.headersSent) return;
+    this.long.get(response)?.cancel();
     const text = JSON.stringify(error.toBody(callId));
     const headers = [
       'Content-Type',
--- a/src/gateway/server/fixtures.ts
+++ b/src/gateway/server/fixtures.ts
@@ -221,6 +221,7 @@
     logged,
     beta,
     openCalls: () => calls.openCalls,
+    endOpenCalls: () => calls.endOpenCalls(),
     async stop(): Promise<void> {
       client.dispose();
       await closeServer(server);
