The head of a backend server's answer is checked where it is read

Cause: Node's parser of answers lets through what its writer refuses: other characters in the reason phrase, statuses below 100. The head was written as it came, in a listener. Ruled out: header names and values; the parser refuses what the writer refuses (tests of both). Change: a head that isn't valid HTTP, or can't be passed on, makes the answer a faulty one of that attempt: it may have run, whatever the answer states about it, and its connection is closed. That is a final status outside 200 to 599, a reason phrase or header with other characters, and a transfer coding other than chunks, which nobody asked for and which would be passed on as the plain body.

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -10,6 +10,7 @@
   type LimitReading,
   type WireProfile,
 } from '../Types.js';
+import { headFault } from './AnswerHead.js';
 
 /** Request as it is sent to a backend server. */
 export interface AttemptRequest {
@@ -202,6 +203,12 @@
   private onResponse(response: IncomingMessage): void {
     this.response = response;
     const { statusCode = 0, headers } = response;
+    const fault = headFault(response);
+    if (fault !== undefined) {
+      this.fail(`invalid answer, ${fault}`);
+      this.abort();
+      return;
+    }
     const head = this.profile.readAnswer(statusCode, headers);
     // On a used connection, a refusal without an id may be that of an earlier probe, which has none.
     const isRefusalWithoutId =
