An error that a call's listener throws ends that call, not the process

Whatever threw in a listener of one answer ended the gateway's process, with the requests of all others; what threw on the way of a short answer closed the connection, with the answers behind it. Cause: only the promise of a call had a handler of errors; the listeners of its attempt, of the rest of its answer and of its connection had none. Ruled out: a handler for the whole process, which would hide a broken state of it and can't tell which call to end. Change: FaultBoundary (src/runtime, without anything of a gateway) runs listeners for one thing and ends that thing at the first error: an attempt counts as one that may have run, a call gets 502 if its head isn't written and loses its connection otherwise, a probe has failed. Failed assertions and allocations, and errors of the end itself, are thrown on.

--- a/src/gateway/server/AnswerWriter.test.ts
+++ b/src/gateway/server/AnswerWriter.test.ts
@@ -1,5 +1,5 @@
-import { createServer, type ServerResponse } from 'node:http';
-import { afterEach, describe, expect, it } from 'vitest';
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../../standin/Cluster.js';
 import { RawClient } from '../../../standin/RawClient.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
@@ -38,26 +38,32 @@
 }
 
 describe('AnswerWriter', () => {
-  const responses: ServerResponse[] = [];
-  const server = createServer();
-  const connections = new HttpConnections({ server, isStopping: () => false });
-  server.on('request', (request, response) => {
-    if (connections.admit(request, response)) responses.push(response);
-  });
-  const writer = new AnswerWriter({
-    profile: TEST_PROFILE,
-    metrics: new GatewayMetrics(),
-    log: () => {},
-    connections,
-  });
+  let server: Server;
+  let responses: ServerResponse[];
+  let writer: AnswerWriter;
   let client: RawClient;
 
+  beforeEach(() => {
+    server = createServer();
+    responses = [];
+    const connections = new HttpConnections({ server, isStopping: () => false });
+    server.on('request', (request, response) => {
+      if (connections.admit(request, response)) responses.push(response);
+    });
+    writer = new AnswerWriter({
+      profile: TEST_PROFILE,
+      metrics: new GatewayMetrics(),
+      log: () => {},
+      connections,
+    });
+  });
+
   /** Sends two requests on one connection; resolves with their responses. */
   async function receiveTwo(): Promise<ServerResponse[]> {
     client = new RawClient(await listen(server, '127.0.0.1', 0));
     client.get(['/a', '/b'], () => ({ Host: 'x' }));
     await waitUntil(() => responses.length === 2, 'two requests');
-    return responses.splice(0);
+    return responses;
   }
 
   afterEach(async () => {
@@ -81,4 +87,19 @@
     await waitUntil(() => client.statusCodes.length === 2, 'two answers');
     expect(client.statusCodes).toEqual([502, 502]);
   });
+
+  // Guards against a process that ends, or a connection that is closed, since the head of a held
+  // answer can't be written.
+  it('answers a call whose answer can not be written, and those behind it', async () => {
+    const [first, second] = await receiveTwo();
+    const rawHeaders = ['X-Odd', 'a\x01b'];
+    const { answer, state } = createLongAnswer({ rawHeaders });
+    writer.answer(first!, 'c-1', answer);
+    state.handlers!.onEnd();
+    const { answer: sound } = createLongAnswer({ rest: null, rawHeaders: [] });
+    writer.answer(second!, 'c-2', sound);
+    await waitUntil(() => client.statusCodes.length === 2, 'two answers');
+    expect(client.statusCodes).toEqual([502, 200]);
+    expect(client.ended).toBe(false);
+  });
 });
--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
+import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { HttpConnections } from '../../runtime/HttpConnections.js';
 import type { DecisionLog } from '../DispatchTypes.js';
 import type { AnswerRest, BackendAnswer, WireProfile } from '../Types.js';
@@ -81,6 +82,7 @@
       held: this.held,
       isHeld: answer.framed && mustWait,
       writeHead: (bodyBytes) => this.writeHead(response, answer, bodyBytes),
+      boundary: new FaultBoundary((error) => this.fail(response, callId, error)),
       onBroken: () => this.onBroken(response, callId, answer),
     });
     this.long.set(response, long);
@@ -119,12 +121,37 @@
     response.writeHead(statusCode, statusMessage, headers);
   }
 
+  /**
+   * Ends a call whose handling failed, and no other: with an error answer, or by closing its connection
+   * if its answer has begun.
+   */
+  fail(response: ServerResponse, callId: string, error: unknown): void {
+    const { connections, log } = this.options;
+    log('call_crashed', { call: callId, detail: String(error) });
+    this.long.get(response)?.cancel();
+    const boundary = new FaultBoundary(() => connections.abort(response));
+    const detail = 'The host failed while it handled the call.';
+    const refusal = new EgretError(ErrorKind.OutcomeUnknown, detail);
+    if (response.headersSent) connections.abort(response);
+    else boundary.run(() => this.writeError(response, callId, refusal, PeerAnswer.Final));
+  }
+
   /** Sends an error answer of this host; `peerAnswer` marks it for another gateway. */
   refuse(
     response: ServerResponse,
     callId: string,
     error: EgretError,
     peerAnswer = PeerAnswer.Unsent,
+  ): void {
+    const boundary = new FaultBoundary((fault) => this.fail(response, callId, fault));
+    boundary.run(() => this.writeError(response, callId, error, peerAnswer));
+  }
+
+  private writeError(
+    response: ServerResponse,
+    callId: string,
+    error: EgretError,
+    peerAnswer: PeerAnswer,
   ): void {
     const { connections, metrics, profile, servesPeers, log } = this.options;
     metrics.noteOwnAnswer(error.statusCode, error.kind);
--- a/src/gateway/server/AttemptRun.test.ts
+++ b/src/gateway/server/AttemptRun.test.ts
@@ -1,17 +1,20 @@
 import { Socket } from 'node:net';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { waitUntil } from '../../../standin/Cluster.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
+import { createService } from '../../common/routing/fixtures.js';
 import { GuardedAgent } from '../../runtime/GuardedAgent.js';
 import { BackendView } from '../BackendView.js';
 import { createBackend } from '../fixtures.js';
-import { AttemptResultType, type AttemptResult } from '../Types.js';
+import { AttemptResultType, ProbeMiss, type AttemptResult } from '../Types.js';
 import { AttemptRun } from './AttemptRun.js';
+import { BackendClient } from './BackendClient.js';
 import { TEST_PROFILE, soundReply } from './fixtures.js';
 
 const agent = new GuardedAgent({ keepAlive: true, scheduling: 'lifo' });
 const backend = new RawBackend(soundReply);
 
-function attempt(callId: string): Promise<AttemptResult> {
+function attempt(callId: string, profile = TEST_PROFILE): Promise<AttemptResult> {
   const record = createBackend('b-1', { address: '127.0.0.1', port: backend.port });
   const request = {
     method: 'POST',
@@ -23,7 +26,7 @@
     remainingMs: 1_000,
   };
   const observer = { onConnect: () => {}, onLimit: () => {}, onNotice: () => {} };
-  return new AttemptRun(agent, TEST_PROFILE, new BackendView(record), request, observer).result;
+  return new AttemptRun(agent, profile, new BackendView(record), request, observer).result;
 }
 
 afterEach(async () => {
@@ -70,3 +73,27 @@
     hanging.destroy();
   });
 });
+
+describe('an attempt whose answer can not be read', () => {
+  const fault = () => {
+    throw new Error('unreadable');
+  };
+
+  beforeEach(() => backend.start());
+
+  // Guards against a process that ends since reading the head of one answer throws.
+  it('may have run', async () => {
+    const result = await attempt('c-1', { ...TEST_PROFILE, readAnswer: fault });
+    expect(result).toMatchObject({ type: AttemptResultType.Unknown });
+    await waitUntil(() => backend.openConnections === 0, 'the end of the connection');
+  });
+
+  // Guards against the same for an answer to a probe.
+  it('is a failed probe', async () => {
+    const client = new BackendClient({ profile: { ...TEST_PROFILE, readHealth: fault } });
+    const record = createBackend('b-1', { address: '127.0.0.1', port: backend.port });
+    const result = await client.probe(new BackendView(record), createService('alpha'));
+    expect(result).toBe(ProbeMiss.Failed);
+    client.dispose();
+  });
+});
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,6 +1,7 @@
 import http, { type IncomingMessage } from 'node:http';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import { watchReset } from '../../runtime/ConnectionReset.js';
+import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { BackendView } from '../BackendView.js';
 import {
   AttemptResultType,
@@ -66,6 +67,11 @@
 
   private readonly guard: AnswerGuard;
 
+  private readonly boundary = new FaultBoundary((error) => {
+    this.fail(`fault: ${String(error)}`);
+    this.abort();
+  });
+
   private response: IncomingMessage | undefined;
 
   /** True once a byte may have left this host. */
@@ -147,7 +153,10 @@
       this.broken = true;
       this.fail(error.code ?? error.message);
     });
-    this.request.on('response', (response) => this.onResponse(response));
+    this.request.on(
+      'response',
+      this.boundary.wrap((response: IncomingMessage) => this.onResponse(response)),
+    );
     if (body.length > 0) this.request.write(body);
     if (bodyRest) this.sendRest(bodyRest);
     else this.request.end();
@@ -280,16 +289,16 @@
         rest,
       },
     });
-    const onEnd = () => {
+    const onEnd = this.boundary.wrap(() => {
       if (!this.isWhole(response)) {
         this.fail('answer cut short');
         return;
       }
       this.observer.onNotice(head.notice);
       this.settle(answer(null));
-    };
+    });
     const onBroken = () => this.fail('answer cut short');
-    const onData = (chunk: Buffer) => {
+    const onData = this.boundary.wrap((chunk: Buffer) => {
       this.guard.noteProgress();
       chunks.push(chunk);
       this.bodyBytes += chunk.length;
@@ -298,7 +307,7 @@
       response.off('data', onData);
       response.off('end', onEnd);
       this.settle(answer(this.restOf(response, head.notice)));
-    };
+    });
     response.on('data', onData);
     response.on('end', onEnd);
     response.on('error', onBroken);
@@ -311,7 +320,7 @@
     return {
       read: ({ onData, onEnd, onBroken }) => {
         let open = true;
-        const end = (isWhole: boolean) => {
+        const end = this.boundary.wrap((isWhole: boolean) => {
           if (!open) return;
           open = false;
           if (!isWhole) {
@@ -320,12 +329,13 @@
           }
           this.observer.onNotice(notice);
           onEnd();
-        };
-        response.on('data', (chunk: Buffer) => {
+        });
+        const onChunk = this.boundary.wrap((chunk: Buffer) => {
           this.guard.noteProgress();
           this.bodyBytes += chunk.length;
           if (!onData(chunk) && !this.overdue) response.pause();
         });
+        response.on('data', onChunk);
         response.on('end', () => end(this.isWhole(response)));
         response.on('error', () => end(false));
         response.on('close', () => end(false));
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import { GuardedAgent, type Connect } from '../../runtime/GuardedAgent.js';
 import { SocketBytes, type ByteCounts } from '../../runtime/SocketBytes.js';
 import type { RoutedService } from '../../common/routing/Types.js';
@@ -163,7 +164,11 @@
         if (socket.connecting) socket.once('connect', () => reach?.noteConnected());
       });
       request.on('error', () => finish(ProbeMiss.Failed));
-      request.on('response', (response) => {
+      const boundary = new FaultBoundary(() => {
+        finish(ProbeMiss.Failed);
+        request.destroy();
+      });
+      const onResponse = (response: http.IncomingMessage) => {
         const { statusCode = 0, headers } = response;
         // An answer to an earlier call: nothing on this connection can be trusted any more.
         if (profile.readAnswer(statusCode, headers).callId !== undefined) {
@@ -188,7 +193,8 @@
           // The socket is free again only after this event.
           setImmediate(() => finish(report));
         });
-      });
+      };
+      request.on('response', boundary.wrap(onResponse));
       request.end();
     });
   }
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -3,6 +3,7 @@
 import { RouteKind, type Route, type RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
+import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { ClosedBy } from '../../runtime/HttpConnections.js';
 import { CallStanding } from '../CrashSuspects.js';
 import type { CrashWatch } from '../CrashWatch.js';
@@ -122,7 +123,9 @@
   /** Ends a call whose client seems to have left. */
   endLeft(response: ServerResponse): void {
     const open = this.openCallOf.get(response);
-    if (open) this.inProgress.endLeft(open);
+    if (!open) return;
+    const boundary = new FaultBoundary((error) => this.answers.fail(response, open.callId, error));
+    boundary.run(() => this.inProgress.endLeft(open));
   }
 
   /** Handles one request. */
@@ -138,8 +141,7 @@
       if (closedBy) this.logUndelivered(request, closedBy);
     });
     this.serve(request, response, open).catch((error: unknown) => {
-      this.options.log('call_crashed', { detail: String(error) });
-      connections.abort(response);
+      this.answers.fail(response, open.callId, error);
     });
   }
 
--- a/src/gateway/server/LongAnswer.ts
+++ b/src/gateway/server/LongAnswer.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import type { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { AnswerRest } from '../Types.js';
 import type { HeldBytes, HeldShare } from './HeldBytes.js';
 
@@ -19,6 +20,8 @@
   readonly isHeld: boolean;
   /** Writes the head; with the length of the body once all of it is there. */
   readonly writeHead: (bodyBytes?: number) => void;
+  /** Ends the call if a listener of the answer throws. */
+  readonly boundary: FaultBoundary;
   /** Called if the answer ends early; the head may have been written. */
   readonly onBroken: () => void;
 }
@@ -43,7 +46,7 @@
 
   /** Begins to read the rest of the body. */
   start(): void {
-    const { body, rest, response, isHeld } = this.options;
+    const { body, rest, response, isHeld, boundary } = this.options;
     this.keep(body);
     if (!isHeld) this.stream();
     response.on('drain', () => {
@@ -51,9 +54,9 @@
       rest.resume();
     });
     rest.read({
-      onData: (chunk) => this.onData(chunk),
-      onEnd: () => this.onEnd(),
-      onBroken: () => this.onBroken(),
+      onData: (chunk) => boundary.run(() => this.onData(chunk)) ?? true,
+      onEnd: boundary.wrap(() => this.onEnd()),
+      onBroken: boundary.wrap(() => this.onBroken()),
     });
   }
 
