An answer without a length gets one, or chunks: the end of a connection marks nothing

Cause: an answer without a length was passed on without one, so that the end of the caller's connection marked its end. The kernel ends the connections of a killed process in order. Change: an answer that has arrived in full gets its length, one that is streamed gets chunks. Callers of HTTP/1.0 know no chunks: theirs is held until its length is known, and is no answer (502) if it breaks off or grows beyond what may be held. HEAD, 204 and 304 get neither.

--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -30,6 +30,9 @@
  */
 const HELD_BYTES_MAX = 16 * 1024 * 1024;
 
+/** Version in which only a length shows whether a body is complete. */
+const HTTP_WITHOUT_CHUNKS = '1.0';
+
 /** Length that a backend server declared; undefined without one. */
 function declaredLength(answer: BackendAnswer): string | undefined {
   for (let index = 0; index < answer.rawHeaders.length; index += 2) {
@@ -75,27 +78,29 @@
   ): void {
     const { connections } = this.options;
     const mustWait = !response.socket || connections.hasAnswersBehind(response);
+    const hasLength = declaredLength(answer) !== undefined;
+    const mayBeStreamed = hasLength || response.req.httpVersion !== HTTP_WITHOUT_CHUNKS;
     const long = new LongAnswer({
       response,
       body: answer.body,
       rest,
       held: this.held,
-      isHeld: answer.framed && mustWait,
+      isHeld: mustWait || !mayBeStreamed,
+      mayBeStreamed,
       writeHead: (bodyBytes) => this.writeHead(response, answer, bodyBytes),
       boundary: new FaultBoundary((error) => this.fail(response, callId, error)),
-      onBroken: () => this.onBroken(response, callId, answer),
+      onBroken: () => this.onBroken(response, callId),
     });
     this.long.set(response, long);
     connections.whenEnded(response, () => long.cancel());
     long.start();
   }
 
-  private onBroken(response: ServerResponse, callId: string, answer: BackendAnswer): void {
+  private onBroken(response: ServerResponse, callId: string): void {
     const { connections, log } = this.options;
     log('answer_broken_off', { call: callId });
     if (response.headersSent) {
-      // A truncated answer must not look complete; without framing, only a reset marks it.
-      connections.abort(response, { reset: !answer.framed });
+      connections.abort(response);
       return;
     }
     const detail = 'The answer of the backend server broke off.';
@@ -106,18 +111,15 @@
   private writeHead(response: ServerResponse, answer: BackendAnswer, bodyBytes?: number): void {
     const { connections } = this.options;
     const headers = copyEndToEnd(answer.rawHeaders, OWN_ANSWER_HEADERS);
-    const { statusCode, statusMessage, framed } = answer;
-    const declared = declaredLength(answer);
+    const { statusCode, statusMessage } = answer;
     if (bodyBytes === undefined || response.req.method === 'HEAD') {
+      const declared = declaredLength(answer);
       if (declared !== undefined) headers.push('Content-Length', declared);
-    } else if (statusCode !== 204 && statusCode !== 304 && framed) {
+    } else if (statusCode !== 204 && statusCode !== 304) {
       headers.push('Content-Length', String(bodyBytes));
     }
-    // It is unknown here whether an unframed body is complete, so no framing may mark its end.
-    if (!framed) {
-      response.useChunkedEncodingByDefault = false;
-      connections.endWith(response);
-    } else if (connections.endsConnection(response)) headers.push('Connection', 'close');
+    // Node's server adds chunks for a body without a length: the end of the connection marks none.
+    if (connections.endsConnection(response)) headers.push('Connection', 'close');
     response.writeHead(statusCode, statusMessage, headers);
   }
 
--- a/src/gateway/server/LongAnswer.ts
+++ b/src/gateway/server/LongAnswer.ts
@@ -18,6 +18,8 @@
   readonly held: HeldBytes;
   /** True if the answer is held until it is complete, or until too many bytes are held. */
   readonly isHeld: boolean;
+  /** False if nothing but a length would show the caller where the answer ends; it then breaks off. */
+  readonly mayBeStreamed: boolean;
   /** Writes the head; with the length of the body once all of it is there. */
   readonly writeHead: (bodyBytes?: number) => void;
   /** Ends the call if a listener of the answer throws. */
@@ -69,13 +71,17 @@
   }
 
   private onData(chunk: Buffer): boolean {
-    const { held, response } = this.options;
+    const { held, response, mayBeStreamed } = this.options;
     switch (this.state) {
       case State.Held:
         this.keep(chunk);
         if (!held.isFull) return true;
-        this.stream();
-        return !response.writableNeedDrain;
+        if (mayBeStreamed) {
+          this.stream();
+          return !response.writableNeedDrain;
+        }
+        this.breakOff();
+        return true;
       case State.Streamed:
         return this.write(chunk);
       default:
@@ -101,6 +107,11 @@
     this.options.onBroken();
   }
 
+  private breakOff(): void {
+    this.options.rest.cancel();
+    this.onBroken();
+  }
+
   private keep(chunk: Buffer): void {
     this.chunks.push(chunk);
     this.share.add(chunk.length);
@@ -116,13 +127,12 @@
   }
 
   private write(chunk: Buffer): boolean {
-    const { response, rest, held } = this.options;
+    const { response, held } = this.options;
     // Past the time limit the rest arrives faster than the caller may read it.
     if (response.writableNeedDrain) {
       this.share.add(chunk.length);
       if (held.isFull || this.share.bytes > OVERDUE_BYTES_MAX) {
-        rest.cancel();
-        this.onBroken();
+        this.breakOff();
         return true;
       }
     }
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -21,6 +21,8 @@
   CutAnswer = 'cut-answer',
   /** Sends a body without Content-Length that ends where the connection closes. */
   Unframed = 'unframed',
+  /** Sends a part of an answer without a length and resets the connection right behind it. */
+  UnframedReset = 'unframed-reset',
   /** Answers with status 204, which has neither a body nor a length. */
   NoContent = 'no-content',
   /** Runs the request and answers with status 500. */
@@ -180,6 +182,10 @@
       response.useChunkedEncodingByDefault = false;
       response.end(this.body);
     },
+    [BackendBehaviour.UnframedReset]: (response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.write(BODY.slice(0, 5), () => response.socket?.resetAndDestroy());
+    },
     [BackendBehaviour.NoContent]: (response) => response.writeHead(204).end(),
     [BackendBehaviour.Fail]: (response) => response.writeHead(500).end(),
     [BackendBehaviour.Hang]: () => {},
