Entry: an answer with a status below 200 ends its call, not the process

What callers saw: an entry host that ended while it relayed the answer of a faulty backend server; all its other calls were lost (LOST, FAULT). A status line such as "HTTP/1.1 000 x" was enough.

Cause: the parser of Node.js accepts every status of three digits, writeHead refuses those below 100 with ERR_HTTP_INVALID_STATUS_CODE, and the exception left the 'response' listener of the attempt (AttemptRunner.sendHead). Status 101 without an upgrade was relayed as if it were a final answer.

Ruled out: header values and names (the parser refuses what writeHead refuses), reason phrases (not relayed here), Trailer and other hop-by-hop headers (not copied), and every request of the table at all ports of both data planes: none ended a process.

Change: an answer whose status is not that of a final one counts as a connection that was reset, so idempotent calls are sent again and others get 502.

Why it works: what writeHead refuses no longer reaches it, and the result is one that the reducer has a handler for.

--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -44,6 +44,9 @@
 const OK_STATUS = 200;
 const PARTIAL_STATUS = 206;
 const UNAVAILABLE_STATUS = 503;
+
+/** Smallest status of a final answer (RFC 9110, section 15); the parser reports some below it. */
+const FINAL_STATUS_MIN = 200;
 const CONTENT_RANGE = /^bytes (\d+)-(\d+)\//;
 
 /** An answer without data for this long counts as truncated. */
@@ -230,8 +233,12 @@
   }
 
   private onResponse(answer: IncomingMessage): void {
-    this.answer = answer;
     const statusCode = answer.statusCode ?? 0;
+    if (statusCode < FINAL_STATUS_MIN) {
+      this.request.destroy();
+      return;
+    }
+    this.answer = answer;
     const outcome = answer.headers[HeaderName.Outcome];
     if (statusCode === UNAVAILABLE_STATUS && outcome === Outcome.NotRun) {
       this.readRefusal(answer);
