Links: a field of another type in a handshake is refused

What callers saw: a process that ended. Anyone who reaches the port for links of a control host or an entry host, without the secret, ends it with one message; a stranger at the address of a control host ends the processes that link to it.

Cause: MessagePack decodes integers beyond 53 bits as BigInt. The role of a client's answer and the nonce of a server's challenge were signed without a check of their type, JSON.stringify throws on a BigInt, and the exception left the 'message' listener of the WebSocket.

Ruled out: upgrade requests and frames that are malformed (ws refuses them), lists, other types, nesting and bytes that are no MessagePack (decodeMessage refuses them); messages of an authenticated link are checked by field.

Change: both ends read the unauthenticated messages through readChallenge and readResponse, which accept text only. A client logs link_refused with reason "malformed challenge" and connects again.

Why it works: what is signed is text, for which no step of the handshake throws.

--- a/src/runtime/LinkAuth.ts
+++ b/src/runtime/LinkAuth.ts
@@ -35,6 +35,29 @@
 
 const NONCE_BYTES = 16;
 
+function areStrings(...values: readonly unknown[]): boolean {
+  return values.every((value) => typeof value === 'string');
+}
+
+/**
+ * Reads the first message of a server; undefined if it is malformed. It is not authenticated, and
+ * its fields may be of any type that the codec knows.
+ *
+ * @example
+ * readChallenge({ nonce: 5 }); // undefined
+ */
+export function readChallenge(message: Readonly<Record<string, unknown>>): Challenge | undefined {
+  return areStrings(message.nonce) ? (message as unknown as Challenge) : undefined;
+}
+
+/** Reads the answer to a challenge; undefined if it is malformed. It is not authenticated. */
+export function readResponse(
+  message: Readonly<Record<string, unknown>>,
+): ChallengeResponse | undefined {
+  const { id, role, nonce, mac } = message;
+  return areStrings(id, role, nonce, mac) ? (message as unknown as ChallengeResponse) : undefined;
+}
+
 /** Creates a random nonce. */
 export function createNonce(): string {
   return randomBytes(NONCE_BYTES).toString('base64url');
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -4,8 +4,8 @@
 import type { Disposable } from '../common/Disposable.js';
 import {
   checkWelcome,
+  readChallenge,
   respondToChallenge,
-  type Challenge,
   type ChallengeResponse,
   type LinkRole,
   type Welcome,
@@ -244,10 +244,15 @@
     (socket: WebSocket, message: Record<string, unknown>) => void
   > = {
     [LinkState.Connecting]: (socket, message) => {
-      const { secret, id, role } = this.options;
-      const { availabilityZone } = this.options;
+      const { secret, id, role, availabilityZone } = this.options;
+      const challenge = readChallenge(message);
+      if (!challenge) {
+        this.options.logger.warn('link_refused', { reason: 'malformed challenge' });
+        socket.terminate();
+        return;
+      }
       this.response = {
-        ...respondToChallenge(secret, id, role, message as unknown as Challenge),
+        ...respondToChallenge(secret, id, role, challenge),
         ...(availabilityZone !== undefined && { availabilityZone }),
       };
       this.state = LinkState.Challenged;
--- a/src/runtime/MessageServer.ts
+++ b/src/runtime/MessageServer.ts
@@ -8,6 +8,7 @@
   checkResponse,
   createNonce,
   createWelcome,
+  readResponse,
   type ChallengeResponse,
   type LinkRole,
 } from './LinkAuth.js';
@@ -174,12 +175,8 @@
       clearTimeout(timer);
       if (this.disposed) return;
       const decoded = decodeMessage(toBuffer(data));
-      const response = decoded.isOk ? (decoded.value as unknown as ChallengeResponse) : undefined;
-      const wellFormed =
-        typeof response?.mac === 'string' &&
-        typeof response.id === 'string' &&
-        typeof response.nonce === 'string';
-      if (!wellFormed || !checkResponse(this.options.secret, challenge, response)) {
+      const response = decoded.isOk ? readResponse(decoded.value) : undefined;
+      if (!response || !checkResponse(this.options.secret, challenge, response)) {
         this.options.logger.warn('link_refused', { reason: 'authentication' });
         socket.close(POLICY_VIOLATION_CODE, 'authentication failed');
         return;
