Control hosts: the answer to a join request is checked before it is used

What callers saw: a control host that ended at its start or while it caught up, again and again, when another program had the address of a seed.

Cause: the answer to a join request is not authenticated. Only "voters is a list" was checked; a member that is null, a list that is missing or a port that no URL can hold threw in the handler of the answer (unhandledRejection), or later in the reducer (onFatal).

Ruled out: bytes without end and answers that are no JSON (requestJson bounds and refuses them).

Change: requestJoin returns a membership only if both lists and each member are sound; any other answer counts as none, and the host asks again.

Why it works: no field of the answer is read before its type is known.

--- a/src/control/server/JoinEndpoint.ts
+++ b/src/control/server/JoinEndpoint.ts
@@ -1,5 +1,6 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import * as z from 'zod';
 import { API_PREFIX } from '../../common/Constants.js';
 import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
 import { readJson, sendError, sendJson } from '../../runtime/HttpJson.js';
@@ -9,6 +10,9 @@
 /** Path for join requests of control hosts, on the port for the system's own processes. */
 export const JOIN_PATH = `${API_PREFIX}/control/join`;
 
+/** Largest port number (RFC 6335). */
+const PORT_MAX = 65_535;
+
 /** A control host that doesn't answer within this time is asked again later. */
 const JOIN_TIMEOUT_MS = 800;
 
@@ -48,6 +52,20 @@
   return emptiedIds;
 }
 
+const member = z.looseObject({
+  id: z.string().min(1),
+  address: z.string().min(1),
+  port: z.number().int().min(1).max(PORT_MAX),
+  instanceId: z.string().optional(),
+  observer: z.boolean().optional(),
+});
+
+/** Membership in an answer, which is not authenticated. */
+const membershipSchema: z.ZodType<Membership> = z.looseObject({
+  voters: z.array(member),
+  learners: z.array(member),
+});
+
 /** Join request of a control host, authenticated with the shared secret. */
 interface JoinRequest {
   readonly member: Member;
@@ -112,8 +130,7 @@
       body,
       timeoutMs: JOIN_TIMEOUT_MS,
     });
-    const membership = answer.body as Membership;
-    return Array.isArray(membership.voters) ? membership : undefined;
+    return membershipSchema.safeParse(answer.body).data;
   } catch {
     return undefined;
   }
--- a/src/control/server/fixtures.ts
+++ b/src/control/server/fixtures.ts
@@ -1,14 +1,21 @@
 import { LogLevel } from '../../common/Enums.js';
 import { ProgramKind } from '../../common/ProcessSettings.js';
 import { silentLogger } from '../../runtime/Logger.js';
+import type { Member } from '../raft/Types.js';
 import { ControlServer, type ControlServerOptions } from './ControlServer.js';
 
 const ADDRESS = '127.0.0.1';
 
+/** Changes of the options of {@link openSingleControl}. */
+export interface SingleControlChanges extends Partial<ControlServerOptions> {
+  /** Voters at the first start; only this host by default. */
+  readonly initialVoters?: Member[];
+}
+
 /** Opens a control host that is the only voter of its cluster, for tests. */
 export function openSingleControl(
   dataFolder: string,
-  changes: Partial<ControlServerOptions> = {},
+  { initialVoters, ...changes }: SingleControlChanges = {},
 ): Promise<ControlServer> {
   return ControlServer.open({
     file: {
@@ -19,7 +26,7 @@
       adminListen: { address: ADDRESS, port: 0 },
       dataFolder,
       secretFile: '',
-      initialVoters: [{ id: 'control-1', address: ADDRESS, port: 1 }],
+      initialVoters: initialVoters ?? [{ id: 'control-1', address: ADDRESS, port: 1 }],
       logLevel: LogLevel.Error,
     },
     secret: 'secret',
