--- a/src/control/server/AdminApi.ts
+++ b/src/control/server/AdminApi.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import { API_PREFIX } from '../../common/Constants.js';
 import { EgretError, ErrorKind, toEgretError } from '../../common/Errors.js';
+import { isHostName } from '../../common/HostName.js';
 import { checkDocument } from '../../common/SettingsTree.js';
 import { bearerToken, readJson, sendError, sendJson } from '../../runtime/HttpJson.js';
 import { hashToken } from '../../runtime/LinkAuth.js';
@@ -30,7 +31,7 @@
   [AdminRequestType.Members]: z.strictObject({}),
   [AdminRequestType.AddMember]: z.strictObject({
     id,
-    address: z.string().min(1).max(253),
+    address: z.string().max(253).refine(isHostName, 'use a host name or an address'),
     port: z.number().int().min(1).max(65_535),
   }),
   [AdminRequestType.PromoteMember]: z.strictObject({ id }),
--- a/src/control/server/JoinEndpoint.ts
+++ b/src/control/server/JoinEndpoint.ts
@@ -52,7 +52,7 @@
   return emptiedIds;
 }
 
-const member = z.looseObject({
+const memberSchema = z.looseObject({
   id: z.string().min(1),
   address: z.string().min(1),
   port: z.number().int().min(1).max(PORT_MAX),
@@ -62,8 +62,8 @@
 
 /** Membership in an answer, which is not authenticated. */
 const membershipSchema: z.ZodType<Membership> = z.looseObject({
-  voters: z.array(member),
-  learners: z.array(member),
+  voters: z.array(memberSchema),
+  learners: z.array(memberSchema),
 });
 
 /** Join request of a control host, authenticated with the shared secret. */
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -194,7 +194,13 @@
 
   private connect(): void {
     const { address, port } = this.options;
-    const socket = new WebSocket(`ws://${address}:${port}/`, {
+    const url = `ws://${address}:${port}/`;
+    if (!URL.canParse(url)) {
+      // The address comes from other hosts, which an earlier version may have let in unchecked.
+      this.options.logger.error('link_failed', { from: url, detail: 'The address is invalid.' });
+      return;
+    }
+    const socket = new WebSocket(url, {
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
       handshakeTimeout: this.timing.connectTimeoutMs,
