Links: an address that no client can connect to ends no process

What callers saw: after a member with an address such as "::1" or "a b" was added, every control host ended, and again at each start, as the log keeps the member.

Cause: the constructor of a WebSocket throws on an invalid URL, in the reducer's effects (onFatal) or in a timer. AddMember accepted any text as an address.

--- a/src/runtime/MessageClient.test.ts
+++ b/src/runtime/MessageClient.test.ts
@@ -112,3 +112,26 @@
     expect(await sendLarge('client')).toEqual({ received: true, closed: 0 });
   }, 12_000);
 });
+
+describe('a link to an address that is none', () => {
+  // Guards against all hosts ending at once, and at each start, after one member with such an address.
+  it.each(['::1', 'a b', '10.0.0.999', '', '[', '%'])('stays closed: %j', (address) => {
+    const logged: string[] = [];
+    const client = new MessageClient({
+      address,
+      port: 7540,
+      id: 'entry-1',
+      role: LinkRole.Entry,
+      secret: SECRET,
+      logger: { ...silentLogger, error: (event) => logged.push(event) },
+      fields: FIELDS,
+      onOpen: () => {},
+      onMessage: () => {},
+      onClose: () => {},
+    });
+    expect(client.send({ type: 'document', text: '' })).toBe(false);
+    expect(client.isOpen).toBe(false);
+    client.dispose();
+    expect(logged).toEqual(['link_failed']);
+  });
+});
