Soak: odd requests at every port, clients that leave, and spoiled status lines

OddClients draws from the table of standin/OddRequests.ts; faulty backend servers have two endings more.

--- a/soak/Backend.ts
+++ b/soak/Backend.ts
@@ -19,9 +19,14 @@
   /** Sends the answer twice; the second copy comes late. */
   Double = 'double',
   Unframed = 'unframed',
+  /** A status line with a control character, or a status that is none, before a long body. */
+  SpoiledReason = 'spoiled-reason',
+  SpoiledStatus = 'spoiled-status',
 }
 
-const UNSOUND: ReadonlySet<Ending> = new Set([Ending.CutLong, Ending.CutShort, Ending.Reset]);
+const UNSOUND: ReadonlySet<Ending> = new Set([
+  ...[Ending.CutLong, Ending.CutShort, Ending.Reset, Ending.SpoiledReason, Ending.SpoiledStatus],
+]);
 
 /** Endings of which a faulty backend server draws one; the others end whole, some long. */
 const FAULTY_ENDINGS = [...Object.values(Ending), Ending.Whole, Ending.Whole, Ending.Whole];
@@ -56,6 +61,13 @@
 
 const WORK_SPREAD_MS = 150;
 
+/** Writes a long answer with the given status line, which Node.js itself would not write. */
+function writeSpoiled({ socket }: http.ServerResponse, callId: string, status: string): void {
+  const body = `answer to ${callId}${LONG_FILL}`;
+  const headers = `X-Attempt-Id: ${callId}\r\nX-Response-Signature: of-${callId}`;
+  socket?.end(`HTTP/1.1 ${status}\r\n${headers}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+}
+
 /** Body of the answer to a request. */
 const answerBody = (id: string) => `answer to ${id}`;
 
@@ -202,5 +214,7 @@
       Object.assign(response, { useChunkedEncodingByDefault: false });
       response.end(answerBody(callId));
     },
+    [Ending.SpoiledReason]: (response, callId) => writeSpoiled(response, callId, '200 O\x01K'),
+    [Ending.SpoiledStatus]: (response, callId) => writeSpoiled(response, callId, '099 OK'),
   };
 }
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -7,6 +7,7 @@
 import { findBreaches, type Breach } from './Checks.js';
 import { SoakClients } from './Clients.js';
 import { SOAK_ZONES, SoakDeployment } from './Deployment.js';
+import { OddClients } from './OddClients.js';
 import { SOAK_SERVICES, SoakOperator } from './Operator.js';
 import type { SoakRecord, SoakWorld } from './Types.js';
 
@@ -97,15 +98,17 @@
     record,
     nowMs,
   });
+  const oddClients = new OddClients({ machines: deployment.machines, random });
   try {
     await Promise.all(backends.map((backend) => backend.start()));
     await deployment.startAll();
     await operator.change(0);
     await sleep(SETTLE_MS);
     clients.start();
+    oddClients.start();
     const world = { deployment, clients, operator, random, log };
     await disturb(world, nowMs, nowMs() + durationMs);
-    await clients.stop();
+    await Promise.all([clients.stop(), oddClients.stop()]);
   } finally {
     await deployment.stop();
     await Promise.all(backends.map((backend) => backend.stop()));
--- a/src/entry/server/OddInputs.test.ts
+++ b/src/entry/server/OddInputs.test.ts
@@ -96,7 +96,9 @@
   });
 
   const statusOf = async (port: number, path: string) => {
-    const answer = await sendBytes(port, `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`, 5_000);
+    const answer = await sendBytes(port, `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`, {
+      timeoutMs: 5_000,
+    });
     return Number(answer.split(' ')[1]);
   };
 
@@ -139,7 +141,7 @@
     async (status) => {
       const number = answers.findIndex(({ name }) => name === `status "${status}"`);
       const head = `POST /ledger/502-${number} HTTP/1.1\r\nHost: a\r\n${METHODS.POST!()}\r\n`;
-      const answer = await sendBytes(entry().port, head, 5_000);
+      const answer = await sendBytes(entry().port, head, { timeoutMs: 5_000 });
       expect(answer).toMatch(/^HTTP\/1\.1 502 /);
     },
   );
--- a/standin/SendBytes.ts
+++ b/standin/SendBytes.ts
@@ -6,14 +6,21 @@
 /** Connections that {@link sendAll} has open at once. */
 const PARALLEL_MAX = 24;
 
+/** Options of {@link sendBytes}. */
+export interface SendBytesOptions {
+  readonly host?: string;
+  /** Longest wait for the answer. */
+  readonly timeoutMs?: number;
+}
+
 /** Sends bytes on a new connection; resolves with what was received first, which may be nothing. */
 export function sendBytes(
   port: number,
   bytes: string,
-  timeoutMs = ANSWER_TIMEOUT_MS,
+  { host = '127.0.0.1', timeoutMs = ANSWER_TIMEOUT_MS }: SendBytesOptions = {},
 ): Promise<string> {
   return new Promise((resolve) => {
-    const socket = net.connect({ port, host: '127.0.0.1' });
+    const socket = net.connect({ port, host });
     let received = '';
     const timer = setTimeout(() => socket.destroy(), timeoutMs);
     socket.on('data', (chunk) => {
