Backend servers: an id that no header can hold names no server

What callers saw: connections broken off without an answer (LOST) once a server had announced itself with an id such as "i-%0d%0aodd": every call that was led to it ended with "socket hang up".

Cause: an attempt carries the id in a header; http.request throws ERR_INVALID_CHAR on it. Any text was accepted as an id, from the path of an announcement and from other hosts; addresses likewise.

Ruled out: an end of the process. The exception reached the catch of CallServer (call_crashed), and probes, which carry the address, are caught by the picker.

Change: the check of every record, which each reader makes, refuses ids with characters that no header value can have and addresses with characters of no host; the announcement gets 400.

Why it works: no record with such an id reaches an attempt, whoever wrote it.

--- a/src/common/backends/RecordCheck.ts
+++ b/src/common/backends/RecordCheck.ts
@@ -12,6 +12,12 @@
 /** Longest id, name or address in a record. */
 const TEXT_MAX_LENGTH = 253;
 
+/** Characters of a header's value (RFC 9110, section 5.5): requests carry the id in a header. */
+const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
+
+/** Characters of a host name or an IP address. */
+const HOST = /^[\w.:[\]-]+$/;
+
 const STATES: readonly unknown[] = Object.values(BackendState);
 
 function isText(value: unknown): boolean {
@@ -32,9 +38,9 @@
 const CHECKS: Readonly<
   Record<keyof BackendRecord, (value: unknown, record: Partial<BackendRecord>) => boolean>
 > = {
-  id: isText,
+  id: (value) => isText(value) && HEADER_VALUE.test(value as string),
   service: isText,
-  address: isText,
+  address: (value) => isText(value) && HOST.test(value as string),
   port: (value) => isIntegerWithin(value, 1, PORT_MAX),
   availabilityZone: isText,
   slots: (value) => isIntegerWithin(value, 1, SLOTS_MAX),
