Gateway: an attempt that can't be created ends as one attempt

Cause: CallRun counts an attempt as running and then creates it. An exception in between ended the call with its connection, and left the count of the server's running attempts, which all calls share.

Change: the exception is logged (call_crashed, with call and backend server) and the attempt ends like one whose connection was lost: idempotent calls are sent elsewhere, others get 502, and no refusal claims that the call has not run.

Why it works: the attempt ends through the same path as all others, which takes back its count.

--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -12,7 +12,13 @@
 import { CallEventType, type CallEvent, type RunningAttempt } from './CallEvents.js';
 import { EventQueue } from './EventQueue.js';
 import { RETRY_AFTER_STOPPING_MS } from './StopSchedule.js';
-import { AttemptResultType, type AttemptResult, type BackendAnswer, type Call } from './Types.js';
+import {
+  AttemptResultType,
+  type AttemptHandle,
+  type AttemptResult,
+  type BackendAnswer,
+  type Call,
+} from './Types.js';
 
 /** A call is not sent again after this many attempts that ended without having run. */
 const NOT_RUN_ATTEMPTS_MAX = 4;
@@ -348,7 +354,7 @@
     const filledSlots = view.isNearlyFull;
     view.inFlight += 1;
     view.sentSinceLoad += 1;
-    const handle = this.send(view, remainingMs);
+    const handle = this.trySend(view, remainingMs);
     options.observe?.(call, view, handle);
     const { expectedMs, probes, loadAgeMs } = pick;
     const { running, waiting, slowdown } = view.load ?? {};
@@ -376,6 +382,18 @@
     return true;
   }
 
+  /** Sends an attempt; one that can't be created ends like one whose connection was lost. */
+  private trySend(view: BackendView, remainingMs: number): AttemptHandle {
+    try {
+      return this.send(view, remainingMs);
+    } catch (error) {
+      const reason = String(error);
+      this.log('call_crashed', { backend: view.record.id, detail: reason });
+      const result = { type: AttemptResultType.Unknown, reason } as const;
+      return { result: Promise.resolve(result), cancel: () => {} };
+    }
+  }
+
   private scheduleHedge(nowMs: number, expectedMs: number): void {
     const { options, call } = this;
     const leadMs = options.work.workMs(call) * HEDGE_LEAD_WORK;
--- a/src/gateway/Dispatcher.test.ts
+++ b/src/gateway/Dispatcher.test.ts
@@ -54,6 +54,30 @@
   });
 });
 
+describe('an attempt that can not be created', () => {
+  // Guards against a caller's connection that is broken off, and a server that stays busy for good.
+  it.each([
+    ['is replaced by another one', {}, DispatchOutcomeType.Answer],
+    ['ends a call that may run once', NON_IDEMPOTENT, DispatchOutcomeType.Failed],
+  ])('%s', async (name, route, expected) => {
+    const world = createDispatchWorld({
+      backends: BACKENDS,
+      unsendableIds: ['b-1', 'b-2', 'b-3'],
+      attempts: [answerAfter(10)],
+      route: { ...route, attemptsMax: 4 },
+      retryRatio: 9,
+    });
+    const outcomes = [];
+    for (let call = 0; call < 4; call += 1) {
+      // Calls run one after the other.
+      // eslint-disable-next-line no-await-in-loop
+      outcomes.push((await world.run()).outcome.type);
+    }
+    expect(outcomes).toContain(expected);
+    expect(BACKENDS.map(({ id }) => world.pool.get(id)!.inFlight)).toEqual([0, 0, 0, 0]);
+  });
+});
+
 describe('refusals', () => {
   it('report "not run" only if no attempt may have run', async () => {
     const refused = createDispatchWorld({
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -113,6 +113,8 @@
   readonly backends: readonly BackendRecord[];
   /** Probe results by backend server; without an entry it is idle, with a miss not usable. */
   readonly health?: Readonly<Record<string, ProbeResult>>;
+  /** Backend servers for which the request of an attempt can't be created. */
+  readonly unsendableIds?: readonly string[];
   /** Results of the attempts in order; the last one repeats. */
   readonly attempts: readonly ScriptedAttempt[];
   readonly route?: Partial<Route>;
@@ -232,6 +234,7 @@
     acceptsUnframedAnswer: () => true,
   });
   const send = (view: BackendView) => {
+    if (options.unsendableIds?.includes(view.record.id)) throw new Error('invalid header');
     const { id } = view.record;
     const script = options.attempts[Math.min(sent.length, options.attempts.length - 1)]!;
     sent.push(id);
