Soak: a request on a connection that never opened is not one of a kept connection

The check "LOST cut at a stop" counts requests of kept connections. PipelinedConnection marked every request without an answer as one of those, also the first ones of a new connection that was refused (ECONNREFUSED), which no process can have read.

The check itself stays as it is. From the moment at which the connection is open its requests count as before, answered or not. Pipeline.test.ts tests both sides.

--- a/soak/Pipeline.test.ts
+++ b/soak/Pipeline.test.ts
@@ -39,4 +39,16 @@
     });
     expect(reset).toEqual(['200 ok', '0 ']);
   });
+
+  // Guards against a request counted as read although its connection was refused.
+  it('is not kept before it is open, and is from then on', async () => {
+    const refused = new PipelinedConnection('127.0.0.1:1');
+    const [unread] = await refused.sendAll(['first'], 5_000);
+    expect(unread).toMatchObject({ status: 0, kept: false });
+    server = createServer((socket) => socket.once('data', () => socket.destroy()));
+    await once(server.listen(0, '127.0.0.1'), 'listening');
+    connection = new PipelinedConnection(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const [read] = await connection.sendAll(['first'], 5_000);
+    expect(read).toMatchObject({ status: 0, kept: true });
+  });
 });
--- a/soak/Pipeline.ts
+++ b/soak/Pipeline.ts
@@ -37,9 +37,15 @@
 
   private error: string | undefined;
 
+  /** True once the connection is open; until then no process can have read a request on it. */
+  private isConnected = false;
+
   constructor(address: string) {
     const [host, port] = address.split(':');
     this.socket = connect({ host, port: Number(port) });
+    this.socket.once('connect', () => {
+      this.isConnected = true;
+    });
     this.socket.on('error', (error: NodeJS.ErrnoException) => {
       this.error = error.code;
     });
@@ -54,7 +60,7 @@
     const answers: HttpAnswer[] = [];
     return new Promise((resolve) => {
       const finish = (error: string) => {
-        const missing = { status: 0, headers: {}, body: '', error, kept: true };
+        const missing = { status: 0, headers: {}, body: '', error, kept: this.isConnected };
         resolve(requests.map((request, index) => answers[index] ?? missing));
       };
       const timer = setTimeout(() => {
