--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -186,6 +186,7 @@
       requestRead: (readId) =>
         this.stepRaft({ type: RaftEventType.Read, nowMs: this.nowMs, readId }),
       missing: (index, nowMs) => this.routingProgress.missing(index, nowMs),
+      coverage: (nowMs) => this.routingProgress.coverage(nowMs),
       log: (event, fields) => this.emit({ type: ControlEffectType.Log, event, fields }),
       answer: (requestId, body, error) =>
         this.emit({ type: ControlEffectType.AnswerAdmin, requestId, body, error }),
@@ -701,12 +702,11 @@
   }
 
   private onPing(sessionId: number, message: PingMessage): void {
-    const hadSession = this.sessions.has(sessionId);
-    this.sessions.ping(sessionId, message, this.nowMs);
+    const session = this.sessions.ping(sessionId, message, this.nowMs);
     const { appliedIndex } = message;
     this.delivery.noteApplied(sessionId, appliedIndex);
     if (this.gateways.noteHeartbeat(sessionId, appliedIndex, this.nowMs)) this.deliveryDue = true;
-    if (!hadSession) return;
+    if (!session) return;
     const { state } = this.raft;
     const { membershipIndex } = state.log;
     const { availabilityZone } = this;
--- a/src/control/RoutingProgress.test.ts
+++ b/src/control/RoutingProgress.test.ts
@@ -16,6 +16,23 @@
     expect(gateway.pongs.get(leader.options.id)).toMatchObject({ isCurrent: false });
   });
 
+  // Guards against a gateway that was paused, kept its link and serves on without a bound: without
+  // answers it counts as cut off.
+  it('is answered to a gateway that was silent for longer than its session lasts', () => {
+    const { cluster, addGateway, changeRouting } = createRoutedCluster();
+    const leader = cluster.leader();
+    const gateway = addGateway('g-1', [leader]);
+    cluster.run(1_000);
+    gateway.alive = false;
+    cluster.run(7_000);
+    gateway.pongs.clear();
+    gateway.alive = true;
+    changeRouting(1);
+    cluster.run(1_000);
+    const routingIndex = routingIndexAt(leader);
+    expect(gateway.pongs.get(leader.options.id)).toMatchObject({ routingIndex, isCurrent: true });
+  });
+
   // Guards against a late gateway that no log line of a control host names.
   it('is logged by the leader, with the last gateway, also if that is linked elsewhere', () => {
     const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
@@ -33,6 +50,26 @@
     expect(line?.fields.waitedMs).toBeLessThan(900);
   });
 
+  // Guards against a confirmation of which no line says what it rested on.
+  it('is logged with each confirmation: gateways counted, reports, and who was left out', () => {
+    const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
+    const [near, silent] = followers();
+    addGateway('g-1', [cluster.leader()]);
+    addGateway('g-2', [near!]);
+    cluster.run(1_000);
+    silent!.crash();
+    cluster.run(1_000);
+    changeRouting(1);
+    cluster.run(3_000);
+    const [line, ...others] = lines.filter(({ event }) => event === 'routing_confirmed');
+    expect(others).toEqual([]);
+    expect(line?.fields).toMatchObject({
+      gateways: 2,
+      reported: near!.options.id,
+      leftOut: `${silent!.options.id}:silent`,
+    });
+  });
+
   // Guards against a wait without an end for a gateway that refuses a routing.
   it('names a gateway that has not applied a change by the end of the wait', () => {
     const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
