Fuzz: the time by which gateways apply changes, with their own links and states

The worlds of RoutedFuzzWorld have links that close in the moment of a cut, gateways that answer to no heartbeat and take no state from the answers, and check the routing of gateways only while every control host runs and reaches every gateway.

RoutingWorld drives the gateway's own ControlWatch and GatewayRouting, and the control hosts' reducers, in virtual time: three or five control hosts, links with the timing of MessageClient (refused, silent and stalled attempts, admission, loss after silence), messages that a cut holds and does not lose, routings that take up to 1.5 s on some links. Faults of 0.2 to 9 s: pauses (what has arrived is read before the timers run, or after), ends with and without power, cuts in one or both directions between control hosts, zones and gateways, resets, all control hosts at once. ContactOracle is the rule's own text: undisturbed for 3 s, a stable core, a path to each control host that reaches more than half. A gateway in touch must not serve by a version older than one confirmed 2 s before.

--- a/fuzz/ControlCluster.ts
+++ b/fuzz/ControlCluster.ts
@@ -6,6 +6,7 @@
 import { hashToken } from '../src/runtime/LinkAuth.js';
 import { ADMIN_TOKEN, buildTree, OTARU } from '../standin/Deployments.js';
 import { ControlHost, type LogFields } from './ControlHost.js';
+import type { HeldPipe } from './HeldPipe.js';
 import { Network } from './Network.js';
 import { Timeline } from './Timeline.js';
 
@@ -17,6 +18,8 @@
   readonly count?: number;
   readonly seed?: number;
   readonly snapshotEvery?: number;
+  /** True if what is sent between control hosts arrives in order, late after a short cut. */
+  readonly holdsMessages?: boolean;
 }
 
 /** Result of an administration request. */
@@ -82,21 +85,38 @@
       clockRate: 1,
       snapshotEvery: this.snapshotEvery,
       sendRaft: (to, message) =>
-        this.network.send(id, to, () =>
+        this.send(id, to, () =>
           this.hosts.get(to)?.handle({ type: ControlEventType.RaftMessage, message }),
         ),
       sendSession: (sessionId, message) => this.options.sendSession?.(sessionId, message, id),
       sendControl: (to, message) =>
-        this.network.send(id, to, () =>
+        this.send(id, to, () =>
           this.hosts.get(to)?.handle({ type: ControlEventType.ControlPeerMessage, message }),
         ),
       log: (event, fields) => this.options.log?.(event, fields, id),
       entryHeartbeatTimeoutMs: this.options.entryHeartbeatTimeoutMs,
+      availabilityZone: id,
     });
     this.hosts.set(id, host);
     return host;
   }
 
+  /** Connections between control hosts, by both names. */
+  private readonly pipes = new Map<string, HeldPipe>();
+
+  private send(from: string, to: string, deliver: () => void): void {
+    if (this.options.holdsMessages) this.pipe(from, to).send(deliver);
+    else this.network.send(from, to, deliver);
+  }
+
+  /** Connection from one control host to another. */
+  pipe(from: string, to: string): HeldPipe {
+    const key = `${from} ${to}`;
+    const pipe = this.pipes.get(key) ?? this.network.connect(from, to);
+    this.pipes.set(key, pipe);
+    return pipe;
+  }
+
   /** The leader of the highest term, which is the one that a majority follows. */
   leader(): ControlHost {
     const leaders = [...this.hosts.values()].filter(
--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -56,6 +56,7 @@
   readonly log?: (event: string, fields: LogFields) => void;
   /** Time without a heartbeat after which an entry host is no longer listed. */
   readonly entryHeartbeatTimeoutMs?: number;
+  readonly availabilityZone?: string;
 }
 
 /** Fields of a log line. */
@@ -98,6 +99,46 @@
     this.start();
   }
 
+  /** True while the machine is off: connections to it are neither refused nor reset. */
+  powerless = false;
+
+  /** What waits for the end of a pause, in order; undefined while the process runs. */
+  private waiting: (() => void)[] | undefined;
+
+  /** Tick that is due after a pause. */
+  private dueTick: (() => void) | undefined;
+
+  get paused(): boolean {
+    return this.waiting !== undefined;
+  }
+
+  /** Stops the process, without an end; what arrives waits. */
+  pause(): void {
+    this.waiting ??= [];
+  }
+
+  /** Ends a pause; what has arrived is read before the timers run, or after. */
+  resume(readsFirst: boolean): void {
+    const waiting = this.waiting ?? [];
+    const { dueTick } = this;
+    this.waiting = undefined;
+    this.dueTick = undefined;
+    if (!readsFirst) dueTick?.();
+    waiting.forEach((action) => action());
+    if (readsFirst) dueTick?.();
+  }
+
+  /** Runs an action at once, or after a pause; never if the process ends before. */
+  whenRunning(action: () => void): void {
+    const { currentEpoch } = this;
+    if (!this.waiting) action();
+    else {
+      this.waiting.push(() => {
+        if (currentEpoch === this.currentEpoch) action();
+      });
+    }
+  }
+
   /** Number that changes at every start and crash. */
   get epoch(): number {
     return this.currentEpoch;
@@ -121,6 +162,7 @@
     const { instanceId, hardState, snapshot, entries } = this.disk;
     this.currentEpoch += 1;
     this.alive = true;
+    this.powerless = false;
     this.syncedAtMs = this.options.timeline.nowMs;
     this.reducer = new ControlReducer({
       raft: {
@@ -139,6 +181,7 @@
       snapshotEvery,
       autoMembership: this.options.autoMembership,
       entryHeartbeatTimeoutMs: this.options.entryHeartbeatTimeoutMs,
+      availabilityZone: this.options.availabilityZone,
     });
     const { savedAtMs, records } = this.disk.backends;
     const isRecent = isRestorable(savedAtMs, this.options.timeline.nowMs);
@@ -151,6 +194,8 @@
   }
 
   crash(): void {
+    this.waiting = undefined;
+    this.dueTick = undefined;
     this.alive = false;
     this.currentEpoch += 1;
     this.adminCallbacks.clear();
@@ -188,6 +233,10 @@
 
   handle(event: Untimed<ControlEvent>): void {
     if (!this.alive) return;
+    if (this.waiting) {
+      this.whenRunning(() => this.handle(event));
+      return;
+    }
     const { nowMs } = this.options.timeline;
     const times = { nowMs: nowMs * this.options.clockRate, wallMs: WALL_START_MS + nowMs };
     const effects = this.reducer.reduce({ ...event, ...times } as ControlEvent);
@@ -218,6 +267,10 @@
 
   private tick(epoch: number): void {
     if (epoch !== this.currentEpoch) return;
+    if (this.waiting) {
+      this.dueTick = () => this.tick(epoch);
+      return;
+    }
     this.handle({ type: ControlEventType.Tick, random: this.options.random.next() });
     this.options.timeline.after(TICK_MS, () => this.tick(epoch));
   }
@@ -228,7 +281,7 @@
     const { currentEpoch } = this;
     this.syncedAtMs = Math.max(this.syncedAtMs, timeline.nowMs) + extraMs;
     timeline.after(this.syncedAtMs - timeline.nowMs, () => {
-      if (currentEpoch === this.currentEpoch) action();
+      if (currentEpoch === this.currentEpoch) this.whenRunning(action);
     });
   }
 
--- a/fuzz/Network.ts
+++ b/fuzz/Network.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from '../src/common/Random.js';
+import { HeldPipe } from './HeldPipe.js';
 import type { Timeline } from './Timeline.js';
 
 /** Delays and fault rates of a {@link Network}. */
@@ -14,6 +15,9 @@
   /** Group of each host that is cut off; hosts of the same group reach each other. */
   private readonly groups = new Map<string, number>();
 
+  /** Directed pairs of hosts between which nothing passes, and the number of faults that block each. */
+  private readonly blocks = new Map<string, number>();
+
   /** Time at which the last message in order from one host to another arrives. */
   private readonly arrivalsMs = new Map<string, number>();
 
@@ -36,6 +40,18 @@
     return (this.groups.get(a) ?? 0) === (this.groups.get(b) ?? 0);
   }
 
+  /** Blocks the way from one host to another until the returned function is called. */
+  block(from: string, to: string): () => void {
+    const pair = `${from} ${to}`;
+    this.blocks.set(pair, (this.blocks.get(pair) ?? 0) + 1);
+    return () => this.blocks.set(pair, this.blocks.get(pair)! - 1);
+  }
+
+  /** True if messages pass from one host to another. */
+  reaches(from: string, to: string): boolean {
+    return this.isConnected(from, to) && !this.blocks.get(`${from} ${to}`);
+  }
+
   delayMs(): number {
     const { minDelayMs, maxDelayMs } = this.options;
     return minDelayMs + this.random.next() * (maxDelayMs - minDelayMs);
@@ -47,7 +63,7 @@
     const copies = this.random.next() < this.options.duplicateRatio ? 2 : 1;
     for (let copy = 0; copy < copies; copy += 1) {
       this.timeline.after(this.delayMs(), () => {
-        if (this.isConnected(from, to)) deliver();
+        if (this.reaches(from, to)) deliver();
       });
     }
   }
@@ -59,7 +75,16 @@
     const arrivalMs = Math.max(nowMs + this.delayMs(), this.arrivalsMs.get(link) ?? 0);
     this.arrivalsMs.set(link, arrivalMs);
     this.timeline.after(arrivalMs - nowMs, () => {
-      if (this.isConnected(from, to)) deliver();
+      if (this.reaches(from, to)) deliver();
+    });
+  }
+
+  /** Delivers messages between two hosts in order, as a connection that outlives short cuts. */
+  connect(from: string, to: string): HeldPipe {
+    return new HeldPipe({
+      timeline: this.timeline,
+      delayMs: () => this.delayMs(),
+      isOpen: () => this.reaches(from, to),
     });
   }
 
--- a/fuzz/main.ts
+++ b/fuzz/main.ts
@@ -1,6 +1,7 @@
 import { Command, Option } from 'clipanion';
 import { ExitCode, runProgram } from '../src/bin/Program.js';
 import { findViolation } from './RoutedRunner.js';
+import { runRoutingWorlds } from './RoutingRunner.js';
 import { renderTrace, runFuzz } from './Runner.js';
 
 /** Runs the fuzzer for longer than the tests do. */
@@ -21,7 +22,16 @@
     description: 'Fuzz control hosts and gateways of routed services; each run has its own seed',
   });
 
+  routing = Option.Boolean('--routing', false, {
+    description: 'Fuzz the time by which gateways apply changes; each run has its own seed',
+  });
+
+  violations = Option.String('--violations', '1', {
+    description: 'Number of violations after which --routing ends',
+  });
+
   async execute(): Promise<number> {
+    if (this.routing) return this.fuzzRouting();
     return this.routed ? this.fuzzRouted() : this.fuzzCalls();
   }
 
@@ -37,6 +47,20 @@
     return failed ? ExitCode.Failed : ExitCode.Ok;
   }
 
+  private async fuzzRouting(): Promise<number> {
+    const first = Number(this.seed);
+    const runs = Number(this.runs);
+    const found = await runRoutingWorlds(first, runs, Number(this.violations));
+    const { violations, simulatedMs, confirmed, checks, refusing, cutOff } = found;
+    violations.forEach(({ message }) => this.context.stdout.write(`${message}\n`));
+    this.context.stdout.write(
+      `result name=fuzz-routing seed=${first} runs=${runs} violations=${violations.length} ` +
+        `simulatedS=${Math.round(simulatedMs / 1_000)} confirmed=${confirmed} checks=${checks} ` +
+        `refusing=${refusing} cutOff=${cutOff}\n`,
+    );
+    return violations.length > 0 ? ExitCode.Failed : ExitCode.Ok;
+  }
+
   private async fuzzCalls(): Promise<number> {
     const seed = Number(this.seed);
     const startedAtMs = performance.now();
--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -66,6 +66,11 @@
     return this.refresh() === FreshnessState.Behind;
   }
 
+  /** True while news of a current control host is missing, and was awaited in vain. */
+  get isCutOff(): boolean {
+    return this.refresh() === FreshnessState.CutOff;
+  }
+
   /** Applies a routing that a control host sent; returns false if it is not newer, or unreadable. */
   apply(view: RoutingView, control: string): boolean {
     const { active, options } = this;
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -10,60 +10,30 @@
   type UsageReportMessage,
   type RolloutEvidenceMessage,
 } from '../../common/Messages.js';
-import type { BackendRecord } from '../../common/backends/Types.js';
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../../common/Constants.js';
 import type { Disposable } from '../../common/Disposable.js';
-import type { EntryHost } from '../../common/Placement.js';
 import { decompressMessage } from '../../control/server/MessageCompressor.js';
 import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
 import { unpackRouting } from '../../control/server/RoutingPacker.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
-import type { Logger } from '../../runtime/Logger.js';
 import { checkMessage } from '../../runtime/MessageCheck.js';
 import { FAST_LINK_TIMING, MessageClient } from '../../runtime/MessageClient.js';
 import { chooseWatchTargets, WATCH_TARGETS, type WatchLink } from '../WatchTargets.js';
-
-/** Address of a control host, with its port for internal connections. */
-export interface ControlAddress {
-  readonly address: string;
-  readonly port: number;
-}
-
-/** Options of a {@link ControlWatch}. */
-export interface ControlWatchOptions {
-  readonly self: () => EntryHost;
-  readonly secret: string;
-  /** Receives the bytes sent to control hosts by message type. */
-  readonly onBytes?: (messageType: string, bytes: number, controlZone: string | undefined) => void;
-  readonly logger: Logger;
-  /** Initial control hosts; read again whenever no control host can be reached. */
-  readonly seeds: () => readonly ControlAddress[];
-  /** False to keep to the seeds and ignore the members that control hosts report. */
-  readonly followMembership?: boolean;
-  readonly routingIndex: () => number;
-  /** Departing and departed backend servers, sent on every new link. */
-  readonly departures: () => readonly BackendRecord[];
-  readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
-  /** Called when a link to a control host is open. */
-  readonly onLinked?: (control: string) => void;
-  /** Called before each heartbeat. */
-  readonly onPing?: (pingId: number) => void;
-  /** Called for each answer to a heartbeat. */
-  readonly onPong?: (pong: PongMessage, control: string) => void;
-  /** Called with the log index of a routing that can not be read. */
-  readonly onRoutingRefused?: (index: number) => void;
-  /** Called when a control host is no longer watched, or its link was lost. */
-  readonly onLost: (control: string) => void;
-}
+import type { ControlAddress, ControlClient, ControlWatchOptions } from './ControlWatchTypes.js';
 
 /** State of the link to one control host. */
 interface ControlLink {
-  readonly client: MessageClient;
+  readonly client: ControlClient;
   availabilityZone: string | undefined;
   /** Time at which the open link was subscribed; undefined while it is not. */
   watchedAtMs: number | undefined;
 }
 
+function startInterval(intervalMs: number, fire: () => void): () => void {
+  const timer = setInterval(fire, intervalMs);
+  return () => clearInterval(timer);
+}
+
 /** Index of no membership. */
 const UNKNOWN_INDEX = -1;
 
@@ -101,13 +71,18 @@
 
   private pingId = 0;
 
-  private linkedAtMs = performance.now();
+  private readonly nowMs: () => number;
+
+  private linkedAtMs: number;
 
-  private readonly timer: NodeJS.Timeout;
+  private readonly endInterval: () => void;
 
   constructor(private readonly options: ControlWatchOptions) {
+    this.nowMs = options.nowMs ?? (() => performance.now());
+    this.linkedAtMs = this.nowMs();
     this.sync(options.seeds());
-    this.timer = setInterval(() => this.tick(), ENTRY_HEARTBEAT_INTERVAL_MS);
+    const start = options.setInterval ?? startInterval;
+    this.endInterval = start(ENTRY_HEARTBEAT_INTERVAL_MS, () => this.tick());
   }
 
   /** Number of open links. */
@@ -144,7 +119,7 @@
    * @param takeReport - creates the report; its argument is true for the first report on the link
    */
   reportUsage(takeReport: (isFirst: boolean) => UsageReportMessage | undefined): void {
-    const nowMs = performance.now();
+    const nowMs = this.nowMs();
     const usable = [...this.links.values()].filter(
       ({ client, watchedAtMs }) =>
         client.isOpen &&
@@ -160,13 +135,13 @@
   }
 
   dispose(): void {
-    clearInterval(this.timer);
+    this.endInterval();
     this.links.forEach(({ client }) => client.dispose());
     this.links.clear();
   }
 
   private tick(): void {
-    const nowMs = performance.now();
+    const nowMs = this.nowMs();
     if (this.openLinks > 0) this.linkedAtMs = nowMs;
     else if (nowMs - this.linkedAtMs > SEEDS_AFTER_MS) {
       this.linkedAtMs = nowMs;
@@ -178,7 +153,7 @@
 
   /** Watches the chosen control hosts, and ends other subscriptions once the chosen ones deliver. */
   private syncWatches(): void {
-    const nowMs = performance.now();
+    const nowMs = this.nowMs();
     const open = [...this.links].filter(([, { client }]) => client.isOpen);
     const { id, availabilityZone } = this.options.self();
     const links = open.map(([key, link]): WatchLink => {
@@ -219,7 +194,7 @@
   }
 
   private startWatch(link: ControlLink): void {
-    link.watchedAtMs = performance.now();
+    link.watchedAtMs = this.nowMs();
     link.client.send({
       type: ControlMessageType.Watch,
       routingIndex: this.options.routingIndex(),
@@ -240,7 +215,7 @@
     this.options.onLost(key);
   }
 
-  private sendPing(client: MessageClient, membershipIndex = this.membershipIndex): void {
+  private sendPing(client: ControlClient, membershipIndex = this.membershipIndex): void {
     client.send({
       type: ControlMessageType.Ping,
       pingId: this.pingId,
@@ -272,7 +247,8 @@
     const key = keyOf(target);
     if (this.links.has(key)) return;
     const { logger, secret, self } = this.options;
-    const client: MessageClient = new MessageClient({
+    const createClient = this.options.createClient ?? ((link) => new MessageClient(link));
+    const client: ControlClient = createClient({
       ...target,
       id: self().id,
       role: LinkRole.Entry,
