A gateway looks for control hosts that are current beside ones that only answer

What callers saw: beside two control hosts that were cut off from the other three, a gateway in touch served by an old routing, without a bound, while a newer one was confirmed.

Cause: a gateway chose its two control hosts by whether they answer. One that is cut off from the others answers, and says that it is not current; the gateway drew the conclusion that it is cut off itself, and opened no other link, as its two were responsive. The seeds were tried without any open link only.

Ruled out: a confirmation that did not wait. The gateway was in contact with no control host that the leader heard, and its last news had ended.

Change: a control host that has not said for 1.2 s that it is current is taken like one that is silent: all links are opened, after 1.5 s without a current one the seeds too, and current ones are watched first. Control hosts of earlier versions state nothing and count as current; no message changes.

Why it works: such a host is current for 0.6 s after it lost its leader at most, so that links are opened 1.8 s after the loss at the latest, and its last news counts until 2.6 s.

--- a/fuzz/LinkedGateway.ts
+++ b/fuzz/LinkedGateway.ts
@@ -21,7 +21,7 @@
   /** Time that the transfer of a routing takes on a link. */
   readonly routingMs: number;
   readonly openSession: (link: VirtualLink) => number;
-  readonly log: (event: string, fields: object) => void;
+  readonly log: (event: string, fields?: object) => void;
 }
 
 /** Number of control hosts that a gateway is told of at its start. */
@@ -86,10 +86,11 @@
       log,
     });
     const { routing } = this;
+    const logger = { ...silentLogger, info: log, warn: log };
     this.watch = new ControlWatch({
       self: () => createEntryHost(id, availabilityZone),
       secret: '',
-      logger: silentLogger,
+      logger,
       seeds: () => [...hosts.keys()].slice(0, SEEDS).map((address) => ({ address, port: 1 })),
       routingIndex: () => routing.active.logIndex,
       departures: () => [],
--- a/fuzz/RoutingWorld.ts
+++ b/fuzz/RoutingWorld.ts
@@ -148,7 +148,7 @@
     () => this.endAllControls(),
   ];
 
-  private note(from: string, event: string, fields: object): void {
+  private note(from: string, event: string, fields: object = {}): void {
     const atMs = this.cluster ? Math.round(this.cluster.timeline.nowMs) : 0;
     this.trace.push(`${atMs} ${from} ${event} ${JSON.stringify(fields)}`);
   }
--- a/src/gateway/WatchTargets.test.ts
+++ b/src/gateway/WatchTargets.test.ts
@@ -7,6 +7,7 @@
     key: `10.0.${index}.1:7540`,
     availabilityZone: `zone-${index}`,
     isResponsive: true,
+    isCurrent: true,
     ...changes,
   }));
 }
@@ -55,4 +56,14 @@
     expect(chooseWatchTargets(options)).toHaveLength(2);
     expect(chooseWatchTargets({ ...options, links: links.slice(0, 1) })).toHaveLength(1);
   });
+
+  // Guards against a gateway that keeps to the control host of its zone while that is cut off.
+  it('prefers control hosts whose routing is current, and keeps to others if none is', () => {
+    const options = { selfId: 'edge-1', availabilityZone: 'zone-3' };
+    const links = createLinks().map((link, index) => ({ ...link, isCurrent: index < 2 }));
+    const targets = chooseWatchTargets({ ...options, links });
+    expect(targets.sort()).toEqual(['10.0.0.1:7540', '10.0.1.1:7540']);
+    const none = chooseWatchTargets({ ...options, links: createLinks({ isCurrent: false }) });
+    expect(none[0]).toBe('10.0.3.1:7540');
+  });
 });
--- a/src/gateway/WatchTargets.ts
+++ b/src/gateway/WatchTargets.ts
@@ -8,6 +8,8 @@
   readonly availabilityZone: string | undefined;
   /** True if it has answered recently. */
   readonly isResponsive: boolean;
+  /** True if it has lately answered that its routing is current. */
+  readonly isCurrent: boolean;
 }
 
 /** Options of {@link chooseWatchTargets}. */
@@ -24,9 +26,15 @@
  */
 export const WATCH_TARGETS = 2;
 
+/** True for a control host from which an entry host learns what is in force. */
+export function isUsable({ isResponsive, isCurrent }: WatchLink): boolean {
+  return isResponsive && isCurrent;
+}
+
 /**
  * Chooses the control hosts to watch: one of the own availability zone if there is one, then others
- * by rendezvous hashing, which spreads the entry hosts evenly. Responsive ones are preferred.
+ * by rendezvous hashing, which spreads the entry hosts evenly. Ones whose routing is current are
+ * preferred, then responsive ones: a control host that is cut off from the others still answers.
  *
  * @example
  * chooseWatchTargets({ selfId: 'edge-1', availabilityZone: 'perth', links }); // two keys
@@ -38,8 +46,9 @@
     .sort((a, b) => b.weight - a.weight || (a.link.key < b.link.key ? -1 : 1))
     .map(({ link }) => link);
   const responsive = ranked.filter((link) => link.isResponsive);
-  const usable = responsive.length > 0 ? responsive : ranked;
-  const local = usable.find((link) => link.availabilityZone === availabilityZone);
-  const others = usable.filter((link) => link !== local);
+  const usable = ranked.filter(isUsable);
+  const candidates = [usable, responsive, ranked].find(({ length }) => length > 0) ?? [];
+  const local = candidates.find((link) => link.availabilityZone === availabilityZone);
+  const others = candidates.filter((link) => link !== local);
   return [...(local ? [local] : []), ...others].slice(0, WATCH_TARGETS).map(({ key }) => key);
 }
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -18,7 +18,7 @@
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import { checkMessage } from '../../runtime/MessageCheck.js';
 import { FAST_LINK_TIMING, MessageClient } from '../../runtime/MessageClient.js';
-import { chooseWatchTargets, WATCH_TARGETS, type WatchLink } from '../WatchTargets.js';
+import { chooseWatchTargets, isUsable, WATCH_TARGETS, type WatchLink } from '../WatchTargets.js';
 import type { ControlAddress, ControlClient, ControlWatchOptions } from './ControlWatchTypes.js';
 
 /** State of the link to one control host. */
@@ -27,6 +27,8 @@
   availabilityZone: string | undefined;
   /** Time at which the open link was subscribed; undefined while it is not. */
   watchedAtMs: number | undefined;
+  /** Time of the last answer that the routing is current; of the opening before one. */
+  currentAtMs: number;
 }
 
 function startInterval(intervalMs: number, fire: () => void): () => void {
@@ -40,10 +42,16 @@
 /** Silence after which a control host counts as unresponsive; it answers every 400 ms. */
 const UNRESPONSIVE_AFTER_MS = 900;
 
+/**
+ * Time without an answer that its routing is current after which a control host lacks contact with
+ * a majority: three answers. A regular change of leader takes less.
+ */
+const NOT_CURRENT_AFTER_MS = 1_200;
+
 /** Time after which a new subscription has delivered its lists, and older ones may end. */
 const SETTLED_AFTER_MS = 2_000;
 
-/** Time without an open link after which the seeds are tried again. */
+/** Time without a usable link after which the seeds are tried again. */
 const SEEDS_AFTER_MS = 1_500;
 
 function keyOf(target: ControlAddress): string {
@@ -142,7 +150,7 @@
 
   private tick(): void {
     const nowMs = this.nowMs();
-    if (this.openLinks > 0) this.linkedAtMs = nowMs;
+    if (this.openWatchLinks().some(isUsable)) this.linkedAtMs = nowMs;
     else if (nowMs - this.linkedAtMs > SEEDS_AFTER_MS) {
       this.linkedAtMs = nowMs;
       this.options.seeds().forEach((seed) => this.open(seed));
@@ -151,18 +159,27 @@
     this.syncWatches();
   }
 
+  /** Open links, as far as the choice among them depends on it. */
+  private openWatchLinks(): WatchLink[] {
+    const nowMs = this.nowMs();
+    return [...this.links]
+      .filter(([, { client }]) => client.isOpen)
+      .map(([key, { client, availabilityZone, currentAtMs }]) => ({
+        key,
+        availabilityZone,
+        isResponsive: nowMs - client.lastReceivedAtMs < UNRESPONSIVE_AFTER_MS,
+        isCurrent: nowMs - currentAtMs < NOT_CURRENT_AFTER_MS,
+      }));
+  }
+
   /** Watches the chosen control hosts, and ends other subscriptions once the chosen ones deliver. */
   private syncWatches(): void {
     const nowMs = this.nowMs();
     const open = [...this.links].filter(([, { client }]) => client.isOpen);
     const { id, availabilityZone } = this.options.self();
-    const links = open.map(([key, link]): WatchLink => {
-      const silentMs = nowMs - link.client.lastReceivedAtMs;
-      const { availabilityZone: zone } = link;
-      return { key, availabilityZone: zone, isResponsive: silentMs < UNRESPONSIVE_AFTER_MS };
-    });
+    const links = this.openWatchLinks();
     const targets = new Set(chooseWatchTargets({ selfId: id, availabilityZone, links }));
-    const isResponsive = links.every((link) => link.isResponsive || !targets.has(link.key));
+    const areUsable = links.every((link) => isUsable(link) || !targets.has(link.key));
     const isSettled = [...targets].every((key) => {
       const watchedAtMs = this.links.get(key)?.watchedAtMs ?? Number.POSITIVE_INFINITY;
       return nowMs - watchedAtMs > SETTLED_AFTER_MS;
@@ -172,7 +189,7 @@
       if (targets.has(key) && !isWatched) this.startWatch(link);
       else if (!targets.has(key) && isWatched && isSettled) this.endWatch(key, link);
     });
-    if (targets.size < WATCH_TARGETS || !isResponsive) this.known.forEach((key) => this.open(key));
+    if (targets.size < WATCH_TARGETS || !areUsable) this.known.forEach((key) => this.open(key));
     else if (isSettled && this.allShare) this.closeExcept(targets);
   }
 
@@ -260,6 +277,7 @@
       onBytes: this.options.onBytes,
       onOpen: () => {
         logger.info('control_regained', { control: key });
+        this.links.get(key)!.currentAtMs = this.nowMs();
         this.options.onLinked?.(key);
         const entryHostUpdates = EntryHostUpdates.None;
         client.send({ type: ControlMessageType.Hello, entryHost: self(), entryHostUpdates });
@@ -277,13 +295,21 @@
         this.syncWatches();
       },
     });
-    this.links.set(key, { client, availabilityZone: undefined, watchedAtMs: undefined });
+    const currentAtMs = this.nowMs();
+    this.links.set(key, {
+      client,
+      availabilityZone: undefined,
+      watchedAtMs: undefined,
+      currentAtMs,
+    });
   }
 
   private receive(key: string, message: ControlToEntryMessage): void {
     const link = this.links.get(key)!;
     if (message.type === ControlMessageType.Pong) {
       link.availabilityZone = message.availabilityZone ?? link.availabilityZone;
+      // Control hosts of earlier versions do not state it.
+      if (message.isCurrent !== false) link.currentAtMs = this.nowMs();
       this.options.onPong?.(message, key);
       this.onPong(message);
       return;
