--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -10,58 +10,30 @@
   type UsageReportMessage,
   type RolloutEvidenceMessage,
 } from '../../common/Messages.js';
-import type { BackendRecord } from '../../common/backends/Types.js';
 import { ENTRY_HEARTBEAT_INTERVAL_MS } from '../../common/Constants.js';
 import type { Disposable } from '../../common/Disposable.js';
-import type { EntryHost } from '../../common/Placement.js';
 import { decompressMessage } from '../../control/server/MessageCompressor.js';
 import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
 import { unpackRouting } from '../../control/server/RoutingPacker.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
-import type { Logger } from '../../runtime/Logger.js';
 import { checkMessage } from '../../runtime/MessageCheck.js';
 import { FAST_LINK_TIMING, MessageClient } from '../../runtime/MessageClient.js';
-import { chooseWatchTargets, WATCH_TARGETS, type WatchLink } from '../WatchTargets.js';
-
-/** Address of a control host, with its port for internal connections. */
-export interface ControlAddress {
-  readonly address: string;
-  readonly port: number;
-}
-
-/** Options of a {@link ControlWatch}. */
-export interface ControlWatchOptions {
-  readonly self: () => EntryHost;
-  readonly secret: string;
-  /** Receives the bytes sent to control hosts by message type. */
-  readonly onBytes?: (messageType: string, bytes: number, controlZone: string | undefined) => void;
-  readonly logger: Logger;
-  /** Initial control hosts; read again whenever no control host can be reached. */
-  readonly seeds: () => readonly ControlAddress[];
-  /** False to keep to the seeds and ignore the members that control hosts report. */
-  readonly followMembership?: boolean;
-  readonly routingIndex: () => number;
-  /** Departing and departed backend servers, sent on every new link. */
-  readonly departures: () => readonly BackendRecord[];
-  readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
-  /** Called when a link to a control host is open. */
-  readonly onLinked?: (control: string) => void;
-  /** Called before each heartbeat. */
-  readonly onPing?: (pingId: number) => void;
-  /** Called for each answer to a heartbeat. */
-  readonly onPong?: (pong: PongMessage, control: string) => void;
-  /** Called with the log index of a routing that can not be read. */
-  readonly onRoutingRefused?: (index: number) => void;
-  /** Called when a control host is no longer watched, or its link was lost. */
-  readonly onLost: (control: string) => void;
-}
+import { chooseWatchTargets, isUsable, WATCH_TARGETS, type WatchLink } from '../WatchTargets.js';
+import type { ControlAddress, ControlClient, ControlWatchOptions } from './ControlWatchTypes.js';
 
 /** State of the link to one control host. */
 interface ControlLink {
-  readonly client: MessageClient;
+  readonly client: ControlClient;
   availabilityZone: string | undefined;
   /** Time at which the open link was subscribed; undefined while it is not. */
   watchedAtMs: number | undefined;
+  /** Time of the last answer that the routing is current; of the opening before one. */
+  currentAtMs: number;
+}
+
+function startInterval(intervalMs: number, fire: () => void): () => void {
+  const timer = setInterval(fire, intervalMs);
+  return () => clearInterval(timer);
 }
 
 /** Index of no membership. */
@@ -70,10 +42,16 @@
 /** Silence after which a control host counts as unresponsive; it answers every 400 ms. */
 const UNRESPONSIVE_AFTER_MS = 900;
 
+/**
+ * Time without an answer that its routing is current after which a control host lacks contact with
+ * a majority: three answers. A regular change of leader takes less.
+ */
+const NOT_CURRENT_AFTER_MS = 1_200;
+
 /** Time after which a new subscription has delivered its lists, and older ones may end. */
 const SETTLED_AFTER_MS = 2_000;
 
-/** Time without an open link after which the seeds are tried again. */
+/** Time without a usable link after which the seeds are tried again. */
 const SEEDS_AFTER_MS = 1_500;
 
 function keyOf(target: ControlAddress): string {
@@ -101,13 +79,18 @@
 
   private pingId = 0;
 
-  private linkedAtMs = performance.now();
+  private readonly nowMs: () => number;
 
-  private readonly timer: NodeJS.Timeout;
+  private linkedAtMs: number;
+
+  private readonly endInterval: () => void;
 
   constructor(private readonly options: ControlWatchOptions) {
+    this.nowMs = options.nowMs ?? (() => performance.now());
+    this.linkedAtMs = this.nowMs();
     this.sync(options.seeds());
-    this.timer = setInterval(() => this.tick(), ENTRY_HEARTBEAT_INTERVAL_MS);
+    const start = options.setInterval ?? startInterval;
+    this.endInterval = start(ENTRY_HEARTBEAT_INTERVAL_MS, () => this.tick());
   }
 
   /** Number of open links. */
@@ -144,7 +127,7 @@
    * @param takeReport - creates the report; its argument is true for the first report on the link
    */
   reportUsage(takeReport: (isFirst: boolean) => UsageReportMessage | undefined): void {
-    const nowMs = performance.now();
+    const nowMs = this.nowMs();
     const usable = [...this.links.values()].filter(
       ({ client, watchedAtMs }) =>
         client.isOpen &&
@@ -160,14 +143,14 @@
   }
 
   dispose(): void {
-    clearInterval(this.timer);
+    this.endInterval();
     this.links.forEach(({ client }) => client.dispose());
     this.links.clear();
   }
 
   private tick(): void {
-    const nowMs = performance.now();
-    if (this.openLinks > 0) this.linkedAtMs = nowMs;
+    const nowMs = this.nowMs();
+    if (this.openWatchLinks().some(isUsable)) this.linkedAtMs = nowMs;
     else if (nowMs - this.linkedAtMs > SEEDS_AFTER_MS) {
       this.linkedAtMs = nowMs;
       this.options.seeds().forEach((seed) => this.open(seed));
@@ -176,18 +159,27 @@
     this.syncWatches();
   }
 
+  /** Open links, as far as the choice among them depends on it. */
+  private openWatchLinks(): WatchLink[] {
+    const nowMs = this.nowMs();
+    return [...this.links]
+      .filter(([, { client }]) => client.isOpen)
+      .map(([key, { client, availabilityZone, currentAtMs }]) => ({
+        key,
+        availabilityZone,
+        isResponsive: nowMs - client.lastReceivedAtMs < UNRESPONSIVE_AFTER_MS,
+        isCurrent: nowMs - currentAtMs < NOT_CURRENT_AFTER_MS,
+      }));
+  }
+
   /** Watches the chosen control hosts, and ends other subscriptions once the chosen ones deliver. */
   private syncWatches(): void {
-    const nowMs = performance.now();
+    const nowMs = this.nowMs();
     const open = [...this.links].filter(([, { client }]) => client.isOpen);
     const { id, availabilityZone } = this.options.self();
-    const links = open.map(([key, link]): WatchLink => {
-      const silentMs = nowMs - link.client.lastReceivedAtMs;
-      const { availabilityZone: zone } = link;
-      return { key, availabilityZone: zone, isResponsive: silentMs < UNRESPONSIVE_AFTER_MS };
-    });
+    const links = this.openWatchLinks();
     const targets = new Set(chooseWatchTargets({ selfId: id, availabilityZone, links }));
-    const isResponsive = links.every((link) => link.isResponsive || !targets.has(link.key));
+    const areUsable = links.every((link) => isUsable(link) || !targets.has(link.key));
     const isSettled = [...targets].every((key) => {
       const watchedAtMs = this.links.get(key)?.watchedAtMs ?? Number.POSITIVE_INFINITY;
       return nowMs - watchedAtMs > SETTLED_AFTER_MS;
@@ -197,7 +189,7 @@
       if (targets.has(key) && !isWatched) this.startWatch(link);
       else if (!targets.has(key) && isWatched && isSettled) this.endWatch(key, link);
     });
-    if (targets.size < WATCH_TARGETS || !isResponsive) this.known.forEach((key) => this.open(key));
+    if (targets.size < WATCH_TARGETS || !areUsable) this.known.forEach((key) => this.open(key));
     else if (isSettled && this.allShare) this.closeExcept(targets);
   }
 
@@ -219,7 +211,7 @@
   }
 
   private startWatch(link: ControlLink): void {
-    link.watchedAtMs = performance.now();
+    link.watchedAtMs = this.nowMs();
     link.client.send({
       type: ControlMessageType.Watch,
       routingIndex: this.options.routingIndex(),
@@ -240,7 +232,7 @@
     this.options.onLost(key);
   }
 
-  private sendPing(client: MessageClient, membershipIndex = this.membershipIndex): void {
+  private sendPing(client: ControlClient, membershipIndex = this.membershipIndex): void {
     client.send({
       type: ControlMessageType.Ping,
       pingId: this.pingId,
@@ -272,7 +264,8 @@
     const key = keyOf(target);
     if (this.links.has(key)) return;
     const { logger, secret, self } = this.options;
-    const client: MessageClient = new MessageClient({
+    const createClient = this.options.createClient ?? ((link) => new MessageClient(link));
+    const client: ControlClient = createClient({
       ...target,
       id: self().id,
       role: LinkRole.Entry,
@@ -284,6 +277,7 @@
       onBytes: this.options.onBytes,
       onOpen: () => {
         logger.info('control_regained', { control: key });
+        this.links.get(key)!.currentAtMs = this.nowMs();
         this.options.onLinked?.(key);
         const entryHostUpdates = EntryHostUpdates.None;
         client.send({ type: ControlMessageType.Hello, entryHost: self(), entryHostUpdates });
@@ -301,13 +295,21 @@
         this.syncWatches();
       },
     });
-    this.links.set(key, { client, availabilityZone: undefined, watchedAtMs: undefined });
+    const currentAtMs = this.nowMs();
+    this.links.set(key, {
+      client,
+      availabilityZone: undefined,
+      watchedAtMs: undefined,
+      currentAtMs,
+    });
   }
 
   private receive(key: string, message: ControlToEntryMessage): void {
     const link = this.links.get(key)!;
     if (message.type === ControlMessageType.Pong) {
       link.availabilityZone = message.availabilityZone ?? link.availabilityZone;
+      // Control hosts of earlier versions do not state it.
+      if (message.isCurrent !== false) link.currentAtMs = this.nowMs();
       this.options.onPong?.(message, key);
       this.onPong(message);
       return;
