A late answer of a control host does not end its watch

Cause: a control host counted as not current without an answer for 1.2 s. Behind a routing that takes longer, answers are late; the gateway then ended the watch, and by that left those that confirmations wait for.

Ruled out: the gateway's own bound. It learned of the newer routing with the late answers, too late for it.

Change: only answers that say so for 0.8 s make a control host stale; silence is what it was before. In the model, what is sent between control hosts without a connection is lost; before, some of it passed.

--- a/fuzz/HeldPipe.ts
+++ b/fuzz/HeldPipe.ts
@@ -20,6 +20,9 @@
   /** True while a long message is under way. */
   isTransferring = false;
 
+  /** True while there is no connection: what is sent is lost. */
+  isClosed = false;
+
   /** Incremented by each {@link clear}. */
   private epoch = 0;
 
@@ -27,6 +30,7 @@
 
   /** Sends a message; one that is long for the link takes `transferMs`, and delays what follows. */
   send(deliver: () => void, transferMs = 0): void {
+    if (this.isClosed) return;
     this.queue.push({ deliver, transferMs });
     if (this.running) return;
     this.running = true;
--- a/fuzz/PeerLinks.ts
+++ b/fuzz/PeerLinks.ts
@@ -45,8 +45,10 @@
     const epochs = `${host.epoch} ${other.epoch}`;
     if (link.epochs !== epochs || silentMs > LOST_AFTER_MS) link.isOpen = false;
     if (link.isOpen) return;
-    this.cluster.pipe(a, b).clear();
-    if (!passes || !runs) return;
+    const pipe = this.cluster.pipe(a, b);
+    pipe.clear();
+    pipe.isClosed = !passes || !runs;
+    if (pipe.isClosed) return;
     Object.assign(link, { isOpen: true, epochs });
     const type = ControlEventType.ControlLinkOpened;
     host.handle({ type, memberId: b, random: this.random.next() });
--- a/src/gateway/WatchTargets.ts
+++ b/src/gateway/WatchTargets.ts
@@ -8,7 +8,7 @@
   readonly availabilityZone: string | undefined;
   /** True if it has answered recently. */
   readonly isResponsive: boolean;
-  /** True if it has lately answered that its routing is current. */
+  /** False if it has answered for a while that its routing is not current. */
   readonly isCurrent: boolean;
 }
 
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -27,8 +27,8 @@
   availabilityZone: string | undefined;
   /** Time at which the open link was subscribed; undefined while it is not. */
   watchedAtMs: number | undefined;
-  /** Time of the last answer that the routing is current; of the opening before one. */
-  currentAtMs: number;
+  /** Time since which the host answers that its routing is not current; undefined while it is. */
+  staleSinceMs: number | undefined;
 }
 
 function startInterval(intervalMs: number, fire: () => void): () => void {
@@ -43,10 +43,10 @@
 const UNRESPONSIVE_AFTER_MS = 900;
 
 /**
- * Time without an answer that its routing is current after which a control host lacks contact with
- * a majority: three answers. A regular change of leader takes less.
+ * Time after which a control host that says that it is not current lacks contact with a majority: two
+ * answers. A regular change of leader takes less.
  */
-const NOT_CURRENT_AFTER_MS = 1_200;
+const STALE_AFTER_MS = 800;
 
 /** Time after which a new subscription has delivered its lists, and older ones may end. */
 const SETTLED_AFTER_MS = 2_000;
@@ -164,11 +164,11 @@
     const nowMs = this.nowMs();
     return [...this.links]
       .filter(([, { client }]) => client.isOpen)
-      .map(([key, { client, availabilityZone, currentAtMs }]) => ({
+      .map(([key, { client, availabilityZone, staleSinceMs = nowMs }]) => ({
         key,
         availabilityZone,
         isResponsive: nowMs - client.lastReceivedAtMs < UNRESPONSIVE_AFTER_MS,
-        isCurrent: nowMs - currentAtMs < NOT_CURRENT_AFTER_MS,
+        isCurrent: nowMs - staleSinceMs < STALE_AFTER_MS,
       }));
   }
 
@@ -277,7 +277,7 @@
       onBytes: this.options.onBytes,
       onOpen: () => {
         logger.info('control_regained', { control: key });
-        this.links.get(key)!.currentAtMs = this.nowMs();
+        this.links.get(key)!.staleSinceMs = undefined;
         this.options.onLinked?.(key);
         const entryHostUpdates = EntryHostUpdates.None;
         client.send({ type: ControlMessageType.Hello, entryHost: self(), entryHostUpdates });
@@ -295,21 +295,17 @@
         this.syncWatches();
       },
     });
-    const currentAtMs = this.nowMs();
-    this.links.set(key, {
-      client,
-      availabilityZone: undefined,
-      watchedAtMs: undefined,
-      currentAtMs,
-    });
+    const state = { availabilityZone: undefined, watchedAtMs: undefined, staleSinceMs: undefined };
+    this.links.set(key, { client, ...state });
   }
 
   private receive(key: string, message: ControlToEntryMessage): void {
     const link = this.links.get(key)!;
     if (message.type === ControlMessageType.Pong) {
       link.availabilityZone = message.availabilityZone ?? link.availabilityZone;
-      // Control hosts of earlier versions do not state it.
-      if (message.isCurrent !== false) link.currentAtMs = this.nowMs();
+      // Control hosts of earlier versions do not state it, and answers behind a long message are late.
+      if (message.isCurrent !== false) link.staleSinceMs = undefined;
+      else link.staleSinceMs ??= this.nowMs();
       this.options.onPong?.(message, key);
       this.onPong(message);
       return;
--- a/src/gateway/server/CurrentLinks.test.ts
+++ b/src/gateway/server/CurrentLinks.test.ts
@@ -21,6 +21,7 @@
   const timers: { dueMs: number; intervalMs: number; fire: () => void }[] = [];
   const current = new Set(names);
   const watched = new Set<string>();
+  const delayed = new Set<string>();
   const watches: ControlWatch[] = [];
   const states: string[] = [];
   const addressOf = (address: string) => ({ id: address, address, port: 1 });
@@ -33,7 +34,7 @@
         if (message.ends) watched.delete(address);
         else watched.add(address);
       }
-      if (message.type !== ControlMessageType.Ping) return;
+      if (message.type !== ControlMessageType.Ping || delayed.has(address)) return;
       const report = { routingIndex: 5, isCurrent: current.has(address) };
       const membership = { membershipIndex: 1, voters };
       options.onMessage(createPong(message.pingId, { ...report, ...membership }));
@@ -108,6 +109,8 @@
   };
   return {
     current,
+    /** Control hosts whose links carry a long message, so that no answer arrives. */
+    delayed,
     setSeeds: (next: readonly string[]) => {
       seeds = [...next];
     },
@@ -149,4 +152,14 @@
     expect([...world.watched]).toEqual(['control-3']);
     expect(world.states.at(-1)).toBe('current');
   });
+
+  // Guards against a gateway that confirmations don't wait for, as it left a link with a long message.
+  it('keeps to control hosts whose answers are late', () => {
+    const world = createWorld(NAMES);
+    world.run(5_000);
+    const before = [...world.watched].sort();
+    before.forEach((name) => world.delayed.add(name));
+    world.run(3_000);
+    expect([...world.watched].sort()).toEqual(before);
+  });
 });
