--- a/fuzz/RoutingRunner.ts
+++ b/fuzz/RoutingRunner.ts
@@ -5,6 +5,14 @@
 /** Number of faults and changes in one world. */
 const STEPS = 40;
 
+/** Options of {@link runRoutingWorlds}. */
+export interface RoutingRunOptions {
+  /** Number of violations after which the run ends. */
+  readonly violationsMax?: number;
+  /** Number of control hosts in each world; three or five by seed. */
+  readonly controls?: number;
+}
+
 /** Result of {@link runRoutingWorlds}. */
 export interface RoutingRun extends RoutingWorldCounts {
   readonly violations: InvariantViolation[];
@@ -21,7 +29,7 @@
 export async function runRoutingWorlds(
   first: number,
   runs: number,
-  violationsMax = 1,
+  { violationsMax = 1, controls }: RoutingRunOptions = {},
 ): Promise<RoutingRun> {
   const run = { violations: [], simulatedMs: 0, confirmed: 0, checks: 0, refusing: 0, cutOff: 0 };
   const result: RoutingRun = run;
@@ -29,7 +37,7 @@
     // Yields: a test runner treats a thread that blocks for a minute as hung.
     // eslint-disable-next-line no-await-in-loop
     await nextTurn();
-    const world = new RoutingWorld({ seed });
+    const world = new RoutingWorld({ seed, controls });
     try {
       world.run(STEPS);
     } catch (error) {
--- a/fuzz/main.ts
+++ b/fuzz/main.ts
@@ -30,6 +30,10 @@
     description: 'Number of violations after which --routing ends',
   });
 
+  controls = Option.String('--controls', {
+    description: 'Number of control hosts for --routing; three or five by seed without it',
+  });
+
   async execute(): Promise<number> {
     if (this.routing) return this.fuzzRouting();
     return this.routed ? this.fuzzRouted() : this.fuzzCalls();
@@ -50,7 +54,10 @@
   private async fuzzRouting(): Promise<number> {
     const first = Number(this.seed);
     const runs = Number(this.runs);
-    const found = await runRoutingWorlds(first, runs, Number(this.violations));
+    const found = await runRoutingWorlds(first, runs, {
+      violationsMax: Number(this.violations),
+      controls: this.controls === undefined ? undefined : Number(this.controls),
+    });
     const { violations, simulatedMs, confirmed, checks, refusing, cutOff } = found;
     violations.forEach(({ message }) => this.context.stdout.write(`${message}\n`));
     this.context.stdout.write(
