An answer without a length no longer fails for the answers behind it

Cause: such an answer ended its connection, so that the gateway rather tried again, or gave up, than lose the answers behind it. With a length or chunks it ends no connection. Change: the check is gone, and with it `Call.acceptsUnframedAnswer` and `BackendAnswer.framed`. Evidence: UnframedAnswer.test.ts "is complete, and the answers behind it follow" and WaitingAnswer.test.ts "without a length ... if it waits behind a slow one", both red with the check (502 in its place), green now.

--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -215,12 +215,6 @@
     const { options, call } = this;
     const nowMs = options.nowMs();
     if (answer.load) view.noteLoad(answer.load, nowMs);
-    if (!answer.framed && this.isIdempotent && !call.acceptsUnframedAnswer()) {
-      this.lastFailureReason = 'answer without a length ahead of other answers';
-      this.logFailure(view, AttemptResultType.Answer, attempt, elapsedMs);
-      answer.rest?.cancel();
-      return this.retryOrFinish();
-    }
     const genuine = answer.statusCode >= 300 || answer.authentic;
     if (answer.statusCode < 500 && genuine) {
       view.noteSuccess();
--- a/src/gateway/PeerPicker.test.ts
+++ b/src/gateway/PeerPicker.test.ts
@@ -22,7 +22,6 @@
   objectiveAtMs: 250,
   fingerprint: () => '',
   isCallerConnected: () => true,
-  acceptsUnframedAnswer: () => true,
 };
 
 function createPicker(hosts: readonly EntryHost[]) {
--- a/src/gateway/ProbelessPicker.test.ts
+++ b/src/gateway/ProbelessPicker.test.ts
@@ -44,7 +44,6 @@
     objectiveAtMs: 250,
     fingerprint: () => 'GET /read/x',
     isCallerConnected: () => true,
-    acceptsUnframedAnswer: () => true,
   };
   const pick = (tried: readonly string[] = []) =>
     picker.pick(call, createService('alpha'), new Set(tried));
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -162,11 +162,6 @@
    * stays false. Omitted if the host never stops.
    */
   mayBeSent?(): boolean;
-  /**
-   * True if an answer without a length can be sent: it ends with the connection, so that answers to
-   * later requests on the connection would be lost.
-   */
-  acceptsUnframedAnswer(): boolean;
 }
 
 /** Kinds of attempt results. */
@@ -191,8 +186,6 @@
   readonly load: LoadReport | undefined;
   /** The complete body, or the part of a long one received so far. */
   readonly body: Buffer;
-  /** False if only the end of the connection marks the end of the body. */
-  readonly framed: boolean;
   /** Rest of a body that is too long to buffer; null if the body is complete. */
   readonly rest: AnswerRest | null;
 }
--- a/src/gateway/admission/SchedulingOrder.test.ts
+++ b/src/gateway/admission/SchedulingOrder.test.ts
@@ -60,7 +60,6 @@
       objectiveAtMs: 600,
       fingerprint: () => '',
       isCallerConnected: () => true,
-      acceptsUnframedAnswer: () => true,
     };
     const pick = (tried: readonly string[] = []) =>
       picker.pick(call, createService('alpha'), new Set(tried));
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -84,7 +84,6 @@
       authentic: true,
       load: undefined,
       body: Buffer.from('answer'),
-      framed: true,
       rest: null,
       ...changes,
     },
@@ -229,7 +228,6 @@
     isRouted: () => options.isRouted?.(nowMs) ?? true,
     isCallerConnected: () => connected,
     mayBeSent: () => nowMs <= (options.sendableUntilMs ?? Number.POSITIVE_INFINITY),
-    acceptsUnframedAnswer: () => true,
   });
   const send = (view: BackendView) => {
     const { id } = view.record;
--- a/src/gateway/server/AnswerWriter.test.ts
+++ b/src/gateway/server/AnswerWriter.test.ts
@@ -22,7 +22,6 @@
     authentic: true,
     load: undefined,
     body: BODY,
-    framed: true,
     rest: {
       read: (handlers) => {
         state.handlers = handlers;
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -285,7 +285,6 @@
         authentic: head.authentic,
         load: head.load,
         body: Buffer.concat(chunks),
-        framed: this.isFramed(response),
         rest,
       },
     });
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -241,7 +241,6 @@
       isRouted: () => this.planner.isInForce(source, plan, service.name),
       isCallerConnected: () => options.connections.isDue(response),
       mayBeSent: () => this.inProgress.mayBeSent(open),
-      acceptsUnframedAnswer: () => !options.connections.hasAnswersBehind(response),
     };
     const rest = read.type === 'long' ? request : null;
     const outcome = await this.dispatch(call, service, request, open, read.body, rest);
@@ -326,8 +325,7 @@
 
   /**
    * Waits for the calls ahead on the connection that may end it: non-idempotent ones, whose answers
-   * can't be requested again and may have no length, and those whose answer is being streamed and may
-   * break off. Returns false if the connection has ended.
+   * can't be requested again, and those whose answer is being streamed and may break off. Returns false if the connection has ended.
    */
   private async waitForCallsAhead(route: Route, response: ServerResponse): Promise<boolean> {
     const { connections } = this.options;
--- a/src/gateway/server/UnframedAnswer.test.ts
+++ b/src/gateway/server/UnframedAnswer.test.ts
@@ -96,6 +96,20 @@
     expect(read().some(({ status, complete }) => status === 200 && complete)).toBe(false);
   });
 
+  // Guards against answers that are lost, or refused with 502, since one before them ends their
+  // connection.
+  it('is complete, and the answers behind it follow', async () => {
+    get('short', 'long', 'sound');
+    await waitUntil(() => read().length === 3 || isOver(), 'three answers');
+    await waitUntil(() => read()[2]?.complete === true || isOver(), 'the whole third answer');
+    expect(shapes()).toEqual([
+      [200, SHORT_BODY.length, true],
+      [200, LONG_BODY.length, true],
+      [200, 'whole'.length, true],
+    ]);
+    expect(isOver()).toBe(false);
+  });
+
   it('is complete in chunks if no answer is due before or behind it', async () => {
     get('long');
     await waitUntil(() => read()[0]?.complete === true || isOver(), 'the whole answer');
--- a/src/gateway/server/WaitingAnswer.test.ts
+++ b/src/gateway/server/WaitingAnswer.test.ts
@@ -36,6 +36,8 @@
       `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`,
   );
 
+const writeUntilEnd: Write = (socket, callId, body) => socket.end(createHead({ callId }) + body);
+
 let backend: RawBackend;
 let gateway: TestGateway;
 let client: RawClient;
@@ -80,6 +82,7 @@
 describe.each([
   ['with a length', writeWithLength],
   ['in chunks', writeInChunks],
+  ['without a length', writeUntilEnd],
 ])('a long answer %s that has arrived in time', (name, write) => {
   // Guards against an answer that is cut at its time limit, taken for whole, and filled up with the
   // bytes of the answer behind it.
--- a/standin/RoutedWorld.ts
+++ b/standin/RoutedWorld.ts
@@ -572,7 +572,6 @@
       objectiveAtMs: nowMs + objectiveMs,
       fingerprint: () => '',
       isCallerConnected: () => true,
-      acceptsUnframedAnswer: () => true,
     };
     const gateways = [...this.gateways.values()];
     const gateway = gateways[pickIndex(this.random, gateways.length)]!;
--- a/standin/ZoneWorld.ts
+++ b/standin/ZoneWorld.ts
@@ -304,7 +304,6 @@
       objectiveAtMs: nowMs + objectiveMs,
       fingerprint: () => '',
       isCallerConnected: () => true,
-      acceptsUnframedAnswer: () => true,
     };
     const gateways = this.gateways.filter((gateway) => gateway.zone === zone);
     const { dispatcher } = gateways[pickIndex(this.random, gateways.length)]!;
