What has arrived by the end of an answer's time is read before it is cut

Suspected, not traced: timers run before what has arrived is read in a busy process, and the last bytes had arrived. Change: the answer is cut after a read.

--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -183,7 +183,10 @@
       this.overdue = true;
       this.readOn?.();
       timer = setTimeout(() => {
-        if (!this.response?.complete) this.abort();
+        // What has arrived is read first: in a busy process, timers run before that.
+        setImmediate(() => {
+          if (!this.response?.complete) this.abort();
+        });
       }, ANSWER_GRACE_MS);
     }, remainingMs);
     this.request.once('close', () => clearTimeout(timer));
