A broken answer ends its connection in order

Cause: a reset marked the broken answer as incomplete. It drops what the kernel has not sent yet, which may be a part of the answer ahead. Closing a connection with unread bytes does the same. Ruled out: the answer ahead was handed to the kernel in full. Change: an aborted answer ends its connection like any last answer: the sending side closes behind what was written, and the client is read on until it closes, for a second at most. The answer's length or chunks show that it is incomplete. Its calls and those behind it end at once, as before.

--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -176,13 +176,22 @@
   }
 
   /**
-   * Closes an answer's connection once the answers before it are sent; `reset` marks a body without
-   * a length as incomplete.
+   * Closes an answer's connection once the answers before it are sent, in order: these may still wait in
+   * the kernel, which drops them if the connection is reset or closed with unread bytes. Its own
+   * length or chunks show that the answer is incomplete.
    */
-  abort(response: ServerResponse, { reset = false }: { readonly reset?: boolean } = {}): void {
+  abort(response: ServerResponse): void {
     const { socket } = response.req;
-    const close = () => (reset ? socket.resetAndDestroy() : socket.destroy());
     this.endWith(response);
+    const close = () => {
+      this.end(socket);
+      const connection = this.connections.get(socket);
+      if (!connection?.due.has(response)) return;
+      const due = [...connection.due.keys()];
+      const unsent = due.slice(due.indexOf(response));
+      // The answer ahead is reported as sent first.
+      setImmediate(() => unsent.forEach((item) => this.finish(connection, item, ClosedBy.Host)));
+    };
     if (response.socket) close();
     else response.once('socket', close);
   }
