--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -84,7 +84,6 @@
       authentic: true,
       load: undefined,
       body: Buffer.from('answer'),
-      framed: true,
       rest: null,
       ...changes,
     },
@@ -231,7 +230,6 @@
     isRouted: () => options.isRouted?.(nowMs) ?? true,
     isCallerConnected: () => connected,
     mayBeSent: () => nowMs <= (options.sendableUntilMs ?? Number.POSITIVE_INFINITY),
-    acceptsUnframedAnswer: () => true,
   });
   const send = (view: BackendView) => {
     if (options.unsendableIds?.includes(view.record.id)) throw new Error('invalid header');
