Logs: process_failed names its origin and its listener, in every program

An on-call engineer could not see from process_failed whether an exception, a rejection, the start, the stop or the replicated state ended the process, and the names in its stack were those of the minifier ("at it.send"). egret-entry and egret-control logged nothing: Node.js printed the stack alone.

Change: fields origin, code and syscall beside the stack; the bundle keeps the names of functions; egret-entry and egret-control log the event and exit with 1.

Evidence: ProcessFaults.test.ts. Programs still start and stop: src/bin/ProgramStart.test.ts.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,8 +13,10 @@
   bundle: true,
   splitting: true,
   chunkNames: 'parts/[name]-[hash]',
-  minify: true,
-  keepNames: false,
+  minifyWhitespace: true,
+  minifySyntax: true,
+  // The stacks in the log name functions.
+  minifyIdentifiers: false,
   platform: 'node',
   target: 'node20',
   format: 'esm',
--- a/src/bin/ControlProgram.ts
+++ b/src/bin/ControlProgram.ts
@@ -3,8 +3,9 @@
 import { ProgramKind } from '../common/ProcessSettings.js';
 import { ControlServer } from '../control/server/ControlServer.js';
 import { createLogger } from '../runtime/Logger.js';
+import { FaultOrigin, faultFields } from '../runtime/ProcessFaults.js';
 import { loadSecret, loadSettingsFile } from '../runtime/SettingsFile.js';
-import { ExitCode, handleSignals, printFailure, runProgram } from './Program.js';
+import { ExitCode, handleFaults, handleSignals, printFailure, runProgram } from './Program.js';
 
 /** Command that runs a control host, which keeps the replicated state. */
 class ControlCommand extends Command {
@@ -35,6 +36,7 @@
       const file = loadSettingsFile(this.settings, ProgramKind.Control);
       const secret = loadSecret(file.secretFile, this.settings);
       const logger = createLogger({ level: file.logLevel, base: { program: 'egret-control' } });
+      handleFaults(logger);
       const dataFolder = path.resolve(path.dirname(this.settings), file.dataFolder);
       const server = await ControlServer.open({
         file: { ...file, dataFolder },
@@ -42,7 +44,7 @@
         logger,
         initialize: this.initialize,
         onFatal: (error) => {
-          printFailure(error);
+          logger.error('process_failed', faultFields(error, FaultOrigin.State));
           process.exit(ExitCode.Failed);
         },
       });
--- a/src/bin/Program.ts
+++ b/src/bin/Program.ts
@@ -3,6 +3,7 @@
 import { toEgretError, ErrorKind } from '../common/Errors.js';
 import { earlySignals } from '../runtime/EarlySignals.js';
 import type { Logger } from '../runtime/Logger.js';
+import { faultFields, onUnhandledFault } from '../runtime/ProcessFaults.js';
 
 /** Exit codes of every program. */
 export enum ExitCode {
@@ -40,6 +41,14 @@
   process.stderr.write(`${failure.kind}: ${failure.message}\n`);
 }
 
+/** Logs an exception or rejection that nothing handles, and exits the process. */
+export function handleFaults(logger: Pick<Logger, 'error'>): void {
+  onUnhandledFault((error, origin) => {
+    logger.error('process_failed', faultFields(error, origin));
+    process.exit(ExitCode.Failed);
+  });
+}
+
 /**
  * Runs `stop` once, on the first SIGTERM or SIGINT, and then exits the process. SIGHUP is logged and
  * changes nothing: these programs read their files at the start only.
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -117,7 +117,8 @@
   settings_read:
     'The settings file was read; with the digests of its common settings and of those in force.',
   settings_refused: 'The settings file can not be used; the settings in force remain as a whole.',
-  process_failed: 'The process exits after an unrecoverable failure.',
+  process_failed:
+    'The process exits after an unrecoverable failure; with its origin and the stack of the listener.',
   lines_suppressed: 'Lines of one event above the limit per second were only counted.',
   lines_dropped: 'Lines were dropped because the log output was not read.',
 } as const;
