Programs: a log that nobody reads any more ends no process

What operators saw: egret-entry and egret-control ended as the reader of their standard error went away, with all calls in progress. The gateway and the control host of the users' machines did not.

Cause: process.stderr emits 'error' (EPIPE) on the next line, and no listener handled it. RateLimitedLog writes to the descriptor and ignores errors.

Change: the default output of createLogger has a listener that ignores write errors.

Evidence: ProgramStart.test.ts "goes on without a reader of its log" for the four programs: 2 of 4 red before (egret-control, egret-entry), 4 of 4 green now.

Why it works: only log lines are lost, which is what a closed output means.

--- a/src/bin/ProgramStart.test.ts
+++ b/src/bin/ProgramStart.test.ts
@@ -4,6 +4,7 @@
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../standin/Cluster.js';
@@ -13,6 +14,9 @@
 /** Loopback address of this test process alone, since the programs have fixed ports. */
 const ADDRESS = `127.77.${Math.floor(process.pid / 250) % 250}.${2 + (process.pid % 250)}`;
 
+/** Longer than log lines are held back before they are written. */
+const LOG_INTERVAL_MS = 200;
+
 /** Program, and what it is started with in a folder. */
 interface ProgramCase {
   readonly file: string;
@@ -176,6 +180,23 @@
       expect(await stopChild()).toBe(0);
     });
 
+    // Guards against a process that ends as the reader of its log goes away.
+    it('goes on without a reader of its log', async () => {
+      await writeFiles(program);
+      start(program);
+      await waitForEvent(program.startedEvent);
+      child!.stdout!.destroy();
+      child!.stderr!.destroy();
+      for (let lines = 0; lines < 4; lines += 1) {
+        // Each signal is logged.
+        child!.kill('SIGHUP');
+        // eslint-disable-next-line no-await-in-loop
+        await delay(LOG_INTERVAL_MS);
+      }
+      expect(hasEnded()).toBe(false);
+      expect(await stopChild()).toBe(0);
+    });
+
     // Guards against a planned stop that counts as a failure because it comes during the start.
     it('ends with success after a signal to stop', async () => {
       await writeFiles(program);
--- a/src/runtime/Logger.ts
+++ b/src/runtime/Logger.ts
@@ -30,6 +30,15 @@
   return [`event=${quoteValue(event)}`, formatLogfmt(fields, String)].join(' ').trimEnd();
 }
 
+/** Ignores write errors: they mean that nobody reads the log any more, and only log lines are lost. */
+function ignoreWriteError(): void {}
+
+function writeToStandardError(line: string): void {
+  const { stderr } = process;
+  if (!stderr.listeners('error').includes(ignoreWriteError)) stderr.on('error', ignoreWriteError);
+  stderr.write(`${line}\n`);
+}
+
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
   readonly level: LogLevel;
@@ -46,7 +55,7 @@
  * createLogger({ level: LogLevel.Info }).info('started', { port: 80 });
  */
 export function createLogger(options: LoggerOptions): Logger {
-  const write = options.write ?? ((line: string) => process.stderr.write(`${line}\n`));
+  const write = options.write ?? writeToStandardError;
   const consola: ConsolaInstance = createConsola({
     level: CONSOLA_LEVELS[options.level],
     // Throttling would drop repeated events.
