--- a/.eslintrc.cjs
+++ b/.eslintrc.cjs
@@ -16,7 +16,7 @@
     'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
     'import/no-extraneous-dependencies': [
       'error',
-      { devDependencies: ['**/*.test.ts', 'fuzz/**', 'vitest.config.ts'] },
+      { devDependencies: ['**/*.test.ts', 'fuzz/**', 'crowds/**', 'vitest.config.ts'] },
     ],
   },
   overrides: [
--- a/scripts/FailureReport.mjs
+++ b/scripts/FailureReport.mjs
@@ -1,4 +1,5 @@
-// Vitest reporter: writes the failed tests and the errors outside of tests to dist/failures.json.
+// Vitest reporter: writes the failed tests and the errors outside of tests to the file that the variable
+// FAILURES_FILE names, dist/failures.json by default.
 import { mkdirSync, writeFileSync } from 'node:fs';
 
 export default class FailureReport {
@@ -21,6 +22,7 @@
       failures.push({ file: error.VITEST_TEST_PATH ?? '', outside: true, text: error.message });
     });
     mkdirSync('dist', { recursive: true });
-    writeFileSync('dist/failures.json', JSON.stringify({ passed, failures }, null, 2));
+    const file = process.env.FAILURES_FILE ?? 'dist/failures.json';
+    writeFileSync(file, JSON.stringify({ passed, failures }, null, 2));
   }
 }
--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -1,13 +1,15 @@
 // Run after a failed test run: exits with 0 if KNOWN-RED.txt lists every failure, and prints them.
-// An entry lists a test as: npx vitest run FILE -t "PART OF ITS NAME"
+// The argument is the file of FailureReport.mjs for that run, dist/failures.json by default.
+// An entry lists a test as: npx vitest run [--config CONFIG] FILE -t "PART OF ITS NAME"
 // and an error outside of tests as: error outside of tests in FILE: "PART OF ITS MESSAGE"
 import { readFileSync } from 'node:fs';
 
 const entries = readFileSync('KNOWN-RED.txt', 'utf8');
-const tests = [...entries.matchAll(/npx vitest run (\S+) -t "([^"]+)"/g)];
+const tests = [...entries.matchAll(/npx vitest run (?:--config \S+ )?(\S+) -t "([^"]+)"/g)];
 const errors = [...entries.matchAll(/error outside of tests in (\S+): "([^"]+)"/g)];
 
-const { passed, failures } = JSON.parse(readFileSync('dist/failures.json', 'utf8'));
+const report = process.argv[2] ?? 'dist/failures.json';
+const { passed, failures } = JSON.parse(readFileSync(report, 'utf8'));
 const isKnown = ({ file, outside, text }) =>
   (outside ? errors : tests).some(([, path, part]) => file.endsWith(path) && text.includes(part));
 const unknown = failures.filter((failure) => !isKnown(failure));
--- a/soak/Deployment.ts
+++ b/soak/Deployment.ts
@@ -48,6 +48,10 @@
   readonly record: SoakRecord;
   readonly nowMs: () => number;
   readonly log: (line: string) => void;
+  /** Further settings of all processes. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  /** Flags of Node.js for a program; none by default. */
+  readonly nodeFlags?: (role: SoakRole) => readonly string[];
 }
 
 function memoryMb(processId: number | undefined): number {
@@ -204,11 +208,12 @@
   }
 
   private startProcess(machine: SoakMachine, role: SoakRole, isFirst: boolean): void {
-    const { root, folder } = this.options;
+    const { root, folder, nodeFlags } = this.options;
     const file = path.join(folder, `${machine.name}-${role}.jsonc`);
     writeFileSync(file, JSON.stringify(this.settings(machine, role, isFirst)));
     mkdirSync(this.dataFolder(machine), { recursive: true });
-    const child = spawn(process.execPath, [`target/${role}.mjs`], {
+    const flags = nodeFlags?.(role) ?? [];
+    const child = spawn(process.execPath, [...flags, `target/${role}.mjs`], {
       cwd: root,
       env: { PATH: process.env.PATH, EGRETCOURSE_CONFIG: file },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -256,6 +261,7 @@
       probesPerServerPerSecond: 60,
       logLevel: 'info',
       linkSecret: 'soak-link',
+      ...this.options.settings,
     };
   }
 
