--- a/src/bin/ControlProgram.ts
+++ b/src/bin/ControlProgram.ts
@@ -4,7 +4,7 @@
 import { ControlServer } from '../control/server/ControlServer.js';
 import { createLogger } from '../runtime/Logger.js';
 import { loadSecret, loadSettingsFile } from '../runtime/SettingsFile.js';
-import { ExitCode, handleSignals, printFailure, runProgram } from './Program.js';
+import { createLimits, ExitCode, handleSignals, printFailure, runProgram } from './Program.js';
 
 /** Command that runs a control host, which keeps the replicated state. */
 class ControlCommand extends Command {
@@ -36,16 +36,19 @@
       const secret = loadSecret(file.secretFile, this.settings);
       const logger = createLogger({ level: file.logLevel, base: { program: 'egret-control' } });
       const dataFolder = path.resolve(path.dirname(this.settings), file.dataFolder);
+      const limits = createLimits(logger);
       const server = await ControlServer.open({
         file: { ...file, dataFolder },
         secret,
         logger,
         initialize: this.initialize,
+        protect: limits.protect,
         onFatal: (error) => {
           printFailure(error);
           process.exit(ExitCode.Failed);
         },
       });
+      limits.register(server.registry);
       handleSignals(logger, () => server.stop());
       await server.start();
       return ExitCode.Ok;
--- a/src/bin/EntryProgram.ts
+++ b/src/bin/EntryProgram.ts
@@ -3,7 +3,7 @@
 import { EntryServer } from '../entry/server/EntryServer.js';
 import { createLogger } from '../runtime/Logger.js';
 import { loadSecret, loadSettingsFile } from '../runtime/SettingsFile.js';
-import { ExitCode, handleSignals, printFailure, runProgram } from './Program.js';
+import { createLimits, ExitCode, handleSignals, printFailure, runProgram } from './Program.js';
 
 /** Command that runs an entry host, which serves callers. */
 class EntryCommand extends Command {
@@ -25,7 +25,10 @@
       const file = loadSettingsFile(this.settings, ProgramKind.Entry);
       const secret = loadSecret(file.secretFile, this.settings);
       const logger = createLogger({ level: file.logLevel, base: { program: 'egret-entry' } });
-      const server = await EntryServer.open({ file, secret, logger });
+      const limits = createLimits(logger);
+      const { protect } = limits;
+      const server = await EntryServer.open({ file, secret, logger, protect });
+      limits.register(server.registry);
       handleSignals(logger, () => server.stop());
       server.start();
       return ExitCode.Ok;
--- a/src/bin/Program.ts
+++ b/src/bin/Program.ts
@@ -3,6 +3,7 @@
 import { toEgretError, ErrorKind } from '../common/Errors.js';
 import { earlySignals } from '../runtime/EarlySignals.js';
 import type { Logger } from '../runtime/Logger.js';
+import { ProcessLimits } from '../runtime/ProcessLimits.js';
 
 /** Exit codes of every program. */
 export enum ExitCode {
@@ -40,6 +41,14 @@
   process.stderr.write(`${failure.kind}: ${failure.message}\n`);
 }
 
+/** Creates the limits of this process for what its clients make it hold. */
+export function createLimits(logger: Pick<Logger, 'warn'>): ProcessLimits {
+  return new ProcessLimits({
+    onEnded: (port, { limit, peer, heldBytes }) =>
+      logger.warn('connection_limited', { port, limit, peer, heldBytes }),
+  });
+}
+
 /**
  * Runs `stop` once, on the first SIGTERM or SIGINT, and then exits the process. SIGHUP is logged and
  * changes nothing: these programs read their files at the start only.
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -111,6 +111,8 @@
   message_refused: 'A malformed message of another process was rejected.',
   answer_broken_off:
     'A long answer of a backend server broke off while it was held for calls behind it.',
+  connection_limited:
+    'A connection was ended: its client is beyond a limit of this process; with the port and limit.',
   address_in_use:
     'An address is in use, as while the process before this one stops; it is tried again for a while.',
   stop_signal: 'The process received a signal to stop.',
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -22,6 +22,7 @@
 import { LINK_OVERHEAD } from '../../runtime/LinkBytes.js';
 import type { LinkTiming } from '../../runtime/MessageClient.js';
 import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
+import { PortUse, type ProtectServer } from '../../runtime/ProcessLimits.js';
 import { ControlReducer } from '../ControlReducer.js';
 import type { RaftTiming } from '../raft/RaftState.js';
 import { shouldReportEmptied } from '../raft/Recovery.js';
@@ -81,6 +82,8 @@
   readonly autoMembership?: AutoMembershipOptions;
   /** True if the data folder was created empty, and not at the first start of the system. */
   readonly wasEmptied?: boolean;
+  /** Gives the servers of this host their limits; none without it. */
+  readonly protect?: ProtectServer;
   /** Limits of rollouts; those of the requirement by default. */
   readonly rollouts?: RolloutSettings;
   /** Control hosts that receive join requests while this host is not a member. */
@@ -241,6 +244,8 @@
       response.end();
     });
     answerParserErrors(this.http);
+    options.protect?.(this.http, PortUse.Links);
+    options.protect?.(this.adminHttp, PortUse.Administration);
     this.messages.attach(this.http);
     this.links = new RaftLinks({
       id: file.id,
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -22,6 +22,7 @@
 import type { Logger } from '../../runtime/Logger.js';
 import type { LinkTraffic } from '../../runtime/MessageClient.js';
 import { MessageServer } from '../../runtime/MessageServer.js';
+import { PortUse, type ProtectServer } from '../../runtime/ProcessLimits.js';
 import { EntryReducer } from '../EntryReducer.js';
 import type { PeerMessage } from '../PeerMessages.js';
 import { planStop } from '../StopTimes.js';
@@ -53,6 +54,8 @@
   readonly file: EntryFile;
   readonly secret: string;
   readonly logger: Logger;
+  /** Gives the servers of this host their limits; none without it. */
+  readonly protect?: ProtectServer;
   readonly clock?: Clock;
   readonly seed?: number;
 }
@@ -212,6 +215,9 @@
       },
     });
     this.attachListeners();
+    options.protect?.(listeners.callerHttp, PortUse.Callers);
+    options.protect?.(listeners.peerHttp, PortUse.Peers);
+    options.protect?.(listeners.adminHttp, PortUse.Administration);
   }
 
   /** Binds the listeners and creates the server. */
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -15,6 +15,7 @@
 import type { RateLimitedLog } from '../../runtime/RateLimitedLog.js';
 import { createNonce } from '../../runtime/LinkAuth.js';
 import { MetricsListener } from '../../runtime/MetricsListener.js';
+import { PortUse, type ProtectServer } from '../../runtime/ProcessLimits.js';
 import { BackendPool, PROVISIONAL_TTL_MS } from '../BackendPool.js';
 import { BackendSources } from '../BackendSources.js';
 import type { BackendView } from '../BackendView.js';
@@ -96,6 +97,8 @@
   readonly probeTimeoutMs?: number;
   /** Opens connections to backend servers; `net.connect` by default. */
   readonly connect?: Connect;
+  /** Gives the servers of this host their limits; none without it. */
+  readonly protect?: ProtectServer;
   readonly log: RateLimitedLog;
   readonly clock?: Clock;
   readonly seed?: number;
@@ -432,6 +435,9 @@
       this.answerReadiness(request, response),
     );
     answerHalfClosed(this.readinessServer);
+    options.protect?.(this.callerServer, PortUse.Callers);
+    options.protect?.(this.peerServer, PortUse.Peers);
+    options.protect?.(this.readinessServer, PortUse.Readiness);
     this.registerGauges();
   }
 
@@ -502,7 +508,8 @@
     if (metrics) {
       const onFailed = (error: unknown) => log.line('metrics_failed', { detail: String(error) });
       const { registry } = this.metrics;
-      this.metricsListener = new MetricsListener({ ...metrics, registry, onFailed });
+      const { protect } = this.options;
+      this.metricsListener = new MetricsListener({ ...metrics, registry, onFailed, protect });
       await this.metricsListener.start();
     }
     this.watch = new ControlWatch({
--- a/src/runtime/MetricsListener.ts
+++ b/src/runtime/MetricsListener.ts
@@ -2,6 +2,7 @@
 import type { Registry } from 'prom-client';
 import { closeServer } from './HttpJson.js';
 import { listenWhenFree, RELEASE_MS } from './Listen.js';
+import { PortUse, type ProtectServer } from './ProcessLimits.js';
 import { sendMetrics } from './SendMetrics.js';
 
 /** Options of a {@link MetricsListener}. */
@@ -12,6 +13,7 @@
   readonly path: string;
   /** Called on every failure; a failure of the metrics never ends the process. */
   readonly onFailed: (error: unknown) => void;
+  readonly protect?: ProtectServer;
 }
 
 /** Serves metrics in the Prometheus text format. */
@@ -30,6 +32,7 @@
       }
       sendMetrics(response, registry, onFailed);
     });
+    options.protect?.(this.server, PortUse.Metrics);
   }
 
   get port(): number {
