--- a/src/entry/server/CallIntake.ts
+++ b/src/entry/server/CallIntake.ts
@@ -2,6 +2,8 @@
 import { v4 as uuidV4 } from 'uuid';
 import { HeaderName } from '../../common/Constants.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
+import { BodyBuffer } from '../../runtime/BodyBuffer.js';
+import { noteKeptBody } from '../../runtime/ConnectionGuard.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { headerOf } from '../../runtime/HttpJson.js';
 import type { ArrivedCall } from '../Types.js';
@@ -56,14 +58,18 @@
 /** Reads a short body of known length; rejects if the client pauses for too long. */
 function readBody(request: IncomingMessage, bodyBytes: number, idleMs: number): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    const buffer = new BodyBuffer();
     const fail = (kind: ErrorKind, detail: string) => reject(new EgretError(kind, detail));
     request.setTimeout(idleMs, () => fail(ErrorKind.SlowClient, 'Reading the body timed out.'));
-    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('data', (chunk: Buffer) => {
+      buffer.append(chunk);
+      noteKeptBody(request, chunk.length);
+    });
+    request.read(0);
     request.on('error', () => fail(ErrorKind.BadRequest, 'The connection closed mid-body.'));
     request.on('end', () => {
       request.setTimeout(0);
-      const body = Buffer.concat(chunks);
+      const body = buffer.take();
       if (body.length === bodyBytes) resolve(body);
       else fail(ErrorKind.BadRequest, 'The body is shorter than Content-Length.');
     });
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -23,7 +23,7 @@
 import { FORWARD_HEADER, PeerAnswer, type ForwardMark, type ForwardMarks } from './ForwardMark.js';
 import { OpenCall } from './OpenCall.js';
 import { OpenCalls, type OpenCallsOptions } from './OpenCalls.js';
-import { readRequestBody, readUnusedBody } from './RequestBody.js';
+import { RequestBodyReader, readUnusedBody } from './RequestBody.js';
 
 /** Options of a {@link CallServer}. */
 export interface CallServerOptions
@@ -170,6 +170,7 @@
     open: OpenCall,
   ): Promise<void> {
     const { options } = this;
+    const bodyReader = new RequestBodyReader(request);
     const head = options.profile.readCall(request.headers);
     const callId = head.callId ?? options.createId();
     open.identify(callId);
@@ -188,7 +189,7 @@
     const limit = { arrivedAtMs, callerBudgetMs };
     if (!arrival || !this.admitLimited(open, arrival, limit)) return;
     if (!this.admitUsage(response, callId, arrival.customer, arrival.route.objectiveMs)) return;
-    const read = await readRequestBody(request, arrival.bodyBytesMax);
+    const read = await bodyReader.read({ bodyBytesMax: arrival.bodyBytesMax });
     if (read.type === 'broken' || !this.inProgress.admit(open)) return;
     if (read.type === 'too-large') {
       this.refuseUnserved(response, callId, ErrorKind.BodyTooLarge);
--- a/src/gateway/server/RequestBody.ts
+++ b/src/gateway/server/RequestBody.ts
@@ -1,4 +1,6 @@
 import type { IncomingMessage } from 'node:http';
+import { BodyBuffer } from '../../runtime/BodyBuffer.js';
+import { noteKeptBody } from '../../runtime/ConnectionGuard.js';
 
 /** Bodies up to this size are buffered, so that a call that did not run can be sent elsewhere. */
 export const BUFFERED_REQUEST_MAX_BYTES = 512 * 1024;
@@ -11,45 +13,85 @@
   | { readonly type: 'too-large' }
   | { readonly type: 'broken' };
 
+/** Limits of a request body. */
+export interface RequestBodyLimits {
+  readonly bodyBytesMax: number;
+}
+
+const READERS = new WeakMap<IncomingMessage, RequestBodyReader>();
+
 /**
- * Reads a request body until it is complete or too long to buffer.
+ * Reads the body of a request from its arrival on, until it is complete or too long to buffer: chunks
+ * that are not read at once are kept by the stream, each as an object of its own.
  *
  * @example
- * const read = await readRequestBody(request, 64 * 1024 * 1024);
+ * const reader = new RequestBodyReader(request);
+ * const read = await reader.read({ bodyBytesMax: 64 * 1024 * 1024 });
  */
-export function readRequestBody(
-  request: IncomingMessage,
-  bodyBytesMax: number,
-): Promise<RequestBody> {
-  const declared = Number(request.headers['content-length'] ?? 0);
-  if (declared > bodyBytesMax) return Promise.resolve({ type: 'too-large' });
-  const withoutBody = declared === 0 && request.headers['transfer-encoding'] === undefined;
-  if (withoutBody) {
-    request.resume();
-    return Promise.resolve({ type: 'complete', body: Buffer.alloc(0) });
+export class RequestBodyReader {
+  private readonly buffer = new BodyBuffer();
+
+  private bodyBytes = 0;
+
+  private bodyBytesMax = Number.POSITIVE_INFINITY;
+
+  private result: RequestBody | undefined;
+
+  private onResult: ((result: RequestBody) => void) | undefined;
+
+  constructor(private readonly request: IncomingMessage) {
+    READERS.set(request, this);
+    const { 'content-length': length = '0', 'transfer-encoding': encoding } = request.headers;
+    if (Number(length) === 0 && encoding === undefined) {
+      request.resume();
+      this.result = { type: 'complete', body: Buffer.alloc(0) };
+      return;
+    }
+    request.on('data', this.onData);
+    request.once('end', () => this.finish({ type: 'complete', body: this.buffer.take() }));
+    request.once('close', () => this.finish({ type: 'broken' }));
+    // Starts the stream, so that it passes on the chunks that follow the head in the same read.
+    request.read(0);
   }
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bodyBytes = 0;
-    let finished = false;
-    const finish = (result: RequestBody) => {
-      if (finished) return;
-      finished = true;
-      request.removeAllListeners('data');
-      resolve(result);
-    };
-    request.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      bodyBytes += chunk.length;
-      if (bodyBytes > bodyBytesMax) finish({ type: 'too-large' });
-      else if (bodyBytes > BUFFERED_REQUEST_MAX_BYTES) {
-        request.pause();
-        finish({ type: 'long', body: Buffer.concat(chunks) });
-      }
+
+  /** Resolves once the body is complete or too long to buffer. */
+  read({ bodyBytesMax }: RequestBodyLimits): Promise<RequestBody> {
+    this.bodyBytesMax = bodyBytesMax;
+    const declaredBytes = Number(this.request.headers['content-length'] ?? 0);
+    if (Math.max(declaredBytes, this.bodyBytes) > bodyBytesMax) {
+      return Promise.resolve({ type: 'too-large' });
+    }
+    if (this.result) return Promise.resolve(this.result);
+    return new Promise((resolve) => {
+      this.onResult = resolve;
     });
-    request.once('end', () => finish({ type: 'complete', body: Buffer.concat(chunks) }));
-    request.once('close', () => finish({ type: 'broken' }));
-  });
+  }
+
+  /** Leaves the rest of the body to others. */
+  release(): void {
+    this.finish({ type: 'broken' });
+  }
+
+  private readonly onData = (chunk: Buffer): void => {
+    const { request, bodyBytesMax } = this;
+    this.bodyBytes += chunk.length;
+    this.buffer.append(chunk);
+    noteKeptBody(request, chunk.length);
+    if (this.bodyBytes > bodyBytesMax) {
+      this.finish({ type: 'too-large' });
+    } else if (this.bodyBytes > BUFFERED_REQUEST_MAX_BYTES) {
+      request.pause();
+      this.finish({ type: 'long', body: this.buffer.take() });
+    }
+  };
+
+  private finish(result: RequestBody): void {
+    if (this.result) return;
+    this.result = result;
+    this.buffer.take();
+    this.request.off('data', this.onData);
+    this.onResult?.(result);
+  }
 }
 
 /**
@@ -60,5 +102,6 @@
  * connections.whenEnded(response, () => readUnusedBody(request));
  */
 export function readUnusedBody(request: IncomingMessage): void {
+  READERS.get(request)?.release();
   if (request.listenerCount('data') === 0) request.resume();
 }
--- a/src/runtime/HttpJson.ts
+++ b/src/runtime/HttpJson.ts
@@ -3,6 +3,7 @@
 import { HeaderName, MAX_JSON_BODY_BYTES } from '../common/Constants.js';
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import type { HttpConnections } from './HttpConnections.js';
+import { readBody } from './ReadBody.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -49,18 +50,9 @@
   message: IncomingMessage,
   bodyBytesMax = MAX_JSON_BODY_BYTES,
 ): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let bodyBytes = 0;
-  for await (const chunk of message) {
-    bodyBytes += (chunk as Buffer).length;
-    if (bodyBytes > bodyBytesMax) {
-      const detail = `The body is longer than ${bodyBytesMax} bytes.`;
-      throw new EgretError(ErrorKind.BodyTooLarge, detail);
-    }
-    chunks.push(chunk as Buffer);
-  }
+  const body = await readBody(message, bodyBytesMax);
   try {
-    return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+    return JSON.parse(body.toString('utf8'));
   } catch {
     throw new EgretError(ErrorKind.BadRequest, 'The body is not a JSON document.');
   }
