--- a/src/gateway/server/RequestBody.ts
+++ b/src/gateway/server/RequestBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { BodyBuffer } from '../../runtime/BodyBuffer.js';
-import { noteKeptBody } from '../../runtime/ConnectionGuard.js';
+import { endBeyondLimit, noteKeptBody } from '../../runtime/ConnectionGuard.js';
+import { ConnectionLimit } from '../../runtime/ConnectionLimit.js';
 
 /** Bodies up to this size are buffered, so that a call that did not run can be sent elsewhere. */
 export const BUFFERED_REQUEST_MAX_BYTES = 512 * 1024;
@@ -67,14 +68,21 @@
     });
   }
 
-  /** Leaves the rest of the body to others. */
+  /** Leaves the rest of the body to others; one that an attempt streams is counted to its end. */
   release(): void {
     this.finish({ type: 'broken' });
+    const isStreamed = this.request.listenerCount('data') > 1;
+    if (!isStreamed) this.request.off('data', this.onData);
   }
 
   private readonly onData = (chunk: Buffer): void => {
     const { request, bodyBytesMax } = this;
     this.bodyBytes += chunk.length;
+    if (this.result) {
+      // An attempt streams the rest; this listener only counts it.
+      if (this.bodyBytes > bodyBytesMax) endBeyondLimit(request, ConnectionLimit.Body);
+      return;
+    }
     this.buffer.append(chunk);
     noteKeptBody(request, chunk.length);
     if (this.bodyBytes > bodyBytesMax) {
@@ -88,8 +96,10 @@
   private finish(result: RequestBody): void {
     if (this.result) return;
     this.result = result;
-    this.buffer.take();
-    this.request.off('data', this.onData);
+    if (result.type !== 'long') {
+      this.buffer.take();
+      this.request.off('data', this.onData);
+    }
     this.onResult?.(result);
   }
 }
