--- a/src/common/Errors.ts
+++ b/src/common/Errors.ts
@@ -177,7 +177,7 @@
   },
   [ErrorKind.SlowClient]: {
     statusCode: 408,
-    remedy: 'Send the whole request head without pauses.',
+    remedy: 'Send the whole request without pauses.',
     outcome: Outcome.NotRun,
   },
   [ErrorKind.Stopping]: {
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -189,8 +189,18 @@
     const limit = { arrivedAtMs, callerBudgetMs };
     if (!arrival || !this.admitLimited(open, arrival, limit)) return;
     if (!this.admitUsage(response, callId, arrival.customer, arrival.route.objectiveMs)) return;
-    const read = await bodyReader.read({ bodyBytesMax: arrival.bodyBytesMax });
+    const endsAtMs = arrivedAtMs + Math.min(callerBudgetMs, arrival.route.timeoutMs);
+    const read = await bodyReader.read({
+      bodyBytesMax: arrival.bodyBytesMax,
+      timeoutMs: endsAtMs - options.nowMs(),
+    });
     if (read.type === 'broken' || !this.inProgress.admit(open)) return;
+    if (read.type === 'late') {
+      // What is left of the body would be taken for the next request.
+      options.connections.endWith(response);
+      this.refuseUnserved(response, callId, ErrorKind.SlowClient);
+      return;
+    }
     if (read.type === 'too-large') {
       this.refuseUnserved(response, callId, ErrorKind.BodyTooLarge);
       return;
--- a/src/gateway/server/RequestBody.ts
+++ b/src/gateway/server/RequestBody.ts
@@ -12,11 +12,15 @@
   /** Too long to buffer; the rest is still unread. */
   | { readonly type: 'long'; readonly body: Buffer }
   | { readonly type: 'too-large' }
+  /** Neither complete nor too long to buffer within the time limit. */
+  | { readonly type: 'late' }
   | { readonly type: 'broken' };
 
 /** Limits of a request body. */
 export interface RequestBodyLimits {
   readonly bodyBytesMax: number;
+  /** Longest time until the body is complete or too long to buffer. */
+  readonly timeoutMs: number;
 }
 
 const READERS = new WeakMap<IncomingMessage, RequestBodyReader>();
@@ -27,7 +31,7 @@
  *
  * @example
  * const reader = new RequestBodyReader(request);
- * const read = await reader.read({ bodyBytesMax: 64 * 1024 * 1024 });
+ * const read = await reader.read({ bodyBytesMax: 64 * 1024 * 1024, timeoutMs: 1_500 });
  */
 export class RequestBodyReader {
   private readonly buffer = new BodyBuffer();
@@ -55,8 +59,8 @@
     request.read(0);
   }
 
-  /** Resolves once the body is complete or too long to buffer. */
-  read({ bodyBytesMax }: RequestBodyLimits): Promise<RequestBody> {
+  /** Resolves once the body is complete or too long to buffer, or its time limit has expired. */
+  read({ bodyBytesMax, timeoutMs }: RequestBodyLimits): Promise<RequestBody> {
     this.bodyBytesMax = bodyBytesMax;
     const declaredBytes = Number(this.request.headers['content-length'] ?? 0);
     if (Math.max(declaredBytes, this.bodyBytes) > bodyBytesMax) {
@@ -64,7 +68,11 @@
     }
     if (this.result) return Promise.resolve(this.result);
     return new Promise((resolve) => {
-      this.onResult = resolve;
+      const timer = setTimeout(() => this.finish({ type: 'late' }), Math.max(0, timeoutMs));
+      this.onResult = (result) => {
+        clearTimeout(timer);
+        resolve(result);
+      };
     });
   }
 
