--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -62,6 +62,12 @@
  */
 const HALF_CLOSED_SERVICE_MS = 400;
 
+/**
+ * Requests of one connection that may be in progress; it ends after the answers to them, and its
+ * client sends the others again elsewhere. Browsers and client libraries send far fewer ahead.
+ */
+const REQUESTS_AHEAD_MAX = 64;
+
 /**
  * Connections of an HTTP server whose clients may send requests before earlier ones are answered.
  * A connection ends only after the answers to all admitted requests, since Node's server drops the
@@ -103,6 +109,7 @@
     const connection = this.connections.get(request.socket);
     if (!connection) return false;
     if (this.draining && connection.due.size > 0) connection.ending = true;
+    if (connection.due.size >= REQUESTS_AHEAD_MAX) connection.ending = true;
     if (connection.ending) {
       request.resume();
       return false;
