--- a/src/runtime/ReadBody.ts
+++ b/src/runtime/ReadBody.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import { BodyBuffer } from './BodyBuffer.js';
-import { noteKeptBody } from './ConnectionGuard.js';
+import { noteKeptBytes } from './ConnectionGuard.js';
 
 /**
  * Reads the body of a request or an answer, of at most `bodyBytesMax` bytes.
@@ -13,17 +13,17 @@
 export function readBody(message: IncomingMessage, bodyBytesMax: number): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const buffer = new BodyBuffer();
-    const fail = (kind: ErrorKind, detail: string) => {
-      message.removeAllListeners('data');
-      message.destroy();
-      reject(new EgretError(kind, detail));
-    };
-    message.on('data', (chunk: Buffer) => {
+    const fail = (kind: ErrorKind, detail: string) => reject(new EgretError(kind, detail));
+    const onData = (chunk: Buffer) => {
       buffer.append(chunk);
-      noteKeptBody(message, chunk.length);
+      noteKeptBytes(message, chunk.length);
       if (buffer.length <= bodyBytesMax) return;
+      message.off('data', onData);
+      // The rest is discarded, so that the answer reaches a client that is still sending.
+      message.resume();
       fail(ErrorKind.BodyTooLarge, `The body is longer than ${bodyBytesMax} bytes.`);
-    });
+    };
+    message.on('data', onData);
     // Starts the stream, so that it passes on the chunks that follow the head in the same read.
     message.read(0);
     message.once('end', () => resolve(buffer.take()));
