--- a/src/entry/server/CallIntake.ts
+++ b/src/entry/server/CallIntake.ts
@@ -3,7 +3,7 @@
 import { HeaderName } from '../../common/Constants.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { BodyBuffer } from '../../runtime/BodyBuffer.js';
-import { noteKeptBody } from '../../runtime/ConnectionGuard.js';
+import { noteKeptBytes } from '../../runtime/ConnectionGuard.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { headerOf } from '../../runtime/HttpJson.js';
 import type { ArrivedCall } from '../Types.js';
@@ -63,7 +63,7 @@
     request.setTimeout(idleMs, () => fail(ErrorKind.SlowClient, 'Reading the body timed out.'));
     request.on('data', (chunk: Buffer) => {
       buffer.append(chunk);
-      noteKeptBody(request, chunk.length);
+      noteKeptBytes(request, chunk.length);
     });
     request.read(0);
     request.on('error', () => fail(ErrorKind.BadRequest, 'The connection closed mid-body.'));
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,5 +1,6 @@
 import http, { type IncomingMessage } from 'node:http';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { BodyBuffer } from '../../runtime/BodyBuffer.js';
 import { watchReset } from '../../runtime/ConnectionReset.js';
 import type { BackendView } from '../BackendView.js';
 import {
@@ -24,6 +25,8 @@
   /** Rest of a body that is too long to buffer; such an attempt can't be repeated. */
   readonly bodyRest: IncomingMessage | null;
   readonly remainingMs: number;
+  /** Called with the number of bytes of the answer that are kept, and with less than 0 for their end. */
+  readonly noteKept?: (bytes: number) => void;
   /** Longest wait for a new connection; by default as long as for the answer. */
   readonly connectTimeoutMs?: number;
 }
@@ -214,8 +217,13 @@
 
   /** Buffers the body until it is complete or too long to buffer. */
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
-    const chunks: Buffer[] = [];
+    const buffer = new BodyBuffer();
     let bodyBytes = 0;
+    const { noteKept } = this.attempt;
+    const release = () => {
+      noteKept?.(-buffer.length);
+      return buffer.take();
+    };
     const answer = (rest: AnswerRest | null): AttemptResult => ({
       type: AttemptResultType.Answer,
       answer: {
@@ -224,7 +232,7 @@
         rawHeaders: response.rawHeaders,
         authentic: head.authentic,
         load: head.load,
-        body: Buffer.concat(chunks),
+        body: release(),
         framed: this.isFramed(response),
         rest,
       },
@@ -237,10 +245,14 @@
       this.observer.onNotice(head.notice);
       this.settle(answer(null));
     };
-    const onBroken = () => this.fail('answer cut short');
+    const onBroken = () => {
+      release();
+      this.fail('answer cut short');
+    };
     const onData = (chunk: Buffer) => {
       this.guard.noteProgress();
-      chunks.push(chunk);
+      buffer.append(chunk);
+      noteKept?.(chunk.length);
       bodyBytes += chunk.length;
       if (bodyBytes <= BUFFERED_ANSWER_MAX_BYTES) return;
       response.pause();
@@ -249,6 +261,8 @@
       this.settle(answer(this.restOf(response, head.notice)));
     };
     response.on('data', onData);
+    // Starts the stream, so that it passes on the chunks that follow the head in the same read.
+    response.read(0);
     response.on('end', onEnd);
     response.on('error', onBroken);
     response.on('close', () => {
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -2,6 +2,7 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { RouteKind, type Route, type RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
+import { noteKeptBytes } from '../../runtime/ConnectionGuard.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import type { ClosedBy } from '../../runtime/HttpConnections.js';
 import { CallStanding } from '../CrashSuspects.js';
@@ -373,6 +374,7 @@
       callId: call.callId,
       body,
       bodyRest,
+      noteKept: (bytes: number) => noteKeptBytes(request, bytes),
     };
     const send: SendAttempt = (view, remainingMs) =>
       open.track(client.send(view, { ...attempt, remainingMs }));
--- a/src/gateway/server/RequestBody.ts
+++ b/src/gateway/server/RequestBody.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { BodyBuffer } from '../../runtime/BodyBuffer.js';
-import { endBeyondLimit, noteKeptBody } from '../../runtime/ConnectionGuard.js';
+import { endBeyondLimit, noteKeptBytes } from '../../runtime/ConnectionGuard.js';
 import { ConnectionLimit } from '../../runtime/ConnectionLimit.js';
 
 /** Bodies up to this size are buffered, so that a call that did not run can be sent elsewhere. */
@@ -92,7 +92,7 @@
       return;
     }
     this.buffer.append(chunk);
-    noteKeptBody(request, chunk.length);
+    noteKeptBytes(request, chunk.length);
     if (this.bodyBytes > bodyBytesMax) {
       this.finish({ type: 'too-large' });
     } else if (this.bodyBytes > BUFFERED_REQUEST_MAX_BYTES) {
--- a/src/runtime/ConnectionGuard.ts
+++ b/src/runtime/ConnectionGuard.ts
@@ -24,13 +24,14 @@
 const GUARDED = new WeakMap<Socket, GuardedConnection>();
 
 /**
- * Notes bytes of a request's body that are kept until its answer is sent.
+ * Notes bytes that are kept for a request until its answer is sent; less than 0 for bytes that are kept
+ * no more.
  *
  * @example
- * request.on('data', (chunk: Buffer) => noteKeptBody(request, chunk.length));
+ * request.on('data', (chunk: Buffer) => noteKeptBytes(request, chunk.length));
  */
-export function noteKeptBody(request: IncomingMessage, bytes: number): void {
-  GUARDED.get(request.socket)?.noteKeptBody(request, bytes);
+export function noteKeptBytes(request: IncomingMessage, bytes: number): void {
+  GUARDED.get(request.socket)?.noteKeptBytes(request, bytes);
 }
 
 /**
--- a/src/runtime/GuardedConnection.ts
+++ b/src/runtime/GuardedConnection.ts
@@ -85,11 +85,11 @@
     noteGrowth(REQUEST_BYTES);
   }
 
-  noteKeptBody(request: IncomingMessage, bytes: number): void {
+  noteKeptBytes(request: IncomingMessage, bytes: number): void {
     const open = this.open.get(request);
     if (!open) return;
     open.keptBytes += bytes;
-    this.options.noteGrowth(bytes);
+    if (bytes > 0) this.options.noteGrowth(bytes);
   }
 
   /** Cost of a head that is not complete; none while a body arrives, which its reader counts. */
