--- a/soak/Deployment.ts
+++ b/soak/Deployment.ts
@@ -59,6 +59,10 @@
     readonly nodeArguments: readonly string[];
     readonly env: NodeJS.ProcessEnv;
   };
+  /** Further settings of all processes. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  /** Flags of Node.js for a program; none by default. */
+  readonly nodeFlags?: (role: SoakRole) => readonly string[];
 }
 
 function memoryMb(processId: number | undefined): number {
@@ -216,12 +220,13 @@
   }
 
   private startProcess(machine: SoakMachine, role: SoakRole, isFirst: boolean): void {
-    const { root, folder } = this.options;
+    const { root, folder, nodeFlags } = this.options;
     const file = path.join(folder, `${machine.name}-${role}.jsonc`);
     writeFileSync(file, JSON.stringify(this.settings(machine, role, isFirst)));
     mkdirSync(this.dataFolder(machine), { recursive: true });
     const { nodeArguments = [], env = {} } = this.options.extras?.(machine) ?? {};
-    const child = spawn(process.execPath, [...nodeArguments, `target/${role}.mjs`], {
+    const flags = [...(nodeFlags?.(role) ?? []), ...nodeArguments];
+    const child = spawn(process.execPath, [...flags, `target/${role}.mjs`], {
       cwd: root,
       env: { ...env, PATH: process.env.PATH, EGRETCOURSE_CONFIG: file },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -269,6 +274,7 @@
       probesPerServerPerSecond: 60,
       logLevel: 'info',
       linkSecret: 'soak-link',
+      ...this.options.settings,
     };
   }
 
--- a/src/bin/ControlProgram.ts
+++ b/src/bin/ControlProgram.ts
@@ -5,7 +5,14 @@
 import { createLogger } from '../runtime/Logger.js';
 import { FaultOrigin, faultFields } from '../runtime/ProcessFaults.js';
 import { loadSecret, loadSettingsFile } from '../runtime/SettingsFile.js';
-import { ExitCode, handleFaults, handleSignals, printFailure, runProgram } from './Program.js';
+import {
+  createLimits,
+  ExitCode,
+  handleFaults,
+  handleSignals,
+  printFailure,
+  runProgram,
+} from './Program.js';
 
 /** Command that runs a control host, which keeps the replicated state. */
 class ControlCommand extends Command {
@@ -38,16 +45,19 @@
       const logger = createLogger({ level: file.logLevel, base: { program: 'egret-control' } });
       handleFaults(logger);
       const dataFolder = path.resolve(path.dirname(this.settings), file.dataFolder);
+      const limits = createLimits(logger);
       const server = await ControlServer.open({
         file: { ...file, dataFolder },
         secret,
         logger,
         initialize: this.initialize,
+        protect: limits.protect,
         onFatal: (error) => {
           logger.error('process_failed', faultFields(error, FaultOrigin.State));
           process.exit(ExitCode.Failed);
         },
       });
+      limits.register(server.registry);
       handleSignals(logger, () => server.stop());
       await server.start();
       return ExitCode.Ok;
--- a/src/bin/EntryProgram.ts
+++ b/src/bin/EntryProgram.ts
@@ -3,7 +3,14 @@
 import { EntryServer } from '../entry/server/EntryServer.js';
 import { createLogger } from '../runtime/Logger.js';
 import { loadSecret, loadSettingsFile } from '../runtime/SettingsFile.js';
-import { ExitCode, handleFaults, handleSignals, printFailure, runProgram } from './Program.js';
+import {
+  createLimits,
+  ExitCode,
+  handleFaults,
+  handleSignals,
+  printFailure,
+  runProgram,
+} from './Program.js';
 
 /** Command that runs an entry host, which serves callers. */
 class EntryCommand extends Command {
@@ -26,7 +33,10 @@
       const secret = loadSecret(file.secretFile, this.settings);
       const logger = createLogger({ level: file.logLevel, base: { program: 'egret-entry' } });
       handleFaults(logger);
-      const server = await EntryServer.open({ file, secret, logger });
+      const limits = createLimits(logger);
+      const { protect } = limits;
+      const server = await EntryServer.open({ file, secret, logger, protect });
+      limits.register(server.registry);
       handleSignals(logger, () => server.stop());
       server.start();
       return ExitCode.Ok;
--- a/src/bin/Program.ts
+++ b/src/bin/Program.ts
@@ -4,6 +4,7 @@
 import { earlySignals } from '../runtime/EarlySignals.js';
 import type { Logger } from '../runtime/Logger.js';
 import { faultFields, onUnhandledFault } from '../runtime/ProcessFaults.js';
+import { ProcessLimits } from '../runtime/ProcessLimits.js';
 
 /** Exit codes of every program. */
 export enum ExitCode {
@@ -49,6 +50,14 @@
   });
 }
 
+/** Creates the limits of this process for what its clients make it hold. */
+export function createLimits(logger: Pick<Logger, 'warn'>): ProcessLimits {
+  return new ProcessLimits({
+    onEnded: (port, { limit, peer, heldBytes }) =>
+      logger.warn('connection_limited', { port, limit, peer, heldBytes }),
+  });
+}
+
 /**
  * Runs `stop` once, on the first SIGTERM or SIGINT, and then exits the process. SIGHUP is logged and
  * changes nothing: these programs read their files at the start only.
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,5 +1,6 @@
 import http, { type IncomingMessage } from 'node:http';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { BodyBuffer } from '../../runtime/BodyBuffer.js';
 import { watchReset } from '../../runtime/ConnectionReset.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { BackendView } from '../BackendView.js';
@@ -26,6 +27,8 @@
   /** Rest of a body that is too long to buffer; such an attempt can't be repeated. */
   readonly bodyRest: IncomingMessage | null;
   readonly remainingMs: number;
+  /** Called with the number of bytes of the answer that are kept, and with less than 0 for their end. */
+  readonly noteKept?: (bytes: number) => void;
   /** Longest wait for a new connection; by default as long as for the answer. */
   readonly connectTimeoutMs?: number;
 }
@@ -278,7 +281,12 @@
 
   /** Buffers the body until it is complete or too long to buffer. */
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
-    const chunks: Buffer[] = [];
+    const buffer = new BodyBuffer();
+    const { noteKept } = this.attempt;
+    const release = () => {
+      noteKept?.(-buffer.length);
+      return buffer.take();
+    };
     const answer = (rest: AnswerRest | null): AttemptResult => ({
       type: AttemptResultType.Answer,
       answer: {
@@ -287,22 +295,26 @@
         rawHeaders: response.rawHeaders,
         authentic: head.authentic,
         load: head.load,
-        body: Buffer.concat(chunks),
+        body: release(),
         rest,
       },
     });
+    const onBroken = () => {
+      release();
+      this.fail('answer cut short');
+    };
     const onEnd = this.boundary.wrap(() => {
       if (!this.isWhole(response)) {
-        this.fail('answer cut short');
+        onBroken();
         return;
       }
       this.observer.onNotice(head.notice);
       this.settle(answer(null));
     });
-    const onBroken = () => this.fail('answer cut short');
     const onData = this.boundary.wrap((chunk: Buffer) => {
       this.guard.noteProgress();
-      chunks.push(chunk);
+      buffer.append(chunk);
+      noteKept?.(chunk.length);
       this.bodyBytes += chunk.length;
       if (this.bodyBytes <= BUFFERED_ANSWER_MAX_BYTES) return;
       response.pause();
@@ -311,6 +323,8 @@
       this.settle(answer(this.restOf(response, head.notice)));
     });
     response.on('data', onData);
+    // Starts the stream, so that it passes on the chunks that follow the head in the same read.
+    response.read(0);
     response.on('end', onEnd);
     response.on('error', onBroken);
     response.on('close', () => {
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -2,6 +2,7 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { RouteKind, type Route, type RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
+import { noteKeptBytes } from '../../runtime/ConnectionGuard.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { ClosedBy } from '../../runtime/HttpConnections.js';
@@ -24,7 +25,7 @@
 import { FORWARD_HEADER, PeerAnswer, type ForwardMark, type ForwardMarks } from './ForwardMark.js';
 import { OpenCall } from './OpenCall.js';
 import { OpenCalls, type OpenCallsOptions } from './OpenCalls.js';
-import { readRequestBody, readUnusedBody } from './RequestBody.js';
+import { RequestBodyReader, readUnusedBody } from './RequestBody.js';
 
 /** Options of a {@link CallServer}. */
 export interface CallServerOptions
@@ -174,6 +175,7 @@
     open: OpenCall,
   ): Promise<void> {
     const { options } = this;
+    const bodyReader = new RequestBodyReader(request);
     const head = options.profile.readCall(request.headers);
     const callId = head.callId ?? options.createId();
     open.identify(callId);
@@ -192,8 +194,18 @@
     const limit = { arrivedAtMs, callerBudgetMs };
     if (!arrival || !this.admitLimited(open, arrival, limit)) return;
     if (!this.admitUsage(response, callId, arrival.customer, arrival.route.objectiveMs)) return;
-    const read = await readRequestBody(request, arrival.bodyBytesMax);
+    const endsAtMs = arrivedAtMs + Math.min(callerBudgetMs, arrival.route.timeoutMs);
+    const read = await bodyReader.read({
+      bodyBytesMax: arrival.bodyBytesMax,
+      timeoutMs: endsAtMs - options.nowMs(),
+    });
     if (read.type === 'broken' || !this.inProgress.admit(open)) return;
+    if (read.type === 'late') {
+      // What is left of the body would be taken for the next request.
+      options.connections.endWith(response);
+      this.refuseUnserved(response, callId, ErrorKind.SlowClient);
+      return;
+    }
     if (read.type === 'too-large') {
       this.refuseUnserved(response, callId, ErrorKind.BodyTooLarge);
       return;
@@ -367,6 +379,7 @@
       callId: call.callId,
       body,
       bodyRest,
+      noteKept: (bytes: number) => noteKeptBytes(request, bytes),
     };
     const send: SendAttempt = (view, remainingMs) =>
       open.track(client.send(view, { ...attempt, remainingMs }));
--- a/src/gateway/server/LongAnswer.ts
+++ b/src/gateway/server/LongAnswer.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { BodyBuffer } from '../../runtime/BodyBuffer.js';
 import type { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { AnswerRest } from '../Types.js';
 import type { HeldBytes, HeldShare } from './HeldBytes.js';
@@ -38,7 +39,7 @@
 export class LongAnswer {
   private state = State.Held;
 
-  private chunks: Buffer[] = [];
+  private buffer = new BodyBuffer();
 
   private readonly share: HeldShare;
 
@@ -93,7 +94,7 @@
     const { response, writeHead } = this.options;
     if (this.state === State.Streamed) response.end();
     else if (this.state === State.Held) {
-      const body = Buffer.concat(this.chunks);
+      const body = this.buffer.take();
       writeHead(body.length);
       response.end(body);
     }
@@ -113,7 +114,7 @@
   }
 
   private keep(chunk: Buffer): void {
-    this.chunks.push(chunk);
+    this.buffer.append(chunk);
     this.share.add(chunk.length);
   }
 
@@ -121,8 +122,7 @@
     const { response, writeHead } = this.options;
     writeHead();
     this.state = State.Streamed;
-    response.write(Buffer.concat(this.chunks));
-    this.chunks = [];
+    response.write(this.buffer.take());
     if (!response.writableNeedDrain) this.share.release();
   }
 
@@ -141,6 +141,6 @@
 
   private finish(): void {
     this.state = State.Ended;
-    this.chunks = [];
+    this.buffer = new BodyBuffer();
   }
 }
