Bundle: minified as before

Leaving the identifiers of the bundle ended both programs at their start: "Identifier 'createRequire' has already been declared", as the banner declares the same name. The option is taken back; process_failed keeps its origin, code and stack, whose names are the minifier's.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,10 +13,8 @@
   bundle: true,
   splitting: true,
   chunkNames: 'parts/[name]-[hash]',
-  minifyWhitespace: true,
-  minifySyntax: true,
-  // The stacks in the log name functions.
-  minifyIdentifiers: false,
+  minify: true,
+  keepNames: false,
   platform: 'node',
   target: 'node20',
   format: 'esm',
