--- a/src/runtime/ConnectionReset.ts
+++ b/src/runtime/ConnectionReset.ts
@@ -8,7 +8,8 @@
  * Detects that the server reset the connection of a request right behind its last bytes. Node.js
  * reports such an end like an orderly one, without an error, if both arrive together: an answer
  * without a length then looks whole. A write shows the difference, before the answer's end event: it
- * fails on a connection that was reset, and has no effect on one that the server has closed.
+ * fails on a connection that was reset, and has no effect on one that the server has closed. An answer
+ * to a request that is not sent completely counts as reset, since nothing can be written behind it.
  *
  * @param isUnframed - true if only the end of the connection marks the end of the answer
  * @example
@@ -20,8 +21,14 @@
 ): void {
   request.once('socket', (socket: Socket) => {
     const onEnd = () => {
+      if (!options.isUnframed() || !socket.writable) return;
+      if (!request.writableEnded) {
+        // The server would take a write for the rest of the request's body.
+        options.onReset();
+        return;
+      }
       // Bytes that are still unsent would fail for other reasons.
-      if (!options.isUnframed() || socket.writableLength > 0 || !socket.writable) return;
+      if (socket.writableLength > 0) return;
       socket.write(EMPTY_LINE, (error) => {
         if (error) options.onReset();
       });
