--- a/src/runtime/HttpConnections.test.ts
+++ b/src/runtime/HttpConnections.test.ts
@@ -7,6 +7,9 @@
 
 const HOST = '127.0.0.1';
 
+/** Longer than a test takes. */
+const LONG_LINGER_MS = 60_000;
+
 /** Request that the test server holds until the test answers it. */
 interface HeldRequest {
   readonly path: string;
@@ -224,6 +227,35 @@
     expect(bodiesOf(client)).toEqual(['/a']);
   });
 
+  // Guards against a reset that takes along the sound answer before a broken one: unread bytes of the
+  // client make the kernel reset a connection that is closed at once.
+  it('delivers the answer before an aborted one to a client that reads late', async () => {
+    const { server, client } = await createPair({ lingerMs: LONG_LINGER_MS });
+    const body = Buffer.alloc(1024 * 1024, 'x');
+    client.socket.pause();
+    get(client, '/a');
+    await waitUntil(() => server.held.length === 1);
+    server.answer('/a', body);
+    await waitUntil(() => server.ended.length === 1);
+    get(client, '/b');
+    await waitUntil(() => server.held.length === 2);
+    const { response } = server.held[1]!;
+    // More than the kernel buffers, so that the server stops to read.
+    const part = Buffer.alloc(32 * 1024 * 1024, 'y');
+    response.writeHead(200, { 'Content-Length': 2 * part.length });
+    response.write(part);
+    await delay(50);
+    get(client, '/c');
+    await delay(50);
+    get(client, '/d');
+    await delay(50);
+    server.connections.abort(response);
+    client.socket.resume();
+    await waitUntil(() => client.ended || client.broken);
+    expect(client.broken).toBe(false);
+    expect(client.receivedBytes).toBeGreaterThan(body.length);
+  });
+
   it('ends idle connections, and reads on until the client closes or the time is over', async () => {
     const { server, client } = await createPair({ lingerMs: 50, allowHalfOpen: true });
     get(client, '/a');
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -37,6 +37,8 @@
   readonly due: Map<ServerResponse, AnswerEnded[]>;
   /** True once the connection ends after the answers that are due. */
   ending: boolean;
+  /** True once this host has ended the connection before an answer that is due. */
+  aborted?: boolean;
   /** Time at which the latest request, or the latest end of a body, arrived. */
   lastArrivalMs: number;
   /** Closes the connection if its client has left; set once it has closed its sending side. */
@@ -176,12 +178,17 @@
   }
 
   /**
-   * Closes an answer's connection once the answers before it are sent; `reset` marks a body without
-   * a length as incomplete.
+   * Ends an answer's connection once the answers before it are sent, without the rest of this one;
+   * `reset` marks a body without a length as incomplete.
    */
   abort(response: ServerResponse, { reset = false }: { readonly reset?: boolean } = {}): void {
     const { socket } = response.req;
-    const close = () => (reset ? socket.resetAndDestroy() : socket.destroy());
+    const connection = this.connections.get(socket);
+    const close = () => {
+      if (connection) connection.aborted = !socket.readableEnded;
+      if (reset) socket.resetAndDestroy();
+      else this.end(socket);
+    };
     this.endWith(response);
     if (response.socket) close();
     else response.once('socket', close);
@@ -219,7 +226,8 @@
       this.connections.delete(socket);
       clearTimeout(connection.idleTimer);
       const leftByClient = socket.readableEnded || socket.errored !== null;
-      const closedBy = connection.ending && !leftByClient ? ClosedBy.Host : ClosedBy.Client;
+      const isEnded = connection.ending && !leftByClient;
+      const closedBy = connection.aborted || isEnded ? ClosedBy.Host : ClosedBy.Client;
       // Node's server emits no event for answers that wait behind another one.
       [...connection.due.keys()].forEach((response) => this.finish(connection, response, closedBy));
     });
