--- a/src/runtime/HttpConnections.test.ts
+++ b/src/runtime/HttpConnections.test.ts
@@ -256,6 +256,37 @@
     expect(client.receivedBytes).toBeGreaterThan(body.length);
   });
 
+  // Guards against a request that is never answered, and stays in memory, since its body is malformed.
+  it('closes a connection behind the answers due if a body is malformed', async () => {
+    const { server, client } = await createPair();
+    answerParserErrors(server.server, server.connections);
+    get(client, '/a');
+    client.socket.write('POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n');
+    await waitUntil(() => server.held.length === 2);
+    client.socket.write('no size\r\n');
+    await delay(20);
+    server.answer('/a');
+    await waitUntil(() => server.ended.length === 2);
+    await waitUntil(() => client.ended);
+    expect(bodiesOf(client)).toEqual(['/a']);
+  });
+
+  // Guards against an answer that is cut since the rest of its request's body is malformed.
+  it('completes the answer to a request whose body turns out to be malformed', async () => {
+    const { server, client } = await createPair();
+    answerParserErrors(server.server, server.connections);
+    client.socket.write('POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n');
+    await waitUntil(() => server.held.length === 1);
+    const { response } = server.held[0]!;
+    response.writeHead(200, { 'Content-Length': 4 });
+    response.write('wh');
+    client.socket.write('no size\r\n');
+    await delay(20);
+    response.end('le');
+    await waitUntil(() => client.ended);
+    expect(client.received.endsWith('\r\n\r\nwhle')).toBe(true);
+  });
+
   it('ends idle connections, and reads on until the client closes or the time is over', async () => {
     const { server, client } = await createPair({ lingerMs: 50, allowHalfOpen: true });
     get(client, '/a');
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -169,11 +169,17 @@
     if (connection) connection.ending = true;
   }
 
-  /** Ends a connection after the answers that are due; returns false if none is due. */
+  /**
+   * Ends a connection after the answers that are due; returns false if none is due. A request whose body
+   * is incomplete by then is not answered, unless its answer has begun or must be sent.
+   */
   endAfterDueAnswers(socket: Socket): boolean {
     const connection = this.connections.get(socket);
-    if (!connection || connection.due.size === 0) return false;
+    const latest = [...(connection?.due.keys() ?? [])].at(-1);
+    if (!connection || !latest) return false;
     connection.ending = true;
+    const isExpected = latest.headersSent || this.options.mustAnswer?.(latest) === true;
+    if (!latest.req.complete && !isExpected) this.abort(latest);
     return true;
   }
 
