--- a/src/runtime/FaultBoundary.test.ts
+++ b/src/runtime/FaultBoundary.test.ts
@@ -3,6 +3,9 @@
 import { describe, expect, it } from 'vitest';
 import { FaultBoundary } from './FaultBoundary.js';
 
+/** More than any process can allocate, within the largest length of a buffer. */
+const UNAVAILABLE_BYTES = Number.MAX_SAFE_INTEGER;
+
 function createBoundary() {
   const ends: unknown[] = [];
   return { boundary: new FaultBoundary((error) => ends.push(error)), ends };
@@ -36,6 +39,7 @@
     expect(() => boundary.run(() => assert.fail('broken'))).toThrow('broken');
     const allocation = Object.assign(new Error('memory'), { code: 'ERR_MEMORY_ALLOCATION_FAILED' });
     expect(() => boundary.note(allocation)).toThrow('memory');
+    expect(() => boundary.run(() => new ArrayBuffer(UNAVAILABLE_BYTES))).toThrow('allocation');
     expect(ends).toEqual([]);
   });
 
--- a/src/runtime/FaultBoundary.ts
+++ b/src/runtime/FaultBoundary.ts
@@ -5,7 +5,11 @@
   'ERR_MEMORY_ALLOCATION_FAILED',
 ]);
 
+/** Message of the error without a code that an allocation of V8 fails with. */
+const ALLOCATION_FAILED = /allocation failed/;
+
 function isProcessFault(error: unknown): boolean {
+  if (error instanceof RangeError && ALLOCATION_FAILED.test(error.message)) return true;
   const { code } = (error ?? {}) as { readonly code?: unknown };
   return typeof code === 'string' && PROCESS_FAULTS.has(code);
 }
