--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -339,6 +339,7 @@
       sessionId: number,
       message: SessionMessageOf<ControlMessageType.Watch>,
     ) => {
+      this.sessions.resume(sessionId, this.nowMs);
       if (message.ends === true) {
         this.endWatch(sessionId);
         return;
--- a/src/control/EntrySessions.ts
+++ b/src/control/EntrySessions.ts
@@ -134,15 +134,22 @@
     return updates === EntryHostUpdates.None ? undefined : this.lastMessage;
   }
 
-  /** Records a heartbeat, which resumes an expired session; returns undefined without a session. */
-  ping(sessionId: number, message: PingMessage, nowMs: number): EntrySession | undefined {
+  /** Notes a sign of life, which resumes an expired session; returns undefined without a session. */
+  resume(sessionId: number, nowMs: number): EntrySession | undefined {
     const session = this.sessions.get(sessionId) ?? this.expired.get(sessionId);
     if (!session) return undefined;
     this.expired.delete(sessionId);
     this.sessions.set(sessionId, session);
+    session.lastSeenMs = nowMs;
+    return session;
+  }
+
+  /** Records a heartbeat, which resumes an expired session; returns undefined without a session. */
+  ping(sessionId: number, message: PingMessage, nowMs: number): EntrySession | undefined {
+    const session = this.resume(sessionId, nowMs);
+    if (!session) return undefined;
     session.appliedIndex = message.appliedIndex;
     session.subscribed = message.subscribe;
-    session.lastSeenMs = nowMs;
     const { stopping, cutOff = false } = message;
     const { entryHost } = session;
     if (entryHost.stopping !== stopping || (entryHost.cutOff ?? false) !== cutOff) {
--- a/src/control/RoutingProgress.test.ts
+++ b/src/control/RoutingProgress.test.ts
@@ -1,5 +1,12 @@
 import { describe, expect, it } from 'vitest';
+import {
+  ControlMessageType,
+  EntryHostUpdates,
+  type EntryToControlMessage,
+} from '../common/Messages.js';
+import { createEntryHost } from '../gateway/fixtures.js';
 import { createRoutedCluster, routingIndexAt } from './fixtures.js';
+import { ControlEventType } from './Types.js';
 
 describe('the progress of the routing', () => {
   // Guards against a gateway that can't tell a late routing from a missing one.
@@ -33,6 +40,36 @@
     expect(gateway.pongs.get(leader.options.id)).toMatchObject({ routingIndex, isCurrent: true });
   });
 
+  // Guards against a confirmation that does not wait for a gateway which was paused, and then watches
+  // this host before its next heartbeat.
+  it('counts a gateway that watches on an expired session', () => {
+    const { cluster, lines, addGateway, changeRouting } = createRoutedCluster();
+    const leader = cluster.leader();
+    const sessionId = 1;
+    addGateway('g-1', []);
+    const send = (message: EntryToControlMessage) =>
+      leader.handle({ type: ControlEventType.SessionMessage, sessionId, message });
+    const ping = () =>
+      send({
+        type: ControlMessageType.Ping,
+        pingId: 1,
+        appliedIndex: 0,
+        subscribe: false,
+        stopping: false,
+      });
+    const entryHostUpdates = EntryHostUpdates.None;
+    const entryHost = createEntryHost('g-1');
+    send({ type: ControlMessageType.Hello, entryHost, entryHostUpdates });
+    ping();
+    cluster.run(7_000);
+    send({ type: ControlMessageType.Watch, routingIndex: 0 });
+    ping();
+    changeRouting(1);
+    cluster.run(3_000);
+    const line = lines.find(({ event }) => event === 'routing_confirmed');
+    expect(line?.fields.waitedMs).toBeGreaterThan(500);
+  });
+
   // Guards against a late gateway that no log line of a control host names.
   it('is logged by the leader, with the last gateway, also if that is linked elsewhere', () => {
     const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
