--- a/src/gateway/server/AnswerWriter.test.ts
+++ b/src/gateway/server/AnswerWriter.test.ts
@@ -12,6 +12,9 @@
 
 const BODY = Buffer.from('part');
 
+/** More than all connections together may hold. */
+const HELD_BYTES = 17 * 1024 * 1024;
+
 /** Long answer whose rest the test sends. */
 function createLongAnswer(changes: Partial<BackendAnswer> = {}) {
   const state = { cancelled: 0, handlers: undefined as AnswerRestHandlers | undefined };
@@ -102,4 +105,24 @@
     expect(client.statusCodes).toEqual([502, 200]);
     expect(client.ended).toBe(false);
   });
+
+  // Guards against downloads of ordinary callers that are cut since answers of others are held.
+  it('pauses an answer within its time limit while too many bytes are held for others', async () => {
+    const [first] = await receiveTwo();
+    const other = new RawClient(client.socket.remotePort!);
+    other.get(['/c'], () => ({ Host: 'x' }));
+    await waitUntil(() => responses.length === 3, 'the request of another client');
+    const { answer: held, state: heldState } = createLongAnswer({ rawHeaders: [] });
+    writer.answer(first!, 'c-1', held);
+    heldState.handlers!.onData(Buffer.alloc(HELD_BYTES));
+    const body = Buffer.alloc(300_000);
+    const { answer, state } = createLongAnswer({ body, rawHeaders: [] });
+    writer.answer(responses[2]!, 'c-3', answer);
+    expect(state.handlers!.onData(BODY)).toBe(false);
+    expect(state.cancelled).toBe(0);
+    // What arrives although the reader was told to pause is past the time limit.
+    state.handlers!.onData(BODY);
+    expect(state.cancelled).toBe(1);
+    other.close();
+  });
 });
--- a/src/gateway/server/LongAnswer.ts
+++ b/src/gateway/server/LongAnswer.ts
@@ -40,6 +40,9 @@
 
   private chunks: Buffer[] = [];
 
+  /** True while the reader is to pause; it then reads on only past the time limit. */
+  private mustPause = false;
+
   private readonly share: HeldShare;
 
   constructor(private readonly options: LongAnswerOptions) {
@@ -52,6 +55,7 @@
     this.keep(body);
     if (!isHeld) this.stream();
     response.on('drain', () => {
+      this.mustPause = false;
       this.share.release();
       rest.resume();
     });
@@ -78,7 +82,8 @@
         if (!held.isFull) return true;
         if (mayBeStreamed) {
           this.stream();
-          return !response.writableNeedDrain;
+          this.mustPause = response.writableNeedDrain;
+          return !this.mustPause;
         }
         this.breakOff();
         return true;
@@ -129,14 +134,15 @@
   private write(chunk: Buffer): boolean {
     const { response, held } = this.options;
     // Past the time limit the rest arrives faster than the caller may read it.
-    if (response.writableNeedDrain) {
+    if (this.mustPause) {
       this.share.add(chunk.length);
       if (held.isFull || this.share.bytes > OVERDUE_BYTES_MAX) {
         this.breakOff();
         return true;
       }
     }
-    return response.write(chunk);
+    this.mustPause = !response.write(chunk);
+    return !this.mustPause;
   }
 
   private finish(): void {
