--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -37,8 +37,6 @@
   readonly due: Map<ServerResponse, AnswerEnded[]>;
   /** True once the connection ends after the answers that are due. */
   ending: boolean;
-  /** True once this host has ended the connection before an answer that is due. */
-  aborted?: boolean;
   /** Time at which the latest request, or the latest end of a body, arrived. */
   lastArrivalMs: number;
   /** Closes the connection if its client has left; set once it has closed its sending side. */
@@ -184,18 +182,22 @@
   }
 
   /**
-   * Ends an answer's connection once the answers before it are sent, without the rest of this one;
-   * `reset` marks a body without a length as incomplete.
+   * Closes an answer's connection once the answers before it are sent, in order: these may still wait in
+   * the kernel, which drops them if the connection is reset or closed with unread bytes. Its own
+   * length or chunks show that the answer is incomplete.
    */
-  abort(response: ServerResponse, { reset = false }: { readonly reset?: boolean } = {}): void {
+  abort(response: ServerResponse): void {
     const { socket } = response.req;
-    const connection = this.connections.get(socket);
+    this.endWith(response);
     const close = () => {
-      if (connection) connection.aborted = !socket.readableEnded;
-      if (reset) socket.resetAndDestroy();
-      else this.end(socket);
+      this.end(socket);
+      const connection = this.connections.get(socket);
+      if (!connection?.due.has(response)) return;
+      const due = [...connection.due.keys()];
+      const unsent = due.slice(due.indexOf(response));
+      // The answer ahead is reported as sent first.
+      setImmediate(() => unsent.forEach((item) => this.finish(connection, item, ClosedBy.Host)));
     };
-    this.endWith(response);
     if (response.socket) close();
     else response.once('socket', close);
   }
@@ -232,8 +234,7 @@
       this.connections.delete(socket);
       clearTimeout(connection.idleTimer);
       const leftByClient = socket.readableEnded || socket.errored !== null;
-      const isEnded = connection.ending && !leftByClient;
-      const closedBy = connection.aborted || isEnded ? ClosedBy.Host : ClosedBy.Client;
+      const closedBy = connection.ending && !leftByClient ? ClosedBy.Host : ClosedBy.Client;
       // Node's server emits no event for answers that wait behind another one.
       [...connection.due.keys()].forEach((response) => this.finish(connection, response, closedBy));
     });
