--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -25,8 +25,8 @@
 const OWN_ANSWER_HEADERS = new Set(['content-length', PEER_ANSWER_HEADER]);
 
 /**
- * Bytes of long answers in memory, of all connections together: those that are held, and those that
- * are past their time limits and wait for their callers to read. A small part of 250 MB.
+ * Bytes of long answers in memory, of all connections of one port together: those that are held, and
+ * those that are past their time limits and wait for their callers to read. A small part of 250 MB.
  */
 const HELD_BYTES_MAX = 16 * 1024 * 1024;
 
