--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -342,7 +342,8 @@
 
   /**
    * Waits for the calls ahead on the connection that may end it: non-idempotent ones, whose answers
-   * can't be requested again, and those whose answer is being streamed and may break off. Returns false if the connection has ended.
+   * can't be requested again, and those whose answer is being streamed and may break off. Returns
+   * false if the connection has ended.
    */
   private async waitForCallsAhead(route: Route, response: ServerResponse): Promise<boolean> {
     const { connections } = this.options;
