--- a/soak/Checks.ts
+++ b/soak/Checks.ts
@@ -45,10 +45,23 @@
   );
 }
 
-function describe(request: SentRequest): string {
+/** Part of a request's time in which the harness itself did not run. */
+function harnessPausedMs(
+  { harnessPauses = [] }: SoakRecord,
+  { sentMs, endedMs }: SentRequest,
+): number {
+  return harnessPauses.reduce(
+    (sum, { fromMs, toMs }) =>
+      sum + Math.max(0, Math.min(toMs, endedMs) - Math.max(fromMs, sentMs)),
+    0,
+  );
+}
+
+function describe(record: SoakRecord, request: SentRequest): string {
   const { id, machine, method, sentMs, endedMs, status, error } = request;
   const times = `${Math.round(sentMs)}-${Math.round(endedMs)} ms`;
-  return `${id} ${method} at ${machine}, ${times}, status ${status} ${error ?? ''}`.trim();
+  const paused = `harness paused ${Math.round(harnessPausedMs(record, request))} ms`;
+  return `${id} ${method} at ${machine}, ${times}, ${paused}, status ${status} ${error ?? ''}`.trim();
 }
 
 /**
@@ -84,7 +97,10 @@
   record.ownEnds.forEach(({ machine }) => ends.set(machine, (ends.get(machine) ?? 0) + 1));
   const repeated = record.ownEnds.length > OWN_ENDS_MAX || [...ends.values()].some((n) => n >= 3);
   const unsafe = record.requests.filter(({ method }) => method === 'POST');
-  const breach = (rule: string) => (request: SentRequest) => ({ rule, detail: describe(request) });
+  const breach = (rule: string) => (request: SentRequest) => ({
+    rule,
+    detail: describe(record, request),
+  });
   return [
     ...(repeated
       ? record.ownEnds.map(({ machine, role, detail }) => ({
--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -9,7 +9,7 @@
 import { SOAK_ZONES, SoakDeployment } from './Deployment.js';
 import { OddClients } from './OddClients.js';
 import { SOAK_SERVICES, SoakOperator } from './Operator.js';
-import type { SoakRecord, SoakWorld } from './Types.js';
+import type { HarnessPause, SoakRecord, SoakWorld } from './Types.js';
 
 /** Options of {@link runSoak}. */
 export interface SoakOptions {
@@ -38,9 +38,24 @@
 /** Longest pause between two causes; they overlap. */
 const CAUSE_GAP_MAX_MS = 1_500;
 
+const HARNESS_POLL_MS = 5;
+
+/** Time between two polls from which on the harness counts as paused. */
+const HARNESS_PAUSE_MS = 25;
+
 /** Time for the first routing and announcements to arrive before clients start. */
 const SETTLE_MS = 3_000;
 
+/** Records the times in which the event loop of the harness stood still. */
+function watchHarness(pauses: HarnessPause[], nowMs: () => number): NodeJS.Timeout {
+  let lastMs = nowMs();
+  return setInterval(() => {
+    const toMs = nowMs();
+    if (toMs - lastMs > HARNESS_PAUSE_MS) pauses.push({ fromMs: lastMs, toMs });
+    lastMs = toMs;
+  }, HARNESS_POLL_MS);
+}
+
 /** Draws causes and starts them at random times until `endsMs`; resolves once all have ended. */
 async function disturb(world: SoakWorld, nowMs: () => number, endsMs: number): Promise<void> {
   const causes = Object.values(Cause);
@@ -67,7 +82,15 @@
   const { seed, durationMs, machines, clientsPerMachine, root, folder } = options;
   const startedAtMs = performance.now();
   const nowMs = () => performance.now() - startedAtMs;
-  const record: SoakRecord = { requests: [], runs: [], disturbances: [], ownEnds: [] };
+  const harnessPauses: HarnessPause[] = [];
+  const record: SoakRecord = {
+    requests: [],
+    runs: [],
+    disturbances: [],
+    ownEnds: [],
+    harnessPauses,
+  };
+  const pauseTimer = watchHarness(harnessPauses, nowMs);
   const schedule: string[] = [];
   const log = (line: string) => schedule.push(`${Math.round(nowMs())} ${line}`);
   const random = createRandom(seed);
@@ -110,6 +133,7 @@
     await disturb(world, nowMs, nowMs() + durationMs);
     await Promise.all([clients.stop(), oddClients.stop()]);
   } finally {
+    clearInterval(pauseTimer);
     await deployment.stop();
     await Promise.all(backends.map((backend) => backend.stop()));
   }
--- a/soak/Types.ts
+++ b/soak/Types.ts
@@ -63,12 +63,20 @@
   readonly detail: string;
 }
 
+/** Time in which the harness itself did not run, so that what it measured then is late. */
+export interface HarnessPause {
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** All that a run has recorded. */
 export interface SoakRecord {
   readonly requests: SentRequest[];
   readonly runs: Run[];
   readonly disturbances: Disturbance[];
   readonly ownEnds: OwnEnd[];
+  /** Omitted where the harness is not watched. */
+  readonly harnessPauses?: HarnessPause[];
 }
 
 /** What causes act on. */
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -24,6 +24,8 @@
   call_abandoned: 'The caller disconnected.',
   answer_undelivered:
     'A connection closed before an answer on it was sent completely; with the side that closed it.',
+  call_unadmitted:
+    'A request was read on a connection that ends before an answer to it; with the time since this host closed its side.',
   call_crashed: 'Handling a call failed with an unexpected error.',
   // State of a gateway.
   probe_unanswered: 'A backend server did not answer a probe; its backoff lasts pausedMs.',
--- a/src/common/LogLevels.ts
+++ b/src/common/LogLevels.ts
@@ -15,6 +15,7 @@
   backends_unsaved: LogLevel.Warn,
   answer_undelivered: LogLevel.Warn,
   call_quarantined: LogLevel.Warn,
+  call_unadmitted: LogLevel.Warn,
   call_suspected: LogLevel.Warn,
   call_failed: LogLevel.Warn,
   call_late: LogLevel.Warn,
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -134,7 +134,10 @@
   /** Handles one request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const { connections } = this.options;
-    if (!connections.admit(request, response)) return;
+    if (!connections.admit(request, response)) {
+      this.logUnadmitted(request);
+      return;
+    }
     const open = new OpenCall(response);
     this.inProgress.add(open);
     this.openCallOf.set(response, open);
@@ -158,6 +161,17 @@
     this.inProgress.end();
   }
 
+  /** Logs a request that was read on a connection that ends before an answer to it. */
+  private logUnadmitted(request: IncomingMessage): void {
+    const { connections, isStopping, log, profile } = this.options;
+    log('call_unadmitted', {
+      call: profile.readCall(request.headers).callId,
+      target: request.url,
+      closedForMs: connections.closedForMs(request),
+      stopping: isStopping(),
+    });
+  }
+
   /** Logs an answer that its caller did not get completely. */
   private logUndelivered(request: IncomingMessage, closedBy: ClosedBy): void {
     const { callId } = this.options.profile.readCall(request.headers);
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -43,6 +43,8 @@
   closeIfLeft?: () => void;
   /** Ends an idle connection after a delay. */
   idleTimer?: NodeJS.Timeout;
+  /** Time at which this host closed its sending side. */
+  closedAtMs?: number;
 }
 
 const DEFAULT_LINGER_MS = 1_000;
@@ -140,6 +142,17 @@
     else listener(ClosedBy.Client);
   }
 
+  /**
+   * Time since this host closed its side of a request's connection; undefined while it has not.
+   *
+   * @example
+   * if (!connections.admit(request, response)) log(connections.closedForMs(request));
+   */
+  closedForMs({ socket }: IncomingMessage): number | undefined {
+    const closedAtMs = this.connections.get(socket)?.closedAtMs;
+    return closedAtMs === undefined ? undefined : performance.now() - closedAtMs;
+  }
+
   /** True until the answer has been sent or its connection has closed. */
   isDue(response: ServerResponse): boolean {
     return this.connections.get(response.req.socket)?.due.has(response) ?? false;
@@ -289,6 +302,8 @@
     const { lingerMs = DEFAULT_LINGER_MS } = this.options;
     const timer = setTimeout(() => socket.destroy(), lingerMs);
     socket.once('close', () => clearTimeout(timer));
+    const connection = this.connections.get(socket);
+    if (connection) connection.closedAtMs = performance.now();
     socket.end();
   }
 
