--- a/src/entry/server/CallIntake.ts
+++ b/src/entry/server/CallIntake.ts
@@ -6,6 +6,7 @@
 import { noteKeptBytes } from '../../runtime/ConnectionGuard.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { headerOf } from '../../runtime/HttpJson.js';
+import { requestHeadFault } from '../../runtime/RequestHead.js';
 import type { ArrivedCall } from '../Types.js';
 import type { CallContext } from './CallContext.js';
 import { requestHeaders } from './Headers.js';
@@ -148,6 +149,10 @@
   response: ServerResponse,
   options: IntakeOptions,
 ): ReceivedCall | Promise<ReceivedCall> {
+  const fault = requestHeadFault(request);
+  if (fault !== undefined) {
+    throw new EgretError(ErrorKind.BadRequest, `The ${fault} of the request is malformed.`);
+  }
   const url = request.url ?? '';
   if (!url.startsWith('/')) {
     throw new EgretError(ErrorKind.BadRequest, 'The request target must be a path.');
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -23,6 +23,7 @@
 import type { LinkTraffic } from '../../runtime/MessageClient.js';
 import { MessageServer } from '../../runtime/MessageServer.js';
 import { PortUse, type ProtectServer } from '../../runtime/ProcessLimits.js';
+import { requestHeadFault } from '../../runtime/RequestHead.js';
 import { EntryReducer } from '../EntryReducer.js';
 import type { PeerMessage } from '../PeerMessages.js';
 import { planStop } from '../StopTimes.js';
@@ -87,8 +88,10 @@
     connections.abort(response);
     return;
   }
-  // The unread rest of the body would be parsed as the next request.
-  if (!request.complete) connections.endWith(response);
+  // The unread rest of the body would be parsed as the next request; so would the body of a request
+  // whose malformed headers state its length.
+  const isFramingInDoubt = !request.complete || requestHeadFault(request) !== undefined;
+  if (isFramingInDoubt) connections.endWith(response);
   if (connections.endsConnection(response)) response.setHeader('Connection', 'close');
   sendError(response, error, requestId);
 }
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,5 +1,6 @@
 import http, { type IncomingMessage } from 'node:http';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { headFault } from '../../runtime/AnswerHead.js';
 import { BodyBuffer } from '../../runtime/BodyBuffer.js';
 import { watchReset } from '../../runtime/ConnectionReset.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
@@ -12,7 +13,6 @@
   type LimitReading,
   type WireProfile,
 } from '../Types.js';
-import { headFault } from './AnswerHead.js';
 
 /** Request as it is sent to a backend server. */
 export interface AttemptRequest {
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -6,6 +6,7 @@
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { ClosedBy } from '../../runtime/HttpConnections.js';
+import { requestHeadFault } from '../../runtime/RequestHead.js';
 import { CallStanding } from '../CrashSuspects.js';
 import type { CrashWatch } from '../CrashWatch.js';
 import {
@@ -193,6 +194,7 @@
     const head = options.profile.readCall(request.headers);
     const callId = head.callId ?? options.createId();
     open.identify(callId);
+    if (!this.acceptHead(request, response, callId)) return;
     const mark = options.servesPeers ? options.marks.read(request) : undefined;
     if (options.servesPeers && !this.acceptForwarded(response, callId, mark)) return;
     const arrivedAtMs = options.nowMs();
@@ -333,6 +335,16 @@
     return false;
   }
 
+  /** Refuses a request that can't be passed on; its connection ends, as its framing is in doubt. */
+  private acceptHead(request: IncomingMessage, response: ServerResponse, callId: string): boolean {
+    const fault = requestHeadFault(request);
+    if (fault === undefined) return true;
+    this.options.connections.endWith(response);
+    const error = new EgretError(ErrorKind.BadRequest, `The ${fault} of the request is malformed.`);
+    this.answers.refuse(response, callId, error);
+    return false;
+  }
+
   /** Checks a call that another gateway forwards; refuses it if it is not genuine, or too many are. */
   private acceptForwarded(
     response: ServerResponse,
--- a/src/gateway/server/AnswerHead.ts
+++ b/src/runtime/AnswerHead.ts
@@ -1,4 +1,5 @@
-import { validateHeaderName, validateHeaderValue, type IncomingMessage } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { areValidHeaders } from './HeaderFields.js';
 
 /** Head of an answer as Node's client reports it. */
 export type AnswerHeadParts = Pick<
@@ -13,18 +14,6 @@
 /** Characters of a reason phrase (RFC 9112, section 4); Node's parser accepts more. */
 const REASON_PHRASE = /^[\t\x20-\x7e\x80-\xff]*$/;
 
-function hasValidHeaders(rawHeaders: readonly string[]): boolean {
-  try {
-    for (let index = 0; index < rawHeaders.length; index += 2) {
-      validateHeaderName(rawHeaders[index]!);
-      validateHeaderValue(rawHeaders[index]!, rawHeaders[index + 1]!);
-    }
-    return true;
-  } catch {
-    return false;
-  }
-}
-
 /**
  * What makes the head of an answer invalid, or impossible to pass on; undefined for a sound one.
  * Node's server throws when it is to write such a head.
@@ -39,5 +28,5 @@
   const coding = headers['transfer-encoding'];
   // No other coding was asked for (RFC 9110, section 10.1.4), and none is decoded here.
   if (coding !== undefined && coding.toLowerCase() !== 'chunked') return 'transfer coding';
-  return hasValidHeaders(rawHeaders) ? undefined : 'header';
+  return areValidHeaders(rawHeaders) ? undefined : 'header';
 }
