--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -4,6 +4,7 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { ReplayAnswer } from '../../common/Messages.js';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { headFault } from '../../runtime/AnswerHead.js';
 import { watchReset } from '../../runtime/ConnectionReset.js';
 import {
   AttemptResult,
@@ -45,8 +46,6 @@
 const PARTIAL_STATUS = 206;
 const UNAVAILABLE_STATUS = 503;
 
-/** Smallest status of a final answer (RFC 9110, section 15); the parser reports some below it. */
-const FINAL_STATUS_MIN = 200;
 const CONTENT_RANGE = /^bytes (\d+)-(\d+)\//;
 
 /** An answer without data for this long counts as truncated. */
@@ -233,11 +232,11 @@
   }
 
   private onResponse(answer: IncomingMessage): void {
-    const statusCode = answer.statusCode ?? 0;
-    if (statusCode < FINAL_STATUS_MIN) {
+    if (headFault(answer) !== undefined) {
       this.request.destroy();
       return;
     }
+    const statusCode = answer.statusCode ?? 0;
     this.answer = answer;
     const outcome = answer.headers[HeaderName.Outcome];
     if (statusCode === UNAVAILABLE_STATUS && outcome === Outcome.NotRun) {
--- a/standin/OddAnswers.ts
+++ b/standin/OddAnswers.ts
@@ -77,6 +77,8 @@
     'large head': answer(`X-Large: ${'x'.repeat(80_000)}`),
     'bare line feeds': `HTTP/1.1 200 OK\n${length}\n\n${body}`,
     'obsolete folding': answer('X-Fold: a\r\n b'),
+    'space before a colon': answer('X-Space : a'),
+    'space in a name': answer('A B: c'),
     'HTTP/1.0': answer().replace('HTTP/1.1', 'HTTP/1.0'),
     'HTTP/9.9': answer().replace('HTTP/1.1', 'HTTP/9.9'),
     'no head': '<html>ok</html>',
