--- a/src/entry/server/AttemptRunner.test.ts
+++ b/src/entry/server/AttemptRunner.test.ts
@@ -1,5 +1,7 @@
 import { EventEmitter } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { PassThrough } from 'node:stream';
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../../standin/Cluster.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
@@ -33,7 +35,7 @@
   }
 }
 
-function createCall(response: FullResponse): CallContext {
+function createCall(response: FullResponse, changes: Partial<CallContext> = {}): CallContext {
   return {
     callId: 1,
     requestId: 'r-1',
@@ -58,10 +60,11 @@
     baseRange: { firstByte: 0, lastByte: null },
     etag: null,
     sentBytes: 0,
+    ...changes,
   };
 }
 
-function createEffect(): StartAttemptEffect {
+function createEffect(changes: Partial<StartAttemptEffect> = {}): StartAttemptEffect {
   return {
     type: EntryEffectType.StartAttempt,
     callId: 1,
@@ -77,15 +80,23 @@
     attemptNumber: 1,
     record: false,
     resume: null,
+    ...changes,
   };
 }
 
+/** Options of {@link startAttempt}. */
+interface AttemptOptions {
+  readonly response?: FullResponse;
+  readonly call?: Partial<CallContext>;
+  readonly effect?: Partial<StartAttemptEffect>;
+}
+
 /** Starts an attempt whose answer is relayed as soon as its head arrives. */
-function startAttempt(response = new FullResponse()) {
+function startAttempt({ response = new FullResponse(), call, effect }: AttemptOptions = {}) {
   const ended: { end: AttemptEnd | null } = { end: null };
   const runner: AttemptRunner = new AttemptRunner({
-    effect: createEffect(),
-    call: createCall(response),
+    effect: createEffect(effect),
+    call: createCall(response, call),
     agent,
     ticket: '',
     selfId: 'entry-1',
@@ -115,7 +126,7 @@
       setTimeout(() => socket.end('done'), 30);
     };
     const response = new FullResponse();
-    const ended = startAttempt(response);
+    const ended = startAttempt({ response });
     await waitUntil(() => backend.connections[0]?.closed === true, 'the connection to close');
     expect(ended.end).toBeNull();
     response.emit('drain');
@@ -123,4 +134,24 @@
     expect(ended.end!.result).toBe(AttemptResult.Completed);
     expect(response.body).toBe('halfdone');
   });
+
+  // Guards against a cut answer that is recorded for its key, and sent again, as a whole one.
+  it('is cut if its caller leaves before it has read an answer that has arrived', async () => {
+    await backend.start();
+    backend.reply = (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf');
+      setTimeout(() => socket.write('done'), 30);
+    };
+    const response = new FullResponse();
+    const request = Object.assign(new PassThrough(), { setTimeout: () => request });
+    const call = { request: request as unknown as IncomingMessage, body: null };
+    const ended = startAttempt({ response, call, effect: { record: true } });
+    request.write('part of a body');
+    await waitUntil(() => response.body === 'half', 'the first part of the answer');
+    await delay(100);
+    request.emit('error', new Error('aborted'));
+    await waitUntil(() => ended.end !== null, 'the end of the attempt', 1_000);
+    expect(ended.end!.result).toBe(AttemptResult.Truncated);
+    expect(ended.end!.answer).toBeNull();
+  });
 });
--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -3,6 +3,7 @@
 import { Outcome } from '../../common/Enums.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { ReplayAnswer } from '../../common/Messages.js';
+import { hasWholeBody, isFramed, type AnswerBodyParts } from '../../runtime/AnswerBody.js';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import { headFault } from '../../runtime/AnswerHead.js';
 import { watchReset } from '../../runtime/ConnectionReset.js';
@@ -77,11 +78,6 @@
   return { freeSlots, slots, queued };
 }
 
-/** True unless only the end of the connection marks the end of the body. */
-function isFramed({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /** Sends one attempt of a call to a backend server or a peer and relays its answer. */
 export class AttemptRunner implements RunningAttempt {
   private readonly request: ClientRequest;
@@ -101,6 +97,12 @@
   /** True once the connection was reset behind an answer without a length, which looks complete. */
   private reset = false;
 
+  /** True once this host has given the request up; the parser may still report an end. */
+  private aborted = false;
+
+  /** Bytes of the answer's body that were read. */
+  private bodyBytes = 0;
+
   /** True once the answer is relayed to the caller. */
   private used = false;
 
@@ -128,7 +130,7 @@
     });
     this.guard = new AnswerGuard(this.request);
     watchReset(this.request, {
-      isUnframed: () => this.answer !== undefined && !isFramed(this.answer),
+      isUnframed: () => this.answer !== undefined && !isFramed(this.bodyParts(this.answer)),
       onReset: () => {
         this.reset = true;
       },
@@ -147,7 +149,7 @@
     this.used = true;
     if (!call.headSent) this.sendHead(answer);
     answer.on('data', (chunk: Buffer) => this.onData(answer, chunk));
-    answer.setTimeout(ANSWER_IDLE_TIMEOUT_MS, () => answer.destroy());
+    answer.setTimeout(ANSWER_IDLE_TIMEOUT_MS, () => this.abort());
   }
 
   cancel(): void {
@@ -155,13 +157,13 @@
     this.cancelled = true;
     const { socket } = this.request;
     if (!this.sent || !socket) {
-      this.request.destroy();
+      this.abort();
       return;
     }
     // The slot is freed once the target has closed too: by then it has detected the cancellation.
     this.answer?.resume();
     socket.end();
-    this.cancelTimer = setTimeout(() => this.request.destroy(), CANCEL_CLOSE_TIMEOUT_MS);
+    this.cancelTimer = setTimeout(() => this.abort(), CANCEL_CLOSE_TIMEOUT_MS);
   }
 
   /** Request headers of this attempt, as a flat list of names and values like `rawHeaders`. */
@@ -220,20 +222,20 @@
       bodyBytes += chunk.length;
       if (bodyBytes > call.maxBodyBytes) {
         call.request.destroy();
-        this.request.destroy();
+        this.abort();
       }
     });
     if (call.expectsContinue) call.response.writeContinue();
     // A caller that stops sending must not keep a slot occupied.
     call.request.setTimeout(BODY_IDLE_TIMEOUT_MS, () => call.request.destroy());
     call.request.once('end', () => call.request.setTimeout(0));
-    call.request.once('error', () => this.request.destroy());
+    call.request.once('error', () => this.abort());
     call.request.pipe(this.request);
   }
 
   private onResponse(answer: IncomingMessage): void {
     if (headFault(answer) !== undefined) {
-      this.request.destroy();
+      this.abort();
       return;
     }
     const statusCode = answer.statusCode ?? 0;
@@ -249,7 +251,7 @@
     }
     if (!this.continuesAnswer(answer)) {
       this.end(AttemptResult.Truncated);
-      this.request.destroy();
+      this.abort();
       return;
     }
     answer.on('end', () => this.onAnswerEnd(answer));
@@ -294,6 +296,7 @@
   private onData(answer: IncomingMessage, chunk: Buffer): void {
     const { call, effect } = this.options;
     this.guard.noteProgress();
+    this.bodyBytes += chunk.length;
     call.sentBytes += chunk.length;
     if (effect.record && this.chunkBytes <= MAX_RECORDED_BODY_BYTES) {
       this.chunkBytes += chunk.length;
@@ -307,11 +310,24 @@
 
   private onAnswerEnd(answer: IncomingMessage): void {
     if (!answer.complete) return;
-    if (this.reset) {
-      this.end(AttemptResult.Truncated);
-      return;
-    }
-    this.end(this.cancelled ? AttemptResult.Cancelled : AttemptResult.Completed);
+    if (this.cancelled) this.end(AttemptResult.Cancelled);
+    else this.end(this.isWhole(answer) ? AttemptResult.Completed : AttemptResult.Truncated);
+  }
+
+  /** True at the end of a complete answer if all of it was read. */
+  private isWhole(answer: IncomingMessage): boolean {
+    if (this.reset || this.aborted) return false;
+    return hasWholeBody(this.bodyParts(answer), this.bodyBytes);
+  }
+
+  private bodyParts({ statusCode, headers }: IncomingMessage): AnswerBodyParts {
+    return { statusCode, headers, method: this.options.call.method };
+  }
+
+  /** Closes the connection. Node's client drops what was not read then, and reports the end of it. */
+  private abort(): void {
+    this.aborted = true;
+    this.request.destroy();
   }
 
   /** Ends the attempt if the connection was lost before the answer was complete. */
@@ -332,7 +348,7 @@
     answer.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length;
       if (bodyBytes <= MAX_REFUSAL_BYTES) this.refusalChunks.push(chunk);
-      else this.request.destroy();
+      else this.abort();
     });
     if (this.options.effect.target.kind === TargetKind.Backend) {
       // Backend servers do not echo the id of a request, so that a second copy of the refusal on this
@@ -341,7 +357,7 @@
       answer.on('end', () => socket.destroy());
     }
     answer.on('close', () => this.endRefused());
-    const timer = setTimeout(() => this.request.destroy(), REFUSAL_END_TIMEOUT_MS);
+    const timer = setTimeout(() => this.abort(), REFUSAL_END_TIMEOUT_MS);
     this.request.once('close', () => clearTimeout(timer));
   }
 
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,4 +1,5 @@
 import http, { type IncomingMessage } from 'node:http';
+import { hasWholeBody, isFramed, type AnswerBodyParts } from '../../runtime/AnswerBody.js';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import { headFault } from '../../runtime/AnswerHead.js';
 import { BodyBuffer } from '../../runtime/BodyBuffer.js';
@@ -57,9 +58,6 @@
 /** Longest wait for the end of such a body. */
 const REFUSAL_END_TIMEOUT_MS = 250;
 
-/** Statuses of answers that never have a body (RFC 9110, sections 15.3.5 and 15.4.5). */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** One request to a backend server and its answer. */
 export class AttemptRun {
   readonly result: Promise<AttemptResult>;
@@ -127,7 +125,7 @@
     observer.onRequest?.(this.request);
     this.guard = new AnswerGuard(this.request);
     watchReset(this.request, {
-      isUnframed: () => this.response !== undefined && !this.isFramed(this.response),
+      isUnframed: () => this.response !== undefined && !isFramed(this.bodyParts(this.response)),
       onReset: () => {
         this.broken = true;
       },
@@ -255,28 +253,14 @@
     this.request.once('close', () => clearTimeout(timer));
   }
 
-  /** True unless only the end of the connection marks the end of the body. */
-  private isFramed(response: IncomingMessage): boolean {
-    const { headers } = response;
-    const hasLength =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    return hasLength || this.hasNoBody(response);
-  }
-
-  /**
-   * True at the end of a body if all of it was read. The parser is ahead of the reader, so that it may
-   * have seen the end of an answer whose last bytes were dropped.
-   */
+  /** True at the end of a body if all of it was read. */
   private isWhole(response: IncomingMessage): boolean {
     if (!response.complete || this.broken || this.cancelled) return false;
-    const declared = response.headers['content-length'];
-    return (
-      declared === undefined || this.hasNoBody(response) || Number(declared) === this.bodyBytes
-    );
+    return hasWholeBody(this.bodyParts(response), this.bodyBytes);
   }
 
-  private hasNoBody({ statusCode = 0 }: IncomingMessage): boolean {
-    return this.attempt.method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
+  private bodyParts({ statusCode, headers }: IncomingMessage): AnswerBodyParts {
+    return { statusCode, headers, method: this.attempt.method };
   }
 
   /** Buffers the body until it is complete or too long to buffer. */
