--- a/src/runtime/HttpConnections.test.ts
+++ b/src/runtime/HttpConnections.test.ts
@@ -7,6 +7,9 @@
 
 const HOST = '127.0.0.1';
 
+/** Delay before an idle connection ends. */
+const IDLE_GRACE_MS = 50;
+
 /** Longer than a test takes. */
 const LONG_LINGER_MS = 60_000;
 
@@ -376,6 +379,32 @@
     expect(bodiesOf(client)).toEqual(['/a', '/b']);
   });
 
+  // Guards against a request that a planned stop cuts though it was sent long before the close.
+  it('admits a request that arrived while another one kept the process busy', async () => {
+    const { server, client } = await createPair();
+    get(client, '/a');
+    await waitUntil(() => server.held.length === 1);
+    server.answer('/a');
+    await waitUntil(() => server.ended.length === 1 && bodiesOf(client).length === 1);
+    const other = new RawClient(server.port);
+    clients.push(other);
+    await waitUntil(() => server.connections.size === 2);
+    server.stopping = true;
+    server.server.once('request', () => {
+      get(client, '/b');
+      blockFor(200);
+    });
+    server.connections.closeIdle();
+    // Runs with the timers of the idle connections; its request is read before they are closed.
+    setTimeout(() => get(other, '/c'), IDLE_GRACE_MS);
+    await waitUntil(() => server.held.length + server.dropped.length === 3);
+    expect(server.dropped).toEqual([]);
+    server.answer('/b');
+    server.answer('/c');
+    await waitUntil(() => client.ended && other.ended);
+    expect(bodiesOf(client)).toEqual(['/a', '/b']);
+  });
+
   // Guards against a new connection that is closed as idle before its first request is read.
   it('admits the first request of a connection that was accepted right before', async () => {
     const { server, client } = await createPair();
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -52,6 +52,12 @@
 /** Delay before an idle connection ends: a request that has arrived is read and admitted first. */
 const IDLE_GRACE_MS = 50;
 
+/**
+ * Longest time for which a request may have waited unread when its connection is ended as idle. Clients
+ * count one as crossing the close if it was sent 200 ms before that at most; half is left for the network.
+ */
+const UNREAD_MAX_MS = 100;
+
 /**
  * A client that closes only its sending side does so right behind its last request, since it has
  * nothing to wait for; one that gives up has waited for an answer. TCP shows the same for both.
@@ -233,11 +239,17 @@
     });
   }
 
-  /** Ends an idle connection after a read: in a busy process, timers run before what has arrived. */
+  /**
+   * Ends an idle connection after a short turn of the event loop that read what had arrived: in a busy
+   * process, timers run before that, and requests arrive while a long turn handles others.
+   */
   private endIfStillIdle(connection: Connection): void {
     const { idleTimer } = connection;
+    const turnStartedMs = performance.now();
     setImmediate(() => {
-      if (idleTimer && connection.idleTimer === idleTimer) this.endIdle(connection);
+      if (!idleTimer || connection.idleTimer !== idleTimer) return;
+      if (performance.now() - turnStartedMs <= UNREAD_MAX_MS) this.endIdle(connection);
+      else this.endIfStillIdle(connection);
     });
   }
 
