--- a/src/entry/server/EndlessAnswer.test.ts
+++ b/src/entry/server/EndlessAnswer.test.ts
@@ -7,6 +7,7 @@
 import { Cluster, waitUntil } from '../../../standin/Cluster.js';
 import { buildTree, serviceToken, type Deployment } from '../../../standin/Deployments.js';
 import { RawBackend, writeEndlessly, type RawReply } from '../../../standin/RawBackend.js';
+import { RawClient } from '../../../standin/RawClient.js';
 import { BackendLifecycleState } from '../../common/Enums.js';
 
 type WriteAnswer = (socket: Socket) => void;
@@ -330,4 +331,18 @@
     const answer = await call({ method: 'POST' });
     expect(answer.status === 200 && answer.complete).toBe(false);
   });
+
+  // Guards against a cut answer whose end looks like that of a whole one to a caller without chunks.
+  it('ends the connection of a caller of HTTP/1.0 by a reset if its answer is cut', async () => {
+    backend.reply = (socket) => {
+      socket.write(createHead([CHUNKED]) + CHUNK);
+      setTimeout(() => socket.end(), 50);
+    };
+    const client = new RawClient(cluster.entries[0]!.port);
+    const headers = ['Host: x', `Idempotency-Key: ${v7()}`, 'Content-Length: 0', '', ''];
+    client.socket.write(['POST /ledger/cut HTTP/1.0', ...headers].join('\r\n'));
+    await waitUntil(() => client.ended || client.broken, 'the end of the connection');
+    expect(client.statusCodes).toEqual([200]);
+    expect({ ended: client.ended, broken: client.broken }).toEqual({ ended: false, broken: true });
+  });
 });
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -7,6 +7,7 @@
 import type { EntryFile } from '../../common/ProcessSettings.js';
 import { createProcessRandom, createRandom } from '../../common/Random.js';
 import { CONTROL_FIELDS } from '../../control/server/MessageFields.js';
+import { HTTP_WITHOUT_CHUNKS } from '../../runtime/AnswerBody.js';
 import { AdminListener } from '../../runtime/AdminListener.js';
 import { systemClock, type Clock } from '../../runtime/Clock.js';
 import { EventLoop } from '../../runtime/EventLoop.js';
@@ -530,6 +531,13 @@
     return this.connectionsOf(forwarded).endsConnection(response);
   }
 
+  /** Breaks an answer off. Without chunks only a reset shows the caller that the answer is not whole. */
+  private abortAnswer({ forwarded, request, response }: CallContext): void {
+    const isUnframed = request.httpVersion === HTTP_WITHOUT_CHUNKS && response.headersSent;
+    if (isUnframed) request.socket.resetAndDestroy();
+    else this.connectionsOf(forwarded).abort(response);
+  }
+
   private removeIfDone(context: CallContext): void {
     if (context.answerEnded && context.attempts.size === 0) this.calls.delete(context.callId);
   }
@@ -651,7 +659,7 @@
     },
     [EntryEffectType.AbortAnswer]: (effect: EffectOf<EntryEffectType.AbortAnswer>) => {
       const call = this.calls.get(effect.callId);
-      if (call) this.connectionsOf(call.forwarded).abort(call.response);
+      if (call) this.abortAnswer(call);
     },
     [EntryEffectType.CloseTarget]: (effect: EffectOf<EntryEffectType.CloseTarget>) =>
       this.agents.close(effect.targetId),
--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
+import { HTTP_WITHOUT_CHUNKS } from '../../runtime/AnswerBody.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { HttpConnections } from '../../runtime/HttpConnections.js';
 import type { DecisionLog } from '../DispatchTypes.js';
@@ -30,9 +31,6 @@
  */
 const HELD_BYTES_MAX = 16 * 1024 * 1024;
 
-/** Version in which only a length shows whether a body is complete. */
-const HTTP_WITHOUT_CHUNKS = '1.0';
-
 /** Length that a backend server declared; undefined without one. */
 function declaredLength(answer: BackendAnswer): string | undefined {
   for (let index = 0; index < answer.rawHeaders.length; index += 2) {
--- a/src/runtime/AnswerBody.ts
+++ b/src/runtime/AnswerBody.ts
@@ -1,5 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 
+/** Version in which only a length shows whether a body is complete. */
+export const HTTP_WITHOUT_CHUNKS = '1.0';
+
 /** Answer as Node's client reports it, and the method of its request. */
 export interface AnswerBodyParts extends Pick<IncomingMessage, 'statusCode' | 'headers'> {
   readonly method: string;
