--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -229,7 +229,7 @@
         elapsedMs,
         slowdown: attempt.inputs.slowdown ?? 1,
         filledSlots: attempt.filledSlots,
-        bytes: answer.body.length,
+        bytes: answer.receivedBytes,
       });
       return CallRun.toOutcome(view, answer, attempt);
     }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -186,23 +186,25 @@
   readonly rawHeaders: readonly string[];
   readonly authentic: boolean;
   readonly load: LoadReport | undefined;
-  /** The complete body, or the part of a long one received so far. */
+  /** The complete body; empty if it is too long to buffer. */
   readonly body: Buffer;
-  /** Rest of a body that is too long to buffer; null if the body is complete. */
+  /** Body that is too long to buffer; null if `body` is complete. */
   readonly rest: AnswerRest | null;
+  /** Bytes of the body that were received by now. */
+  readonly receivedBytes: number;
 }
 
-/** Receives the rest of an answer; `onEnd` or `onBroken` is called last. */
+/** Receives the body of a long answer; `onEnd` or `onBroken` is called last. */
 export interface AnswerRestHandlers {
-  /** Returns false to pause until {@link AnswerRest.resume}. */
-  readonly onData: (chunk: Buffer) => boolean;
+  /** Called with the part received so far, then with each further one; returns false to pause. */
+  readonly onData: (chunks: readonly Buffer[]) => boolean;
   readonly onEnd: () => void;
   readonly onBroken: () => void;
 }
 
-/** Unread rest of a long answer body. */
+/** Body of a long answer, which keeps the part received so far until it is read. */
 export interface AnswerRest {
-  /** Streams the rest to the handlers. */
+  /** Streams the body to the handlers. */
   read(handlers: AnswerRestHandlers): void;
   resume(): void;
   /** Closes the connection to the backend server unless the answer is complete. */
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -85,6 +85,7 @@
       load: undefined,
       body: Buffer.from('answer'),
       rest: null,
+      receivedBytes: 6,
       ...changes,
     },
   };
--- a/src/gateway/server/AnswerWriter.test.ts
+++ b/src/gateway/server/AnswerWriter.test.ts
@@ -15,19 +15,28 @@
 /** More than all connections together may hold. */
 const HELD_BYTES = 17 * 1024 * 1024;
 
-/** Long answer whose rest the test sends. */
-function createLongAnswer(changes: Partial<BackendAnswer> = {}) {
-  const state = { cancelled: 0, handlers: undefined as AnswerRestHandlers | undefined };
+/** Long answer that begins with `first`, and whose rest the test sends. */
+function createLongAnswer({
+  first = BODY,
+  ...changes
+}: Partial<BackendAnswer> & { readonly first?: Buffer } = {}) {
+  const state = {
+    cancelled: 0,
+    handlers: undefined as AnswerRestHandlers | undefined,
+    mayReadOn: true,
+  };
   const answer: BackendAnswer = {
     statusCode: 200,
     statusMessage: 'OK',
     rawHeaders: ['Content-Length', String(2 * BODY.length)],
     authentic: true,
     load: undefined,
-    body: BODY,
+    body: Buffer.alloc(0),
+    receivedBytes: first.length,
     rest: {
       read: (handlers) => {
         state.handlers = handlers;
+        state.mayReadOn = handlers.onData([first]);
       },
       resume: () => {},
       cancel: () => {
@@ -83,7 +92,7 @@
       new EgretError(ErrorKind.OutcomeUnknown, 'The client has closed its side.');
     writer.refuse(first!, 'c-1', refusal());
     expect(state.cancelled).toBe(1);
-    state.handlers!.onData(BODY);
+    state.handlers!.onData([BODY]);
     state.handlers!.onEnd();
     writer.refuse(second!, 'c-2', refusal());
     await waitUntil(() => client.statusCodes.length === 2, 'two answers');
@@ -98,7 +107,7 @@
     const { answer, state } = createLongAnswer({ rawHeaders });
     writer.answer(first!, 'c-1', answer);
     state.handlers!.onEnd();
-    const { answer: sound } = createLongAnswer({ rest: null, rawHeaders: [] });
+    const { answer: sound } = createLongAnswer({ rest: null, body: BODY, rawHeaders: [] });
     writer.answer(second!, 'c-2', sound);
     await waitUntil(() => client.statusCodes.length === 2, 'two answers');
     expect(client.statusCodes).toEqual([502, 200]);
@@ -113,14 +122,14 @@
     await waitUntil(() => responses.length === 3, 'the request of another client');
     const { answer: held, state: heldState } = createLongAnswer({ rawHeaders: [] });
     writer.answer(first!, 'c-1', held);
-    heldState.handlers!.onData(Buffer.alloc(HELD_BYTES));
-    const body = Buffer.alloc(300_000);
-    const { answer, state } = createLongAnswer({ body, rawHeaders: [] });
+    heldState.handlers!.onData([Buffer.alloc(HELD_BYTES)]);
+    const begin = Buffer.alloc(300_000);
+    const { answer, state } = createLongAnswer({ first: begin, rawHeaders: [] });
     writer.answer(responses[2]!, 'c-3', answer);
-    expect(state.handlers!.onData(BODY)).toBe(false);
+    expect(state.mayReadOn).toBe(false);
     expect(state.cancelled).toBe(0);
     // What arrives although the reader was told to pause is past the time limit.
-    state.handlers!.onData(BODY);
+    state.handlers!.onData([BODY]);
     expect(state.cancelled).toBe(1);
     other.close();
   });
--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -2,6 +2,7 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
 import { HTTP_WITHOUT_CHUNKS } from '../../runtime/AnswerBody.js';
+import { noteKeptBytes } from '../../runtime/ConnectionGuard.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { HttpConnections } from '../../runtime/HttpConnections.js';
 import type { DecisionLog } from '../DispatchTypes.js';
@@ -80,10 +81,10 @@
     const mayBeStreamed = hasLength || response.req.httpVersion !== HTTP_WITHOUT_CHUNKS;
     const long = new LongAnswer({
       response,
-      body: answer.body,
       rest,
       held: this.held,
       isHeld: mustWait || !mayBeStreamed,
+      noteKept: (bytes) => noteKeptBytes(response.req, bytes),
       mayBeStreamed,
       writeHead: (bodyBytes) => this.writeHead(response, answer, bodyBytes),
       boundary: new FaultBoundary((error) => this.fail(response, callId, error)),
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -58,6 +58,11 @@
 /** Longest wait for the end of such a body. */
 const REFUSAL_END_TIMEOUT_MS = 250;
 
+const EMPTY_BODY = Buffer.alloc(0);
+
+/** Buffer of a connection to a backend server into which its answer is read. */
+const READ_BUFFER_BYTES = 64 * 1024;
+
 /** One request to a backend server and its answer. */
 export class AttemptRun {
   readonly result: Promise<AttemptResult>;
@@ -131,6 +136,8 @@
       },
     });
     this.limitTime(remainingMs);
+    attempt.noteKept?.(READ_BUFFER_BYTES);
+    this.request.once('close', () => attempt.noteKept?.(-READ_BUFFER_BYTES));
     this.request.on('socket', (socket) => {
       if (!socket.connecting) {
         // A pooled connection may have been closed right before its reuse.
@@ -269,9 +276,9 @@
     const { noteKept } = this.attempt;
     const release = () => {
       noteKept?.(-buffer.length);
-      return buffer.take();
+      return buffer.takeBlocks();
     };
-    const answer = (rest: AnswerRest | null): AttemptResult => ({
+    const answer = (body: Buffer, rest: AnswerRest | null): AttemptResult => ({
       type: AttemptResultType.Answer,
       answer: {
         statusCode: response.statusCode ?? 0,
@@ -279,8 +286,9 @@
         rawHeaders: response.rawHeaders,
         authentic: head.authentic,
         load: head.load,
-        body: release(),
+        body,
         rest,
+        receivedBytes: this.bodyBytes,
       },
     });
     const onBroken = () => {
@@ -293,7 +301,8 @@
         return;
       }
       this.observer.onNotice(head.notice);
-      this.settle(answer(null));
+      const blocks = release();
+      this.settle(answer(blocks.length === 1 ? blocks[0]! : Buffer.concat(blocks), null));
     });
     const onData = this.boundary.wrap((chunk: Buffer) => {
       this.guard.noteProgress();
@@ -304,7 +313,7 @@
       response.pause();
       response.off('data', onData);
       response.off('end', onEnd);
-      this.settle(answer(this.restOf(response, head.notice)));
+      this.settle(answer(EMPTY_BODY, this.restOf(response, head.notice, release)));
     });
     response.on('data', onData);
     // Starts the stream, so that it passes on the chunks that follow the head in the same read.
@@ -316,7 +325,12 @@
     });
   }
 
-  private restOf(response: IncomingMessage, notice: BackendNotice): AnswerRest {
+  /** Body of a long answer; `takeFirst` returns the part that was received by now. */
+  private restOf(
+    response: IncomingMessage,
+    notice: BackendNotice,
+    takeFirst: () => Buffer[],
+  ): AnswerRest {
     return {
       read: ({ onData, onEnd, onBroken }) => {
         let open = true;
@@ -333,19 +347,23 @@
         const onChunk = this.boundary.wrap((chunk: Buffer) => {
           this.guard.noteProgress();
           this.bodyBytes += chunk.length;
-          if (!onData(chunk) && !this.overdue) response.pause();
+          if (!onData([chunk]) && !this.overdue) response.pause();
         });
         response.on('data', onChunk);
         response.on('end', () => end(this.isWhole(response)));
         response.on('error', () => end(false));
         response.on('close', () => end(false));
         this.readOn = () => response.resume();
+        const first = takeFirst();
         // The connection may have ended before this call.
         if (response.destroyed) end(false);
-        else response.resume();
+        else if (this.boundary.run(() => onData(first)) || this.overdue) response.resume();
       },
       resume: () => response.resume(),
-      cancel: () => this.abort(),
+      cancel: () => {
+        takeFirst();
+        this.abort();
+      },
     };
   }
 }
--- a/src/gateway/server/CallServer.ts
+++ b/src/gateway/server/CallServer.ts
@@ -2,7 +2,7 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { RouteKind, type Route, type RoutedService } from '../../common/routing/Types.js';
 import { copyEndToEnd } from '../../entry/server/Headers.js';
-import { noteKeptBytes } from '../../runtime/ConnectionGuard.js';
+import { noteKeptBytes, whenLimited } from '../../runtime/ConnectionGuard.js';
 import { fingerprintOf } from '../../runtime/Fingerprint.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { ClosedBy } from '../../runtime/HttpConnections.js';
@@ -142,6 +142,7 @@
     const open = new OpenCall(response);
     this.inProgress.add(open);
     this.openCallOf.set(response, open);
+    whenLimited(request, () => open.abandon());
     connections.whenEnded(response, (closedBy) => {
       this.inProgress.delete(open);
       readUnusedBody(request);
--- a/src/gateway/server/LongAnswer.ts
+++ b/src/gateway/server/LongAnswer.ts
@@ -13,10 +13,10 @@
 /** Options of a {@link LongAnswer}. */
 export interface LongAnswerOptions {
   readonly response: ServerResponse;
-  /** Part of the body received so far. */
-  readonly body: Buffer;
   readonly rest: AnswerRest;
   readonly held: HeldBytes;
+  /** Called with the number of bytes that are held, and with less than 0 for their end. */
+  readonly noteKept: (bytes: number) => void;
   /** True if the answer is held until it is complete, or until too many bytes are held. */
   readonly isHeld: boolean;
   /** False if nothing but a length would show the caller where the answer ends; it then breaks off. */
@@ -29,6 +29,10 @@
   readonly onBroken: () => void;
 }
 
+function totalBytes(chunks: readonly Buffer[]): number {
+  return chunks.reduce((sum, { length }) => sum + length, 0);
+}
+
 enum State {
   Held = 'held',
   Streamed = 'streamed',
@@ -50,18 +54,16 @@
     this.share = options.held.open();
   }
 
-  /** Begins to read the rest of the body. */
+  /** Begins to read the body. */
   start(): void {
-    const { body, rest, response, isHeld, boundary } = this.options;
-    this.keep(body);
-    if (!isHeld) this.stream();
+    const { rest, response, boundary } = this.options;
     response.on('drain', () => {
       this.mustPause = false;
       this.share.release();
       rest.resume();
     });
     rest.read({
-      onData: (chunk) => boundary.run(() => this.onData(chunk)) ?? true,
+      onData: (chunks) => boundary.run(() => this.onData(chunks)) ?? true,
       onEnd: boundary.wrap(() => this.onEnd()),
       onBroken: boundary.wrap(() => this.onBroken()),
     });
@@ -75,12 +77,12 @@
     this.options.rest.cancel();
   }
 
-  private onData(chunk: Buffer): boolean {
-    const { held, response, mayBeStreamed } = this.options;
+  private onData(chunks: readonly Buffer[]): boolean {
+    const { held, response, isHeld, mayBeStreamed } = this.options;
     switch (this.state) {
       case State.Held:
-        this.keep(chunk);
-        if (!held.isFull) return true;
+        this.keep(chunks);
+        if (isHeld && !held.isFull) return true;
         if (mayBeStreamed) {
           this.stream();
           this.mustPause = response.writableNeedDrain;
@@ -89,7 +91,7 @@
         this.breakOff();
         return true;
       case State.Streamed:
-        return this.write(chunk);
+        return this.write(chunks);
       default:
         return true;
     }
@@ -97,12 +99,11 @@
 
   private onEnd(): void {
     const { response, writeHead } = this.options;
-    if (this.state === State.Streamed) response.end();
-    else if (this.state === State.Held) {
-      const body = this.buffer.take();
-      writeHead(body.length);
-      response.end(body);
+    if (this.state === State.Held) {
+      writeHead(this.buffer.length);
+      this.writeHeld();
     }
+    if (this.state !== State.Ended) response.end();
     this.finish();
   }
 
@@ -118,35 +119,46 @@
     this.onBroken();
   }
 
-  private keep(chunk: Buffer): void {
-    this.buffer.append(chunk);
-    this.share.add(chunk.length);
+  private keep(chunks: readonly Buffer[]): void {
+    const bytes = totalBytes(chunks);
+    chunks.forEach((chunk) => this.buffer.append(chunk));
+    this.share.add(bytes);
+    this.options.noteKept(bytes);
   }
 
   private stream(): void {
     const { response, writeHead } = this.options;
     writeHead();
     this.state = State.Streamed;
-    response.write(this.buffer.take());
+    this.writeHeld();
     if (!response.writableNeedDrain) this.share.release();
   }
 
-  private write(chunk: Buffer): boolean {
+  private writeHeld(): void {
+    const { response, noteKept } = this.options;
+    noteKept(-this.buffer.length);
+    this.buffer.takeBlocks().forEach((block) => response.write(block));
+  }
+
+  private write(chunks: readonly Buffer[]): boolean {
     const { response, held } = this.options;
+    const bytes = totalBytes(chunks);
     // Past the time limit the rest arrives faster than the caller may read it.
     if (this.mustPause) {
-      this.share.add(chunk.length);
+      this.share.add(bytes);
       if (held.isFull || this.share.bytes > OVERDUE_BYTES_MAX) {
         this.breakOff();
         return true;
       }
     }
-    this.mustPause = !response.write(chunk);
+    chunks.forEach((chunk) => response.write(chunk));
+    this.mustPause = response.writableNeedDrain;
     return !this.mustPause;
   }
 
   private finish(): void {
     this.state = State.Ended;
+    this.options.noteKept(-this.buffer.length);
     this.buffer = new BodyBuffer();
   }
 }
--- a/src/runtime/BodyBuffer.ts
+++ b/src/runtime/BodyBuffer.ts
@@ -27,6 +27,10 @@
   }
 
   append(chunk: Buffer): void {
+    if (chunk.length >= BLOCK_BYTES_MAX && chunk.length === chunk.buffer.byteLength) {
+      this.adopt(chunk);
+      return;
+    }
     this.totalBytes += chunk.length;
     let copied = 0;
     while (copied < chunk.length) {
@@ -39,13 +43,32 @@
 
   /** Returns all bytes and leaves the buffer empty. */
   take(): Buffer {
-    const last = this.blocks.at(-1);
-    if (!last) return Buffer.alloc(0);
-    const whole = [...this.blocks.slice(0, -1), last.subarray(0, this.usedBytes)];
+    const blocks = this.takeBlocks();
+    return blocks.length === 1 ? blocks[0]! : Buffer.concat(blocks);
+  }
+
+  /** Returns the blocks, without a copy, and leaves the buffer empty. */
+  takeBlocks(): Buffer[] {
+    this.trimLast();
+    const { blocks } = this;
     this.blocks = [];
     this.usedBytes = 0;
     this.totalBytes = 0;
-    return whole.length === 1 ? whole[0]! : Buffer.concat(whole);
+    return blocks;
+  }
+
+  /** Keeps a chunk that fills the buffer it was read into as a block of its own. */
+  private adopt(chunk: Buffer): void {
+    this.trimLast();
+    this.blocks.push(chunk);
+    this.usedBytes = chunk.length;
+    this.totalBytes += chunk.length;
+  }
+
+  /** Ends the last block at the bytes in use. */
+  private trimLast(): void {
+    const last = this.blocks.pop();
+    if (last) this.blocks.push(last.subarray(0, this.usedBytes));
   }
 
   private blockWithRoom(neededBytes: number): Buffer {
--- a/src/runtime/ConnectionGuard.test.ts
+++ b/src/runtime/ConnectionGuard.test.ts
@@ -1,7 +1,12 @@
 import http from 'node:http';
 import net from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { ConnectionGuard, type EndedConnection } from './ConnectionGuard.js';
+import {
+  ConnectionGuard,
+  noteKeptBytes,
+  whenLimited,
+  type EndedConnection,
+} from './ConnectionGuard.js';
 import { ConnectionLimit } from './ConnectionLimit.js';
 import { closeServer, listen } from './HttpJson.js';
 import { MemoryBudget } from './MemoryBudget.js';
@@ -89,4 +94,22 @@
     expect(limits()).toEqual([ConnectionLimit.Memory]);
     expect(small.client.destroyed).toBe(false);
   });
+
+  // Guards against answers that go on arriving for a connection that was ended for its memory.
+  it('ends the work for the requests of a connection that it ends, at once', async () => {
+    const used = await connect();
+    const received = new Promise<http.IncomingMessage>((resolve) => {
+      server.once('request', resolve);
+    });
+    used.client.write(REQUEST);
+    const request = await received;
+    let abandoned = 0;
+    whenLimited(request, () => {
+      abandoned += 1;
+    });
+    noteKeptBytes(request, 200_000);
+    expect(abandoned).toBe(1);
+    expect(limits()).toEqual([ConnectionLimit.Memory]);
+    await used.closed;
+  });
 });
--- a/src/runtime/ConnectionGuard.ts
+++ b/src/runtime/ConnectionGuard.ts
@@ -34,6 +34,17 @@
   GUARDED.get(request.socket)?.noteKeptBytes(request, bytes);
 }
 
+/**
+ * Sets what ends the work for a request at once if its connection is ended for a limit. Its socket reports
+ * its end only after all that has arrived on others, such as those to backend servers, is read.
+ *
+ * @example
+ * whenLimited(request, () => call.abandon());
+ */
+export function whenLimited(request: IncomingMessage, abandon: () => void): void {
+  GUARDED.get(request.socket)?.onLimited(request, abandon);
+}
+
 /**
  * Ends the connection of a request that is beyond a limit.
  *
--- a/src/runtime/GuardedConnection.ts
+++ b/src/runtime/GuardedConnection.ts
@@ -15,6 +15,8 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   keptBytes: number;
+  /** Ends the work for the request; set once there is any. */
+  abandon?: () => void;
 }
 
 /** Cost of a connection and of its parser, without any request. */
@@ -92,6 +94,12 @@
     if (bytes > 0) this.options.noteGrowth(bytes);
   }
 
+  /** Sets what ends the work for a request if its connection is ended for a limit. */
+  onLimited(request: IncomingMessage, abandon: () => void): void {
+    const open = this.open.get(request);
+    if (open) open.abandon = abandon;
+  }
+
   /** Cost of a head that is not complete; none while a body arrives, which its reader counts. */
   private headBytes(): number {
     const arrives = [...this.open.keys()].some(({ complete }) => !complete);
@@ -114,5 +122,6 @@
     this.ended = true;
     this.options.onEnded(limit, heldBytes);
     this.options.socket.destroy();
+    this.open.forEach(({ abandon }) => abandon?.());
   }
 }
--- a/src/runtime/MemoryBudget.ts
+++ b/src/runtime/MemoryBudget.ts
@@ -12,6 +12,8 @@
 export interface MemoryBudgetOptions {
   /** Bytes that all holders may cost together. */
   readonly limitBytes: number;
+  /** Called after each check with the bytes of the holders that are left. */
+  readonly onChecked?: (heldBytes: number) => void;
 }
 
 /** Share of the limit by which holders may grow between two checks. */
@@ -55,6 +57,11 @@
 
   /** Ends holders until the others are within the limit. */
   check(): void {
+    this.endBeyondLimit();
+    this.options.onChecked?.(this.lastBytes);
+  }
+
+  private endBeyondLimit(): void {
     this.grownBytes = 0;
     const costs = [...this.holders].map((holder) => ({ holder, bytes: holder.heldBytes() }));
     this.lastBytes = costs.reduce((sum, { bytes }) => sum + bytes, 0);
--- a/src/runtime/ProcessLimits.ts
+++ b/src/runtime/ProcessLimits.ts
@@ -2,6 +2,7 @@
 import { Counter, type Registry } from 'prom-client';
 import type { Disposable } from '../common/Disposable.js';
 import { ConnectionGuard, type EndedConnection } from './ConnectionGuard.js';
+import { GarbageLimit } from './GarbageLimit.js';
 import { addGauge } from './Gauges.js';
 import { MemoryBudget } from './MemoryBudget.js';
 
@@ -57,6 +58,9 @@
  */
 const MEMORY_SHARE = 1 / 5;
 
+/** Share of the memory that buffers may take beside those in use before garbage is collected. */
+const GARBAGE_SHARE = 1 / 5;
+
 const BYTES_PER_MB = 1_024 * 1_024;
 
 /** Interval of the checks for what grows without a request, such as unread answers. */
@@ -98,7 +102,12 @@
   constructor(private readonly options: ProcessLimitsOptions) {
     const { memoryMb = DEFAULT_MEMORY_MB, openFilesMax = DEFAULT_OPEN_FILES_MAX } = options;
     this.openFilesMax = openFilesMax;
-    this.budget = new MemoryBudget({ limitBytes: memoryMb * BYTES_PER_MB * MEMORY_SHARE });
+    const memoryBytes = memoryMb * BYTES_PER_MB;
+    const garbage = new GarbageLimit({ limitBytes: memoryBytes * GARBAGE_SHARE });
+    this.budget = new MemoryBudget({
+      limitBytes: memoryBytes * MEMORY_SHARE,
+      onChecked: (heldBytes) => garbage.check(heldBytes),
+    });
     this.timer = setInterval(() => this.budget.check(), CHECK_INTERVAL_MS);
     this.timer.unref();
   }
