--- a/src/gateway/CallRun.ts
+++ b/src/gateway/CallRun.ts
@@ -238,7 +238,7 @@
     this.logFailure(view, AttemptResultType.Answer, attempt, elapsedMs);
     const retryOutcome = await this.retryOrFinish();
     if (retryOutcome === undefined || !genuine) {
-      answer.rest?.cancel();
+      answer.longBody?.cancel();
       return retryOutcome;
     }
     // No further attempt is possible: the backend server's error answer goes to the caller.
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -189,13 +189,13 @@
   /** The complete body; empty if it is too long to buffer. */
   readonly body: Buffer;
   /** Body that is too long to buffer; null if `body` is complete. */
-  readonly rest: AnswerRest | null;
+  readonly longBody: LongBody | null;
   /** Bytes of the body that were received by now. */
   readonly receivedBytes: number;
 }
 
 /** Receives the body of a long answer; `onEnd` or `onBroken` is called last. */
-export interface AnswerRestHandlers {
+export interface LongBodyHandlers {
   /** Called with the part received so far, then with each further one; returns false to pause. */
   readonly onData: (chunks: readonly Buffer[]) => boolean;
   readonly onEnd: () => void;
@@ -203,9 +203,9 @@
 }
 
 /** Body of a long answer, which keeps the part received so far until it is read. */
-export interface AnswerRest {
+export interface LongBody {
   /** Streams the body to the handlers. */
-  read(handlers: AnswerRestHandlers): void;
+  read(handlers: LongBodyHandlers): void;
   resume(): void;
   /** Closes the connection to the backend server unless the answer is complete. */
   cancel(): void;
--- a/src/gateway/fixtures.ts
+++ b/src/gateway/fixtures.ts
@@ -84,7 +84,7 @@
       authentic: true,
       load: undefined,
       body: Buffer.from('answer'),
-      rest: null,
+      longBody: null,
       receivedBytes: 6,
       ...changes,
     },
--- a/src/gateway/server/AnswerMemory.test.ts
+++ b/src/gateway/server/AnswerMemory.test.ts
@@ -62,9 +62,9 @@
   function readAll(result: AttemptResult): Promise<number> {
     return new Promise((resolve, reject) => {
       let bytes = 0;
-      if (result.type !== AttemptResultType.Answer || !result.answer.rest) resolve(bytes);
+      if (result.type !== AttemptResultType.Answer || !result.answer.longBody) resolve(bytes);
       else {
-        result.answer.rest.read({
+        result.answer.longBody.read({
           onData: (chunks) => {
             bytes += chunks.reduce((sum, { length }) => sum + length, 0);
             return true;
--- a/src/gateway/server/AnswerWriter.test.ts
+++ b/src/gateway/server/AnswerWriter.test.ts
@@ -5,7 +5,7 @@
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import { HttpConnections } from '../../runtime/HttpConnections.js';
 import { closeServer, listen } from '../../runtime/HttpJson.js';
-import type { AnswerRestHandlers, BackendAnswer } from '../Types.js';
+import type { LongBodyHandlers, BackendAnswer } from '../Types.js';
 import { AnswerWriter } from './AnswerWriter.js';
 import { TEST_PROFILE } from './fixtures.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
@@ -22,7 +22,7 @@
 }: Partial<BackendAnswer> & { readonly first?: Buffer } = {}) {
   const state = {
     cancelled: 0,
-    handlers: undefined as AnswerRestHandlers | undefined,
+    handlers: undefined as LongBodyHandlers | undefined,
     mayReadOn: true,
   };
   const answer: BackendAnswer = {
@@ -33,7 +33,7 @@
     load: undefined,
     body: Buffer.alloc(0),
     receivedBytes: first.length,
-    rest: {
+    longBody: {
       read: (handlers) => {
         state.handlers = handlers;
         state.mayReadOn = handlers.onData([first]);
@@ -107,7 +107,7 @@
     const { answer, state } = createLongAnswer({ rawHeaders });
     writer.answer(first!, 'c-1', answer);
     state.handlers!.onEnd();
-    const { answer: sound } = createLongAnswer({ rest: null, body: BODY, rawHeaders: [] });
+    const { answer: sound } = createLongAnswer({ longBody: null, body: BODY, rawHeaders: [] });
     writer.answer(second!, 'c-2', sound);
     await waitUntil(() => client.statusCodes.length === 2, 'two answers');
     expect(client.statusCodes).toEqual([502, 200]);
--- a/src/gateway/server/AnswerWriter.ts
+++ b/src/gateway/server/AnswerWriter.ts
@@ -6,7 +6,7 @@
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import type { HttpConnections } from '../../runtime/HttpConnections.js';
 import type { DecisionLog } from '../DispatchTypes.js';
-import type { AnswerRest, BackendAnswer, WireProfile } from '../Types.js';
+import type { LongBody, BackendAnswer, WireProfile } from '../Types.js';
 import { PEER_ANSWER_HEADER, PeerAnswer } from './ForwardMark.js';
 import type { GatewayMetrics } from './GatewayMetrics.js';
 import { HeldBytes } from './HeldBytes.js';
@@ -59,10 +59,10 @@
   answer(response: ServerResponse, callId: string, answer: BackendAnswer): void {
     const { connections } = this.options;
     if (!connections.isDue(response)) {
-      answer.rest?.cancel();
+      answer.longBody?.cancel();
       return;
     }
-    if (answer.rest) this.sendLong(response, callId, answer, answer.rest);
+    if (answer.longBody) this.sendLong(response, callId, answer, answer.longBody);
     else {
       this.writeHead(response, answer, answer.body.length);
       response.end(answer.body);
@@ -73,7 +73,7 @@
     response: ServerResponse,
     callId: string,
     answer: BackendAnswer,
-    rest: AnswerRest,
+    longBody: LongBody,
   ): void {
     const { connections } = this.options;
     const mustWait = !response.socket || connections.hasAnswersBehind(response);
@@ -81,7 +81,7 @@
     const mayBeStreamed = hasLength || response.req.httpVersion !== HTTP_WITHOUT_CHUNKS;
     const long = new LongAnswer({
       response,
-      rest,
+      longBody,
       held: this.held,
       isHeld: mustWait || !mayBeStreamed,
       noteKept: (bytes) => noteKeptBytes(response.req, bytes),
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -8,7 +8,7 @@
 import type { BackendView } from '../BackendView.js';
 import {
   AttemptResultType,
-  type AnswerRest,
+  type LongBody,
   type AttemptResult,
   type BackendNotice,
   type LimitReading,
@@ -274,11 +274,12 @@
   private collect(response: IncomingMessage, head: ReturnType<WireProfile['readAnswer']>): void {
     const buffer = new BodyBuffer();
     const { noteKept } = this.attempt;
-    const release = () => {
-      noteKept?.(-buffer.length);
+    const release = () => noteKept?.(-buffer.length);
+    const takeFirst = () => {
+      release();
       return buffer.takeBlocks();
     };
-    const answer = (body: Buffer, rest: AnswerRest | null): AttemptResult => ({
+    const answer = (body: Buffer, longBody: LongBody | null): AttemptResult => ({
       type: AttemptResultType.Answer,
       answer: {
         statusCode: response.statusCode ?? 0,
@@ -287,12 +288,12 @@
         authentic: head.authentic,
         load: head.load,
         body,
-        rest,
+        longBody,
         receivedBytes: this.bodyBytes,
       },
     });
     const onBroken = () => {
-      release();
+      takeFirst();
       this.fail('answer cut short');
     };
     const onEnd = this.boundary.wrap(() => {
@@ -301,8 +302,8 @@
         return;
       }
       this.observer.onNotice(head.notice);
-      const blocks = release();
-      this.settle(answer(blocks.length === 1 ? blocks[0]! : Buffer.concat(blocks), null));
+      release();
+      this.settle(answer(buffer.take(), null));
     });
     const onData = this.boundary.wrap((chunk: Buffer) => {
       this.guard.noteProgress();
@@ -313,7 +314,7 @@
       response.pause();
       response.off('data', onData);
       response.off('end', onEnd);
-      this.settle(answer(EMPTY_BODY, this.restOf(response, head.notice, release)));
+      this.settle(answer(EMPTY_BODY, this.longBodyOf(response, head.notice, takeFirst)));
     });
     response.on('data', onData);
     // Starts the stream, so that it passes on the chunks that follow the head in the same read.
@@ -326,11 +327,11 @@
   }
 
   /** Body of a long answer; `takeFirst` returns the part that was received by now. */
-  private restOf(
+  private longBodyOf(
     response: IncomingMessage,
     notice: BackendNotice,
     takeFirst: () => Buffer[],
-  ): AnswerRest {
+  ): LongBody {
     return {
       read: ({ onData, onEnd, onBroken }) => {
         let open = true;
--- a/src/gateway/server/LongAnswer.ts
+++ b/src/gateway/server/LongAnswer.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { BodyBuffer } from '../../runtime/BodyBuffer.js';
 import type { FaultBoundary } from '../../runtime/FaultBoundary.js';
-import type { AnswerRest } from '../Types.js';
+import type { LongBody } from '../Types.js';
 import type { HeldBytes, HeldShare } from './HeldBytes.js';
 
 /**
@@ -13,7 +13,7 @@
 /** Options of a {@link LongAnswer}. */
 export interface LongAnswerOptions {
   readonly response: ServerResponse;
-  readonly rest: AnswerRest;
+  readonly longBody: LongBody;
   readonly held: HeldBytes;
   /** Called with the number of bytes that are held, and with less than 0 for their end. */
   readonly noteKept: (bytes: number) => void;
@@ -56,13 +56,13 @@
 
   /** Begins to read the body. */
   start(): void {
-    const { rest, response, boundary } = this.options;
+    const { longBody, response, boundary } = this.options;
     response.on('drain', () => {
       this.mustPause = false;
       this.share.release();
-      rest.resume();
+      longBody.resume();
     });
-    rest.read({
+    longBody.read({
       onData: (chunks) => boundary.run(() => this.onData(chunks)) ?? true,
       onEnd: boundary.wrap(() => this.onEnd()),
       onBroken: boundary.wrap(() => this.onBroken()),
@@ -74,7 +74,7 @@
     this.share.release();
     if (this.state === State.Ended) return;
     this.finish();
-    this.options.rest.cancel();
+    this.options.longBody.cancel();
   }
 
   private onData(chunks: readonly Buffer[]): boolean {
@@ -115,7 +115,7 @@
   }
 
   private breakOff(): void {
-    this.options.rest.cancel();
+    this.options.longBody.cancel();
     this.onBroken();
   }
 
--- a/src/gateway/server/ResetAnswer.test.ts
+++ b/src/gateway/server/ResetAnswer.test.ts
@@ -43,10 +43,10 @@
   const run = new AttemptRun(agent, TEST_PROFILE, new BackendView(record), request, observer);
   const result: AttemptResult = await run.result;
   if (result.type !== AttemptResultType.Answer) return false;
-  const { rest } = result.answer;
-  if (!rest) return true;
+  const { longBody } = result.answer;
+  if (!longBody) return true;
   return new Promise((resolve) => {
-    rest.read({
+    longBody.read({
       onData: () => true,
       onEnd: () => resolve(true),
       onBroken: () => resolve(false),
