--- a/soak/Checks.ts
+++ b/soak/Checks.ts
@@ -58,10 +58,12 @@
 }
 
 function describe(record: SoakRecord, request: SentRequest): string {
-  const { id, machine, method, sentMs, endedMs, status, error } = request;
+  const { id, machine, method, kept, behind, sentMs, endedMs, status, error } = request;
   const times = `${Math.round(sentMs)}-${Math.round(endedMs)} ms`;
   const paused = `harness paused ${Math.round(harnessPausedMs(record, request))} ms`;
-  return `${id} ${method} at ${machine}, ${times}, ${paused}, status ${status} ${error ?? ''}`.trim();
+  const way = `${kept ? 'kept' : 'new'}${behind ? ', behind others' : ''}`;
+  const what = `${id} ${method} (${way}) at ${machine}, ${times}, ${paused}`;
+  return `${what}, status ${status} ${error ?? ''}`.trim();
 }
 
 /**
--- a/soak/Clients.ts
+++ b/soak/Clients.ts
@@ -54,6 +54,14 @@
   return [`${method} ${REQUESTS[method]} HTTP/1.1`, ...lines, ...length, '', ''].join('\r\n');
 }
 
+/** What shows whose answer a success is. */
+function describeAnswer({ headers, body }: Pick<HttpAnswer, 'headers' | 'body'>): string {
+  const names = ['x-attempt-id', 'x-response-signature', 'content-length', 'transfer-encoding'];
+  const shown = names.map((name) => `${name}=${String(headers[name])}`).join(' ');
+  const text = JSON.stringify([body.slice(0, 40), body.slice(-20)]);
+  return `${shown}, ${body.length} bytes, begin and end ${text}`;
+}
+
 /** Clients that each keep one connection to one gateway open, and use it until it is gone. */
 export class SoakClients {
   private isStopped = false;
@@ -145,6 +153,7 @@
     const { id, machine, method, sentMs, behind } = sent;
     const isSuccess = status >= 200 && status < 300;
     const isOwn = headers['x-response-signature'] === `of-${id}` && isWholeBody(id, body);
+    const foreign = isSuccess && !isOwn;
     record.requests.push({
       id,
       machine: machine.name,
@@ -154,8 +163,8 @@
       sentMs,
       endedMs: nowMs(),
       status,
-      foreign: isSuccess && !isOwn,
-      error,
+      foreign,
+      error: foreign ? describeAnswer({ headers, body }) : error,
     });
   }
 
