--- a/soak/Backend.ts
+++ b/soak/Backend.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RandomSource } from '../src/common/Random.js';
 import { closeServer, listen } from '../src/runtime/HttpJson.js';
@@ -88,9 +88,6 @@
 
   private isStopped = false;
 
-  /** Connections in the middle of an answer that will be cut. */
-  private readonly unfinished = new WeakSet<Socket>();
-
   private readonly server = http.createServer((request, response) =>
     this.handle(request, response),
   );
@@ -174,10 +171,6 @@
     }, workMs);
   }
 
-  private noteUnfinished({ socket }: http.ServerResponse): void {
-    if (socket) this.unfinished.add(socket);
-  }
-
   private drawEnding(): Ending {
     const { random, isFaulty } = this.options;
     if (isFaulty) return FAULTY_ENDINGS[Math.floor(random.next() * FAULTY_ENDINGS.length)]!;
@@ -191,13 +184,11 @@
     [Ending.Whole]: (response, callId) => response.end(answerBody(callId)),
     [Ending.Long]: (response, callId) => response.end(answerBody(callId) + LONG_FILL),
     [Ending.CutLong]: (response) => {
-      this.noteUnfinished(response);
       response.setHeader('Content-Length', LONG_FILL.length * 2);
       response.write(LONG_FILL);
       setTimeout(() => response.destroy(), SECOND_COPY_DELAY_MS);
     },
     [Ending.CutShort]: (response) => {
-      this.noteUnfinished(response);
       response.setHeader('Content-Length', answerBody('').length * 2);
       response.write(answerBody(''));
       setTimeout(() => response.destroy(), SECOND_COPY_DELAY_MS);
@@ -216,9 +207,7 @@
         body,
       ];
       setTimeout(() => {
-        // Within a later answer the copy would be taken for the rest of that one's body.
-        const isAfterAnswer = socket && !this.unfinished.has(socket);
-        if (isAfterAnswer && !socket.destroyed) socket.write(copy.join('\r\n'));
+        if (socket && !socket.destroyed) socket.write(copy.join('\r\n'));
       }, SECOND_COPY_DELAY_MS);
     },
     [Ending.Unframed]: (response, callId) => {
--- a/soak/Checks.test.ts
+++ b/soak/Checks.test.ts
@@ -124,20 +124,4 @@
       'FAULT',
     ]);
   });
-
-  // Guards against a close that crossed a request and was noted late by a harness that stood still.
-  it.each([
-    [400, []],
-    [290, ['LOST cut at a stop']],
-  ])(
-    'counts only the time of a cut request in which the harness ran: %s ms paused',
-    (ms, rules) => {
-      const requests = [
-        createRequest('a', { ...LOST, kept: true, sentMs: 10_000, endedMs: 10_500 }),
-      ];
-      const disturbances = [createDisturbance(DisturbanceKind.Terminate, 9_000, 12_000)];
-      const harnessPauses = [{ fromMs: 10_010, toMs: 10_010 + ms }];
-      expect(rulesOf(createRecord({ requests, disturbances, harnessPauses }))).toEqual(rules);
-    },
-  );
 });
--- a/soak/Checks.ts
+++ b/soak/Checks.ts
@@ -90,8 +90,7 @@
       // "Not counted either: a request that was sent behind another on its connection and wasn't
       // passed on to a target."
       !request.behind &&
-      // The harness notes the end of a connection late if it did not run itself.
-      request.endedMs - request.sentMs - harnessPausedMs(record, request) > LOSS_SLACK_MS &&
+      request.endedMs - request.sentMs > LOSS_SLACK_MS &&
       isDuringStop(record, request),
   );
   const atStop = passedOn.filter((request) => isDuringStop(record, request));
