--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -95,6 +95,8 @@
   rollout_steered: 'The leader changed the share of a rollout, or ended it; with the reason.',
   membership_proposed: 'The leader proposed a new set of control hosts.',
   host_emptied: 'A host at the address of a voter reported that its disk was empty.',
+  election_stalled:
+    'An election of this host found too few votes; with the voters that granted, are emptied or are missing, and whether a recovery without the emptied ones was tried.',
   recovery_elected: 'This host leads without the voters whose disks were lost.',
   membership_learned: 'A joining host received the set of control hosts.',
   join_failed: 'A request to a control host to admit this one failed.',
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -315,6 +315,17 @@
         leaderId: effect.leaderId,
       });
     },
+    [RaftEffectType.ElectionStalled]: (effect: RaftEffectOf<RaftEffectType.ElectionStalled>) => {
+      const { quorum, granted, emptied, missing, recovery } = effect;
+      const fields = {
+        quorum,
+        granted: granted.join(','),
+        emptied: emptied.join(','),
+        missing: missing.join(','),
+        recovery,
+      };
+      this.emit({ type: ControlEffectType.Log, event: 'election_stalled', fields });
+    },
   };
 
   private readonly sessionHandlers = {
--- a/src/control/raft/Election.ts
+++ b/src/control/raft/Election.ts
@@ -171,11 +171,27 @@
   } else if (hasRecoveryVotes(state)) startElection(state);
 }
 
+/** Emits what the pre-vote lacked that has not led to an election. */
+function emitStalled(state: RaftState): void {
+  const { voters } = state.log.membership;
+  const ids = (belongs: (id: string) => boolean) =>
+    voters.map(({ id }) => id).filter((id) => belongs(id));
+  state.emit({
+    type: RaftEffectType.ElectionStalled,
+    quorum: state.log.quorum,
+    granted: ids((id) => state.votes.has(id)),
+    emptied: ids((id) => state.emptiedIds.has(id)),
+    missing: ids((id) => !state.votes.has(id) && !state.emptiedIds.has(id)),
+    recovery: state.recoveryIds.length > 0,
+  });
+}
+
 /** Starts a pre-vote: checks whether an election could succeed, without raising the term. */
 export function startPreVote(state: RaftState, random: number): void {
   if (state.isVoter) state.firstElections += 1;
   resetElectionTimer(state, random);
   if (!state.isVoter || state.diskRefuses) return;
+  if (state.role === RaftRole.PreCandidate) emitStalled(state);
   state.role = RaftRole.PreCandidate;
   state.leaderId = null;
   state.recoveryIds = recoverableIds(state);
--- /dev/null
+++ b/src/control/raft/LossTolerance.ts
@@ -0,0 +1,40 @@
+import { UNREACHABLE_TIMEOUTS } from './Copies.js';
+import type { RaftState } from './RaftState.js';
+
+/** Voters of a membership, of which some may be silent. */
+export interface VoterCounts {
+  readonly voters: number;
+  /** Voters that have sent nothing for a while and may never return. */
+  readonly silent: number;
+}
+
+/**
+ * Number of the voters that are not silent whose disks may be lost simultaneously, so that the others
+ * still elect a leader: a majority is left, or a recovery can be held. A recovery needs every voter
+ * that is not emptied, silent ones included.
+ *
+ * @param counts - voters and silent voters
+ * @param hostsLostAtOnce - number of hosts whose loss the setting allows for
+ * @example
+ * disksThatMayBeLost({ voters: 5, silent: 1 }, 2); // 1: four live, three are a majority
+ * disksThatMayBeLost({ voters: 4, silent: 0 }, 2); // 2: the other two recover
+ */
+export function disksThatMayBeLost(counts: VoterCounts, hostsLostAtOnce: number): number {
+  const { voters, silent } = counts;
+  const quorum = Math.floor(voters / 2) + 1;
+  const byMajority = Math.max(0, voters - silent - quorum);
+  const mayRecover = silent === 0 && voters <= 2 * hostsLostAtOnce;
+  const byRecovery = mayRecover ? Math.min(hostsLostAtOnce, voters - 1) : 0;
+  return Math.max(byMajority, byRecovery);
+}
+
+/** Counts the voters of a leader, and those that it has not heard of for two election timeouts. */
+export function countVoters(state: RaftState): VoterCounts {
+  const { voters } = state.log.membership;
+  const sinceMs = state.nowMs - state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
+  const silent = voters.filter(({ id }) => {
+    const ackedAtMs = state.followers.get(id)?.ackedAtMs ?? state.nowMs;
+    return Math.max(ackedAtMs, state.silenceFromMs) < sinceMs;
+  });
+  return { voters: voters.length, silent: silent.length };
+}
--- a/src/control/raft/Recovery.test.ts
+++ b/src/control/raft/Recovery.test.ts
@@ -75,6 +75,23 @@
     expect(node.state.term).toBe(RECOVERY_TERM_STEP);
   });
 
+  // A host without a leader repeated its elections and didn't say which voters it missed (issue 56).
+  it('names the voters that a stalled election misses', () => {
+    const node = createNode(['a', 'b', 'c', 'd', 'e'], 2);
+    report(node, member('a-2', 'a'), ['a']);
+    campaign(node);
+    receive(node, reply('b', RaftMessageType.PreVoteReply, 4));
+    const effects = node.reduce({ type: RaftEventType.Tick, nowMs: 6_000, random: 0 });
+    expect(effects).toContainEqual({
+      type: RaftEffectType.ElectionStalled,
+      quorum: 3,
+      granted: ['b', 'c'],
+      emptied: ['a'],
+      missing: ['d', 'e'],
+      recovery: false,
+    });
+  });
+
   // A report is no proof for other hosts than the reporter's own, or for an id that is in use.
   it.each([
     ['another address', member('a-2', 'x'), ['a']],
--- a/src/control/raft/Types.ts
+++ b/src/control/raft/Types.ts
@@ -175,6 +175,7 @@
   ReadReady = 'read-ready',
   ReadFailed = 'read-failed',
   RoleChanged = 'role-changed',
+  ElectionStalled = 'election-stalled',
 }
 
 /** Write to the log; later messages are sent once it is durable, unless they are early. */
@@ -210,4 +211,17 @@
       readonly role: RaftRole;
       readonly term: number;
       readonly leaderId: string | null;
+    }
+  | {
+      /** A pre-vote of this host ended without enough votes. */
+      readonly type: RaftEffectType.ElectionStalled;
+      readonly quorum: number;
+      /** Voters that granted their vote, this host included. */
+      readonly granted: readonly string[];
+      /** Voters whose hosts reported an empty disk. */
+      readonly emptied: readonly string[];
+      /** Voters that neither granted a vote nor are emptied. */
+      readonly missing: readonly string[];
+      /** True if a recovery without the emptied voters was tried. */
+      readonly recovery: boolean;
     };
--- a/src/control/server/ControlMetrics.ts
+++ b/src/control/server/ControlMetrics.ts
@@ -3,6 +3,7 @@
 import type { EventLoop } from '../../runtime/EventLoop.js';
 import { addGauge } from '../../runtime/Gauges.js';
 import type { ControlReducer } from '../ControlReducer.js';
+import { countVoters, disksThatMayBeLost } from '../raft/LossTolerance.js';
 import { recoveriesBefore } from '../raft/Recovery.js';
 import type { Storage } from '../storage/Types.js';
 import type { ControlEvent } from '../Types.js';
@@ -41,6 +42,21 @@
     'Ids of voters that this host counts as emptied.',
     () => reducer.raft.state.emptiedIds.size,
   );
+  gauge('egret_control_voters', 'Voters of the membership in force.', () => {
+    const { voters } = reducer.raft.state.log.membership;
+    return voters.length;
+  });
+  gauge('egret_control_silent_voters', 'Voters that the leader does not hear (leader).', () =>
+    reducer.raft.isLeader ? countVoters(reducer.raft.state).silent : 0,
+  );
+  gauge(
+    'egret_control_disks_may_be_lost',
+    'Disks that may be lost simultaneously without the loss of the control plane (leader).',
+    () => {
+      const { state, isLeader } = reducer.raft;
+      return isLeader ? disksThatMayBeLost(countVoters(state), state.hostsLostAtOnce) : 0;
+    },
+  );
   gauge('egret_control_revision', 'Settings revision.', () => reducer.replicatedState.revision);
   gauge(
     'egret_control_claims',
