--- a/fuzz/DiskWorld.test.ts
+++ b/fuzz/DiskWorld.test.ts
@@ -100,3 +100,16 @@
     expect(await violations((world) => world.run(4), seedRange(), options)).toEqual([]);
   });
 });
+
+// A host that was taken away for good stayed a voter beside its successor, so that too few voters were
+// left after the loss of as many disks as may be lost (issue 56).
+describe('control hosts that were replaced at another address', { timeout: 300_000 }, () => {
+  it.each([
+    ...SMALL,
+    { hosts: 3, voters: 3, hostsLostAtOnce: 1 },
+    { hosts: 6, hostsLostAtOnce: 2 },
+  ])('bear the loss of disks afterwards: %o', async (options) => {
+    const run = (world: DiskWorld) => world.runSuccessors(2);
+    expect(await violations(run, seedRange(), options)).toEqual([]);
+  });
+});
--- a/fuzz/DiskWorld.ts
+++ b/fuzz/DiskWorld.ts
@@ -31,6 +31,8 @@
   diskLost: boolean;
   /** True from an outage or a cut until the host has had {@link CATCH_UP_MS} without faults. */
   wasDown: boolean;
+  /** True if its machine was taken away; another one replaces it at another address. */
+  gone: boolean;
   /** Member ids that the host has learned it had before its disk was lost. */
   readonly emptiedIds: Set<string>;
 }
@@ -46,6 +48,9 @@
 /** Longest stall of a disk; a voter is unreachable after 1.2 s. */
 const MAX_STALL_MS = 1_000;
 
+/** Longest time between the end of a host that is taken away and the start of its successor. */
+const SUCCESSOR_DELAY_MS = 3_000;
+
 /** Separates the address from the number of the disk in a member id. */
 const DISK_SEPARATOR = '~';
 
@@ -111,23 +116,28 @@
     this.founders = addresses
       .slice(0, voters)
       .map((address) => ({ id: address, address, port: 1 }));
-    addresses.forEach((address, index) => {
-      const id = index < voters ? address : this.createId(address);
-      const host = this.createHost(id);
-      const emptiedIds = new Set<string>();
-      this.sites.push({
-        address,
-        host,
-        startedAtMs: 0,
-        diskLost: false,
-        wasDown: false,
-        emptiedIds,
-      });
-    });
-    this.sites.forEach((site) => this.requestJoins(site));
+    addresses.forEach((address, index) =>
+      this.addSite(address, index < voters ? address : this.createId(address)),
+    );
     this.operate();
   }
 
+  /** Adds a host with an empty disk; it runs from now on. */
+  private addSite(address: string, id: string): Site {
+    const site: Site = {
+      address,
+      host: this.createHost(id),
+      startedAtMs: this.timeline.nowMs,
+      diskLost: false,
+      wasDown: false,
+      gone: false,
+      emptiedIds: new Set<string>(),
+    };
+    this.sites.push(site);
+    this.requestJoins(site);
+    return site;
+  }
+
   /** Runs random faults, then the loss of disks and power at a confirmation, then the checks. */
   run(faults: number): void {
     this.timeline.advance(this.random.next() * 1_500);
@@ -179,6 +189,40 @@
     }
   }
 
+  /**
+   * Replaces hosts by empty ones at other addresses, one after the other, and then loses as many disks
+   * as the setting allows, once the last successor has had {@link CATCH_UP_MS}.
+   */
+  runSuccessors(count: number): void {
+    for (let replaced = 0; replaced < count; replaced += 1) {
+      this.timeline.advance(CATCH_UP_MS + this.random.next() * 1_500);
+      this.replaceHost(this.random.next() < 0.5);
+    }
+    this.timeline.advance(CATCH_UP_MS);
+    this.checkCatchUp();
+    this.loseDisksAtConfirmation(this.random.next() < 0.5, this.random.next() < 0.5);
+    this.check();
+  }
+
+  /** Takes a voter away for good; its successor starts up to 3 s later, or as long before. */
+  private replaceHost(startsFirst: boolean): void {
+    const [gone] = this.pick(this.voterSites(), 1);
+    if (!gone) return;
+    const address = `h${this.sites.length}`;
+    const steps = [
+      () => {
+        gone.gone = true;
+        gone.host.crash();
+      },
+      () => this.addSite(address, this.createId(address, true)),
+    ];
+    if (startsFirst) steps.reverse();
+    steps[0]!();
+    this.timeline.advance(this.random.next() * SUCCESSOR_DELAY_MS);
+    steps[1]!();
+    this.noteFault(0);
+  }
+
   /** Delays the writes of one voter, so that the newest changes are on the other disks only. */
   private stallOne(): void {
     const [site] = this.pick(this.voterSites(), 1);
@@ -328,7 +372,8 @@
   /** Sites of the voters, according to the leader. */
   private voterSites(): Site[] {
     const voters = this.leader()?.reducer.raft.state.log.membership.voters ?? this.founders;
-    return this.sites.filter((site) => voters.some((voter) => voter.id === site.host.options.id));
+    const isVoter = (site: Site) => voters.some((voter) => voter.id === site.host.options.id);
+    return this.sites.filter((site) => !site.gone && isVoter(site));
   }
 
   private powerCycle(site: Site, outageMs: number): void {
@@ -341,7 +386,7 @@
   private restart(site: Site, delayMs: number): void {
     this.noteFault(delayMs);
     this.timeline.after(delayMs, () => {
-      if (site.host.alive) return;
+      if (site.host.alive || site.gone) return;
       const target = site;
       target.startedAtMs = this.timeline.nowMs;
       site.host.start();
@@ -352,16 +397,17 @@
   private wipe(site: Site): void {
     const target = site;
     site.host.crash();
-    target.host = this.createHost(this.createId(site.address));
+    target.host = this.createHost(this.createId(site.address, true));
     target.host.crash();
-    this.replacedIds.add(target.host.options.id);
     target.diskLost = true;
     this.restart(site, this.random.next() * 1_500);
   }
 
-  private createId(address: string): string {
+  private createId(address: string, isLater = false): string {
     this.nextDisk += 1;
-    return `${address}${DISK_SEPARATOR}${this.nextDisk}`;
+    const id = `${address}${DISK_SEPARATOR}${this.nextDisk}`;
+    if (isLater) this.replacedIds.add(id);
+    return id;
   }
 
   private createHost(id: string): ControlHost {
--- a/soak/Deployment.ts
+++ b/soak/Deployment.ts
@@ -50,6 +50,8 @@
   readonly machines: number;
   /** Machines with a disk and a control host; one in each zone by default. */
   readonly coreMachines?: number;
+  /** Core machines at the first start, of which the settings name the first ones; all by default. */
+  readonly seedMachines?: number;
   readonly hostsLostAtOnce?: number;
   readonly record: Pick<SoakRecord, 'disturbances' | 'ownEnds'>;
   readonly nowMs: () => number;
@@ -139,9 +141,10 @@
     return this.core.map(({ address }) => `${address}:${SOAK_PORTS.control}`);
   }
 
-  async startAll(): Promise<void> {
-    this.machines.forEach((machine) => this.startMachine(machine, true));
-    await Promise.all(this.machines.map((machine) => this.waitUntilListening(machine)));
+  /** Starts machines for the first time; resolves once they listen. */
+  async startAll(machines = this.machines): Promise<void> {
+    machines.forEach((machine) => this.startMachine(machine, true));
+    await Promise.all(machines.map((machine) => this.waitUntilListening(machine)));
   }
 
   startMachine(machine: SoakMachine, isFirst = false): void {
@@ -264,7 +267,7 @@
       availabilityZones: SOAK_ZONES,
       firstStart: isFirst,
       hostPorts: hosts,
-      seeds: this.controlAddresses.slice(0, SEEDS_MAX),
+      seeds: this.controlAddresses.slice(0, this.options.seedMachines).slice(0, SEEDS_MAX),
       hostsLostAtOnce: this.options.hostsLostAtOnce ?? 1,
       stopSeconds: STOP_MS / 1_000,
       directoryValidSecondsMax: 5,
