--- a/src/control/raft/Copies.test.ts
+++ b/src/control/raft/Copies.test.ts
@@ -58,3 +58,45 @@
     expect(committableIndex(state)).toBe(7);
   });
 });
+
+/** Leader `a` whose uncommitted entry 2 adds `e` to the voters `a` to `d`, of which two may be lost. */
+function createChangingLeader(match: Readonly<Record<string, readonly [number, number]>>) {
+  const state = createLeader(2, { b: [1, 4_900], c: [1, 4_900], d: [1, 4_900] });
+  const { voters } = state.log.membership;
+  const added = { id: 'e', address: 'e', port: 1 };
+  state.log.append({
+    index: 2,
+    term: 1,
+    command: {
+      type: CommandType.Membership,
+      membership: { voters: [...voters, added], learners: [] },
+      actor: 'system',
+      atMs: 0,
+    },
+  });
+  state.persistedIndex = 2;
+  state.commitIndex = 1;
+  Object.entries(match).forEach(([id, [matchIndex, ackedAtMs]]) =>
+    state.followers.set(id, { ...createFollower(3, ackedAtMs), matchIndex }),
+  );
+  return state;
+}
+
+// Earlier voters without the change could elect a leader of their own after the loss of the others'
+// disks (KNOWN-RED 10, issue 56).
+describe('a change of the membership', () => {
+  it('is not committed by new voters in place of the earlier ones', () => {
+    const match = { b: [2, 4_900], c: [1, 4_900], d: [1, 4_900], e: [2, 4_900] } as const;
+    expect(committableIndex(createChangingLeader(match))).toBe(1);
+  });
+
+  it('is committed by one more earlier voter than disks may be lost', () => {
+    const match = { b: [2, 4_900], c: [2, 4_900], d: [1, 4_900], e: [1, 4_900] } as const;
+    expect(committableIndex(createChangingLeader(match))).toBe(2);
+  });
+
+  it('is committed by the reachable earlier voters if those are fewer', () => {
+    const match = { b: [2, 4_900], c: [1, 1_000], d: [1, 1_000], e: [2, 4_900] } as const;
+    expect(committableIndex(createChangingLeader(match))).toBe(2);
+  });
+});
--- a/src/control/raft/Copies.ts
+++ b/src/control/raft/Copies.ts
@@ -1,5 +1,6 @@
 import type { Follower, RaftState } from './RaftState.js';
-import { isRecovering, remainingVoters } from './Recovery.js';
+import { isRecovering, mayNeedRecovery, remainingVoters } from './Recovery.js';
+import type { Member } from './Types.js';
 
 /**
  * Time without an acknowledgement after which a voter counts as unreachable. A change must be
@@ -11,13 +12,14 @@
 /** Share of an election timeout without any event after which this host counts as paused. */
 const PAUSE_SHARE = 0.5;
 
-/** Value of each voter, in the order of the membership. */
+/** Value of each voter, in the order of the membership; that in force by default. */
 function voterValues(
   state: RaftState,
   localValue: number,
   get: (follower: Follower) => number,
+  voters: readonly Member[] = state.log.membership.voters,
 ): { readonly id: string; readonly value: number }[] {
-  return state.log.membership.voters.map(({ id }) => {
+  return voters.map(({ id }) => {
     if (id === state.id) return { id, value: localValue };
     const follower = state.followers.get(id);
     return { id, value: follower ? get(follower) : Number.NEGATIVE_INFINITY };
@@ -72,12 +74,8 @@
   return silentMs <= state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
 }
 
-/**
- * Highest index that may be committed: durable on a quorum and, where the loss of `hostsLostAtOnce`
- * disks could empty a whole majority, on one more disk than may be lost, or on the disks of all
- * reachable voters if those are fewer.
- */
-export function committableIndex(state: RaftState): number {
+/** Highest index that is durable on a quorum and on as many further disks as the setting asks for. */
+function durableIndex(state: RaftState): number {
   const getMatch = (follower: Follower) => follower.matchIndex;
   const quorumIndex = quorumValue(state, state.persistedIndex, getMatch);
   if (!needsMoreThanMajority(state) || isRecovering(state)) return quorumIndex;
@@ -92,3 +90,36 @@
   const reachableIndex = Math.min(...reachable.map(({ value }) => value));
   return Math.min(quorumIndex, Math.max(survivingIndex, reachableIndex));
 }
+
+/**
+ * True if a change of the membership is durable on so many of the earlier voters that one of them is
+ * left after the loss of `hostsLostAtOnce` disks, or on all of them that are reachable if those are
+ * fewer. A recovery of the earlier membership needs the vote of every voter that is not emptied; one
+ * that has the change denies it.
+ */
+function isHeldByEarlierVoters(state: RaftState): boolean {
+  const { membershipIndex, earlierMembership } = state.log;
+  if (!mayNeedRecovery(state, earlierMembership)) return true;
+  const values = voterValues(
+    state,
+    state.persistedIndex,
+    (follower) => follower.matchIndex,
+    earlierMembership.voters,
+  );
+  const reachable = values.filter(({ id }) => isReachable(state, id)).length;
+  const holders = values.filter(({ value }) => value >= membershipIndex).length;
+  return holders >= Math.min(state.copiesNeeded, reachable);
+}
+
+/**
+ * Highest index that may be committed: durable on a quorum and, where the loss of `hostsLostAtOnce`
+ * disks could empty a whole majority, on one more disk than may be lost, or on the disks of all
+ * reachable voters if those are fewer. A change of the membership also needs the earlier voters.
+ */
+export function committableIndex(state: RaftState): number {
+  const index = durableIndex(state);
+  const { membershipIndex } = state.log;
+  const isChanging = membershipIndex > state.commitIndex && membershipIndex <= index;
+  if (!isChanging || isRecovering(state) || isHeldByEarlierVoters(state)) return index;
+  return membershipIndex - 1;
+}
--- a/src/control/raft/RaftLog.ts
+++ b/src/control/raft/RaftLog.ts
@@ -22,6 +22,9 @@
   /** Index of the entry that set the membership. */
   membershipIndex: number;
 
+  /** Membership before the one in force; the same one if no entry after the snapshot changed it. */
+  earlierMembership: Membership;
+
   constructor(snapshot: Snapshot, entries: readonly LogEntry[]) {
     this.snapshot = snapshot;
     this.entries = [];
@@ -29,6 +32,7 @@
     entries.forEach((entry) => this.push(entry));
     this.membership = snapshot.membership;
     this.membershipIndex = snapshot.index;
+    this.earlierMembership = snapshot.membership;
     this.refreshMembership();
   }
 
@@ -76,6 +80,7 @@
   append(entry: LogEntry): void {
     this.push(entry);
     if (entry.command.type === CommandType.Membership) {
+      this.earlierMembership = this.membership;
       this.membership = entry.command.membership;
       this.membershipIndex = entry.index;
     }
@@ -142,13 +147,14 @@
   }
 
   private refreshMembership(): void {
-    const last = this.entries.findLast((entry) => entry.command.type === CommandType.Membership);
-    if (last && last.command.type === CommandType.Membership) {
-      this.membership = last.command.membership;
-      this.membershipIndex = last.index;
-      return;
-    }
     this.membership = this.snapshot.membership;
     this.membershipIndex = this.snapshot.index;
+    this.earlierMembership = this.snapshot.membership;
+    this.entries.forEach(({ index, command }) => {
+      if (command.type !== CommandType.Membership) return;
+      this.earlierMembership = this.membership;
+      this.membership = command.membership;
+      this.membershipIndex = index;
+    });
   }
 }
--- a/src/control/raft/Recovery.ts
+++ b/src/control/raft/Recovery.ts
@@ -1,4 +1,4 @@
-import type { Member } from './Types.js';
+import type { Member, Membership } from './Types.js';
 import type { RaftState } from './RaftState.js';
 
 /**
@@ -34,8 +34,10 @@
 }
 
 /** True if the voters are so few that losing `hostsLostAtOnce` disks leaves no majority of them. */
-export function mayNeedRecovery(state: RaftState): boolean {
-  const { voters } = state.log.membership;
+export function mayNeedRecovery(
+  state: RaftState,
+  { voters }: Membership = state.log.membership,
+): boolean {
   return countAddresses(voters) <= 2 * state.hostsLostAtOnce;
 }
 
