--- a/src/control/AutoMembership.test.ts
+++ b/src/control/AutoMembership.test.ts
@@ -13,8 +13,13 @@
 const VOTERS = ['a', 'b', 'c'].map((id) => createMember(id));
 
 /** Leader `a` with the time of the last acknowledgement of each member. */
-function createLeader(membership: Membership, ackTimes: Record<string, number>) {
+function createLeader(
+  membership: Membership,
+  ackTimes: Record<string, number>,
+  hostsLostAtOnce = 0,
+) {
   const state = new RaftState({
+    hostsLostAtOnce,
     id: 'a',
     instanceId: 'instance-a',
     hardState: { term: 1, votedFor: 'a' },
@@ -106,6 +111,57 @@
     expect(ids(autoMembership.plan(extended, now))).toEqual([['a', 'b', 'd'], []]);
   });
 
+  // A host that was taken away stayed a voter beside its successor; too few were left after the loss of
+  // as many disks as may be lost (issue 56).
+  it.each([
+    ['five', 2, ['a', 'b', 'c', 'd', 'e'], ['a', 'b', 'd', 'e']],
+    ['four', 2, ['a', 'b', 'c', 'd'], ['a', 'b', 'd']],
+  ])('releases a silent voter of %s if hosts are too few', (name, lost, before, after) => {
+    const now = 10_000;
+    const autoMembership = new AutoMembership({
+      replaceAfterMs: REPLACE_AFTER_MS,
+      targetVoters: 5,
+    });
+    const membership = { voters: before.map((id) => createMember(id)), learners: [] };
+    const acks = { b: now, d: now, e: now };
+    const atLimit = createLeader(membership, { ...acks, c: now - REPLACE_AFTER_MS }, lost);
+    atLimit.nowMs = now;
+    expect(autoMembership.plan(atLimit, now)).toBeUndefined();
+    const over = createLeader(membership, { ...acks, c: now - REPLACE_AFTER_MS - 1 }, lost);
+    over.nowMs = now;
+    expect(ids(autoMembership.plan(over, now))).toEqual([after, ['c']]);
+    // The silence of all others is a pause of the leader.
+    over.silenceFromMs = now - 100;
+    expect(autoMembership.plan(over, now)).toBeUndefined();
+  });
+
+  it('releases no voter where the others survive no more disks, or would be two', () => {
+    const now = 10_000;
+    const autoMembership = new AutoMembership({
+      replaceAfterMs: REPLACE_AFTER_MS,
+      targetVoters: 3,
+    });
+    const plan = (lost: number) => {
+      const state = createLeader({ voters: VOTERS, learners: [] }, { b: now, c: 0 }, lost);
+      state.nowMs = now;
+      return autoMembership.plan(state, now);
+    };
+    expect([0, 1, 2].map(plan)).toEqual([undefined, undefined, undefined]);
+  });
+
+  it('promotes a released voter that is back', () => {
+    const now = 10_000;
+    const autoMembership = new AutoMembership({ targetVoters: 5 });
+    const voters = ['a', 'b', 'd', 'e'].map((id) => createMember(id));
+    const state = createLeader(
+      { voters, learners: [createMember('c')] },
+      { b: now, c: now, d: now, e: now },
+      2,
+    );
+    state.nowMs = now;
+    expect(ids(autoMembership.plan(state, now))).toEqual([['a', 'b', 'd', 'e', 'c'], []]);
+  });
+
   it('replaces no voter with a learner that lags behind or is silent', () => {
     const now = 10_000;
     const membership = { voters: VOTERS, learners: [otherHost] };
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -1,6 +1,7 @@
-import { hasCommittedInTerm } from './raft/Replication.js';
+import { disksThatMayBeLost, silentVoters } from './raft/LossTolerance.js';
 import type { RaftState } from './raft/RaftState.js';
 import { isRecovering, remainingVoters } from './raft/Recovery.js';
+import { hasCommittedInTerm } from './raft/Replication.js';
 import { RaftRole, type Member, type Membership } from './raft/Types.js';
 
 /** Options of an {@link AutoMembership}. */
@@ -19,6 +20,9 @@
 /** Several election timeouts; a restarted voter acknowledges again sooner. */
 const DEFAULT_REPLACE_AFTER_MS = 1_800;
 
+/** Two voters can not do without either, so no voter of three is released. */
+const MIN_VOTERS = 3;
+
 /** A host repeats its join request every 500 ms; one older than this has been abandoned. */
 const JOIN_REQUEST_LIFETIME_MS = 5_000;
 
@@ -58,6 +62,7 @@
  * one that has sent no acknowledgement for `replaceAfterMs`. The replacement is promoted before the
  * lost voter is removed. There are then never fewer voters than the target, so that the loss of
  * disks that the target allows for leaves a majority of voters that holds all committed entries.
+ * Where hosts are too few for the target, a lost voter without a replacement becomes a learner.
  * Hosts without a disk stay learners, and so do hosts beyond the target number of voters until a
  * voter is lost.
  */
@@ -159,7 +164,7 @@
     const superseded = AutoMembership.supersededVoter(state, nowMs, voters);
     const lost = superseded ?? this.lostVoter(state, nowMs);
     if (!superseded && voters.length <= this.targetVoters)
-      return lost && AutoMembership.promote(state, nowMs);
+      return lost && (AutoMembership.promote(state, nowMs) ?? this.release(state));
     if (lost) return { voters: voters.filter((voter) => voter !== lost), learners };
     return AutoMembership.demote(state);
   }
@@ -184,6 +189,29 @@
     };
   }
 
+  /**
+   * Makes a silent voter a learner if the others, by themselves, survive the loss of more disks: a
+   * voter that is gone for good neither votes in a recovery nor reports that its disk is lost. One
+   * that returns is promoted again at its first acknowledgements.
+   */
+  private release(state: RaftState): Membership | undefined {
+    const { voters, learners } = state.log.membership;
+    const { hostsLostAtOnce } = state;
+    const silent = silentVoters(state, this.replaceAfterMs);
+    const heard = voters.length - silent.length;
+    if (silent.length === 0 || heard < Math.max(MIN_VOTERS, hostsLostAtOnce + 1)) return undefined;
+    const present = { voters: voters.length, silent: silent.length };
+    const gained =
+      disksThatMayBeLost({ voters: heard, silent: 0 }, hostsLostAtOnce) >
+      disksThatMayBeLost(present, hostsLostAtOnce);
+    if (!gained) return undefined;
+    const [released] = silent;
+    return {
+      voters: voters.filter((voter) => voter !== released),
+      learners: [...learners, released!],
+    };
+  }
+
   /** Makes the voter with the oldest acknowledgement a learner; never the leader. */
   private static demote(state: RaftState): Membership | undefined {
     const { voters, learners } = state.log.membership;
--- a/src/control/raft/LossTolerance.ts
+++ b/src/control/raft/LossTolerance.ts
@@ -1,5 +1,6 @@
 import { UNREACHABLE_TIMEOUTS } from './Copies.js';
 import type { RaftState } from './RaftState.js';
+import type { Member } from './Types.js';
 
 /** Voters of a membership, of which some may be silent. */
 export interface VoterCounts {
@@ -28,13 +29,19 @@
   return Math.max(byMajority, byRecovery);
 }
 
-/** Counts the voters of a leader, and those that it has not heard of for two election timeouts. */
-export function countVoters(state: RaftState): VoterCounts {
-  const { voters } = state.log.membership;
-  const sinceMs = state.nowMs - state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
-  const silent = voters.filter(({ id }) => {
+/** Voters that have sent this leader nothing for longer than a time; a pause of its own is no silence. */
+export function silentVoters(state: RaftState, silentMs: number): Member[] {
+  return state.log.membership.voters.filter(({ id }) => {
     const ackedAtMs = state.followers.get(id)?.ackedAtMs ?? state.nowMs;
-    return Math.max(ackedAtMs, state.silenceFromMs) < sinceMs;
+    return state.nowMs - Math.max(ackedAtMs, state.silenceFromMs) > silentMs;
   });
-  return { voters: voters.length, silent: silent.length };
+}
+
+/** Counts the voters of a leader, and those that it has not heard of for two election timeouts. */
+export function countVoters(state: RaftState): VoterCounts {
+  const silentMs = state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
+  return {
+    voters: state.log.membership.voters.length,
+    silent: silentVoters(state, silentMs).length,
+  };
 }
