--- a/src/gateway/server/OddAnswers.test.ts
+++ b/src/gateway/server/OddAnswers.test.ts
@@ -62,4 +62,24 @@
     await Promise.all(Array.from({ length: PARALLEL }, runNext));
     expect(faults.end()).toEqual([]);
   });
+
+  // Guards against a client that gets a status which is none as an answer (issue 56).
+  it.each(['000', '001', '099', '600', '999'])(
+    'answers 502 for an answer of status %s',
+    async (status) => {
+      const identity = `Call-Id: ${CALL_ID}\r\nSignature: s\r\nContent-Length: 2`;
+      const odd = new RawBackend(
+        createReply((socket) => socket.write(`HTTP/1.1 ${status} OK\r\n${identity}\r\n\r\nok`)),
+      );
+      await odd.start();
+      const gateway = await startTestGateway({ alpha: { odd }, route: { timeoutMs: TIMEOUT_MS } });
+      const client = new RawClient(gateway.port);
+      client.get(['/read/1'], headersOf);
+      await waitUntil(() => client.statusCodes.length === 1, 'an answer');
+      expect(client.statusCodes).toEqual([502]);
+      expect(client.received).not.toContain(` ${status} `);
+      client.close();
+      await gateway.stop();
+    },
+  );
 });
