--- a/fuzz/DiskWorld.test.ts
+++ b/fuzz/DiskWorld.test.ts
@@ -112,4 +112,14 @@
     const run = (world: DiskWorld) => world.runSuccessors(2);
     expect(await violations(run, seedRange(), options)).toEqual([]);
   });
+
+  it.each([
+    { hosts: 4, hostsLostAtOnce: 2 },
+    { hosts: 6, hostsLostAtOnce: 3 },
+    { hosts: 5, hostsLostAtOnce: 2 },
+    { hosts: 6, hostsLostAtOnce: 2 },
+  ])('bear the loss of a disk before the successor has caught up: %o', async (options) => {
+    const run = (world: DiskWorld) => world.runLossBeforeSuccessor();
+    expect(await violations(run, seedRange(), options)).toEqual([]);
+  });
 });
--- a/src/control/raft/Copies.ts
+++ b/src/control/raft/Copies.ts
@@ -1,5 +1,5 @@
 import type { Follower, RaftState } from './RaftState.js';
-import { isRecovering, mayNeedRecovery, remainingVoters } from './Recovery.js';
+import { isRecovering, mayNeedRecovery, recoveryQuorum, remainingVoters } from './Recovery.js';
 import type { Member } from './Types.js';
 
 /**
@@ -9,6 +9,12 @@
  */
 export const UNREACHABLE_TIMEOUTS = 2;
 
+/**
+ * Time without an acknowledgement after which a change of twice `hostsLostAtOnce` voters does without
+ * a voter: longer than outages that end by themselves, within the 15 s for a recovery.
+ */
+const EARLIER_VOTER_PATIENCE_MS = 10_000;
+
 /** Share of an election timeout without any event after which this host counts as paused. */
 const PAUSE_SHARE = 0.5;
 
@@ -33,7 +39,7 @@
 
 /**
  * Highest value that a quorum of voters has reached: a majority or, while a recovery is not
- * completed, all voters that are not emptied.
+ * completed, as many of the voters that are not emptied as elect its leader.
  */
 export function quorumValue(
   state: RaftState,
@@ -48,7 +54,10 @@
     );
   }
   const remaining = new Set(remainingVoters(state).map(({ id }) => id));
-  return Math.min(...values.filter(({ id }) => remaining.has(id)).map(({ value }) => value));
+  return valueOf(
+    values.filter(({ id }) => remaining.has(id)).map(({ value }) => value),
+    recoveryQuorum(state),
+  );
 }
 
 /** True if a majority is fewer voters than must hold a change before it is confirmed. */
@@ -66,12 +75,15 @@
   }
 }
 
-/** True for this host, and for a voter that has acknowledged within the stated time. */
-function isReachable(state: RaftState, id: string): boolean {
+/** True for this host, and for a voter that has acknowledged within a time. */
+function isReachable(
+  state: RaftState,
+  id: string,
+  withinMs = state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS,
+): boolean {
   if (id === state.id) return true;
   const ackedAtMs = state.followers.get(id)?.ackedAtMs ?? Number.NEGATIVE_INFINITY;
-  const silentMs = state.nowMs - Math.max(ackedAtMs, state.silenceFromMs);
-  return silentMs <= state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
+  return state.nowMs - Math.max(ackedAtMs, state.silenceFromMs) <= withinMs;
 }
 
 /** Highest index that is durable on a quorum and on as many further disks as the setting asks for. */
@@ -106,7 +118,11 @@
     (follower) => follower.matchIndex,
     earlierMembership.voters,
   );
-  const reachable = values.filter(({ id }) => isReachable(state, id)).length;
+  // Of twice as many voters as may be lost, a recovery does without some (see recoveryQuorum); where
+  // the change was appended, as many as are needed here were reachable.
+  const isTwice = values.length === 2 * state.hostsLostAtOnce;
+  const withinMs = isTwice ? EARLIER_VOTER_PATIENCE_MS : undefined;
+  const reachable = values.filter(({ id }) => isReachable(state, id, withinMs)).length;
   const holders = values.filter(({ value }) => value >= membershipIndex).length;
   return holders >= Math.min(state.copiesNeeded, reachable);
 }
--- a/src/control/raft/Recovery.test.ts
+++ b/src/control/raft/Recovery.test.ts
@@ -173,4 +173,39 @@
     );
     expect(node.state.term).toBe(3);
   });
+
+  // One host was gone for good and another lost its disk; the other two of four never led (issue 56).
+  it('elects a leader of four by two votes while one voter is missing and one is emptied', () => {
+    const node = createNode(['a', 'b', 'c', 'd'], 2);
+    report(node, member('a-2', 'a'), ['a']);
+    campaign(node);
+    receive(node, reply('b', RaftMessageType.PreVoteReply, 4, ['a']));
+    receive(node, reply('b', RaftMessageType.VoteReply, RECOVERY_TERM_STEP, ['a']));
+    expect(node.isLeader).toBe(true);
+    expect(node.state.commitIndex).toBe(0);
+    const { lastIndex } = node.state.log;
+    node.reduce({
+      type: RaftEventType.Persisted,
+      nowMs: 4_002,
+      index: lastIndex,
+      generation: node.state.generation,
+    });
+    expect(node.state.commitIndex).toBe(0);
+    const acknowledged = { success: true, matchIndex: lastIndex, round: 0 };
+    receive(node, {
+      from: 'b',
+      type: RaftMessageType.AppendReply,
+      term: RECOVERY_TERM_STEP,
+      ...acknowledged,
+    });
+    expect(node.state.commitIndex).toBe(lastIndex);
+  });
+
+  it('needs all voters of fewer than twice as many as may be lost', () => {
+    const node = createNode(['a', 'b', 'c'], 2);
+    report(node, member('a-2', 'a'), ['a']);
+    campaign(node);
+    expect(node.state.role).toBe(RaftRole.PreCandidate);
+    expect(node.isLeader).toBe(false);
+  });
 });
--- a/src/control/raft/Recovery.ts
+++ b/src/control/raft/Recovery.ts
@@ -120,12 +120,26 @@
   return state.log.membership.voters.filter(({ id }) => !state.recoveryIds.includes(id));
 }
 
-/** True if every voter that is not emptied has voted and confirmed the reports. */
+/**
+ * Number of the voters that are not emptied that elect a leader in a recovery, and then hold each
+ * change: all of them, but of twice `hostsLostAtOnce` voters only a majority of those and
+ * `hostsLostAtOnce`. A change is then on one voter more than that number does not reach, and two such
+ * groups share a voter (docs/design/recovery-after-disk-loss.md).
+ */
+export function recoveryQuorum(state: RaftState): number {
+  const { hostsLostAtOnce, recoveryIds } = state;
+  const remaining = remainingVoters(state).length;
+  // Emptied voters count until the end of the recovery, although they are removed one by one.
+  const isTwice = remaining + recoveryIds.length === 2 * hostsLostAtOnce;
+  if (!isTwice || recoveryIds.length > hostsLostAtOnce) return remaining;
+  return Math.max(Math.floor(remaining / 2) + 1, hostsLostAtOnce);
+}
+
+/** True if enough voters that are not emptied have voted and confirmed the reports. */
 export function hasRecoveryVotes(state: RaftState): boolean {
-  return (
-    state.recoveryIds.length > 0 &&
-    remainingVoters(state).every(({ id }) => state.recoveryVotes.has(id))
-  );
+  if (state.recoveryIds.length === 0) return false;
+  const votes = remainingVoters(state).filter(({ id }) => state.recoveryVotes.has(id));
+  return votes.length >= recoveryQuorum(state);
 }
 
 /** True while a leader that a recovery elected still has emptied voters in its membership. */
