--- a/fuzz/DiskWorld.test.ts
+++ b/fuzz/DiskWorld.test.ts
@@ -113,6 +113,13 @@
     expect(await violations(run, seedRange(), options)).toEqual([]);
   });
 
+  // A host that lost its disk knows nobody but its seeds, which may all be gone by then (issue 56).
+  it('readmit a host that none of its seeds can answer', () => {
+    const readmits = (seed: number) =>
+      new DiskWorld({ hosts: 3, hostsLostAtOnce: 1, seed }).readmitsWithoutSeeds();
+    expect(seedRange().map(readmits)).not.toContain(false);
+  });
+
   it.each([
     { hosts: 4, hostsLostAtOnce: 2 },
     { hosts: 6, hostsLostAtOnce: 3 },
--- a/fuzz/DiskWorld.ts
+++ b/fuzz/DiskWorld.ts
@@ -1,6 +1,10 @@
 import { createRandom, pickIndex, type RandomSource } from '../src/common/Random.js';
 import { createTable } from '../src/common/routing/fixtures.js';
-import { requiredVoterCount, shouldRequestJoin } from '../src/control/AutoMembership.js';
+import {
+  membersToInvite,
+  requiredVoterCount,
+  shouldRequestJoin,
+} from '../src/control/AutoMembership.js';
 import type { RoutingView } from '../src/common/routing/Types.js';
 import { shouldReportEmptied } from '../src/control/raft/Recovery.js';
 import type { Member } from '../src/control/raft/Types.js';
@@ -209,6 +213,25 @@
     this.check();
   }
 
+  /**
+   * Replaces all hosts of the first start but one, and then loses the disk of that one, so that none of
+   * its seeds is there. Returns true if it is a voter again.
+   */
+  readmitsWithoutSeeds(): boolean {
+    const [last, ...others] = this.sites.filter(({ address }) =>
+      this.founders.some((founder) => founder.address === address),
+    );
+    others.forEach((site) => {
+      this.timeline.advance(CATCH_UP_MS);
+      this.checkCatchUp();
+      this.takeAway(site, false);
+    });
+    this.timeline.advance(CATCH_UP_MS);
+    this.wipe(last!);
+    this.timeline.advance(CATCH_UP_MS);
+    return this.voterSites().includes(last!);
+  }
+
   /**
    * Takes a voter away for good. Before its successor has caught up, disks are lost: as many as the
    * setting allows together with the voter that is gone.
@@ -233,7 +256,11 @@
   /** Takes a voter away for good; its successor starts up to 3 s later, or as long before. */
   private replaceHost(startsFirst: boolean): void {
     const [gone] = this.pick(this.voterSites(), 1);
-    if (!gone || this.disksLeft === 0) return;
+    if (gone && this.disksLeft > 0) this.takeAway(gone, startsFirst);
+  }
+
+  private takeAway(site: Site, startsFirst: boolean): void {
+    const gone = site;
     const address = `h${this.sites.length}`;
     const steps = [
       () => {
@@ -490,6 +517,8 @@
     this.timeline.after(JOIN_INTERVAL_MS, () => this.requestJoins(site));
     const { host, address } = site;
     const { state } = host.reducer.raft;
+    const self = { id: host.options.id, address, port: 1 };
+    if (host.alive) membersToInvite(state).forEach((member) => this.invite(self, member.address));
     if (!host.alive || !shouldRequestJoin(state, this.timeline.nowMs, site.startedAtMs)) return;
     const member = { id: host.options.id, address, port: 1 };
     const emptiedIds = this.emptiedIdsOf(site);
@@ -512,6 +541,14 @@
     });
   }
 
+  /** Sends the join request of a leader to a member that it does not hear. */
+  private invite(leader: Member, to: string): void {
+    this.network.send(leader.address, to, () => {
+      const target = this.sites.find((site) => site.address === to);
+      if (target?.host.alive) target.host.handle({ type: ControlEventType.Join, member: leader });
+    });
+  }
+
   /** Sends a change and a read to every host that leads. */
   private operate(): void {
     this.timeline.after(this.random.next() * OPERATOR_INTERVAL_MS * 2, () => this.operate());
--- a/src/control/AutoMembership.test.ts
+++ b/src/control/AutoMembership.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { shouldRequestJoin, AutoMembership } from './AutoMembership.js';
+import { shouldRequestJoin, AutoMembership, membersToInvite } from './AutoMembership.js';
 import { CommandType } from './Commands.js';
 import { createFollower, RaftState } from './raft/RaftState.js';
 import { RaftRole, type Member, type Membership } from './raft/Types.js';
@@ -149,6 +149,14 @@
     expect([0, 1, 2].map(plan)).toEqual([undefined, undefined, undefined]);
   });
 
+  it('invites members that a leader does not hear, and none as a follower', () => {
+    const state = createLeader({ voters: VOTERS, learners: [otherHost] }, { b: 9_000, c: 0, d: 0 });
+    state.nowMs = 10_000;
+    expect(membersToInvite(state).map(({ id }) => id)).toEqual(['c', 'd']);
+    state.role = RaftRole.Follower;
+    expect(membersToInvite(state)).toEqual([]);
+  });
+
   it('promotes a released voter that is back', () => {
     const now = 10_000;
     const autoMembership = new AutoMembership({ targetVoters: 5 });
--- a/src/control/AutoMembership.ts
+++ b/src/control/AutoMembership.ts
@@ -1,4 +1,5 @@
-import { disksThatMayBeLost, silentVoters } from './raft/LossTolerance.js';
+import { UNREACHABLE_TIMEOUTS } from './raft/Copies.js';
+import { disksThatMayBeLost, silentMembers } from './raft/LossTolerance.js';
 import type { RaftState } from './raft/RaftState.js';
 import { isRecovering, remainingVoters } from './raft/Recovery.js';
 import { hasCommittedInTerm } from './raft/Replication.js';
@@ -56,6 +57,16 @@
   return !isMember || nowMs - lastContactMs > LEADER_SILENCE_MS;
 }
 
+/**
+ * Members to which a leader sends its own join request, as it hears nothing of them. A host that lost
+ * its disk, and whose seeds are all gone, learns by it whom to ask (see {@link AutoMembership.requesters}).
+ */
+export function membersToInvite(state: RaftState): Member[] {
+  if (state.role !== RaftRole.Leader) return [];
+  const silentMs = state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
+  return silentMembers(state, silentMs, state.log.membersExcept(state.id));
+}
+
 /**
  * Replaces lost control hosts. A host without state joins as a learner under a new id. Once it has
  * caught up, it replaces a voter that counts as lost: one with the address of the joining host, or
@@ -197,7 +208,7 @@
   private release(state: RaftState): Membership | undefined {
     const { voters, learners } = state.log.membership;
     const { hostsLostAtOnce } = state;
-    const silent = silentVoters(state, this.replaceAfterMs);
+    const silent = silentMembers(state, this.replaceAfterMs);
     const heard = voters.length - silent.length;
     if (silent.length === 0 || heard < Math.max(MIN_VOTERS, hostsLostAtOnce + 1)) return undefined;
     const present = { voters: voters.length, silent: silent.length };
--- a/src/control/raft/LossTolerance.ts
+++ b/src/control/raft/LossTolerance.ts
@@ -29,9 +29,16 @@
   return Math.max(byMajority, byRecovery);
 }
 
-/** Voters that have sent this leader nothing for longer than a time; a pause of its own is no silence. */
-export function silentVoters(state: RaftState, silentMs: number): Member[] {
-  return state.log.membership.voters.filter(({ id }) => {
+/**
+ * Voters or other members that have sent this leader nothing for longer than a time; a pause of its own
+ * is no silence.
+ */
+export function silentMembers(
+  state: RaftState,
+  silentMs: number,
+  members: readonly Member[] = state.log.membership.voters,
+): Member[] {
+  return members.filter(({ id }) => {
     const ackedAtMs = state.followers.get(id)?.ackedAtMs ?? state.nowMs;
     return state.nowMs - Math.max(ackedAtMs, state.silenceFromMs) > silentMs;
   });
@@ -42,6 +49,6 @@
   const silentMs = state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS;
   return {
     voters: state.log.membership.voters.length,
-    silent: silentVoters(state, silentMs).length,
+    silent: silentMembers(state, silentMs).length,
   };
 }
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -27,7 +27,11 @@
 import type { RaftTiming } from '../raft/RaftState.js';
 import { shouldReportEmptied } from '../raft/Recovery.js';
 import { RaftMessageType, type Member, type RaftMessage } from '../raft/Types.js';
-import { shouldRequestJoin, type AutoMembershipOptions } from '../AutoMembership.js';
+import {
+  membersToInvite,
+  shouldRequestJoin,
+  type AutoMembershipOptions,
+} from '../AutoMembership.js';
 import { BackendsFile } from '../storage/BackendsFile.js';
 import { DataFolder } from '../storage/DataFolder.js';
 import { DeparturesFile } from '../storage/DeparturesFile.js';
@@ -502,8 +506,9 @@
   private sendJoinRequests(): void {
     const { state } = this.reducer.raft;
     const { file, secret, logger } = this.options;
-    if (!shouldRequestJoin(state, this.clock.nowMs(), this.startedAtMs)) return;
     const member = this.self();
+    membersToInvite(state).forEach((target) => requestJoin(target, member, secret));
+    if (!shouldRequestJoin(state, this.clock.nowMs(), this.startedAtMs)) return;
     const otherMembers = state.log.membersExcept(file.id);
     const requesters = this.reducer.joinRequesters(this.clock.nowMs());
     if (this.options.wasEmptied) this.emptiedIds.learn(state.log.membership);
