--- a/src/control/raft/Copies.test.ts
+++ b/src/control/raft/Copies.test.ts
@@ -103,4 +103,15 @@
     state.nowMs = 11_001;
     expect(committableIndex(state)).toBe(2);
   });
+
+  // The removal of an emptied voter waited 10 s for that voter, so that no leader lasted.
+  it('does not wait for a voter that it removes', () => {
+    const state = createLeader(1, { b: [1, 4_900] });
+    const membership = { voters: [state.log.membership.voters[0]!], learners: [] };
+    const command = { type: CommandType.Membership, membership, actor: 'system', atMs: 0 } as const;
+    state.log.append({ index: 2, term: 1, command });
+    state.followers.clear();
+    Object.assign(state, { persistedIndex: 2, commitIndex: 1, silenceFromMs: state.nowMs });
+    expect(committableIndex(state)).toBe(2);
+  });
 });
--- a/src/control/raft/Copies.ts
+++ b/src/control/raft/Copies.ts
@@ -82,8 +82,10 @@
   withinMs = state.timing.electionTimeoutMs * UNREACHABLE_TIMEOUTS,
 ): boolean {
   if (id === state.id) return true;
-  const ackedAtMs = state.followers.get(id)?.ackedAtMs ?? Number.NEGATIVE_INFINITY;
-  return state.nowMs - Math.max(ackedAtMs, state.silenceFromMs) <= withinMs;
+  const follower = state.followers.get(id);
+  // Nothing is sent to a voter that a change removes.
+  if (!follower) return false;
+  return state.nowMs - Math.max(follower.ackedAtMs, state.silenceFromMs) <= withinMs;
 }
 
 /** Highest index that is durable on a quorum and on as many further disks as the setting asks for. */
