--- a/src/control/raft/Copies.ts
+++ b/src/control/raft/Copies.ts
@@ -1,5 +1,10 @@
 import type { Follower, RaftState } from './RaftState.js';
-import { isRecovering, mayNeedRecovery, recoveryQuorum, remainingVoters } from './Recovery.js';
+import {
+  currentRecoveryQuorum,
+  isRecovering,
+  mayNeedRecovery,
+  remainingVoters,
+} from './Recovery.js';
 import type { Member } from './Types.js';
 
 /**
@@ -56,7 +61,7 @@
   const remaining = new Set(remainingVoters(state).map(({ id }) => id));
   return valueOf(
     values.filter(({ id }) => remaining.has(id)).map(({ value }) => value),
-    recoveryQuorum(state),
+    currentRecoveryQuorum(state),
   );
 }
 
--- a/src/control/raft/LossTolerance.ts
+++ b/src/control/raft/LossTolerance.ts
@@ -1,5 +1,6 @@
 import { UNREACHABLE_TIMEOUTS } from './Copies.js';
 import type { RaftState } from './RaftState.js';
+import { recoveryQuorum } from './Recovery.js';
 import type { Member } from './Types.js';
 
 /** Voters of a membership, of which some may be silent. */
@@ -9,10 +10,19 @@
   readonly silent: number;
 }
 
+/** Most disks of the voters that are not silent after whose loss the others can hold a recovery. */
+function disksByRecovery({ voters, silent }: VoterCounts, hostsLostAtOnce: number): number {
+  if (voters > 2 * hostsLostAtOnce) return 0;
+  for (let emptied = Math.min(hostsLostAtOnce, voters - 1); emptied > 0; emptied -= 1) {
+    const quorum = recoveryQuorum({ remaining: voters - emptied, emptied }, hostsLostAtOnce);
+    if (voters - silent - emptied >= quorum) return emptied;
+  }
+  return 0;
+}
+
 /**
  * Number of the voters that are not silent whose disks may be lost simultaneously, so that the others
- * still elect a leader: a majority is left, or a recovery can be held. A recovery needs every voter
- * that is not emptied, silent ones included.
+ * still elect a leader: a majority is left, or they can hold a recovery.
  *
  * @param counts - voters and silent voters
  * @param hostsLostAtOnce - number of hosts whose loss the setting allows for
@@ -23,10 +33,7 @@
 export function disksThatMayBeLost(counts: VoterCounts, hostsLostAtOnce: number): number {
   const { voters, silent } = counts;
   const quorum = Math.floor(voters / 2) + 1;
-  const byMajority = Math.max(0, voters - silent - quorum);
-  const mayRecover = silent === 0 && voters <= 2 * hostsLostAtOnce;
-  const byRecovery = mayRecover ? Math.min(hostsLostAtOnce, voters - 1) : 0;
-  return Math.max(byMajority, byRecovery);
+  return Math.max(0, voters - silent - quorum, disksByRecovery(counts, hostsLostAtOnce));
 }
 
 /**
--- a/src/control/raft/Recovery.ts
+++ b/src/control/raft/Recovery.ts
@@ -129,26 +129,42 @@
   return state.log.membership.voters.filter(({ id }) => !state.recoveryIds.includes(id));
 }
 
+/** Voters that a recovery begins with; the emptied ones are removed one by one during it. */
+export interface RecoveryCounts {
+  readonly remaining: number;
+  readonly emptied: number;
+}
+
 /**
- * Number of the voters that are not emptied that elect a leader in a recovery, and then hold each
- * change: all of them, but of twice `hostsLostAtOnce` voters only a majority of those and
- * `hostsLostAtOnce`. A change is then on one voter more than that number does not reach, and two such
- * groups share a voter (docs/design/recovery-after-disk-loss.md).
+ * Number of the remaining voters that elect a leader in a recovery and hold each of its changes: all of
+ * them. Of twice `hostsLostAtOnce` voters it is a majority of them, and at least `hostsLostAtOnce`: every
+ * change is on one voter more, so that fewer lack it, and two such groups share a voter (argument in
+ * docs/design/recovery-after-disk-loss.md).
+ *
+ * @example
+ * recoveryQuorum({ remaining: 3, emptied: 1 }, 2); // 2 of the three that are left of four
+ * recoveryQuorum({ remaining: 2, emptied: 1 }, 2); // 2, all that are left of three
  */
-export function recoveryQuorum(state: RaftState): number {
-  const { hostsLostAtOnce, recoveryIds } = state;
-  const remaining = remainingVoters(state).length;
-  // Emptied voters count until the end of the recovery, although they are removed one by one.
-  const isTwice = remaining + recoveryIds.length === 2 * hostsLostAtOnce;
-  if (!isTwice || recoveryIds.length > hostsLostAtOnce) return remaining;
+export function recoveryQuorum(
+  { remaining, emptied }: RecoveryCounts,
+  hostsLostAtOnce: number,
+): number {
+  const isTwice = remaining + emptied === 2 * hostsLostAtOnce;
+  if (!isTwice || emptied > hostsLostAtOnce) return remaining;
   return Math.max(Math.floor(remaining / 2) + 1, hostsLostAtOnce);
 }
 
+/** Number of voters that the current recovery needs. */
+export function currentRecoveryQuorum(state: RaftState): number {
+  const counts = { remaining: remainingVoters(state).length, emptied: state.recoveryIds.length };
+  return recoveryQuorum(counts, state.hostsLostAtOnce);
+}
+
 /** True if enough voters that are not emptied have voted and confirmed the reports. */
 export function hasRecoveryVotes(state: RaftState): boolean {
   if (state.recoveryIds.length === 0) return false;
   const votes = remainingVoters(state).filter(({ id }) => state.recoveryVotes.has(id));
-  return votes.length >= recoveryQuorum(state);
+  return votes.length >= currentRecoveryQuorum(state);
 }
 
 /** True while a leader that a recovery elected still has emptied voters in its membership. */
