--- a/fuzz/VirtualLink.ts
+++ b/fuzz/VirtualLink.ts
@@ -29,6 +29,9 @@
 
 const POLL_MS = 20;
 
+/** Bytes are not modelled. */
+const NOTHING_SENT = { openMs: 0, silentMs: 0, sentBytes: 0, unsentBytes: 0 };
+
 /** Longest wait of a link for its session at a control host without a leader. */
 const ADMISSION_MAX_MS = 3_000;
 
@@ -234,7 +237,7 @@
     const wasOpen = this.isOpen;
     this.close();
     if (this.disposed) return;
-    if (wasOpen) this.options.client.onClose();
+    if (wasOpen) this.options.client.onClose(NOTHING_SENT);
     const { attempt } = this;
     this.options.process.after(this.retryDelays.next(), () => {
       if (attempt === this.attempt && !this.disposed) this.connect();
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -59,7 +59,7 @@
   routing_in_force:
     'All gateways in contact apply a change, or the wait for them ended; with those missing.',
   routing_confirmed:
-    'A change of the routing was confirmed; with the number of gateways counted, the control hosts whose reports counted, and those left out with the reason.',
+    'A change of the routing was confirmed; with the times since its application and its arrival, what it waited for last, the number of gateways counted, the control hosts whose reports counted, and those left out with the reason.',
   confirmed_not_in_force:
     'A change was confirmed at the end of the wait; with the gateways that had not applied it.',
   rollout_applied: 'This gateway applies a new share or the verdict of a rollout.',
@@ -73,11 +73,13 @@
   caps_current: 'Updates of usage caps arrive; decisions follow the level of all gateways.',
   caps_alone: 'No update of usage caps arrived in time; this host uses its own allowance.',
   control_regained: 'A link to a control host is open.',
-  control_lost: 'A link to a control host was lost.',
+  control_lost:
+    'A link to a control host was lost; with its age, its silence and the bytes sent and not sent.',
   control_members: 'The set of control hosts to connect to changed.',
   metrics_failed: 'The metrics could not be served.',
   // Decisions and state of a control host.
-  operator_request: 'This host handled a request of an operator.',
+  operator_request: 'This host handled a request of an operator; with the time that it took.',
+  operator_redirected: 'This host sent an operator to the leader.',
   routing_malformed: 'A change of the routing could not be decoded.',
   announcement_malformed: 'An announcement could not be decoded and was rejected.',
   announcement_refused: 'An announcement was not confirmed: this host is in no connected majority.',
@@ -102,7 +104,8 @@
   join_failed: 'A request to a control host to admit this one failed.',
   role_changed: 'Role, term or leader changed.',
   control_link_opened: 'A link to another control host is open.',
-  control_link_lost: 'A link to another control host was lost.',
+  control_link_lost:
+    'A link to another control host was lost; with its age, its silence and the bytes sent and not sent.',
   control_started: 'The process is listening; with the term and last index of its log.',
   disk_refusing: 'The disk rejects writes; until it accepts them, this host acknowledges nothing.',
   disk_taking: 'The disk accepts writes again; with how long it rejected them.',
--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -10,7 +10,11 @@
 import { isMemberRequest, planMembership } from './MembershipChange.js';
 import type { RaftNode } from './raft/RaftNode.js';
 import { hasRecentMajority } from './raft/Replication.js';
-import { RoutingConfirmations, type RoutingConfirmationsOptions } from './RoutingConfirmations.js';
+import {
+  RoutingConfirmations,
+  type RoutingConfirmationsOptions,
+  type RoutingRequest,
+} from './RoutingConfirmations.js';
 import { isRolloutRequest, proposeRollout } from './rollouts/RolloutRequests.js';
 import { RoutingVerdict, type RoutingResult } from './RoutingState.js';
 import { checkRoutingSize, checkSettingsSize } from './SizeLimits.js';
@@ -70,7 +74,7 @@
   private readonly routingConfirmations: RoutingConfirmations;
 
   /** Requests by change id for changes of the routing that are proposed and not applied yet. */
-  private readonly proposedChanges = new Map<string, string[]>();
+  private readonly proposedChanges = new Map<string, RoutingRequest[]>();
 
   /** Local time at which a settings change was applied, by log index. */
   private readonly appliedTimes = new Map<number, number>();
@@ -142,13 +146,14 @@
     }
     if (request.type === AdminRequestType.Change) this.proposeChange(requestId, request, actor);
     else if (isRolloutRequest(request)) {
+      const received = this.received(requestId);
       proposeRollout(this.options, request, {
         actor,
         wallMs: this.times.wallMs,
         onApplied: (body, error) =>
           error
             ? answer(requestId, null, error)
-            : this.confirmRouting(requestId, body, this.rolloutIndex(request, body)),
+            : this.confirmRouting(received, body, this.rolloutIndex(request, body)),
         onLost: () => this.answerNotLeader(requestId),
       });
     } else if (request.type === AdminRequestType.ChangeRouting) {
@@ -183,8 +188,18 @@
   }
 
   /** Confirms a change of the routing once the gateways in contact apply it. */
-  private confirmRouting(requestId: string, body: unknown, index = this.routingIndex): void {
-    this.routingConfirmations.add(requestId, body, index, this.times.nowMs);
+  private confirmRouting(request: RoutingRequest, body: unknown, index = this.routingIndex): void {
+    this.routingConfirmations.add(request, body, index, this.times.nowMs);
+  }
+
+  /** Request that has just arrived. */
+  private received(requestId: string): RoutingRequest {
+    return { requestId, arrivedAtMs: this.times.nowMs };
+  }
+
+  /** Time from the arrival of the latest confirmed change of the routing to its confirmation. */
+  get latestChangeMs(): number {
+    return this.routingConfirmations.latestTookMs;
   }
 
   private get routingIndex(): number {
@@ -260,21 +275,22 @@
     actor: Actor,
   ): void {
     const { changeId, baseVersion, version, edit } = request;
-    if (this.joinRoutingChange(requestId, changeId)) return;
+    const received = this.received(requestId);
+    if (this.joinRoutingChange(received, changeId)) return;
     const { view } = this.options.replicatedState.routing;
     if (this.answerFault(requestId, checkRoutingSize(view, edit))) return;
     const command = { type: CommandType.RoutingChange, changeId, baseVersion, version } as const;
-    const requestIds = [requestId];
-    this.proposedChanges.set(changeId, requestIds);
-    const end = (answer: (id: string) => void) => {
+    const requests = [received];
+    this.proposedChanges.set(changeId, requests);
+    const end = (answer: (waiting: RoutingRequest) => void) => {
       this.proposedChanges.delete(changeId);
-      requestIds.forEach(answer);
+      requests.forEach(answer);
     };
     this.options.propose(
       { ...command, edit, actor: actor.name, atMs: this.times.wallMs },
       {
-        onApplied: ({ routing }) => end((id) => this.answerRouting(id, routing!)),
-        onLost: () => end((id) => this.answerNotLeader(id)),
+        onApplied: ({ routing }) => end((waiting) => this.answerRouting(waiting, routing!)),
+        onLost: () => end((waiting) => this.answerNotLeader(waiting.requestId)),
       },
     );
   }
@@ -284,22 +300,26 @@
    * operators' calls give up sooner than a late gateway applies a change, and each proposal holds the
    * whole change. Returns false if it must be proposed.
    */
-  private joinRoutingChange(requestId: string, changeId: string): boolean {
+  private joinRoutingChange(request: RoutingRequest, changeId: string): boolean {
     const { raft, replicatedState } = this.options;
     const proposed = this.proposedChanges.get(changeId);
-    proposed?.push(requestId);
+    proposed?.push(request);
     if (proposed) return true;
     const repeated = replicatedState.routing.repeatedResult(changeId);
     // A leader that was deposed would not know of the gateways of other control hosts.
     if (!repeated || !hasRecentMajority(raft.state, this.times.nowMs)) return false;
-    this.answerRouting(requestId, repeated);
+    this.answerRouting(request, repeated);
     return true;
   }
 
-  private answerRouting(requestId: string, result: RoutingResult): void {
+  private answerRouting(request: RoutingRequest, result: RoutingResult): void {
     const kind = ROUTING_ERRORS[result.verdict];
-    if (kind) this.options.answer(requestId, result, new EgretError(kind, `${result.detail}.`));
-    else this.confirmRouting(requestId, result, this.routingConfirmations.indexOf(result.version));
+    const index = this.routingConfirmations.indexOf(result.version);
+    if (!kind) this.confirmRouting(request, result, index);
+    else {
+      const error = new EgretError(kind, `${result.detail}.`);
+      this.options.answer(request.requestId, result, error);
+    }
   }
 
   private proposeZoneClosure(
@@ -308,11 +328,12 @@
     actor: Actor,
   ): void {
     const { zone, closed } = request;
+    const received = this.received(requestId);
     const command = { type: CommandType.ZoneClosure, zone, closed } as const;
     this.options.propose(
       { ...command, actor: actor.name, atMs: this.times.wallMs },
       {
-        onApplied: () => this.confirmRouting(requestId, { zone, closed }),
+        onApplied: () => this.confirmRouting(received, { zone, closed }),
         onLost: () => this.answerNotLeader(requestId),
       },
     );
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -429,6 +429,11 @@
     }
   }
 
+  /** Time from the arrival of the latest change of the routing to its confirmation, on the leader. */
+  get latestChangeMs(): number {
+    return this.admin.latestChangeMs;
+  }
+
   /** Number of gateways in contact that have not applied the newest routing of this host. */
   gatewaysBehind(nowMs: number): number {
     return this.gateways.behind(this.replicatedState.routing.view.index, nowMs).length;
--- a/src/control/RoutingConfirmations.ts
+++ b/src/control/RoutingConfirmations.ts
@@ -14,6 +14,15 @@
 interface PendingConfirmation {
   readonly body: unknown;
   readonly index: number;
+  readonly arrivedAtMs: number;
+  /** Gateways and control hosts that it waited for at the last check. */
+  missing: readonly string[];
+}
+
+/** Request for a change of the routing, or a repeated one. */
+export interface RoutingRequest {
+  readonly requestId: string;
+  readonly arrivedAtMs: number;
 }
 
 /** Routing that this host has applied. */
@@ -35,9 +44,13 @@
  * it must not keep operators from changes, and by then refuses calls, as it knows of a newer routing.
  *
  * @example
- * confirmations.add('request-1', { version: 7 }, 120, nowMs); // confirmed now or by release
+ * const request = { requestId: 'request-1', arrivedAtMs: nowMs - 12 };
+ * confirmations.add(request, { version: 7 }, 120, nowMs); // confirmed now or by release
  */
 export class RoutingConfirmations {
+  /** Time from the arrival of the latest confirmed change to its confirmation. */
+  latestTookMs = 0;
+
   private readonly pending = new Map<string, PendingConfirmation>();
 
   private readonly applied: AppliedRouting[] = [];
@@ -56,29 +69,35 @@
   }
 
   /** Confirms a change now, or once it is in force. */
-  add(requestId: string, body: unknown, index: number, nowMs: number): void {
-    this.pending.set(requestId, { body, index });
+  add(request: RoutingRequest, body: unknown, index: number, nowMs: number): void {
+    const { requestId, arrivedAtMs } = request;
+    this.pending.set(requestId, { body, index, arrivedAtMs, missing: [] });
     this.release(nowMs);
   }
 
   /** Confirms the changes that are in force, or whose wait has ended; called periodically. */
   release(nowMs: number): void {
     const checked = new Map<number, MissingProgress>();
-    this.pending.forEach(({ body, index }, requestId) => {
+    this.pending.forEach((pending, requestId) => {
+      const { body, index, arrivedAtMs, missing: lastMissing } = pending;
       const progress = checked.get(index) ?? this.options.missing(index, nowMs);
       checked.set(index, progress);
       const missing = [...progress.gatewayIds, ...progress.controlHostIds];
       const waitedMs = nowMs - this.appliedAtMs(index);
       if (missing.length > 0) {
+        pending.missing = missing;
         if (waitedMs < IN_FORCE_WAIT_MS) return;
         const fields = { index, waitedMs: Math.round(waitedMs), missing: joinIds(missing) };
         this.options.log('confirmed_not_in_force', fields);
       }
       this.pending.delete(requestId);
       const { gateways, reported, leftOut } = this.options.coverage(nowMs);
+      this.latestTookMs = nowMs - arrivedAtMs;
       this.options.log('routing_confirmed', {
         index,
         waitedMs: Number.isFinite(waitedMs) ? Math.round(waitedMs) : UNKNOWN_WAIT_MS,
+        tookMs: Math.round(this.latestTookMs),
+        lastMissing: joinIds(lastMissing),
         gateways,
         reported: joinIds(reported),
         leftOut: joinIds(leftOut),
--- a/src/control/server/ControlMetrics.ts
+++ b/src/control/server/ControlMetrics.ts
@@ -16,6 +16,8 @@
   readonly nowMs: () => number;
   /** Links that wait for a session. */
   readonly waitingLinks: () => number;
+  /** Links to other control hosts that were lost since the start. */
+  readonly lostLinks: () => number;
   /** Messages that were larger than a link accepts. */
   readonly oversizedMessages: () => number;
 }
@@ -24,7 +26,7 @@
  * Registers the metrics of a control host; docs/OPERATIONS.md describes those that operators watch.
  *
  * @example
- * registerControlMetrics(registry, { reducer, storage, loop, nowMs, waitingLinks, oversizedMessages });
+ * registerControlMetrics(registry, { ...sources, waitingLinks: () => admission.size });
  */
 export function registerControlMetrics(registry: Registry, sources: ControlMetricsSources): void {
   collectDefaultMetrics({ register: registry });
@@ -84,6 +86,14 @@
     'Time from the commit of the latest change to its application by the last gateway (leader).',
     () => reducer.routingInForce.latestWaitMs / 1_000,
   );
+  gauge(
+    'egret_control_change_seconds',
+    'Time from the arrival of the latest change of the routing to its confirmation (leader).',
+    () => reducer.latestChangeMs / 1_000,
+  );
+  gauge('egret_control_links_lost', 'Links to other control hosts that were lost.', () =>
+    sources.lostLinks(),
+  );
   gauge(
     'egret_control_gateways_behind',
     'Gateways in contact with this host that have not applied its newest routing.',
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -172,6 +172,8 @@
 
   private nextRequestId = 1;
 
+  private lostLinks = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   private joinTimer: NodeJS.Timeout | undefined;
@@ -263,7 +265,10 @@
         const random = this.random.next();
         this.post({ type: ControlEventType.ControlLinkOpened, memberId, random, protocol });
       },
-      onClose: (memberId) => logger.warn('control_link_lost', { host: file.id, member: memberId }),
+      onClose: (memberId, lost) => {
+        this.lostLinks += 1;
+        logger.warn('control_link_lost', { host: file.id, member: memberId, ...lost });
+      },
     });
     this.sender = new DurableSender({
       storage,
@@ -303,6 +308,7 @@
       loop: this.loop,
       nowMs: () => this.clock.nowMs(),
       waitingLinks: () => this.admission.size,
+      lostLinks: () => this.lostLinks,
       oversizedMessages: () => this.links.oversizedMessages + this.messages.oversizedMessages,
     });
   }
--- a/src/control/server/RaftLinks.ts
+++ b/src/control/server/RaftLinks.ts
@@ -2,7 +2,7 @@
 import { LinkRole } from '../../runtime/LinkAuth.js';
 import type { Logger } from '../../runtime/Logger.js';
 import { MessageClient } from '../../runtime/MessageClient.js';
-import type { LinkTiming } from '../../runtime/MessageClient.js';
+import type { LinkTiming, LostLink } from '../../runtime/MessageClient.js';
 import type { Member } from '../raft/Types.js';
 
 /** Options of {@link RaftLinks}. */
@@ -16,7 +16,7 @@
   /** Receives the bytes sent by message type. */
   readonly onBytes?: (messageType: string, bytes: number, memberZone: string | undefined) => void;
   readonly onOpen?: (memberId: string, protocol: number) => void;
-  readonly onClose?: (memberId: string) => void;
+  readonly onClose?: (memberId: string, lost: LostLink) => void;
 }
 
 /** Outgoing links to the other control hosts; replies arrive over the links of those hosts. */
@@ -86,7 +86,7 @@
         onBytes: this.options.onBytes,
         onOpen: () => this.options.onOpen?.(member.id, this.protocolOf(member.id)),
         onMessage: () => {},
-        onClose: () => this.options.onClose?.(member.id),
+        onClose: (lost) => this.options.onClose?.(member.id, lost),
       }),
     );
   }
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -288,8 +288,8 @@
         this.syncWatches();
       },
       onMessage: (message) => this.receive(key, message as ControlToEntryMessage),
-      onClose: () => {
-        logger.warn('control_lost', { control: key });
+      onClose: (lost) => {
+        logger.warn('control_lost', { control: key, ...lost });
         this.links.get(key)!.watchedAtMs = undefined;
         this.options.onLost(key);
         this.syncWatches();
--- a/src/runtime/MessageClient.ts
+++ b/src/runtime/MessageClient.ts
@@ -64,7 +64,18 @@
   readonly onBytes?: (messageType: string, bytes: number, serverZone: string | undefined) => void;
   readonly onOpen: () => void;
   readonly onMessage: (message: object) => void;
-  readonly onClose: () => void;
+  readonly onClose: (lost: LostLink) => void;
+}
+
+/** What an open link did until it was lost, for the log. */
+export interface LostLink {
+  readonly openMs: number;
+  /** Time since the last received byte; long if the other end or the path to it is slow. */
+  readonly silentMs: number;
+  /** Bytes of messages sent since the link was opened. */
+  readonly sentBytes: number;
+  /** Bytes of them that this process could not pass on yet; many if the path is too slow. */
+  readonly unsentBytes: number;
 }
 
 /** Number of messages and encoded bytes in both directions. */
@@ -111,6 +122,11 @@
 
   private receivedAtMs = 0;
 
+  private openedAtMs = 0;
+
+  /** Bytes of messages sent on the open link. */
+  private sentMessageBytes = 0;
+
   /** Connection under the WebSocket; its byte count includes incomplete messages. */
   private connection: Socket | undefined;
 
@@ -174,6 +190,7 @@
       return false;
     }
     this.countTraffic(bytes);
+    this.sentMessageBytes += bytes.length;
     this.socket.send(bytes);
     this.sentBytes?.noteMessage(kind, bytes.length);
     return true;
@@ -279,6 +296,8 @@
       if (typeof welcome.availabilityZone === 'string') this.serverZone = welcome.availabilityZone;
       this.serverProtocol = welcome.protocol ?? 1;
       this.state = LinkState.Open;
+      this.openedAtMs = performance.now();
+      this.sentMessageBytes = 0;
       this.retryDelays.reset();
       this.startHeartbeat(socket);
       this.options.onOpen();
@@ -338,7 +357,17 @@
     this.state = LinkState.Closed;
     this.ticket = '';
     if (this.disposed) return;
-    if (wasOpen) this.options.onClose();
+    if (wasOpen) this.options.onClose(this.describeLost(socket));
     this.retryTimer = setTimeout(() => this.connect(), this.retryDelays.next());
   }
+
+  private describeLost(socket: WebSocket): LostLink {
+    const nowMs = performance.now();
+    return {
+      openMs: Math.round(nowMs - this.openedAtMs),
+      silentMs: Math.round(nowMs - this.receivedAtMs),
+      sentBytes: this.sentMessageBytes,
+      unsentBytes: socket.bufferedAmount,
+    };
+  }
 }
