--- a/fuzz/ControlCluster.ts
+++ b/fuzz/ControlCluster.ts
@@ -16,6 +16,10 @@
   readonly log?: (event: string, fields: LogFields, from: string) => void;
   readonly entryHeartbeatTimeoutMs?: number;
   readonly count?: number;
+  /** Hosts without a disk, which join after the others have started. */
+  readonly observers?: number;
+  /** Receives each message from one control host to another as it is sent. */
+  readonly onSent?: (from: string, to: string, message: object) => void;
   readonly seed?: number;
   readonly snapshotEvery?: number;
   /** True if what is sent between control hosts arrives in order, late after a short cut. */
@@ -30,6 +34,9 @@
 
 const PATH = '/teams/otaru/services/ledger/queueMax';
 const STEP_MS = 10;
+
+/** Time for the first election, and for observers to join. */
+const START_MS = 4_000;
 const ANSWER_TIMEOUT_MS = 5_000;
 
 /** Control hosts without other hosts, in virtual time, for focused tests of failures. */
@@ -63,7 +70,26 @@
       port: 1,
     }));
     this.voters.forEach((voter) => this.addHost(voter.id));
-    this.run(4_000);
+    this.run(START_MS);
+    this.addObservers(options.observers ?? 0);
+  }
+
+  private addObservers(count: number): void {
+    Array.from({ length: count }, (unused, index) => `observer-${index}`).forEach((id) => {
+      this.addHost(id, { observer: true });
+      const member = { id, address: id, port: 1, observer: true };
+      this.leader().handle({ type: ControlEventType.Join, member });
+    });
+    if (count > 0) this.run(START_MS);
+  }
+
+  /** Opens the links of all others to a host again, as after their loss. */
+  relink(id: string): void {
+    const host = this.host(id);
+    this.hosts.forEach((other) => {
+      const linked = other.reducer.raft.state.log.membersExcept(other.options.id);
+      if (linked.some((member) => member.id === id)) other.linkTo([host]);
+    });
   }
 
   run(spanMs: number): void {
@@ -75,7 +101,7 @@
   }
 
   /** Starts a host with an empty disk. Unless it is an initial voter, add it as a member. */
-  addHost(id: string): ControlHost {
+  addHost(id: string, { observer = false } = {}): ControlHost {
     const host = new ControlHost({
       id,
       timeline: this.timeline,
@@ -85,17 +111,19 @@
       clockRate: 1,
       snapshotEvery: this.snapshotEvery,
       sendRaft: (to, message) =>
-        this.send(id, to, () =>
+        this.send(id, to, message, () =>
           this.hosts.get(to)?.handle({ type: ControlEventType.RaftMessage, message }),
         ),
       sendSession: (sessionId, message) => this.options.sendSession?.(sessionId, message, id),
       sendControl: (to, message) =>
-        this.send(id, to, () =>
+        this.send(id, to, message, () =>
           this.hosts.get(to)?.handle({ type: ControlEventType.ControlPeerMessage, message }),
         ),
       log: (event, fields) => this.options.log?.(event, fields, id),
       entryHeartbeatTimeoutMs: this.options.entryHeartbeatTimeoutMs,
       availabilityZone: id,
+      observer,
+      ...(this.options.observers && { autoMembership: { targetVoters: this.voters.length } }),
     });
     this.hosts.set(id, host);
     return host;
@@ -104,7 +132,8 @@
   /** Connections between control hosts, by both names. */
   private readonly pipes = new Map<string, HeldPipe>();
 
-  private send(from: string, to: string, deliver: () => void): void {
+  private send(from: string, to: string, message: object, deliver: () => void): void {
+    this.options.onSent?.(from, to, message);
     if (this.options.holdsMessages) this.pipe(from, to).send(deliver);
     else this.network.send(from, to, deliver);
   }
--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -57,6 +57,8 @@
   /** Time without a heartbeat after which an entry host is no longer listed. */
   readonly entryHeartbeatTimeoutMs?: number;
   readonly availabilityZone?: string;
+  /** True for a host without a disk. */
+  readonly observer?: boolean;
 }
 
 /** Fields of a log line. */
--- a/src/control/fixtures.ts
+++ b/src/control/fixtures.ts
@@ -47,7 +47,9 @@
 const DELAY_MS = 2;
 
 /** Control hosts in virtual time, with gateways that apply what they are sent. */
-export function createRoutedCluster(options: Pick<ControlClusterOptions, 'snapshotEvery'> = {}) {
+export function createRoutedCluster(
+  options: Pick<ControlClusterOptions, 'snapshotEvery' | 'count' | 'observers'> = {},
+) {
   const gateways: TestGateway[] = [];
   const lines: LoggedLine[] = [];
   const receivers: ((message: ControlToEntryMessage, from: string) => void)[] = [];
