--- a/fuzz/ControlCluster.ts
+++ b/fuzz/ControlCluster.ts
@@ -2,6 +2,7 @@
 import { createRandom } from '../src/common/Random.js';
 import type { EgretError } from '../src/common/Errors.js';
 import type { ChangeResult } from '../src/control/ReplicatedState.js';
+import { linkedMembers } from '../src/control/ExchangePeers.js';
 import { AdminRequestType, ControlEventType, type AdminRequest } from '../src/control/Types.js';
 import { hashToken } from '../src/runtime/LinkAuth.js';
 import { ADMIN_TOKEN, buildTree, OTARU } from '../standin/Deployments.js';
@@ -87,7 +88,9 @@
   relink(id: string): void {
     const host = this.host(id);
     this.hosts.forEach((other) => {
-      const linked = other.reducer.raft.state.log.membersExcept(other.options.id);
+      const { log } = other.reducer.raft.state;
+      const { observer: isObserver } = other.options;
+      const linked = linkedMembers(log, { selfId: other.options.id, isObserver });
       if (linked.some((member) => member.id === id)) other.linkTo([host]);
     });
   }
--- a/fuzz/ControlHost.ts
+++ b/fuzz/ControlHost.ts
@@ -184,6 +184,7 @@
       autoMembership: this.options.autoMembership,
       entryHeartbeatTimeoutMs: this.options.entryHeartbeatTimeoutMs,
       availabilityZone: this.options.availabilityZone,
+      observer: this.options.observer,
     });
     const { savedAtMs, records } = this.disk.backends;
     const isRecent = isRestorable(savedAtMs, this.options.timeline.nowMs);
--- a/src/common/Constants.ts
+++ b/src/common/Constants.ts
@@ -7,9 +7,10 @@
 /**
  * Version of the protocol between the system's own processes; a process sends no message that the
  * version at the other end does not know. Version 2 adds renewals of backend servers,
- * version 3 the usage of customers, version 4 the progress of the routing at the gateways.
+ * version 3 the usage of customers, version 4 the progress of the routing at the gateways; from version
+ * 5 on, observers hold no announcements.
  */
-export const PROTOCOL_VERSION = 4;
+export const PROTOCOL_VERSION = 5;
 
 /** Largest message between the system's own processes. */
 export const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -21,6 +21,7 @@
 import type { Customer } from '../common/routing/Types.js';
 import { UsageFlow } from './caps/UsageFlow.js';
 import { EntrySessions } from './EntrySessions.js';
+import { ExchangePeers } from './ExchangePeers.js';
 import { GatewayProgress } from './GatewayProgress.js';
 import { withInstanceIds } from './MembershipChange.js';
 import { RegistryFlow } from './RegistryFlow.js';
@@ -70,6 +71,8 @@
   readonly entryHeartbeatTimeoutMs?: number;
   /** Limits of rollouts; those of the requirement by default. */
   readonly rollouts?: RolloutSettings;
+  /** True for a host without a disk, which takes no announcements and serves no entry hosts. */
+  readonly observer?: boolean;
 }
 
 /** Callbacks of a proposed command, with the term of the proposal. */
@@ -104,6 +107,8 @@
 
   private readonly routingProgress: RoutingProgress;
 
+  private readonly peers: ExchangePeers;
+
   private readonly sharedHosts: SharedEntryHosts;
 
   readonly backends: RegistryFlow;
@@ -116,6 +121,8 @@
 
   private readonly availabilityZone: string | undefined;
 
+  private readonly isObserver: boolean;
+
   private readonly snapshotPolicy: SnapshotPolicy;
 
   private readonly initialSettings: SettingsTree | null;
@@ -144,13 +151,20 @@
     const hostsLostAtOnce = options.autoMembership?.hostsLostAtOnce;
     this.raft = new RaftNode({ ...options.raft, hostsLostAtOnce });
     this.steering = new RolloutSteering({ settings: options.rollouts });
+    this.isObserver = options.observer ?? false;
+    this.peers = new ExchangePeers({
+      selfId: options.raft.id,
+      log: this.raft.state.log,
+      isObserver: this.isObserver,
+    });
     this.sharedHosts = new SharedEntryHosts({
       selfId: options.raft.id,
-      peerIds: () => this.raft.state.log.membersExcept(options.raft.id).map(({ id }) => id),
+      peerIds: () => this.peers.ids(),
       send: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
     });
     this.routingProgress = new RoutingProgress({
       raft: this.raft.state,
+      peers: this.peers,
       gateways: this.gateways,
       routingIndex: () => this.replicatedState.routing.view.index,
       send: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
@@ -174,6 +188,7 @@
       : null;
     this.backends = new RegistryFlow({
       raft: this.raft.state,
+      peers: this.peers,
       sessions: this.sessions,
       emit: (effect) => this.emit(effect),
     });
@@ -256,7 +271,9 @@
     [ControlEventType.ControlLinkOpened]: (event: EventOf<ControlEventType.ControlLinkOpened>) => {
       const { memberId, random, nowMs, protocol } = event;
       this.stepRaft({ type: RaftEventType.MemberLinked, nowMs, memberId, random });
-      this.routingProgress.onControlLink(memberId, protocol);
+      this.peers.onControlLink(memberId, protocol);
+      this.routingProgress.onControlLink(memberId);
+      if (!this.peers.includes(memberId)) return;
       this.backends.onControlLink(memberId);
       this.sharedHosts.sendWhole(memberId);
       this.usage?.onControlLink(memberId, nowMs);
@@ -355,6 +372,8 @@
         this.endWatch(sessionId);
         return;
       }
+      // It learns by the answers to its heartbeats that it has to watch others.
+      if (this.isObserver) return;
       const { departures, entryHostUpdates, acceptsCompressed = false } = message;
       const gatewayId = this.sessions.entryHostId(sessionId);
       this.gateways.watch(sessionId, gatewayId, message.routingIndex, this.nowMs);
@@ -475,13 +494,11 @@
   /** Forwards a report of one entry host to all others, also through the other control hosts. */
   private forwardReport(sessionId: number, report: CrashReportMessage | LimitReportMessage): void {
     this.sendToWatchers(report, sessionId);
-    const { id, log } = this.raft.state;
+    const { id } = this.raft.state;
     const message = { type: ControlMessageType.ReportRelay, from: id, report } as const;
-    log
-      .membersExcept(id)
-      .forEach((member) =>
-        this.emit({ type: ControlEffectType.SendControl, to: member.id, message }),
-      );
+    this.peers
+      .ids()
+      .forEach((to) => this.emit({ type: ControlEffectType.SendControl, to, message }));
   }
 
   private sendToWatchers(message: ControlToEntryMessage, exceptSessionId?: number): void {
@@ -541,7 +558,7 @@
     return new UsageFlow({
       bounds,
       selfId: id,
-      peerIds: () => this.raft.state.log.membersExcept(id).map((member) => member.id),
+      peerIds: () => this.peers.ids(),
       sendControl: (to, message) => this.emit({ type: ControlEffectType.SendControl, to, message }),
       broadcast: (sessionIds, message) =>
         this.emit({ type: ControlEffectType.Broadcast, sessionIds, message }),
@@ -739,7 +756,7 @@
       voters: isNew ? state.log.membership.voters : [],
       isVoter: state.isVoter,
       routingIndex: this.replicatedState.routing.view.index,
-      isCurrent: isCaughtUp(state, this.nowMs),
+      isCurrent: !this.isObserver && isCaughtUp(state, this.nowMs),
       ...(isNew && availabilityZone !== undefined && { availabilityZone }),
     });
     if (message.subscribe && message.appliedIndex < this.replicatedState.settingsIndex) {
--- a/src/control/DepartureFlow.ts
+++ b/src/control/DepartureFlow.ts
@@ -7,6 +7,7 @@
 import { departureKey, DepartureDelivery, isDeparture } from './DepartureDelivery.js';
 import { DepartureStore } from './DepartureStore.js';
 import type { EntrySessions } from './EntrySessions.js';
+import type { ExchangePeers } from './ExchangePeers.js';
 import { PeerContacts } from './PeerContacts.js';
 import { PendingDepartures, type DueReport, type PendingDelivery } from './PendingDepartures.js';
 import type { RegistryBatches } from './RegistryBatches.js';
@@ -16,6 +17,7 @@
 /** Dependencies of a {@link DepartureFlow}. */
 export interface DepartureFlowOptions {
   readonly raft: RaftState;
+  readonly peers: ExchangePeers;
   readonly sessions: EntrySessions;
   readonly batches: RegistryBatches;
   readonly emit: (effect: ControlEffect) => void;
@@ -43,7 +45,7 @@
 
   private readonly pending: PendingDepartures;
 
-  private readonly peers = new PeerContacts();
+  private readonly contacts = new PeerContacts();
 
   /** Start times of backend servers whose departure this host has confirmed, by id. */
   private readonly confirmed = new Map<string, number>();
@@ -51,7 +53,7 @@
   private nowMs = 0;
 
   constructor(private readonly options: DepartureFlowOptions) {
-    const { raft, sessions, records, emit, isMajority } = options;
+    const { peers, sessions, records, emit, isMajority } = options;
     this.delivery = new DepartureDelivery({
       lastSeenMs: (sessionId) => sessions.lastSeenMs(sessionId),
       entryHostId: (sessionId) => sessions.entryHostId(sessionId),
@@ -60,8 +62,8 @@
     this.pending = new PendingDepartures({
       isMajority,
       isWaiting: (key) => this.delivery.isWaiting(key),
-      awaitedIds: () => this.peers.awaited(raft.log.membersExcept(raft.id), this.nowMs),
-      isInContact: (id) => this.peers.isInContact(id, this.nowMs),
+      awaitedIds: () => this.contacts.awaited(peers.members(), this.nowMs),
+      isInContact: (id) => this.contacts.isInContact(id, this.nowMs),
     });
   }
 
@@ -133,12 +135,12 @@
 
   /** Notes a sign of life of another control host. */
   noteContact(memberId: string): void {
-    this.peers.note(memberId, this.nowMs);
+    this.contacts.note(memberId, this.nowMs);
   }
 
   /** Notes whether another control host reports deliveries, whatever the state of its disk. */
   noteReports(memberId: string, reports: boolean): void {
-    this.peers.noteReports(memberId, reports);
+    this.contacts.noteReports(memberId, reports);
   }
 
   /** Notes that an entry host was sent the whole registry in a batch; 0 if it has no departure. */
--- a/src/control/RegistryFlow.test.ts
+++ b/src/control/RegistryFlow.test.ts
@@ -3,6 +3,7 @@
 import { ControlMessageType, type ControlToEntryMessage } from '../common/Messages.js';
 import { createBackend, createEntryHost } from '../gateway/fixtures.js';
 import { EntrySessions } from './EntrySessions.js';
+import { ExchangePeers } from './ExchangePeers.js';
 import { createFollower, RaftState } from './raft/RaftState.js';
 import { RaftRole } from './raft/Types.js';
 import { RegistryFlow } from './RegistryFlow.js';
@@ -29,6 +30,7 @@
   const effects: ControlEffect[] = [];
   const flow: RegistryFlow = new RegistryFlow({
     raft,
+    peers: new ExchangePeers({ selfId: raft.id, log: raft.log }),
     sessions,
     emit: (effect) => {
       effects.push(effect);
--- a/src/control/RegistryFlow.ts
+++ b/src/control/RegistryFlow.ts
@@ -18,6 +18,7 @@
 import { isDeparture } from './DepartureDelivery.js';
 import { DepartureFlow } from './DepartureFlow.js';
 import type { EntrySessions } from './EntrySessions.js';
+import type { ExchangePeers } from './ExchangePeers.js';
 import { RegistryBatches } from './RegistryBatches.js';
 import type { RaftState } from './raft/RaftState.js';
 import { hasRecentMajority } from './raft/Replication.js';
@@ -28,6 +29,8 @@
 /** Dependencies of a {@link RegistryFlow}. */
 export interface RegistryFlowOptions {
   readonly raft: RaftState;
+  /** Control hosts that hold all announcements too. */
+  readonly peers: ExchangePeers;
   readonly sessions: EntrySessions;
   readonly emit: (effect: ControlEffect) => void;
   readonly registry?: BackendRegistryOptions;
@@ -47,7 +50,7 @@
 const SAVED = 'data folder';
 
 /**
- * Announcements at one control host. Every control host holds all of them: changes are sent at once,
+ * Announcements at one control host. Every one but observers holds all of them: changes are sent at once,
  * what only renews a record in one message an interval. A departure is confirmed once a majority of
  * the control hosts have it on disk, and every entry host in contact has acknowledged it
  * ({@link DepartureFlow}).
@@ -91,9 +94,10 @@
 
   constructor(private readonly options: RegistryFlowOptions) {
     this.registry = new BackendRegistry(options.registry);
-    const { raft, sessions, emit } = options;
+    const { raft, peers, sessions, emit } = options;
     this.departures = new DepartureFlow({
       raft,
+      peers,
       sessions,
       batches: this.batches,
       emit,
@@ -340,23 +344,21 @@
     const batch = this.batches.take(this.nowMs);
     if (!batch) return;
     if (batch.push) this.departures.noteSent(batch.batchId, batch.push.records);
-    const { emit, raft } = this.options;
+    const { emit, peers } = this.options;
     const sessionIds = [...this.watchers];
     if (batch.push && sessionIds.length > 0) {
       const { compressedWatchers: compressedIds } = this;
       emit({ type: ControlEffectType.Broadcast, sessionIds, message: batch.push, compressedIds });
     }
     if (batch.relay.length === 0) return;
-    raft.log
-      .membersExcept(raft.id)
-      .forEach((member) => this.relay(member.id, batch.batchId, batch.relay));
+    peers.ids().forEach((id) => this.relay(id, batch.batchId, batch.relay));
   }
 
   private sendRenewals(): void {
-    const { raft } = this.options;
+    const { raft, peers } = this.options;
     const message = this.batches.takeRenewals(raft.id, this.nowMs);
     if (!message) return;
-    raft.log.membersExcept(raft.id).forEach((member) => this.sendControl(member.id, message));
+    peers.ids().forEach((id) => this.sendControl(id, message));
   }
 
   /**
--- a/src/control/RoutingProgress.ts
+++ b/src/control/RoutingProgress.ts
@@ -1,5 +1,5 @@
-import { PROTOCOL_VERSION } from '../common/Constants.js';
 import { ControlMessageType, type RoutingProgressMessage } from '../common/Messages.js';
+import type { ExchangePeers } from './ExchangePeers.js';
 import type { GatewayProgress } from './GatewayProgress.js';
 import type { RaftState } from './raft/RaftState.js';
 import { RaftRole } from './raft/Types.js';
@@ -7,6 +7,8 @@
 /** Dependencies of {@link RoutingProgress}. */
 export interface RoutingProgressOptions {
   readonly raft: RaftState;
+  /** Control hosts that may have gateways, with their protocol versions. */
+  readonly peers: ExchangePeers;
   readonly gateways: GatewayProgress;
   /** Log index of the routing that this control host has applied. */
   readonly routingIndex: () => number;
@@ -41,17 +43,13 @@
   /** Latest reports to this leader, by control host. */
   private readonly reports = new Map<string, RoutingProgressMessage>();
 
-  /** Protocol versions of the other control hosts. */
-  private readonly protocols = new Map<string, number>();
-
   /** Content of the last report and its receiver; empty if it is to be sent again. */
   private lastReported = '';
 
   constructor(private readonly options: RoutingProgressOptions) {}
 
   /** Notes a new link to a control host; what was sent on an earlier one may be lost. */
-  onControlLink(memberId: string, protocol = PROTOCOL_VERSION): void {
-    this.protocols.set(memberId, protocol);
+  onControlLink(memberId: string): void {
     if (memberId === this.options.raft.leaderId) this.lastReported = '';
   }
 
@@ -122,19 +120,20 @@
 
   private leftOutReason(id: string, reporting: ReadonlySet<string>): string {
     if (reporting.has(id)) return 'no-report';
-    const protocol = this.protocols.get(id) ?? PROTOCOL_VERSION;
-    return protocol < PROGRESS_PROTOCOL ? 'earlier-version' : 'silent';
+    if (!this.options.peers.includes(id)) return 'observer';
+    return this.options.peers.protocolOf(id) < PROGRESS_PROTOCOL ? 'earlier-version' : 'silent';
   }
 
-  /** Control hosts that this leader has a recent acknowledgement of, and whose version reports. */
+  /** Control hosts with a recent acknowledgement that may have gateways, and whose version reports. */
   private reportingIds(nowMs: number): string[] {
-    const { followers, timing, silenceFromMs } = this.options.raft;
+    const { peers, raft } = this.options;
+    const { followers, timing, silenceFromMs } = raft;
     return [...followers]
       .filter(([, follower]) => {
         const heardAtMs = Math.max(follower.ackedAtMs, silenceFromMs);
         return nowMs - heardAtMs <= timing.electionTimeoutMs;
       })
       .map(([id]) => id)
-      .filter((id) => (this.protocols.get(id) ?? PROTOCOL_VERSION) >= PROGRESS_PROTOCOL);
+      .filter((id) => peers.includes(id) && peers.protocolOf(id) >= PROGRESS_PROTOCOL);
   }
 }
--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -24,6 +24,7 @@
 import { MessageServer, type ServerSession } from '../../runtime/MessageServer.js';
 import { PortUse, type ProtectServer } from '../../runtime/ProcessLimits.js';
 import { ControlReducer } from '../ControlReducer.js';
+import { linkedMembers } from '../ExchangePeers.js';
 import type { RaftTiming } from '../raft/RaftState.js';
 import { shouldReportEmptied } from '../raft/Recovery.js';
 import { RaftMessageType, type Member, type RaftMessage } from '../raft/Types.js';
@@ -345,6 +346,7 @@
       rollouts: options.rollouts,
       availabilityZone: file.availabilityZone,
       capBounds: options.capBounds,
+      observer: options.observer,
       entryHeartbeatTimeoutMs: options.entryHeartbeatTimeoutMs,
     });
     const server = new ControlServer(options, storage, reducer);
@@ -467,6 +469,21 @@
     return [...voters, ...learners].find((member) => member.id === state.leaderId);
   }
 
+  /**
+   * Control host that takes announcements in the place of this one, if this one has no disk; any voter
+   * that can be reached, another one each time. Undefined if this host takes them itself.
+   *
+   * @throws EgretError of kind no-quorum if no voter can be reached
+   */
+  announcementHost(): Member | undefined {
+    if (!this.options.observer) return undefined;
+    const { voters } = this.reducer.raft.state.log.membership;
+    const reachable = voters.filter(({ id }) => this.links.isOpen(id));
+    const chosen = reachable[Math.floor(this.random.next() * reachable.length)];
+    if (chosen) return chosen;
+    throw new EgretError(ErrorKind.NoQuorum, 'No control host with a disk can be reached.');
+  }
+
   /** Submits a request of an actor that another part of the process has authenticated. */
   submitAuthenticated(request: AdminRequest, actor: Actor): Promise<AdminResult> {
     return this.submitAdmin(request, '', actor);
@@ -619,7 +636,8 @@
     const { log } = this.reducer.raft.state;
     if (log.membershipIndex === this.linkedMembershipIndex) return;
     this.linkedMembershipIndex = log.membershipIndex;
-    this.links.sync(log.membersExcept(this.options.file.id));
+    const { file, observer: isObserver } = this.options;
+    this.links.sync(linkedMembers(log, { selfId: file.id, isObserver }));
   }
 
   private readonly effectHandlers = {
--- a/src/control/server/RaftLinks.ts
+++ b/src/control/server/RaftLinks.ts
@@ -49,6 +49,11 @@
     this.clients.get(to)?.send(message);
   }
 
+  /** True if the link to a member is open. */
+  isOpen(memberId: string): boolean {
+    return this.clients.get(memberId)?.isOpen ?? false;
+  }
+
   /** Messages to current members that were larger than a link accepts. */
   get oversizedMessages(): number {
     return [...this.clients.values()].reduce((sum, link) => sum + link.oversizedMessages, 0);
--- a/src/control/server/fixtures.ts
+++ b/src/control/server/fixtures.ts
@@ -1,5 +1,5 @@
 import { LogLevel } from '../../common/Enums.js';
-import { ProgramKind } from '../../common/ProcessSettings.js';
+import { ProgramKind, type ControlFile } from '../../common/ProcessSettings.js';
 import { silentLogger } from '../../runtime/Logger.js';
 import type { Member } from '../raft/Types.js';
 import { ControlServer, type ControlServerOptions } from './ControlServer.js';
@@ -10,12 +10,14 @@
 export interface SingleControlChanges extends Partial<ControlServerOptions> {
   /** Voters at the first start; only this host by default. */
   readonly initialVoters?: Member[];
+  /** Changes of its settings. */
+  readonly fileChanges?: Partial<ControlFile>;
 }
 
 /** Opens a control host that is the only voter of its cluster, for tests. */
 export function openSingleControl(
   dataFolder: string,
-  { initialVoters, ...changes }: SingleControlChanges = {},
+  { initialVoters, fileChanges, ...changes }: SingleControlChanges = {},
 ): Promise<ControlServer> {
   return ControlServer.open({
     file: {
@@ -28,6 +30,7 @@
       secretFile: '',
       initialVoters: initialVoters ?? [{ id: 'control-1', address: ADDRESS, port: 1 }],
       logLevel: LogLevel.Error,
+      ...fileChanges,
     },
     secret: 'secret',
     logger: silentLogger,
--- a/standin/SendDocument.ts
+++ b/standin/SendDocument.ts
@@ -2,6 +2,8 @@
 
 /** Request of {@link sendDocument}. */
 export interface DocumentRequest {
+  /** Address on loopback; 127.0.0.1 by default. */
+  readonly host?: string;
   readonly port: number;
   readonly method: string;
   readonly path: string;
@@ -21,11 +23,11 @@
 
 /** Sends one request over loopback on a new connection. */
 export function sendDocument(options: DocumentRequest): Promise<DocumentReply> {
-  const { port, method, path, headers = {}, body } = options;
+  const { host = '127.0.0.1', port, method, path, headers = {}, body } = options;
   const text = options.rawBody ?? (body === undefined ? '' : JSON.stringify(body));
   return new Promise((resolve, reject) => {
     const outgoing = request({
-      host: '127.0.0.1',
+      host,
       port,
       method,
       path,
