--- a/fuzz/LinkedGateway.ts
+++ b/fuzz/LinkedGateway.ts
@@ -93,6 +93,7 @@
       logger,
       seeds: () => [...hosts.keys()].slice(0, SEEDS).map((address) => ({ address, port: 1 })),
       routingIndex: () => routing.active.logIndex,
+      knownIndex: () => routing.knownIndex,
       departures: () => [],
       onMessage: (message, control) => this.receive(message, control),
       onLinked: (control) => routing.noteLinked(control),
--- a/src/common/LogEvents.ts
+++ b/src/common/LogEvents.ts
@@ -59,7 +59,7 @@
   routing_in_force:
     'All gateways in contact apply a change, or the wait for them ended; with those missing.',
   routing_confirmed:
-    'A change of the routing was confirmed; with the times since its application and its arrival, what it waited for last, the number of gateways counted, the control hosts whose reports counted, and those left out with the reason.',
+    'A change of the routing was confirmed; with the times since its application and its arrival, what it waited for last, the gateways that know of it and have not applied it, the number of gateways counted, the control hosts whose reports counted, and those left out with the reason.',
   confirmed_not_in_force:
     'A change was confirmed at the end of the wait; with the gateways that had not applied it.',
   rollout_applied: 'This gateway applies a new share or the verdict of a rollout.',
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -71,6 +71,11 @@
   readonly cutOff?: boolean;
   /** Index of the entry host's membership; a pong with the same index omits the voters. */
   readonly membershipIndex?: number;
+  /**
+   * Log index of the newest routing that an entry host of routed services knows of. Within 1.4 s it applies
+   * it or refuses calls. Earlier versions omit it, and so do other entry hosts.
+   */
+  readonly knownIndex?: number;
 }
 
 /** Address at which entry hosts reach a control host. */
@@ -410,6 +415,8 @@
   readonly behind: readonly string[];
   /** Log indexes of the routings that these gateways apply, in the same order. */
   readonly appliedIndexes: readonly number[];
+  /** Log indexes of the routings that they know of, in the same order; earlier versions omit it. */
+  readonly knownIndexes?: readonly number[];
 }
 
 /** Messages between control hosts about backend servers. */
--- a/src/control/ControlReducer.ts
+++ b/src/control/ControlReducer.ts
@@ -739,13 +739,18 @@
     const session = this.sessions.ping(sessionId, message, this.nowMs);
     const { appliedIndex } = message;
     this.delivery.noteApplied(sessionId, appliedIndex);
-    if (this.gateways.noteHeartbeat(sessionId, appliedIndex, this.nowMs)) this.deliveryDue = true;
+    const reported = { appliedIndex, knownIndex: message.knownIndex ?? appliedIndex };
+    if (this.gateways.noteHeartbeat(sessionId, reported, this.nowMs)) this.deliveryDue = true;
     if (!session) return;
     const { state } = this.raft;
     const { membershipIndex } = state.log;
     const { availabilityZone } = this;
     const isNew = message.membershipIndex !== membershipIndex;
-    if (!isNew && !message.subscribe && !this.sessions.isPongDue(sessionId, this.nowMs)) return;
+    const routingIndex = this.replicatedState.routing.view.index;
+    // A gateway that learns of a change ceases to serve by the one before, also without the change itself.
+    const isUnaware = message.knownIndex !== undefined && message.knownIndex < routingIndex;
+    const isDue = isNew || isUnaware || message.subscribe;
+    if (!isDue && !this.sessions.isPongDue(sessionId, this.nowMs)) return;
     this.sendSession(sessionId, {
       type: ControlMessageType.Pong,
       pingId: message.pingId,
@@ -755,7 +760,7 @@
       // Sent only if changed: pongs are most of the traffic between zones under normal load.
       voters: isNew ? state.log.membership.voters : [],
       isVoter: state.isVoter,
-      routingIndex: this.replicatedState.routing.view.index,
+      routingIndex,
       isCurrent: !this.isObserver && isCaughtUp(state, this.nowMs),
       ...(isNew && availabilityZone !== undefined && { availabilityZone }),
     });
--- a/src/control/GatewayProgress.ts
+++ b/src/control/GatewayProgress.ts
@@ -2,12 +2,18 @@
 export interface LaggingGateway {
   readonly id: string;
   readonly appliedIndex: number;
+  /** Log index of the newest routing that it knows of; it applies it or refuses calls within a bound. */
+  readonly knownIndex: number;
 }
 
+/** Routings of a gateway, as its heartbeat states them. */
+export type ReportedRouting = Pick<LaggingGateway, 'appliedIndex' | 'knownIndex'>;
+
 /** Latest session of a gateway at this control host. */
 interface GatewayEntry {
   readonly sessionId: number;
   appliedIndex: number;
+  knownIndex: number;
   /** Time of the last heartbeat, or of the end of the session. */
   contactAtMs: number;
 }
@@ -37,15 +43,17 @@
   watch(sessionId: number, gatewayId: string, appliedIndex: number, nowMs: number): void {
     if (gatewayId === '') return;
     this.watching.set(sessionId, gatewayId);
-    this.entries.set(gatewayId, { sessionId, appliedIndex, contactAtMs: nowMs });
+    const entry = { sessionId, appliedIndex, knownIndex: appliedIndex, contactAtMs: nowMs };
+    this.entries.set(gatewayId, entry);
   }
 
   /** Notes a heartbeat; returns true if the gateway has applied a newer routing since the last. */
-  noteHeartbeat(sessionId: number, appliedIndex: number, nowMs: number): boolean {
+  noteHeartbeat(sessionId: number, reported: ReportedRouting, nowMs: number): boolean {
     const entry = this.entryOf(sessionId);
     if (!entry) return false;
-    const isNewer = appliedIndex > entry.appliedIndex;
-    entry.appliedIndex = appliedIndex;
+    const isNewer = reported.appliedIndex > entry.appliedIndex;
+    entry.appliedIndex = reported.appliedIndex;
+    entry.knownIndex = Math.max(reported.appliedIndex, reported.knownIndex);
     entry.contactAtMs = nowMs;
     return isNewer;
   }
@@ -78,9 +86,9 @@
   behind(index: number, nowMs: number): LaggingGateway[] {
     this.excludePause(nowMs);
     const lagging: LaggingGateway[] = [];
-    this.entries.forEach(({ sessionId, appliedIndex, contactAtMs }, id) => {
+    this.entries.forEach(({ sessionId, appliedIndex, knownIndex, contactAtMs }, id) => {
       const isInContact = nowMs - contactAtMs < GATEWAY_CONTACT_MS;
-      if (isInContact && appliedIndex < index) lagging.push({ id, appliedIndex });
+      if (isInContact && appliedIndex < index) lagging.push({ id, appliedIndex, knownIndex });
       if (!isInContact && !this.watching.has(sessionId)) this.entries.delete(id);
     });
     return lagging;
--- a/src/control/RoutingConfirmations.test.ts
+++ b/src/control/RoutingConfirmations.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { createRoutedCluster, routingIndexAt } from './fixtures.js';
 import { GATEWAY_CONTACT_MS } from './GatewayProgress.js';
+import { APPLIED_WAIT_MS } from './RoutingConfirmations.js';
 import { IN_FORCE_WAIT_MS } from './RoutingInForce.js';
 import { AdminRequestType, ControlEventType } from './Types.js';
 
@@ -101,6 +102,32 @@
     expect(result.outcome?.error).toBeNull();
   });
 
+  // Guards against one gateway on a slow link that holds up every change of all others.
+  it('does not wait long for a gateway that knows of the change, and refuses calls without it', () => {
+    const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
+    const slow = addGateway('g-slow', followers());
+    slow.reportsKnown = true;
+    cluster.run(1_000);
+    slow.routingMs = 5_000;
+    const result = changeRouting(1);
+    cluster.run(APPLIED_WAIT_MS + SLACK_MS);
+    expect(result.outcome?.error).toBeNull();
+    expect(result.afterMs).toBeGreaterThanOrEqual(APPLIED_WAIT_MS);
+    const line = lines.find(({ event }) => event === 'routing_confirmed');
+    expect(line?.fields).toMatchObject({ aware: 'g-slow' });
+  });
+
+  // Guards against a confirmed change that a gateway has not heard of, by which it serves on.
+  it('waits for a gateway that does not know of the change', () => {
+    const { cluster, addGateway, changeRouting, followers } = createRoutedCluster();
+    const slow = addGateway('g-slow', followers());
+    cluster.run(1_000);
+    slow.routingMs = 5_000;
+    const result = changeRouting(1);
+    cluster.run(IN_FORCE_WAIT_MS - SLACK_MS);
+    expect(result.outcome).toBeUndefined();
+  });
+
   // Guards against a gateway that keeps operators from changes.
   it('ends without a gateway that never applies the change, and names it in a line', () => {
     const { cluster, lines, addGateway, changeRouting, followers } = createRoutedCluster();
--- a/src/control/RoutingConfirmations.ts
+++ b/src/control/RoutingConfirmations.ts
@@ -32,6 +32,13 @@
   readonly atMs: number;
 }
 
+/**
+ * Wait for gateways to apply a change, after which those that know of it are not waited for: each applies
+ * it within 1.4 s or refuses calls, while it must be in force 2 s after the confirmation. Operators send
+ * a change again, elsewhere, after a second without an answer; 0.3 s of it are for way and commit.
+ */
+export const APPLIED_WAIT_MS = 700;
+
 /** Wait in the log for a routing whose application this host did not record. */
 const UNKNOWN_WAIT_MS = -1;
 
@@ -40,8 +47,9 @@
 
 /**
  * Confirmations of changes of the routing. Each waits until every gateway in contact applies the
- * change, but no longer than {@link IN_FORCE_WAIT_MS} from its commit: a gateway that does not apply
- * it must not keep operators from changes, and by then refuses calls, as it knows of a newer routing.
+ * change; from {@link APPLIED_WAIT_MS} after its commit on, for those only that do not know of it, and
+ * no longer than {@link IN_FORCE_WAIT_MS}: a gateway that does not apply it must not keep operators from
+ * changes.
  *
  * @example
  * const request = { requestId: 'request-1', arrivedAtMs: nowMs - 12 };
@@ -82,8 +90,10 @@
       const { body, index, arrivedAtMs, missing: lastMissing } = pending;
       const progress = checked.get(index) ?? this.options.missing(index, nowMs);
       checked.set(index, progress);
-      const missing = [...progress.gatewayIds, ...progress.controlHostIds];
       const waitedMs = nowMs - this.appliedAtMs(index);
+      const aware = waitedMs < APPLIED_WAIT_MS ? [] : progress.awareIds;
+      const awaited = progress.gatewayIds.filter((id) => !aware.includes(id));
+      const missing = [...awaited, ...progress.controlHostIds];
       if (missing.length > 0) {
         pending.missing = missing;
         if (waitedMs < IN_FORCE_WAIT_MS) return;
@@ -98,6 +108,7 @@
         waitedMs: Number.isFinite(waitedMs) ? Math.round(waitedMs) : UNKNOWN_WAIT_MS,
         tookMs: Math.round(this.latestTookMs),
         lastMissing: joinIds(lastMissing),
+        aware: joinIds(aware),
         gateways,
         reported: joinIds(reported),
         leftOut: joinIds(leftOut),
--- a/src/control/RoutingProgress.ts
+++ b/src/control/RoutingProgress.ts
@@ -18,6 +18,8 @@
 /** What has not applied a routing yet, as far as the leader knows. */
 export interface MissingProgress {
   readonly gatewayIds: readonly string[];
+  /** Those of them that know of it; each applies it or refuses calls within 1.4 s of knowing. */
+  readonly awareIds: readonly string[];
   /** Control hosts whose report does not cover the routing yet. */
   readonly controlHostIds: readonly string[];
 }
@@ -73,7 +75,8 @@
     const behind = lagging.map((gateway) => gateway.id);
     const appliedIndexes = lagging.map(({ appliedIndex }) => appliedIndex);
     const gatewayCount = gateways.contacts(nowMs);
-    const figures = { routingIndex, gatewayCount, behind, appliedIndexes };
+    const knownIndexes = lagging.map(({ knownIndex }) => knownIndex);
+    const figures = { routingIndex, gatewayCount, behind, appliedIndexes, knownIndexes };
     const content = JSON.stringify([leaderId, term, figures]);
     if (content === this.lastReported) return;
     this.lastReported = content;
@@ -84,7 +87,11 @@
   /** What this leader waits for until a routing is in force at every gateway in contact. */
   missing(index: number, nowMs: number): MissingProgress {
     const { gateways } = this.options;
-    const gatewayIds = new Set(gateways.behind(index, nowMs).map(({ id }) => id));
+    // Whether each gateway that is behind knows of the routing, by any of the control hosts it watches.
+    const aware = new Map<string, boolean>();
+    const note = (id: string, knownIndex: number) =>
+      aware.set(id, aware.get(id) === true || knownIndex >= index);
+    gateways.behind(index, nowMs).forEach(({ id, knownIndex }) => note(id, knownIndex));
     const controlHostIds: string[] = [];
     this.reportingIds(nowMs).forEach((memberId) => {
       const report = this.reports.get(memberId);
@@ -94,12 +101,15 @@
         controlHostIds.push(memberId);
         return;
       }
-      report.behind
-        .filter((id, position) => (report.appliedIndexes[position] ?? 0) < index)
-        .filter((id) => !gateways.hasApplied(id, index))
-        .forEach((id) => gatewayIds.add(id));
+      report.behind.forEach((id, position) => {
+        const isBehind = (report.appliedIndexes[position] ?? 0) < index;
+        if (!isBehind || gateways.hasApplied(id, index)) return;
+        note(id, report.knownIndexes?.[position] ?? 0);
+      });
     });
-    return { gatewayIds: [...gatewayIds].sort(), controlHostIds };
+    const gatewayIds = [...aware.keys()].sort();
+    const awareIds = gatewayIds.filter((id) => aware.get(id));
+    return { gatewayIds, awareIds, controlHostIds };
   }
 
   /** What the answer of {@link missing} rests on at this time, for the log. */
--- a/src/gateway/GatewayRouting.ts
+++ b/src/gateway/GatewayRouting.ts
@@ -77,6 +77,11 @@
     return this.refresh() === FreshnessState.CutOff;
   }
 
+  /** Log index of the newest routing that this gateway will apply, or refuse calls without. */
+  get knownIndex(): number {
+    return this.freshness.lag.knownIndex;
+  }
+
   /** Applies a routing that a control host sent; returns false if it is not newer, or unreadable. */
   apply(view: RoutingView, control: string): boolean {
     const { active, options } = this;
@@ -124,8 +129,11 @@
 
   /** Takes the answer of a control host to a heartbeat. */
   notePong(pong: PongMessage, control: string): void {
+    const { knownIndex } = this;
     this.freshness.notePong(control, pong, this.options.nowMs());
     this.refresh();
+    // A confirmation may wait until the control hosts have learned that this gateway knows.
+    if (this.knownIndex > knownIndex) this.options.ping();
   }
 
   /** Records that a link to a control host is open. */
--- a/src/gateway/RoutingLag.ts
+++ b/src/gateway/RoutingLag.ts
@@ -29,6 +29,14 @@
     return this.applied;
   }
 
+  /**
+   * Log index of the newest routing that this gateway will apply, or refuse calls without; a routing that
+   * it can not use does not count.
+   */
+  get knownIndex(): number {
+    return this.newer.at(-1)?.index ?? this.applied;
+  }
+
   /** Records that a control host has applied a routing. */
   noteReported(index: number, nowMs: number): void {
     if (index <= this.newest) return;
--- a/src/gateway/server/ControlWatch.ts
+++ b/src/gateway/server/ControlWatch.ts
@@ -237,6 +237,7 @@
       type: ControlMessageType.Ping,
       pingId: this.pingId,
       appliedIndex: this.options.routingIndex(),
+      knownIndex: this.options.knownIndex?.() ?? this.options.routingIndex(),
       subscribe: false,
       stopping: this.options.self().stopping,
       cutOff: this.options.self().cutOff ?? false,
--- a/src/gateway/server/ControlWatchTypes.ts
+++ b/src/gateway/server/ControlWatchTypes.ts
@@ -28,6 +28,11 @@
   /** False to keep to the seeds and ignore the members that control hosts report. */
   readonly followMembership?: boolean;
   readonly routingIndex: () => number;
+  /**
+   * Log index of the newest routing known, which is applied, or calls are refused, within a bound; that
+   * of the applied one by default.
+   */
+  readonly knownIndex?: () => number;
   /** Departing and departed backend servers, sent on every new link. */
   readonly departures: () => readonly BackendRecord[];
   readonly onMessage: (message: ControlToEntryMessage, control: string) => void;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -522,6 +522,7 @@
       seeds: this.options.seeds,
       followMembership: this.options.followMembership,
       routingIndex: () => this.routing.logIndex,
+      knownIndex: () => this.routingState.knownIndex,
       departures: () => this.pool.departures(),
       onMessage: (message, control) => this.receive(message, control),
       onLinked: (control) => this.routingState.noteLinked(control),
