--- a/src/gateway/RoutingFreshness.test.ts
+++ b/src/gateway/RoutingFreshness.test.ts
@@ -141,12 +141,17 @@
     expect(world.state()).toBe(Current);
   });
 
-  it('is cut off too if it is behind', () => {
+  // Guards against a gateway that serves by a routing that it knows to be superseded, as the answers on
+  // its open links are late.
+  it('is behind for as long as a link is open, and then cut off too', () => {
     const world = createWorld();
     world.run(2_000, NEWER);
     expect(world.state()).toBe(Behind);
     world.run(UNCONFIRMED_AFTER_MS + TICK_MS + HOLD_MAX_MS);
+    expect(world.state()).toBe(Behind);
+    world.freshness.noteLost('control-1');
     expect(world.state()).toBe(CutOff);
+    world.freshness.noteLinked('control-1');
     world.run(TICK_MS, NEWER);
     expect(world.state()).toBe(Behind);
   });
@@ -163,6 +168,20 @@
   });
 });
 
+describe('a gateway that learns of a change late', () => {
+  // Guards against a grace period that begins long after the change was confirmed: the control hosts that it
+  // watched were cut off, and it had been told of nothing newer meanwhile.
+  it('ceases to serve 2 s after the last news before the change', () => {
+    const world = createWorld();
+    world.run(1_000, CONFIRMED);
+    world.run(1_400, { ...CONFIRMED, isCurrent: false });
+    world.run(TICK_MS, NEWER);
+    expect(world.state()).toBe(Current);
+    world.run(2 * TICK_MS, NEWER);
+    expect(world.state()).toBe(Behind);
+  });
+});
+
 describe('a gateway whose answers all come late', () => {
   const LATE_MS = 2_400;
 
@@ -177,13 +196,16 @@
   }
 
   // Guards against a gateway on a slow link that counts as cut off and serves by an old routing.
-  it('is behind while it knows of a newer routing, for as long as answers arrive', () => {
+  it('is behind while it knows of a newer routing, for as long as answers arrive or a link is open', () => {
     const world = createWorld();
     world.run(3_000, CONFIRMED);
     runLate(world, NEWER);
     expect(world.state()).toBe(Behind);
     runLate(world, NEWER);
     expect(world.state()).toBe(Behind);
+    world.run(2_000);
+    expect(world.state()).toBe(Behind);
+    world.freshness.noteLost('control-1');
     world.run(5_000);
     expect(world.state()).toBe(CutOff);
   });
--- a/src/gateway/RoutingFreshness.ts
+++ b/src/gateway/RoutingFreshness.ts
@@ -44,6 +44,12 @@
  */
 export const BEHIND_MAX_MS = 1_400;
 
+/**
+ * Longest use of a routing after it was last known to be the newest: a newer one may have been confirmed
+ * right after that, and must be in force 2 s later.
+ */
+const SUPERSEDED_MAX_MS = 2_000;
+
 /**
  * Age of the last news from which the routing is unconfirmed. A confirmation does not wait for a
  * gateway without a heartbeat for 1 s, and must be in force 2 s later: 1 s is left for calls.
@@ -155,7 +161,9 @@
     if (routingIndex === undefined || isCurrent !== true) return;
     this.answeredAtMs = nowMs;
     this.firstIndex ??= routingIndex;
-    this.lag.noteReported(routingIndex, nowMs);
+    // A host that had no news for longer is cut off: it serves until it has the newer routing.
+    const hasNews = nowMs - this.newsAtMs <= UNCONFIRMED_AFTER_MS;
+    this.lag.noteReported(routingIndex, nowMs, hasNews ? this.newsAtMs : nowMs);
     const sentAtMs = this.pings.get(pingId);
     if (sentAtMs === undefined || sentAtMs < this.countsFromMs) return;
     if (sentAtMs <= this.newsAtMs) return;
@@ -211,7 +219,9 @@
       return superseded ?? FreshnessState.Current;
     }
     this.unconfirmedSinceMs ??= nowMs;
-    const isInContact = nowMs - this.answeredAtMs <= ANSWERED_WITHIN_MS;
+    // A link that stays open receives something, and its answers may be late behind it.
+    const hasCurrentLink = this.currentControls.size > 0;
+    const isInContact = hasCurrentLink || nowMs - this.answeredAtMs <= ANSWERED_WITHIN_MS;
     if (superseded && isInContact) return superseded;
     if (nowMs - this.unconfirmedSinceMs >= this.awaitMs) return FreshnessState.CutOff;
     return superseded ?? FreshnessState.Unconfirmed;
@@ -220,7 +230,8 @@
   /** State of a host that must not use its routing while it is in contact; undefined if it may. */
   private supersededState(nowMs: number): FreshnessState | undefined {
     const { lag, firstIndex = 0, hasStarted } = this;
-    if (lag.behindMs(nowMs) >= BEHIND_MAX_MS) return FreshnessState.Behind;
+    const isOverdue = lag.supersededMs(nowMs) >= SUPERSEDED_MAX_MS;
+    if (isOverdue || lag.behindMs(nowMs) >= BEHIND_MAX_MS) return FreshnessState.Behind;
     return !hasStarted && lag.appliedIndex < firstIndex ? FreshnessState.Starting : undefined;
   }
 
--- a/src/gateway/RoutingLag.ts
+++ b/src/gateway/RoutingLag.ts
@@ -2,6 +2,8 @@
 interface NewerReport {
   index: number;
   readonly learnedAtMs: number;
+  /** Time at which the applied routing was last known to be the newest; before, it was not in force. */
+  readonly supersededFromMs: number;
 }
 
 /** Reports kept at most; further ones are merged into the last one, which is older. */
@@ -37,13 +39,18 @@
     return this.newer.at(-1)?.index ?? this.applied;
   }
 
-  /** Records that a control host has applied a routing. */
-  noteReported(index: number, nowMs: number): void {
+  /**
+   * Records that a control host has applied a routing.
+   *
+   * @param supersededFromMs - earliest time at which it may have been in force; when it was learned of by
+   *   default
+   */
+  noteReported(index: number, nowMs: number, supersededFromMs = nowMs): void {
     if (index <= this.newest) return;
     this.newest = index;
     const last = this.newer.at(-1);
     if (last && this.newer.length >= REPORTS_MAX) last.index = index;
-    else this.newer.push({ index, learnedAtMs: nowMs });
+    else this.newer.push({ index, learnedAtMs: nowMs, supersededFromMs });
   }
 
   /** Records that this gateway has applied a routing. */
@@ -61,6 +68,12 @@
     while (this.newer[0] && this.newer[0].index <= index) this.newer.shift();
   }
 
+  /** Longest time for which a newer version than the applied one may have been in force; 0 if none is. */
+  supersededMs(nowMs: number): number {
+    const [oldest] = this.newer;
+    return oldest ? Math.max(0, nowMs - oldest.supersededFromMs) : 0;
+  }
+
   /**
    * Time since the oldest version that is newer than the applied one was first reported; 0 if none is.
    *
