--- a/src/runtime/ConnectionGuard.ts
+++ b/src/runtime/ConnectionGuard.ts
@@ -23,6 +23,18 @@
 
 const GUARDED = new WeakMap<Socket, GuardedConnection>();
 
+const RELEASES = new WeakMap<Socket, () => void>();
+
+/**
+ * Ends the limits of a connection that has a new owner with limits of its own.
+ *
+ * @example
+ * server.on('upgrade', (request, socket: Socket) => releaseConnection(socket));
+ */
+export function releaseConnection(socket: Socket): void {
+  RELEASES.get(socket)?.();
+}
+
 /**
  * Notes bytes that are kept for a request until its answer is sent; less than 0 for bytes that are kept
  * no more.
@@ -71,7 +83,6 @@
     if (server.listenerCount('checkContinue') > 0) {
       server.prependListener('checkContinue', noteRequest);
     }
-    server.prependListener('upgrade', (request: IncomingMessage) => this.release(request.socket));
   }
 
   private add(socket: Socket): void {
@@ -83,6 +94,7 @@
       noteGrowth: (bytes) => budget.noteGrowth(bytes),
     });
     GUARDED.set(socket, connection);
+    RELEASES.set(socket, () => this.release(socket));
     this.connections.add(connection);
     budget.add(connection);
     socket.once('close', () => this.release(socket));
@@ -91,7 +103,6 @@
     }
   }
 
-  /** A connection that became a link has limits of its own. */
   private release(socket: Socket): void {
     const connection = GUARDED.get(socket);
     if (!connection) return;
--- a/src/runtime/MemoryBudget.ts
+++ b/src/runtime/MemoryBudget.ts
@@ -41,6 +41,11 @@
     return this.lastBytes;
   }
 
+  /** Number of holders. */
+  get size(): number {
+    return this.holders.size;
+  }
+
   add(holder: MemoryHolder): void {
     this.holders.add(holder);
   }
--- a/src/runtime/MessageServer.ts
+++ b/src/runtime/MessageServer.ts
@@ -13,6 +13,7 @@
   type LinkRole,
 } from './LinkAuth.js';
 import { LinkBytes } from './LinkBytes.js';
+import { releaseConnection } from './ConnectionGuard.js';
 import type { Logger } from './Logger.js';
 import { decodeMessage, encodeMessage } from './MessageCodec.js';
 import { checkMessage, isUnknownType, type MessageFields } from './MessageCheck.js';
@@ -139,10 +140,19 @@
 
   /** Handles the upgrade requests of an HTTP server. */
   attach(http: Server): void {
-    http.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
-      this.server.handleUpgrade(request, socket, head, (webSocket) =>
-        this.accept(webSocket, socket as Socket),
-      );
+    http.on('upgrade', (request: IncomingMessage, stream: Duplex, head: Buffer) => {
+      const connection = stream as Socket;
+      // From here on this server owns the connection: Node has removed its listeners, and an error
+      // without any listener would end the process.
+      connection.on('error', () => connection.destroy());
+      releaseConnection(connection);
+      let isLink = false;
+      this.server.handleUpgrade(request, connection, head, (webSocket) => {
+        isLink = true;
+        this.accept(webSocket, connection);
+      });
+      // Another upgrade than to a WebSocket has been answered, and its connection ends.
+      if (!isLink) this.options.logger.warn('link_refused', { reason: 'upgrade' });
     });
   }
 
--- a/src/runtime/ProcessLimits.ts
+++ b/src/runtime/ProcessLimits.ts
@@ -112,6 +112,11 @@
     this.timer.unref();
   }
 
+  /** Open connections of clients at all ports; those that became links have limits of their own. */
+  get connections(): number {
+    return this.budget.size;
+  }
+
   /** Adds the metrics of the limits. */
   register(registry: Registry): void {
     registry.registerMetric(this.ended);
@@ -121,6 +126,12 @@
       'Memory that clients made this process hold, at the last check.',
       () => this.budget.heldBytes,
     );
+    addGauge(
+      registry,
+      'egret_client_connections',
+      'Open connections of clients at all ports, without links.',
+      () => this.connections,
+    );
   }
 
   readonly protect: ProtectServer = (server, use) => {
--- a/standin/Cluster.ts
+++ b/standin/Cluster.ts
@@ -11,6 +11,7 @@
 import { AdminClient } from '../src/ctl/AdminClient.js';
 import { EntryServer } from '../src/entry/server/EntryServer.js';
 import { silentLogger, type Logger } from '../src/runtime/Logger.js';
+import type { ProtectServer } from '../src/runtime/ProcessLimits.js';
 import type { EntryAddress } from './Announcer.js';
 import { BackendStandin, type RunLog } from './BackendStandin.js';
 import { ADMIN_TOKEN, serviceToken, type Deployment } from './Deployments.js';
@@ -33,6 +34,8 @@
   readonly headTimeoutMs?: number;
   /** Time that a planned stop of an entry host may take. */
   readonly stopMs?: number;
+  /** Gives every server its limits, as the programs do; none by default. */
+  readonly protect?: ProtectServer;
   /** Replaces the number of backend servers of every service. */
   readonly backendsPerService?: number;
 }
@@ -181,6 +184,7 @@
         logLevel: LogLevel.Info,
       },
       secret: SECRET,
+      protect: this.options.protect,
       logger: this.options.logger ?? silentLogger,
       initialize,
       onFatal: (error) => {
@@ -212,6 +216,7 @@
         stopMs: this.options.stopMs ?? 600_000,
       },
       secret: SECRET,
+      protect: this.options.protect,
       logger: this.options.logger ?? silentLogger,
       seed: index + 100,
     });
