--- a/src/runtime/ReadBody.ts
+++ b/src/runtime/ReadBody.ts
@@ -26,6 +26,14 @@
     message.on('data', onData);
     // Starts the stream, so that it passes on the chunks that follow the head in the same read.
     message.read(0);
+    // Node keeps a connection whose client has closed its side open for the answer, which waits for this.
+    const onHalfClosed = () => {
+      if (!message.complete) fail(ErrorKind.BadRequest, 'The body is incomplete.');
+    };
+    message.socket.once('end', onHalfClosed);
+    const stopWaiting = () => message.socket.off('end', onHalfClosed);
+    message.once('end', stopWaiting);
+    message.once('close', stopWaiting);
     message.once('end', () => resolve(buffer.take()));
     message.once('error', () => fail(ErrorKind.BadRequest, 'The connection closed mid-body.'));
     message.once('close', () => fail(ErrorKind.BadRequest, 'The connection closed mid-body.'));
