--- a/src/control/server/ControlServer.ts
+++ b/src/control/server/ControlServer.ts
@@ -17,6 +17,7 @@
 import { EventLoop } from '../../runtime/EventLoop.js';
 import { answerParserErrors, closeServer, listen } from '../../runtime/HttpJson.js';
 import { LinkRole } from '../../runtime/LinkAuth.js';
+import { refuseTunnels } from '../../runtime/TunnelRequests.js';
 import { TrafficPurpose, ZoneTraffic } from '../../runtime/ZoneTraffic.js';
 import type { Logger } from '../../runtime/Logger.js';
 import { LINK_OVERHEAD } from '../../runtime/LinkBytes.js';
@@ -251,6 +252,7 @@
       response.end();
     });
     answerParserErrors(this.http);
+    refuseTunnels(this.http);
     options.protect?.(this.http, PortUse.Links);
     options.protect?.(this.adminHttp, PortUse.Administration);
     this.messages.attach(this.http);
--- a/src/entry/server/EntryServer.ts
+++ b/src/entry/server/EntryServer.ts
@@ -25,6 +25,7 @@
 import { MessageServer } from '../../runtime/MessageServer.js';
 import { PortUse, type ProtectServer } from '../../runtime/ProcessLimits.js';
 import { requestHeadFault } from '../../runtime/RequestHead.js';
+import { refuseTunnels } from '../../runtime/TunnelRequests.js';
 import { EntryReducer } from '../EntryReducer.js';
 import type { PeerMessage } from '../PeerMessages.js';
 import { planStop } from '../StopTimes.js';
@@ -387,7 +388,9 @@
 
   private attachListeners(): void {
     answerParserErrors(this.callerHttp, this.callerConnections);
+    refuseTunnels(this.callerHttp, this.callerConnections);
     answerParserErrors(this.peerHttp, this.peerConnections);
+    refuseTunnels(this.peerHttp, this.peerConnections);
     this.callerHttp.on('request', (request: IncomingMessage, response: ServerResponse) =>
       this.onCallerRequest(request, response, false),
     );
--- a/src/entry/server/UpgradeRequests.test.ts
+++ b/src/entry/server/UpgradeRequests.test.ts
@@ -115,6 +115,11 @@
     if (takesLinks) expect(results.map(({ ended }) => ended)).toEqual(requests.map(() => true));
   });
 
+  it.each(names)('for a tunnel is refused and ends at the port for %s', async (name) => {
+    const { port } = targets[name]!;
+    expect(await exchange(port(), TUNNEL.bytes, 1)).toEqual({ statusCodes: [501], ended: true });
+  });
+
   // Guards against a process that one connection of a client ends: a socket without an owner.
   it.each(names)('leaves the process and its connections as they were, at %s', async (name) => {
     const { port, path, status } = targets[name]!;
--- a/src/gateway/server/GatewayServer.ts
+++ b/src/gateway/server/GatewayServer.ts
@@ -16,6 +16,7 @@
 import { createNonce } from '../../runtime/LinkAuth.js';
 import { MetricsListener } from '../../runtime/MetricsListener.js';
 import { PortUse, type ProtectServer } from '../../runtime/ProcessLimits.js';
+import { refuseTunnels } from '../../runtime/TunnelRequests.js';
 import { BackendPool, PROVISIONAL_TTL_MS } from '../BackendPool.js';
 import { BackendSources } from '../BackendSources.js';
 import type { BackendView } from '../BackendView.js';
@@ -430,13 +431,16 @@
       connections: this.peerConnections,
     });
     answerParserErrors(this.peerServer, this.peerConnections);
+    refuseTunnels(this.peerServer, this.peerConnections);
     this.peerServer.on('connection', (socket: Socket) => socket.setNoDelay(true));
     answerParserErrors(this.callerServer, this.connections);
+    refuseTunnels(this.callerServer, this.connections);
     this.callerServer.on('connection', (socket: Socket) => socket.setNoDelay(true));
     this.readinessServer = createServer((request, response) =>
       this.answerReadiness(request, response),
     );
     answerHalfClosed(this.readinessServer);
+    refuseTunnels(this.readinessServer);
     options.protect?.(this.callerServer, PortUse.Callers);
     options.protect?.(this.peerServer, PortUse.Peers);
     options.protect?.(this.readinessServer, PortUse.Readiness);
--- a/src/runtime/AdminListener.ts
+++ b/src/runtime/AdminListener.ts
@@ -3,6 +3,7 @@
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import { answerHalfClosed, answerParserErrors, sendError, sendJson } from './HttpJson.js';
 import { ResponseTracker } from './ResponseTracker.js';
+import { refuseTunnels } from './TunnelRequests.js';
 import { sendMetrics } from './SendMetrics.js';
 
 /** Handler of one path. */
@@ -30,6 +31,7 @@
     this.responses = new ResponseTracker(server);
     server.on('request', (request, response) => this.onRequest(request, response));
     answerParserErrors(server);
+    refuseTunnels(server);
     answerHalfClosed(server);
   }
 
--- a/src/runtime/HttpConnections.ts
+++ b/src/runtime/HttpConnections.ts
@@ -207,6 +207,20 @@
     return true;
   }
 
+  /**
+   * Ends a connection that Node's server has handed over after the answers that are due, and reports to
+   * them when its buffer has drained, as Node no longer does; returns false if none is due.
+   */
+  finishHandedOver(socket: Socket): boolean {
+    if (!this.endAfterDueAnswers(socket)) return false;
+    socket.on('drain', () =>
+      [...(this.connections.get(socket)?.due.keys() ?? [])]
+        .filter((response) => response.socket === socket)
+        .forEach((response) => response.emit('drain')),
+    );
+    return true;
+  }
+
   /**
    * Closes an answer's connection once the answers before it are sent, in order: these may still wait in
    * the kernel, which drops them if the connection is reset or closed with unread bytes. Its own
--- a/src/runtime/MetricsListener.ts
+++ b/src/runtime/MetricsListener.ts
@@ -3,6 +3,7 @@
 import { closeServer } from './HttpJson.js';
 import { listenWhenFree, RELEASE_MS } from './Listen.js';
 import { PortUse, type ProtectServer } from './ProcessLimits.js';
+import { refuseTunnels } from './TunnelRequests.js';
 import { sendMetrics } from './SendMetrics.js';
 
 /** Options of a {@link MetricsListener}. */
@@ -32,6 +33,7 @@
       }
       sendMetrics(response, registry, onFailed);
     });
+    refuseTunnels(this.server);
     options.protect?.(this.server, PortUse.Metrics);
   }
 
