--- a/soak/OddClients.ts
+++ b/soak/OddClients.ts
@@ -11,6 +11,9 @@
 /** Longest time after which a client leaves that has sent requests. */
 const LEAVE_MAX_MS = 400;
 
+/** Longest time after which a client resets its connection: an answer takes some milliseconds. */
+const RESET_MAX_MS = 40;
+
 /** Requests of a client that leaves, the first of which may have a long answer. */
 const LEAVING_REQUESTS = 4;
 
@@ -33,7 +36,7 @@
   readonly random: RandomSource;
 }
 
-/** Clients that send odd requests to every port, or leave before they are answered. */
+/** Clients that send odd requests to every port, reset their connections, or leave before an answer. */
 export class OddClients {
   private isStopped = false;
 
@@ -53,6 +56,7 @@
       this.loops.push(
         this.repeat(() => this.sendOdd(address)),
         this.repeat(() => this.leave(address)),
+        this.repeat(() => this.reset(address)),
       );
     });
   }
@@ -81,6 +85,21 @@
     return sendBytes(port, this.draw(requests).bytes, { host });
   }
 
+  /** Sends an odd request, or one for another protocol, and resets the connection at any moment. */
+  private async reset(host: string): Promise<void> {
+    const { random } = this.options;
+    const { port, requests } = this.draw(this.inputs);
+    const upgrades = requests.filter(
+      ({ name }) => name.includes('upgrade') || name.includes('CONNECT'),
+    );
+    const { bytes } = this.draw(random.next() < 0.5 ? upgrades : requests);
+    const socket = connect({ host, port });
+    socket.on('error', () => {});
+    socket.write(Buffer.from(bytes, 'latin1'));
+    await sleep(random.next() * RESET_MAX_MS);
+    socket.resetAndDestroy();
+  }
+
   /** Sends requests ahead and closes or resets the connection at any moment. */
   private async leave(host: string): Promise<void> {
     const socket = connect({ host, port: SOAK_PORTS.callers });
