--- a/src/control/AdminFlow.ts
+++ b/src/control/AdminFlow.ts
@@ -114,8 +114,8 @@
 
   /** Records that the routing in force has been applied on this host. */
   recordRouting(): void {
-    const { index, version } = this.options.replicatedState.routing.view;
-    this.routingConfirmations.noteApplied(index, version, this.times.nowMs);
+    const { view } = this.options.replicatedState.routing;
+    this.routingConfirmations.noteApplied(view, this.times.nowMs);
   }
 
   /** Handles one request; the answer may be an effect of a later event. */
@@ -333,7 +333,13 @@
     this.options.propose(
       { ...command, actor: actor.name, atMs: this.times.wallMs },
       {
-        onApplied: () => this.confirmRouting(received, { zone, closed }),
+        // One that is sent again changes nothing, and does not wait for later changes of other things.
+        onApplied: () =>
+          this.confirmRouting(
+            received,
+            { zone, closed },
+            this.routingConfirmations.indexOfZone(zone),
+          ),
         onLost: () => this.answerNotLeader(requestId),
       },
     );
--- a/src/control/RoutingConfirmations.test.ts
+++ b/src/control/RoutingConfirmations.test.ts
@@ -161,6 +161,26 @@
     expect(newer.outcome).toBeUndefined();
   });
 
+  // Guards against an evacuation whose confirmation was lost, and which waits for a change that came after.
+  it.each([
+    ['closure', true],
+    ['opening', false],
+  ])('comes at once for a resent %s that is in force, beside a newer change', (name, closed) => {
+    const { cluster, addGateway, changeRouting, submit } = createRoutedCluster();
+    const gateway = addGateway('g-1', [cluster.leader()]);
+    submit(cluster.leader(), CLOSE_ZONE);
+    cluster.run(500);
+    if (!closed) submit(cluster.leader(), { ...CLOSE_ZONE, closed });
+    cluster.run(500);
+    gateway.applies = false;
+    const newer = changeRouting(1);
+    cluster.run(100);
+    const again = submit(cluster.leader(), { ...CLOSE_ZONE, closed });
+    cluster.run(SLACK_MS);
+    expect(again.outcome?.error).toBeNull();
+    expect(newer.outcome).toBeUndefined();
+  });
+
   // Guards against a new leader that confirms what it only knows to be on disks.
   it('waits for the gateways also at a new leader that receives the change again', () => {
     const { cluster, addGateway, changeRouting } = createRoutedCluster();
--- a/src/control/RoutingConfirmations.ts
+++ b/src/control/RoutingConfirmations.ts
@@ -1,3 +1,4 @@
+import type { RoutingView } from '../common/routing/Types.js';
 import { IN_FORCE_WAIT_MS, joinIds } from './RoutingInForce.js';
 import type { MissingProgress, ProgressCoverage } from './RoutingProgress.js';
 
@@ -63,11 +64,21 @@
 
   private readonly applied: AppliedRouting[] = [];
 
+  private closedZones: readonly string[] = [];
+
+  /** Log index of the latest closure or opening, by zone. */
+  private readonly zoneIndexes = new Map<string, number>();
+
   constructor(private readonly options: RoutingConfirmationsOptions) {}
 
   /** Records a routing that this host has applied, as the leader or not. */
-  noteApplied(index: number, version: number, nowMs: number): void {
+  noteApplied({ index, version, closedZones }: RoutingView, nowMs: number): void {
     this.applied.push({ index, version, atMs: nowMs });
+    const changed = [...this.closedZones, ...closedZones].filter(
+      (zone) => this.closedZones.includes(zone) !== closedZones.includes(zone),
+    );
+    changed.forEach((zone) => this.zoneIndexes.set(zone, index));
+    this.closedZones = closedZones;
     if (this.applied.length > MAX_APPLIED) this.applied.shift();
   }
 
@@ -76,6 +87,11 @@
     return this.applied.find((routing) => routing.version === version)?.index;
   }
 
+  /** Log index at which a zone was closed or opened last; undefined if this host did not record it. */
+  indexOfZone(zone: string): number | undefined {
+    return this.zoneIndexes.get(zone);
+  }
+
   /** Confirms a change now, or once it is in force. */
   add(request: RoutingRequest, body: unknown, index: number, nowMs: number): void {
     const { requestId, arrivedAtMs } = request;
