--- a/src/gateway/RoutingLag.ts
+++ b/src/gateway/RoutingLag.ts
@@ -2,7 +2,7 @@
 interface NewerReport {
   index: number;
   readonly learnedAtMs: number;
-  /** Time at which the applied routing was last known to be the newest; before, it was not in force. */
+  /** Earliest time at which the newer routing may have been in force: that of the last news without it. */
   readonly supersededFromMs: number;
 }
 
