--- a/src/entry/server/AttemptRunner.test.ts
+++ b/src/entry/server/AttemptRunner.test.ts
@@ -1,9 +1,11 @@
 import { EventEmitter } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../../standin/Cluster.js';
+import { connectNarrow } from '../../../standin/NarrowConnection.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
 import { AttemptResult, EntryEffectType, TargetKind, type StartAttemptEffect } from '../Types.js';
 import { AttemptRunner, type AttemptEnd } from './AttemptRunner.js';
@@ -13,8 +15,8 @@
 const backend = new RawBackend(() => {});
 const agent = new CountingAgent({ keepAlive: true, scheduling: 'lifo' }, () => {});
 
-/** Response to a caller whose buffer is full from the first byte on. */
-class FullResponse extends EventEmitter {
+/** Response to a caller; by default, its buffer is full from the first byte on. */
+class StandinResponse extends EventEmitter {
   statusCode = 0;
 
   body = '';
@@ -25,17 +27,24 @@
 
   readonly writableEnded = false;
 
+  private readonly isFull: boolean;
+
+  constructor({ isFull = true } = {}) {
+    super();
+    this.isFull = isFull;
+  }
+
   writeHead(statusCode: number): void {
     this.statusCode = statusCode;
   }
 
   write(chunk: Buffer): boolean {
     this.body += chunk.toString();
-    return false;
+    return !this.isFull;
   }
 }
 
-function createCall(response: FullResponse, changes: Partial<CallContext> = {}): CallContext {
+function createCall(response: StandinResponse, changes: Partial<CallContext> = {}): CallContext {
   return {
     callId: 1,
     requestId: 'r-1',
@@ -86,18 +95,25 @@
 
 /** Options of {@link startAttempt}. */
 interface AttemptOptions {
-  readonly response?: FullResponse;
+  readonly response?: StandinResponse;
   readonly call?: Partial<CallContext>;
   readonly effect?: Partial<StartAttemptEffect>;
+  /** Pool of connections; one of real connections by default. */
+  readonly pool?: CountingAgent;
 }
 
 /** Starts an attempt whose answer is relayed as soon as its head arrives. */
-function startAttempt({ response = new FullResponse(), call, effect }: AttemptOptions = {}) {
+function startAttempt({
+  response = new StandinResponse(),
+  call,
+  effect,
+  pool = agent,
+}: AttemptOptions = {}) {
   const ended: { end: AttemptEnd | null } = { end: null };
   const runner: AttemptRunner = new AttemptRunner({
     effect: createEffect(effect),
     call: createCall(response, call),
-    agent,
+    agent: pool,
     ticket: '',
     selfId: 'entry-1',
     onHeaders: () => runner.useAnswer(),
@@ -125,7 +141,7 @@
       socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf');
       setTimeout(() => socket.end('done'), 30);
     };
-    const response = new FullResponse();
+    const response = new StandinResponse();
     const ended = startAttempt({ response });
     await waitUntil(() => backend.connections[0]?.closed === true, 'the connection to close');
     expect(ended.end).toBeNull();
@@ -142,7 +158,7 @@
       socket.write('HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf');
       setTimeout(() => socket.write('done'), 30);
     };
-    const response = new FullResponse();
+    const response = new StandinResponse();
     const request = Object.assign(new PassThrough(), { setTimeout: () => request });
     const call = { request: request as unknown as IncomingMessage, body: null };
     const ended = startAttempt({ response, call, effect: { record: true } });
@@ -155,3 +171,43 @@
     expect(ended.end!.answer).toBeNull();
   });
 });
+
+describe.each([TargetKind.Backend, TargetKind.Peer])(
+  'an answer without a length of a %s',
+  (kind) => {
+    const UPLOAD = Buffer.alloc(64 * 1024);
+    const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+    const PART = 'part';
+
+    /** Sends an upload to a target that answers and ends its connection; returns how it ended. */
+    async function upload(end: (socket: Socket) => void, isNarrow = false): Promise<AttemptEnd> {
+      const early = new RawBackend((socket) => socket.write(HEAD + PART, () => end(socket)), {
+        answersHeads: isNarrow,
+      });
+      await early.start();
+      const pool = new CountingAgent({ keepAlive: true }, () => {});
+      if (isNarrow) Object.assign(pool, { createConnection: connectNarrow });
+      const base = createEffect();
+      const effect = { record: true, target: { ...base.target, kind, port: early.port } };
+      const response = new StandinResponse({ isFull: false });
+      const ended = startAttempt({ response, call: { body: UPLOAD }, effect, pool });
+      await waitUntil(() => ended.end !== null, 'the end of the attempt');
+      pool.destroy();
+      await early.stop();
+      return ended.end!;
+    }
+
+    // Guards against a part of an answer that is recorded for its key, and passed on, as the whole one.
+    it('is cut if its connection is reset before the upload is sent', async () => {
+      const { result, answer } = await upload((socket) => socket.resetAndDestroy(), true);
+      expect(result).toBe(AttemptResult.Truncated);
+      expect(answer).toBeNull();
+    });
+
+    it('is complete if the upload is sent and its connection ends in order', async () => {
+      const { result, answer } = await upload((socket) => socket.end());
+      expect(result).toBe(AttemptResult.Completed);
+      expect(answer?.body.toString()).toBe(PART);
+    });
+  },
+);
--- a/src/runtime/ConnectionReset.ts
+++ b/src/runtime/ConnectionReset.ts
@@ -8,8 +8,11 @@
  * Detects that the server reset the connection of a request right behind its last bytes. Node.js
  * reports such an end like an orderly one, without an error, if both arrive together: an answer
  * without a length then looks whole. A write shows the difference, before the answer's end event: it
- * fails on a connection that was reset, and has no effect on one that the server has closed. An answer
- * to a request that is not sent completely counts as reset, since nothing can be written behind it.
+ * fails on a connection that was reset, and has no effect on one that the server has closed.
+ *
+ * An answer whose end can't be checked counts as reset: a write behind a request that is not sent
+ * completely, or on a connection that this host has closed, shows nothing in time. This includes the
+ * answer of a server that has closed its side in order before it read the request.
  *
  * @param isUnframed - true if only the end of the connection marks the end of the answer
  * @example
@@ -21,14 +24,14 @@
 ): void {
   request.once('socket', (socket: Socket) => {
     const onEnd = () => {
-      if (!options.isUnframed() || !socket.writable) return;
-      if (!request.writableEnded) {
-        // The server would take a write for the rest of the request's body.
+      if (!options.isUnframed()) return;
+      // The server would take a write for the rest of a body that has not ended. Behind unsent bytes it
+      // waits, and what fails is their write, after the end of the answer.
+      const isSent = request.writableEnded && socket.writableLength === 0;
+      if (!isSent || !socket.writable) {
         options.onReset();
         return;
       }
-      // Bytes that are still unsent would fail for other reasons.
-      if (socket.writableLength > 0) return;
       socket.write(EMPTY_LINE, (error) => {
         if (error) options.onReset();
       });
--- a/standin/FaultyLinks.ts
+++ b/standin/FaultyLinks.ts
@@ -1,4 +1,5 @@
 import net, { type Server, type Socket } from 'node:net';
+import { connectNarrow } from './NarrowConnection.js';
 
 /** State of the links from one host to the backend servers. */
 export enum LinkState {
@@ -9,6 +10,8 @@
   Reset = 'reset',
   /** Open connections live on and new ones are refused. */
   NewRefused = 'new-refused',
+  /** Open connections are reset and new ones take only short writes. */
+  Narrow = 'narrow',
 }
 
 /** Two ends of a connection through a proxy. */
@@ -59,6 +62,8 @@
       // A socket that never connects, as if nothing answered.
       return Object.assign(new net.Socket(), { connecting: true });
     }
+    // Directly, as a proxy would turn a reset of the backend server into an orderly end.
+    if (this.state === LinkState.Narrow) return connectNarrow({ host: ADDRESS, port });
     const open = this.state === LinkState.Open;
     return net.connect(open ? this.proxyPorts.get(port)! : CLOSED_PORT, ADDRESS);
   };
@@ -66,7 +71,7 @@
   set(state: LinkState): void {
     this.state = state;
     this.pairs.forEach((pair) => {
-      if (state === LinkState.Reset) FaultyLinks.reset(pair);
+      if (state === LinkState.Reset || state === LinkState.Narrow) FaultyLinks.reset(pair);
       else if (state === LinkState.Silent) FaultyLinks.silence(pair);
       else FaultyLinks.join(pair);
     });
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -23,6 +23,8 @@
   Unframed = 'unframed',
   /** Sends a part of an answer without a length and resets the connection right behind it. */
   UnframedReset = 'unframed-reset',
+  /** Answers at the head of a request, without a length and the last byte, and then resets the connection. */
+  EarlyReset = 'early-reset',
   /** Answers with status 204, which has neither a body nor a length. */
   NoContent = 'no-content',
   /** Runs the request and answers with status 500. */
@@ -55,6 +57,9 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** Time between the parts of an answer that is reset; a caller has received the first by then. */
+const EARLY_RESET_MS = 100;
+
 const BODY = 'the body of the answer';
 
 /** Minimal backend server that implements the provider's protocol over loopback. */
@@ -131,6 +136,10 @@
       response.end();
       return;
     }
+    if (this.behaviour === BackendBehaviour.EarlyReset) {
+      this.run(incoming, response, '');
+      return;
+    }
     const chunks: Buffer[] = [];
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
     incoming.on('end', () => this.run(incoming, response, Buffer.concat(chunks).toString()));
@@ -186,6 +195,13 @@
       response.useChunkedEncodingByDefault = false;
       response.write(BODY.slice(0, 5), () => response.socket?.resetAndDestroy());
     },
+    [BackendBehaviour.EarlyReset]: (response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.write(this.body.slice(0, -2));
+      const writeLast = () =>
+        response.write(this.body.slice(-2, -1), () => response.socket?.resetAndDestroy());
+      setTimeout(writeLast, EARLY_RESET_MS);
+    },
     [BackendBehaviour.NoContent]: (response) => response.writeHead(204).end(),
     [BackendBehaviour.Fail]: (response) => response.writeHead(500).end(),
     [BackendBehaviour.Hang]: () => {},
--- a/standin/RawBackend.ts
+++ b/standin/RawBackend.ts
@@ -18,6 +18,12 @@
 /** Writes the answer to one request. */
 export type RawReply = (socket: Socket, request: RawRequest) => void;
 
+/** Options of a {@link RawBackend}. */
+export interface RawBackendOptions {
+  /** True to answer each request at the end of its head, without its body; false by default. */
+  readonly answersHeads?: boolean;
+}
+
 const HEAD_END = '\r\n\r\n';
 
 /** Value of a header of a request; empty if it is missing. */
@@ -48,7 +54,10 @@
 
   private readonly server: Server = createServer((socket) => this.accept(socket));
 
-  constructor(public reply: RawReply) {}
+  constructor(
+    public reply: RawReply,
+    private readonly options: RawBackendOptions = {},
+  ) {}
 
   get port(): number {
     const address = this.server.address();
@@ -105,7 +114,9 @@
     const headEnd = received.indexOf(HEAD_END);
     if (headEnd < 0) return received;
     const head = received.slice(0, headEnd);
-    const end = headEnd + HEAD_END.length + Number(headerOf(head, 'content-length') || 0);
+    const { answersHeads = false } = this.options;
+    const bodyBytes = answersHeads ? 0 : Number(headerOf(head, 'content-length') || 0);
+    const end = headEnd + HEAD_END.length + bodyBytes;
     if (received.length < end) return received;
     const request = { head, path: head.split(' ')[1] ?? '', connection };
     this.requests.push(request);
