--- a/src/entry/server/AttemptRunner.ts
+++ b/src/entry/server/AttemptRunner.ts
@@ -3,7 +3,7 @@
 import { Outcome } from '../../common/Enums.js';
 import { EgretError, ErrorKind } from '../../common/Errors.js';
 import type { ReplayAnswer } from '../../common/Messages.js';
-import { hasWholeBody, isFramed, type AnswerBodyParts } from '../../runtime/AnswerBody.js';
+import { hasWholeBody, type AnswerBodyParts } from '../../runtime/AnswerBody.js';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import { headFault } from '../../runtime/AnswerHead.js';
 import { watchReset } from '../../runtime/ConnectionReset.js';
@@ -129,11 +129,8 @@
       agent,
     });
     this.guard = new AnswerGuard(this.request);
-    watchReset(this.request, {
-      isUnframed: () => this.answer !== undefined && !isFramed(this.bodyParts(this.answer)),
-      onReset: () => {
-        this.reset = true;
-      },
+    watchReset(this.request, () => {
+      this.reset = true;
     });
     this.watchSocket();
     this.request.on('response', (answer) => this.onResponse(answer));
--- a/src/gateway/server/AttemptRun.ts
+++ b/src/gateway/server/AttemptRun.ts
@@ -1,5 +1,5 @@
 import http, { type IncomingMessage } from 'node:http';
-import { hasWholeBody, isFramed, type AnswerBodyParts } from '../../runtime/AnswerBody.js';
+import { hasWholeBody, type AnswerBodyParts } from '../../runtime/AnswerBody.js';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
 import { headFault } from '../../runtime/AnswerHead.js';
 import { BodyBuffer } from '../../runtime/BodyBuffer.js';
@@ -129,11 +129,8 @@
     });
     observer.onRequest?.(this.request);
     this.guard = new AnswerGuard(this.request);
-    watchReset(this.request, {
-      isUnframed: () => this.response !== undefined && !isFramed(this.bodyParts(this.response)),
-      onReset: () => {
-        this.broken = true;
-      },
+    watchReset(this.request, () => {
+      this.broken = true;
     });
     this.limitTime(remainingMs);
     attempt.noteKept?.(READ_BUFFER_BYTES);
--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -1,6 +1,8 @@
 import http from 'node:http';
 import net from 'node:net';
 import { AnswerGuard } from '../../runtime/AnswerGuard.js';
+import { headFault } from '../../runtime/AnswerHead.js';
+import { watchReset } from '../../runtime/ConnectionReset.js';
 import { FaultBoundary } from '../../runtime/FaultBoundary.js';
 import { GuardedAgent, type Connect } from '../../runtime/GuardedAgent.js';
 import { SocketBytes, type ByteCounts } from '../../runtime/SocketBytes.js';
@@ -168,31 +170,42 @@
         finish(ProbeMiss.Failed);
         request.destroy();
       });
+      let isReset = false;
+      watchReset(request, () => {
+        isReset = true;
+      });
       const onResponse = (response: http.IncomingMessage) => {
         const { statusCode = 0, headers } = response;
         // An answer to an earlier call: nothing on this connection can be trusted any more.
-        if (profile.readAnswer(statusCode, headers).callId !== undefined) {
+        const isForeign = profile.readAnswer(statusCode, headers).callId !== undefined;
+        if (isForeign || headFault(response) !== undefined) {
           request.destroy();
           finish(ProbeMiss.Failed);
           return;
         }
         const report = profile.readHealth(statusCode, headers);
         const isOwnAnswer = (report.backendId ?? view.record.id) === view.record.id;
-        if (isOwnAnswer) {
-          noteLimit(report.limit);
-          noteNotice(report.notice);
-        }
         let bodyBytes = 0;
+        // Nothing of an answer counts before it is whole.
+        const onEnd = () => {
+          if (isReset || bodyBytes > HEALTH_BODY_MAX_BYTES) {
+            finish(ProbeMiss.Failed);
+            return;
+          }
+          if (isOwnAnswer) {
+            noteLimit(report.limit);
+            noteNotice(report.notice);
+          }
+          // The socket is free again only after this event.
+          setImmediate(() => finish(report));
+        };
         response.on('data', (chunk: Buffer) => {
           guard.noteProgress();
           bodyBytes += chunk.length;
           if (bodyBytes > HEALTH_BODY_MAX_BYTES) request.destroy();
         });
         response.on('error', () => finish(ProbeMiss.Failed));
-        response.on('end', () => {
-          // The socket is free again only after this event.
-          setImmediate(() => finish(report));
-        });
+        response.on('end', boundary.wrap(onEnd));
       };
       request.on('response', boundary.wrap(onResponse));
       request.end();
--- a/src/runtime/ConnectionReset.test.ts
+++ b/src/runtime/ConnectionReset.test.ts
@@ -62,11 +62,8 @@
     headers: bodyBytes === undefined ? {} : { 'Content-Length': bodyBytes },
   });
   request.on('error', () => {});
-  watchReset(request, {
-    isUnframed: () => true,
-    onReset: () => {
-      wasReset = true;
-    },
+  watchReset(request, () => {
+    wasReset = true;
   });
   request.on('response', (response) => {
     response.on('error', () => {});
--- a/src/runtime/ConnectionReset.ts
+++ b/src/runtime/ConnectionReset.ts
@@ -1,5 +1,6 @@
-import type { ClientRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { isFramed } from './AnswerBody.js';
 
 /** Empty line, which a server ignores in front of a request (RFC 9112, section 2.2). */
 const EMPTY_LINE = '\r\n';
@@ -14,26 +15,28 @@
  * completely, or on a connection that this host has closed, shows nothing in time. This includes the
  * answer of a server that has closed its side in order before it read the request.
  *
- * @param isUnframed - true if only the end of the connection marks the end of the answer
  * @example
- * watchReset(request, { isUnframed: () => true, onReset: () => { broken = true; } });
+ * watchReset(request, () => { broken = true; });
  */
-export function watchReset(
-  request: ClientRequest,
-  options: { readonly isUnframed: () => boolean; readonly onReset: () => void },
-): void {
+export function watchReset(request: ClientRequest, onReset: () => void): void {
+  let answer: IncomingMessage | undefined;
+  request.once('response', (response) => {
+    answer = response;
+  });
   request.once('socket', (socket: Socket) => {
     const onEnd = () => {
-      if (!options.isUnframed()) return;
+      if (!answer) return;
+      const { statusCode, headers } = answer;
+      if (isFramed({ method: request.method, statusCode, headers })) return;
       // The server would take a write for the rest of a body that has not ended. Behind unsent bytes it
       // waits, and what fails is their write, after the end of the answer.
       const isSent = request.writableEnded && socket.writableLength === 0;
       if (!isSent || !socket.writable) {
-        options.onReset();
+        onReset();
         return;
       }
       socket.write(EMPTY_LINE, (error) => {
-        if (error) options.onReset();
+        if (error) onReset();
       });
     };
     // The parser ends the answer in its own listener, which was added earlier.
