--- a/src/runtime/JsonRequest.test.ts
+++ b/src/runtime/JsonRequest.test.ts
@@ -19,8 +19,8 @@
 /** Bytes that the host and the buffers of two sockets may accept of an answer that it discards. */
 const ACCEPTED_BYTES_MAX = 16 * 1024 * 1024;
 
-function createAnswer(text: string): string {
-  return `HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\n\r\n${text}`;
+function createAnswer(text: string, status = '200 OK'): string {
+  return `HTTP/1.1 ${status}\r\nContent-Length: ${text.length}\r\n\r\n${text}`;
 }
 
 const FLOODS: [string, (socket: Socket) => void][] = [
@@ -49,6 +49,17 @@
   ['heads that trickle', (socket) => writeEndlessly(socket, 'HTTP/1.1 102 Processing\r\n\r\n', 5)],
 ];
 
+/** Broken answers with a readable document. */
+const BROKEN: Readonly<Record<string, (socket: Socket) => void>> = {
+  'status 000': (socket) => socket.write(createAnswer('{}', '000 OK')),
+  'status 999': (socket) => socket.write(createAnswer('{}', '999 OK')),
+  'a control byte in the reason': (socket) => socket.write(createAnswer('{}', '200 O\x1a')),
+  'a coding that was not asked for': (socket) =>
+    socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n{}'),
+  'a part of a document, and a reset': (socket) =>
+    socket.write('HTTP/1.1 200 OK\r\n\r\n12', () => socket.resetAndDestroy()),
+};
+
 let backend: RawBackend;
 
 async function start(reply: (socket: Socket) => void): Promise<void> {
@@ -77,6 +88,19 @@
     await expect(request).rejects.toMatchObject({ kind: 'body-too-large' });
   });
 
+  // Guards against a document, or an outcome, on the word of an answer that is none.
+  it.each(Object.keys(BROKEN))('rejects a broken answer: %s', async (name) => {
+    await start(BROKEN[name]!);
+    const request = requestJson({ host: ADDRESS, port: backend.port, timeoutMs: TIMEOUT_MS });
+    await expect(request).rejects.toMatchObject({ kind: 'bad-request' });
+  });
+
+  it('resolves with a document without a length whose connection ends in order', async () => {
+    await start((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\n123'));
+    const answer = await requestJson({ host: ADDRESS, port: backend.port, timeoutMs: TIMEOUT_MS });
+    expect(answer).toEqual({ statusCode: 200, body: 123 });
+  });
+
   // Guards against a process that keeps an answer without end until its memory is used up.
   it.each(FLOODS)('to a server that sends %s ends by its timeout', async (name, flood) => {
     await start(flood);
--- a/src/runtime/JsonRequest.ts
+++ b/src/runtime/JsonRequest.ts
@@ -1,6 +1,8 @@
 import http from 'node:http';
 import { EgretError, ErrorKind } from '../common/Errors.js';
 import { AnswerGuard } from './AnswerGuard.js';
+import { headFault } from './AnswerHead.js';
+import { watchReset } from './ConnectionReset.js';
 import { readJson } from './HttpJson.js';
 
 /** Options of {@link requestJson}. */
@@ -32,7 +34,8 @@
 /**
  * Sends a request on a connection of its own and reads the JSON document of its answer. However much
  * the other end sends, time and memory are bounded: the whole answer must arrive within the timeout
- * and the size, and bytes that are no part of it end the request.
+ * and the size, and bytes that are no part of it end the request. An answer with an invalid head, or whose
+ * connection was reset at the end of a body without a length, is rejected.
  *
  * @example
  * const { statusCode, body } = await requestJson({ host: '10.0.0.4', port: 7000, path: '/status' });
@@ -59,7 +62,15 @@
     }, timeoutMs);
     request.once('close', () => clearTimeout(timer));
     request.on('error', reject);
+    const failAnswer = (detail: string) => reject(new EgretError(ErrorKind.BadRequest, detail));
+    watchReset(request, () => failAnswer('A body without a length did not end in order.'));
     request.on('response', (response) => {
+      const fault = headFault(response);
+      if (fault !== undefined) {
+        failAnswer(`The head of the answer is invalid: ${fault}.`);
+        request.destroy();
+        return;
+      }
       response.on('data', () => guard.noteProgress());
       readJson(response, bodyBytesMax)
         .then((body) => resolve({ statusCode: response.statusCode ?? 0, body }))
