--- a/src/entry/server/EndlessAnswer.test.ts
+++ b/src/entry/server/EndlessAnswer.test.ts
@@ -6,6 +6,7 @@
 import { Announcer } from '../../../standin/Announcer.js';
 import { Cluster, waitUntil } from '../../../standin/Cluster.js';
 import { buildTree, serviceToken, type Deployment } from '../../../standin/Deployments.js';
+import { rareAnswers } from '../../../standin/RareAnswers.js';
 import { RawBackend, writeEndlessly, type RawReply } from '../../../standin/RawBackend.js';
 import { RawClient } from '../../../standin/RawClient.js';
 import { BackendLifecycleState } from '../../common/Enums.js';
@@ -43,6 +44,8 @@
 const WHOLE = `${createHead(['Content-Length: 5'])}whole`;
 const REFUSAL = createHead(['Egret-Outcome: not-run', CHUNKED], '503 Full');
 
+const RARE = rareAnswers([]);
+
 const soundReply: RawReply = (socket) => socket.write(WHOLE);
 
 /** Answer as a caller receives it; a status of 0 means that none arrived. */
@@ -323,6 +326,17 @@
     expectServed([await call({ method: 'POST' }), await call({ method: 'POST' })]);
   });
 
+  // Guards against a body that is not that of the answer, and against bytes that reach another call.
+  it.each(Object.keys(RARE))('with %s costs no other call', async (name) => {
+    const { bytes, end, method = 'POST', status, text = '' } = RARE[name]!;
+    backend.reply = (socket) => socket.write(Buffer.from(bytes, 'latin1'), () => end?.(socket));
+    const answer = await call({ method });
+    if (status === undefined) expect(answer.status === 200 && answer.complete).toBe(false);
+    else expect(answer).toMatchObject({ status, body: text, complete: true });
+    backend.reply = soundReply;
+    expectServed([await call({ method: 'POST' }), await call({ method: 'POST' })]);
+  });
+
   // Guards against a truncated answer that its caller takes for the whole one.
   it('passes no answer without a length on as complete that was reset right behind it', async () => {
     backend.reply = (socket) => {
