--- a/src/gateway/server/BackendClient.ts
+++ b/src/gateway/server/BackendClient.ts
@@ -148,6 +148,12 @@
       let timer: NodeJS.Timeout | undefined;
       let endTimer: NodeJS.Timeout | undefined;
       request.once('close', () => clearTimeout(endTimer));
+      // Node's client may report the end of an answer behind an error, or after this host closed the connection.
+      let isBroken = false;
+      const abort = () => {
+        isBroken = true;
+        request.destroy();
+      };
       let finished = false;
       const finish = (result: ProbeResult) => {
         if (finished) return;
@@ -160,26 +166,28 @@
       timer = setTimeout(() => {
         finish(ProbeMiss.Late);
         // A late answer leaves the connection usable; a new one costs more while hosts are busy.
-        endTimer = setTimeout(() => request.destroy(), PROBE_END_TIMEOUT_MS);
+        endTimer = setTimeout(abort, PROBE_END_TIMEOUT_MS);
       }, probeTimeoutMs);
       request.on('socket', (socket) => {
         if (socket.connecting) socket.once('connect', () => reach?.noteConnected());
       });
-      request.on('error', () => finish(ProbeMiss.Failed));
+      request.on('error', () => {
+        isBroken = true;
+        finish(ProbeMiss.Failed);
+      });
       const boundary = new FaultBoundary(() => {
         finish(ProbeMiss.Failed);
-        request.destroy();
+        abort();
       });
-      let isReset = false;
       watchReset(request, () => {
-        isReset = true;
+        isBroken = true;
       });
       const onResponse = (response: http.IncomingMessage) => {
         const { statusCode = 0, headers } = response;
         // An answer to an earlier call: nothing on this connection can be trusted any more.
         const isForeign = profile.readAnswer(statusCode, headers).callId !== undefined;
         if (isForeign || headFault(response) !== undefined) {
-          request.destroy();
+          abort();
           finish(ProbeMiss.Failed);
           return;
         }
@@ -188,7 +196,7 @@
         let bodyBytes = 0;
         // Nothing of an answer counts before it is whole.
         const onEnd = () => {
-          if (isReset || bodyBytes > HEALTH_BODY_MAX_BYTES) {
+          if (isBroken) {
             finish(ProbeMiss.Failed);
             return;
           }
@@ -202,7 +210,7 @@
         response.on('data', (chunk: Buffer) => {
           guard.noteProgress();
           bodyBytes += chunk.length;
-          if (bodyBytes > HEALTH_BODY_MAX_BYTES) request.destroy();
+          if (bodyBytes > HEALTH_BODY_MAX_BYTES) abort();
         });
         response.on('error', () => finish(ProbeMiss.Failed));
         response.on('end', boundary.wrap(onEnd));
--- a/src/gateway/server/ProbeAnswer.test.ts
+++ b/src/gateway/server/ProbeAnswer.test.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
+import { waitUntil } from '../../../standin/Cluster.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
 import { createService } from '../../common/routing/fixtures.js';
 import { BackendView } from '../BackendView.js';
@@ -22,15 +23,26 @@
 const end = (socket: Socket) => socket.end();
 const reset = (socket: Socket) => socket.resetAndDestroy();
 
+/** Resets a connection once what was written has been read. */
+const resetLater = (socket: Socket) => setTimeout(() => reset(socket), 50);
+
 /** Answer to a probe, with the headers of {@link createHealth} before its own. */
 interface HealthAnswer {
   readonly status?: string;
   readonly headers?: readonly string[];
   readonly body?: string;
   /** Called right behind the answer. */
-  readonly then?: (socket: Socket) => void;
+  readonly then?: (socket: Socket) => unknown;
 }
 
+/** Longest body of a health answer that is read. */
+const HEALTH_BODY_MAX_BYTES = 64 * 1024;
+
+const createLongBody = (bodyBytes: number): HealthAnswer => ({
+  headers: [`Content-Length: ${bodyBytes}`],
+  body: 'h'.repeat(bodyBytes),
+});
+
 const BROKEN: Readonly<Record<string, HealthAnswer>> = {
   'status 000': { status: '000 OK', headers: ['Content-Length: 0'] },
   'status 099': { status: '099 OK', headers: ['Content-Length: 0'] },
@@ -44,10 +56,9 @@
   'a body that is cut': { headers: ['Content-Length: 5'], body: 'heal', then: end },
   'chunks that are cut': { headers: ['Transfer-Encoding: chunked'], body: '5\r\nheal', then: end },
   'a body without a length, and a reset': { body: 'heal', then: reset },
-  'a body beyond any health answer': {
-    headers: [`Content-Length: ${200 * 1024}`],
-    body: 'h'.repeat(200 * 1024),
-  },
+  'a body without a length, and a late reset': { body: 'heal', then: resetLater },
+  'a body beyond the limit': createLongBody(HEALTH_BODY_MAX_BYTES + 1),
+  'a body far beyond the limit': createLongBody(4 * HEALTH_BODY_MAX_BYTES),
 };
 
 const SOUND: Readonly<Record<string, HealthAnswer>> = {
@@ -71,8 +82,8 @@
   return Buffer.from(lines.join('\r\n') + body, 'latin1');
 }
 
-/** Sends a probe that gets the answer; returns its result and what it changed. */
-async function probe(answer: HealthAnswer) {
+/** Sends a probe that gets the answer; returns its result and what it has changed in the end. */
+async function probe(answer: HealthAnswer, probeTimeoutMs = PROBE_TIMEOUT_MS) {
   const limits: LimitAnswer[] = [];
   const notices: BackendNotice[] = [];
   backend = new RawBackend((socket) =>
@@ -81,13 +92,16 @@
   await backend.start();
   const client = new BackendClient({
     profile: PROFILE,
-    probeTimeoutMs: PROBE_TIMEOUT_MS,
+    probeTimeoutMs,
     onLimit: (limit) => limits.push(limit),
     onNotice: (view, notice) => notices.push(notice),
   });
   const record = createBackend('b-1', { address: '127.0.0.1', port: backend.port });
   const view = new BackendView(record);
   const result = await client.probe(view, createService());
+  if (result === ProbeMiss.Late) {
+    await waitUntil(() => backend.openConnections === 0, 'the connection to close');
+  }
   client.dispose();
   return { result, isOpen: view.isOpen, limits: limits.length, notices: notices.length };
 }
@@ -103,6 +117,17 @@
     });
   });
 
+  // Guards against an answer that looks whole as the gateway itself ends its connection.
+  it('changes nothing if it never ends', async () => {
+    const endless = { body: 'heal' };
+    expect(await probe(endless, 50)).toEqual({
+      result: ProbeMiss.Late,
+      isOpen: true,
+      limits: 0,
+      notices: 0,
+    });
+  });
+
   it.each(Object.keys(SOUND))('counts with %s', async (name) => {
     const { result, ...changes } = await probe(SOUND[name]!);
     expect(result).toMatchObject({ healthy: true, load: { slots: 3 } });
