--- a/src/entry/server/AttemptRunner.test.ts
+++ b/src/entry/server/AttemptRunner.test.ts
@@ -7,6 +7,7 @@
 import { waitUntil } from '../../../standin/Cluster.js';
 import { connectNarrow } from '../../../standin/NarrowConnection.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
+import { MAX_RECORDED_BODY_BYTES } from '../../common/Constants.js';
 import { AttemptResult, EntryEffectType, TargetKind, type StartAttemptEffect } from '../Types.js';
 import { AttemptRunner, type AttemptEnd } from './AttemptRunner.js';
 import type { CallContext } from './CallContext.js';
@@ -172,42 +173,65 @@
   });
 });
 
-describe.each([TargetKind.Backend, TargetKind.Peer])(
-  'an answer without a length of a %s',
-  (kind) => {
-    const UPLOAD = Buffer.alloc(64 * 1024);
-    const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
-    const PART = 'part';
-
-    /** Sends an upload to a target that answers and ends its connection; returns how it ended. */
-    async function upload(end: (socket: Socket) => void, isNarrow = false): Promise<AttemptEnd> {
-      const early = new RawBackend((socket) => socket.write(HEAD + PART, () => end(socket)), {
-        answersHeads: isNarrow,
-      });
-      await early.start();
-      const pool = new CountingAgent({ keepAlive: true }, () => {});
-      if (isNarrow) Object.assign(pool, { createConnection: connectNarrow });
-      const base = createEffect();
-      const effect = { record: true, target: { ...base.target, kind, port: early.port } };
-      const response = new StandinResponse({ isFull: false });
-      const ended = startAttempt({ response, call: { body: UPLOAD }, effect, pool });
-      await waitUntil(() => ended.end !== null, 'the end of the attempt');
-      pool.destroy();
-      await early.stop();
-      return ended.end!;
-    }
-
-    // Guards against a part of an answer that is recorded for its key, and passed on, as the whole one.
-    it('is cut if its connection is reset before the upload is sent', async () => {
-      const { result, answer } = await upload((socket) => socket.resetAndDestroy(), true);
-      expect(result).toBe(AttemptResult.Truncated);
-      expect(answer).toBeNull();
-    });
-
-    it('is complete if the upload is sent and its connection ends in order', async () => {
-      const { result, answer } = await upload((socket) => socket.end());
-      expect(result).toBe(AttemptResult.Completed);
-      expect(answer?.body.toString()).toBe(PART);
-    });
-  },
-);
+/** Options of {@link relayUnframed}. */
+interface UnframedOptions {
+  readonly kind: TargetKind;
+  /** Body of the answer. */
+  readonly text: string;
+  /** Body of the request; empty by default. */
+  readonly upload?: Buffer;
+  /** Ends the connection right behind the answer. */
+  readonly end: (socket: Socket) => void;
+  /** True to send the answer at the head of the request, of which the body is unsent; false by default. */
+  readonly isEarly?: boolean;
+}
+
+/** Relays an answer without a length; returns how the attempt ended, and what the caller received. */
+async function relayUnframed(options: UnframedOptions) {
+  const { kind, text, upload = Buffer.alloc(0), end, isEarly = false } = options;
+  const reply = (socket: Socket) =>
+    socket.write(`HTTP/1.1 200 OK\r\n\r\n${text}`, () => end(socket));
+  const target = new RawBackend(reply, { answersAtHead: isEarly });
+  await target.start();
+  const pool = new CountingAgent({ keepAlive: true }, () => {});
+  if (isEarly) Object.assign(pool, { createConnection: connectNarrow });
+  const response = new StandinResponse({ isFull: false });
+  const base = createEffect();
+  const effect = { record: true, target: { ...base.target, kind, port: target.port } };
+  const method = upload.length > 0 ? 'POST' : 'GET';
+  const ended = startAttempt({ response, call: { method, body: upload }, effect, pool });
+  await waitUntil(() => ended.end !== null, 'the end of the attempt');
+  pool.destroy();
+  await target.stop();
+  const { result, answer } = ended.end!;
+  return { result, isRecorded: answer !== null, body: response.body };
+}
+
+const UPLOAD = Buffer.alloc(64 * 1024);
+
+/** Longer than an answer that is recorded for its key. */
+const LONG_TEXT = 'l'.repeat(MAX_RECORDED_BODY_BYTES + 100_000);
+
+describe.each([
+  [TargetKind.Backend, 'short', 'whole'],
+  [TargetKind.Backend, 'long', LONG_TEXT],
+  [TargetKind.Peer, 'short', 'whole'],
+  [TargetKind.Peer, 'long', LONG_TEXT],
+])('an answer without a length of a %s, %s', (kind, length, text) => {
+  // Guards against a part of an answer that is recorded for its key, and passed on, as the whole one.
+  it('is cut if its connection is reset before the upload is sent', async () => {
+    const end = (socket: Socket) => socket.resetAndDestroy();
+    const relayed = await relayUnframed({ kind, text, upload: UPLOAD, end, isEarly: true });
+    expect(relayed).toMatchObject({ result: AttemptResult.Truncated, isRecorded: false });
+  });
+
+  it.each([
+    ['GET', undefined],
+    ['an upload that is sent', UPLOAD],
+  ])('is complete if its connection ends in order, to %s', async (name, upload) => {
+    const end = (socket: Socket) => socket.end();
+    const { result, body } = await relayUnframed({ kind, text, upload, end });
+    expect(result).toBe(AttemptResult.Completed);
+    expect(body === text).toBe(true);
+  });
+});
--- a/src/gateway/server/EarlyAnswer.test.ts
+++ b/src/gateway/server/EarlyAnswer.test.ts
@@ -37,15 +37,15 @@
   readonly body: string;
   readonly end: (socket: Socket) => void;
   /** True if the server answers at the head of an upload; false by default. */
-  readonly answersHeads?: boolean;
+  readonly answersAtHead?: boolean;
 }
 
 /** Starts a server that answers an upload without a length, and ends its connection. */
-async function start({ body, end, answersHeads }: StartOptions): Promise<void> {
+async function start({ body, end, answersAtHead }: StartOptions): Promise<void> {
   const reply = createReply((socket, callId) => {
     socket.write(createHead({ callId }) + body, () => end(socket));
   });
-  backend = new RawBackend(reply, { answersHeads });
+  backend = new RawBackend(reply, { answersAtHead });
   await backend.start();
 }
 
@@ -94,7 +94,7 @@
   // Guards against a part of an answer that its caller takes for the whole one.
   it('is never complete if its connection is reset before the upload is sent', async () => {
     Object.assign(agent, { createConnection: connectNarrow });
-    await start({ body, end: reset, answersHeads: true });
+    await start({ body, end: reset, answersAtHead: true });
     expect(await countComplete()).toBe(0);
   });
 
--- a/src/gateway/server/RareAnswer.test.ts
+++ b/src/gateway/server/RareAnswer.test.ts
@@ -16,12 +16,12 @@
 afterEach(() => gateway.stop());
 
 /** Starts a gateway and its backend server, which answers the call {@link CALL_ID} in a rare form. */
-async function start({ bytes, end }: RareAnswer, answersHeads = false): Promise<void> {
+async function start({ bytes, end }: RareAnswer, answersAtHead = false): Promise<void> {
   const reply = createReply((socket, callId) => {
     if (callId !== CALL_ID) socket.write(createCompleteAnswer(callId, 'next'));
     else socket.write(Buffer.from(bytes, 'latin1'), () => end?.(socket));
   });
-  const backend = new RawBackend(reply, { answersHeads });
+  const backend = new RawBackend(reply, { answersAtHead });
   await backend.start();
   const route = { timeoutMs: 5_000, attemptsMax: 1 };
   gateway = await startTestGateway({ alpha: { 'b-1': backend }, route });
--- a/standin/NarrowConnection.ts
+++ b/standin/NarrowConnection.ts
@@ -21,6 +21,7 @@
   const socket = net.connect(target);
   const write = (args: WriteArgs) => Reflect.apply(WRITE, socket, args);
   return Object.assign(socket, {
+    // The stream then passes on its writes one by one.
     _writev: null,
     _write: (...args: WriteArgs) => {
       if (args[0].length <= WRITE_BYTES_MAX) write(args);
--- a/standin/RareAnswers.ts
+++ b/standin/RareAnswers.ts
@@ -19,8 +19,8 @@
 const reset = (socket: Socket) => socket.resetAndDestroy();
 
 /**
- * Answers whose heads or ends are rare, sound or broken. None of them holds a field `x-odd` that a caller
- * may get.
+ * Answers whose heads or ends are rare, sound or broken. The field `x-odd` is in informational heads and
+ * trailers only, so that no caller may get it.
  *
  * @param identity - header lines that identify an answer
  * @example
--- a/standin/RawBackend.ts
+++ b/standin/RawBackend.ts
@@ -21,7 +21,7 @@
 /** Options of a {@link RawBackend}. */
 export interface RawBackendOptions {
   /** True to answer each request at the end of its head, without its body; false by default. */
-  readonly answersHeads?: boolean;
+  readonly answersAtHead?: boolean;
 }
 
 const HEAD_END = '\r\n\r\n';
@@ -114,8 +114,8 @@
     const headEnd = received.indexOf(HEAD_END);
     if (headEnd < 0) return received;
     const head = received.slice(0, headEnd);
-    const { answersHeads = false } = this.options;
-    const bodyBytes = answersHeads ? 0 : Number(headerOf(head, 'content-length') || 0);
+    const { answersAtHead = false } = this.options;
+    const bodyBytes = answersAtHead ? 0 : Number(headerOf(head, 'content-length') || 0);
     const end = headEnd + HEAD_END.length + bodyBytes;
     if (received.length < end) return received;
     const request = { head, path: head.split(' ')[1] ?? '', connection };
