--- a/src/gateway/server/ResetAnswer.test.ts
+++ b/src/gateway/server/ResetAnswer.test.ts
@@ -1,12 +1,10 @@
 import type { Socket } from 'node:net';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { connectNarrow } from '../../../standin/NarrowConnection.js';
 import { RawBackend } from '../../../standin/RawBackend.js';
 import { GuardedAgent } from '../../runtime/GuardedAgent.js';
-import { BackendView } from '../BackendView.js';
-import { createBackend } from '../fixtures.js';
-import { AttemptResultType, type AttemptResult } from '../Types.js';
-import { AttemptRun } from './AttemptRun.js';
-import { TEST_PROFILE, createHead, createReply } from './fixtures.js';
+import { countCompleteAnswers } from './attemptFixtures.js';
+import { createHead, createReply } from './fixtures.js';
 
 const ATTEMPTS = 40;
 const SHORT_BODY = 'x'.repeat(700);
@@ -14,73 +12,68 @@
 /** Beyond the part of an answer that a gateway buffers. */
 const LONG_BODY = 'x'.repeat(400_000);
 
-const agent = new GuardedAgent({ keepAlive: true, scheduling: 'lifo' });
+/** Handed over in one write, of which a narrow connection takes nothing. */
+const UPLOAD = Buffer.alloc(64 * 1024);
+
+const reset = (socket: Socket) => socket.resetAndDestroy();
+const endInOrder = (socket: Socket) => socket.end();
+
+let agent: GuardedAgent;
 let backend: RawBackend;
 
-/** Starts a server that writes an answer without a length and then ends its connection. */
-async function start(body: string, end: (socket: Socket) => void): Promise<void> {
-  backend = new RawBackend(
-    createReply((socket, callId) => {
-      socket.write(createHead({ callId }) + body, () => end(socket));
-    }),
-  );
-  await backend.start();
+/** Options of {@link start}. */
+interface StartOptions {
+  readonly body: string;
+  readonly end: (socket: Socket) => void;
+  /** True if the server answers at the head of a request; false by default. */
+  readonly answersAtHead?: boolean;
 }
 
-/** Sends an attempt; true if its answer counts as complete. */
-async function isComplete(callId: string): Promise<boolean> {
-  const record = createBackend('b-1', { address: '127.0.0.1', port: backend.port });
-  const request = {
-    method: 'GET',
-    target: '/read/x',
-    rawHeaders: ['Call-Id', callId],
-    callId,
-    body: Buffer.alloc(0),
-    bodyRest: null,
-    remainingMs: 5_000,
-  };
-  const observer = { onConnect: () => {}, onLimit: () => {}, onNotice: () => {} };
-  const run = new AttemptRun(agent, TEST_PROFILE, new BackendView(record), request, observer);
-  const result: AttemptResult = await run.result;
-  if (result.type !== AttemptResultType.Answer) return false;
-  const { longBody } = result.answer;
-  if (!longBody) return true;
-  return new Promise((resolve) => {
-    longBody.read({
-      onData: () => true,
-      onEnd: () => resolve(true),
-      onBroken: () => resolve(false),
-    });
+/** Starts a server that writes an answer without a length and then ends its connection. */
+async function start({ body, end, answersAtHead }: StartOptions): Promise<void> {
+  const reply = createReply((socket, callId) => {
+    socket.write(createHead({ callId }) + body, () => end(socket));
   });
+  backend = new RawBackend(reply, { answersAtHead });
+  await backend.start();
 }
 
-async function countComplete(): Promise<number> {
-  let complete = 0;
-  for (let index = 0; index < ATTEMPTS; index += 1) {
-    // Each attempt has the server to itself, so that its bytes and its end arrive together.
-    // eslint-disable-next-line no-await-in-loop
-    if (await isComplete(`c-${index}`)) complete += 1;
-  }
-  return complete;
-}
+const countComplete = (upload?: Buffer) =>
+  countCompleteAnswers({ agent, port: backend.port, upload, attempts: ATTEMPTS });
+
+beforeEach(() => {
+  agent = new GuardedAgent({ keepAlive: true, scheduling: 'lifo' });
+});
+
+afterEach(async () => {
+  agent.destroy();
+  await backend.stop();
+});
 
 describe.each([
   ['short', SHORT_BODY],
   ['long', LONG_BODY],
 ])('a %s answer without a length', (name, body) => {
-  afterEach(async () => {
-    agent.destroy();
-    await backend.stop();
-  });
+  describe.each([
+    ['GET', undefined],
+    ['an upload', UPLOAD],
+  ])('to %s', (request, upload) => {
+    // Guards against a truncated answer that its caller takes for the whole one.
+    it('is never complete if its connection is reset right behind its bytes', async () => {
+      await start({ body, end: reset });
+      expect(await countComplete(upload)).toBe(0);
+    });
 
-  // Guards against a truncated answer that its caller takes for the whole one.
-  it('is never complete if its connection is reset right behind its bytes', async () => {
-    await start(body, (socket) => socket.resetAndDestroy());
-    expect(await countComplete()).toBe(0);
+    it('is complete if its connection ends in order', async () => {
+      await start({ body, end: endInOrder });
+      expect(await countComplete(upload)).toBe(ATTEMPTS);
+    });
   });
 
-  it('is complete if its connection ends in order', async () => {
-    await start(body, (socket) => socket.end());
-    expect(await countComplete()).toBe(ATTEMPTS);
+  // Guards against the same if the write that the reset ends is one of the request's own.
+  it('is never complete if its connection is reset before the upload is sent', async () => {
+    Object.assign(agent, { createConnection: connectNarrow });
+    await start({ body, end: reset, answersAtHead: true });
+    expect(await countComplete(UPLOAD)).toBe(0);
   });
 });
--- a/src/runtime/OddHandshake.test.ts
+++ b/src/runtime/OddHandshake.test.ts
@@ -2,6 +2,7 @@
 import { Packr } from 'msgpackr';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { WebSocket, WebSocketServer } from 'ws';
+import { RawBackend } from '../../standin/RawBackend.js';
 import { UnhandledFaults } from '../../standin/UnhandledFaults.js';
 import { closeServer, listen } from './HttpJson.js';
 import { LinkRole } from './LinkAuth.js';
@@ -28,6 +29,10 @@
   'a lone surrogate': '\ud800',
 };
 
+/** Begin of the head of an answer that upgrades a connection. */
+const UPGRADED =
+  'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n';
+
 const options = { id: 'entry-1', role: LinkRole.Entry, secret: 'secret', logger: silentLogger };
 
 describe('an odd message of a handshake', { timeout: 10_000 }, () => {
@@ -132,4 +137,38 @@
     expect(faults.end()).toEqual([]);
     expect(opened).toEqual([]);
   });
+
+  // Guards against the same for the answer to the upgrade, and against a link that is not tried again.
+  it.each([
+    ['status 000', 'HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n'],
+    ['status 999', 'HTTP/1.1 999 OK\r\nContent-Length: 0\r\n\r\n'],
+    ['status 200 without a length', 'HTTP/1.1 200 OK\r\n\r\npart'],
+    ['a blank in a field name', `${UPGRADED}X Odd: a\r\n\r\n`],
+    ['a control byte in a field name', `${UPGRADED}X\x01Odd: a\r\n\r\n`],
+    ['no key', `${UPGRADED}\r\n`],
+    ['another key', `${UPGRADED}Sec-WebSocket-Accept: a2V5\r\n\r\n`],
+    ['two heads', `HTTP/1.1 100 Continue\r\n\r\n${UPGRADED}\r\n`],
+  ])('as an answer to the upgrade opens no link: %s', async (name, bytes) => {
+    const server = new RawBackend((socket) =>
+      socket.write(Buffer.from(bytes, 'latin1'), () => socket.resetAndDestroy()),
+    );
+    await server.start();
+    const opened: number[] = [];
+    const client = new MessageClient({
+      ...options,
+      address: ADDRESS,
+      port: server.port,
+      fields: {},
+      timing: FAST_LINK_TIMING,
+      onOpen: () => opened.push(1),
+      onMessage: () => {},
+      onClose: () => {},
+    });
+    cleanUp.push(() => client.dispose());
+    await expect.poll(() => server.requests.length, { timeout: 8_000 }).toBeGreaterThan(2);
+    client.dispose();
+    await server.stop();
+    expect(faults.end()).toEqual([]);
+    expect(opened).toEqual([]);
+  });
 });
--- a/standin/ProviderBackend.ts
+++ b/standin/ProviderBackend.ts
@@ -23,8 +23,8 @@
   Unframed = 'unframed',
   /** Sends a part of an answer without a length and resets the connection right behind it. */
   UnframedReset = 'unframed-reset',
-  /** Answers at the head of a request, without a length and the last byte, and then resets the connection. */
-  EarlyReset = 'early-reset',
+  /** Begins an answer without a length at the head of a request; {@link ProviderBackend.resetBegun} ends it. */
+  Begin = 'begin',
   /** Answers with status 204, which has neither a body nor a length. */
   NoContent = 'no-content',
   /** Runs the request and answers with status 500. */
@@ -57,9 +57,6 @@
   readonly headers: IncomingHttpHeaders;
 }
 
-/** Time between the parts of an answer that is reset; a caller has received the first by then. */
-const EARLY_RESET_MS = 100;
-
 const BODY = 'the body of the answer';
 
 /** Minimal backend server that implements the provider's protocol over loopback. */
@@ -86,6 +83,8 @@
   /** Requests that run and whose connection is open. */
   openRequests = 0;
 
+  private readonly begun: ServerResponse[] = [];
+
   private sequence = 0;
 
   private boundPort = 0;
@@ -125,6 +124,13 @@
     );
   }
 
+  /** Sends all but the last byte of the answers that were begun, and resets their connections behind it. */
+  resetBegun(): void {
+    this.begun.splice(0).forEach((response) => {
+      response.write(this.body.slice(-2, -1), () => response.socket?.resetAndDestroy());
+    });
+  }
+
   private handle(incoming: IncomingMessage, response: ServerResponse): void {
     const { id } = this.options;
     this.requestTimesMs.push(performance.now());
@@ -136,7 +142,7 @@
       response.end();
       return;
     }
-    if (this.behaviour === BackendBehaviour.EarlyReset) {
+    if (this.behaviour === BackendBehaviour.Begin) {
       this.run(incoming, response, '');
       return;
     }
@@ -195,12 +201,10 @@
       response.useChunkedEncodingByDefault = false;
       response.write(BODY.slice(0, 5), () => response.socket?.resetAndDestroy());
     },
-    [BackendBehaviour.EarlyReset]: (response) => {
+    [BackendBehaviour.Begin]: (response) => {
       response.useChunkedEncodingByDefault = false;
       response.write(this.body.slice(0, -2));
-      const writeLast = () =>
-        response.write(this.body.slice(-2, -1), () => response.socket?.resetAndDestroy());
-      setTimeout(writeLast, EARLY_RESET_MS);
+      this.begun.push(response);
     },
     [BackendBehaviour.NoContent]: (response) => response.writeHead(204).end(),
     [BackendBehaviour.Fail]: (response) => response.writeHead(500).end(),
